Workspace, shared types and interfaces

Cause: nothing stood yet; the packages need one set of types to grow apart. Change: npm workspace of small packages, interfaces to the platform, workers, clock and network as abstract classes, messages between nodes as one union, resolved rules, numbered log events, metrics, charts read from files. Weighed: one package with folders (imports would not be held one way).

--- /dev/null
+++ b/packages/core/src/runtime/Chart.ts
@@ -0,0 +1,70 @@
+import { createMachine, getInitialSnapshot, getNextSnapshot } from 'xstate'
+import type { AnyMachineSnapshot, AnyStateMachine } from 'xstate'
+
+/** A chart as it stands in its file. */
+export interface ChartFile {
+  id: string
+  initial: string
+  states: Record<string, { type?: 'final', on?: Record<string, string> }>
+}
+
+/** A state chart that the code interprets. Steps are looked up once and remembered. */
+export class Chart<State extends string, Event extends string> {
+  readonly initial: State
+  private readonly machine: AnyStateMachine
+  private readonly steps = new Map<string, State | null>()
+  private readonly finals = new Set<string>()
+
+  /**
+   * @param file - the chart's file
+   * @throws Error when a transition names a state that does not exist
+   */
+  constructor (file: ChartFile) {
+    checkTargets(file)
+    this.machine = createMachine(file as Parameters<typeof createMachine>[0])
+    this.initial = getInitialSnapshot(this.machine).value as State
+    for (const [name, state] of Object.entries(file.states)) {
+      if (state.type === 'final') this.finals.add(name)
+    }
+  }
+
+  /**
+   * @param state - current state
+   * @param event - what happened
+   * @returns the next state, or `null` when the chart does not allow the event here
+   */
+  next (state: State, event: Event): State | null {
+    const step = `${state} ${event}`
+    const known = this.steps.get(step)
+    if (known !== undefined) return known
+    const next = this.interpret(state, event)
+    this.steps.set(step, next)
+    return next
+  }
+
+  /**
+   * @param state - a state
+   * @returns whether nothing can follow it
+   */
+  isFinal (state: State): boolean {
+    return this.finals.has(state)
+  }
+
+  private interpret (state: State, event: Event): State | null {
+    const snapshot = this.machine.resolveState({ value: state, context: {} }) as AnyMachineSnapshot
+    if (!snapshot.can({ type: event })) return null
+    return getNextSnapshot(this.machine, snapshot, { type: event }).value as State
+  }
+}
+
+function checkTargets (file: ChartFile): void {
+  const missing: string[] = []
+  for (const [name, state] of Object.entries(file.states)) {
+    for (const [event, target] of Object.entries(state.on ?? {})) {
+      if (!(target in file.states)) missing.push(`${name} on ${event} to ${target}`)
+    }
+  }
+  if (!(file.initial in file.states)) missing.push(`initial ${file.initial}`)
+  if (missing.length === 0) return
+  throw new Error(`chart ${file.id} names states that do not exist: ${missing.join('; ')}; add the states or mend the names`)
+}
--- /dev/null
+++ b/packages/core/src/runtime/SystemClock.ts
@@ -0,0 +1,18 @@
+import { Clock } from './Clock.js'
+import type { Timer } from './Clock.js'
+
+/** The machine's clock. Its timers do not keep the process alive when `unref` is set. */
+export class SystemClock extends Clock {
+  override now (): number {
+    return performance.now()
+  }
+
+  override wall (): number {
+    return Date.now()
+  }
+
+  override schedule (delay: number, callback: () => void): Timer {
+    const handle = setTimeout(callback, delay)
+    return { cancel: () => { clearTimeout(handle) } }
+  }
+}
--- /dev/null
+++ b/packages/telemetry/src/runtime/Metrics.ts
@@ -0,0 +1,153 @@
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+
+/** Names and values that tell series of one metric apart. */
+export type Labels = Record<string, string>
+
+/** Figures of one histogram, in milliseconds. */
+export interface Summary {
+  count: number
+  mean: number
+  p50: number
+  p90: number
+  p99: number
+  max: number
+}
+
+/** One series as reported. */
+export type Series =
+  | { kind: 'counter', name: string, labels: Labels, value: number }
+  | { kind: 'gauge', name: string, labels: Labels, value: number }
+  | { kind: 'timer', name: string, labels: Labels, value: Summary }
+
+const MICROSECONDS_PER_MS = 1000
+const HIGHEST_TRACKABLE_US = 3_600_000_000
+const QUANTILES = [0.5, 0.9, 0.99]
+
+/** Latency histogram that keeps two significant digits. */
+export class Stopwatch {
+  private readonly histogram: Histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_TRACKABLE_US,
+    numberOfSignificantValueDigits: 2,
+    bitBucketSize: 'packed',
+    useWebAssembly: false
+  })
+
+  /** @param duration - ms to count */
+  record (duration: number): void {
+    const value = Math.round(Math.max(0, duration) * MICROSECONDS_PER_MS)
+    this.histogram.recordValue(Math.min(value, HIGHEST_TRACKABLE_US))
+  }
+
+  /**
+   * @param fraction - from 0 to 1
+   * @returns the quantile in ms
+   */
+  quantile (fraction: number): number {
+    return this.histogram.getValueAtPercentile(fraction * 100) / MICROSECONDS_PER_MS
+  }
+
+  /** @returns the figures so far */
+  summary (): Summary {
+    return {
+      count: this.histogram.totalCount,
+      mean: this.histogram.totalCount === 0 ? 0 : this.histogram.mean / MICROSECONDS_PER_MS,
+      p50: this.quantile(0.5),
+      p90: this.quantile(0.9),
+      p99: this.quantile(0.99),
+      max: this.histogram.totalCount === 0 ? 0 : this.histogram.maxValue / MICROSECONDS_PER_MS
+    }
+  }
+}
+
+/** A count that only grows. */
+export class Counter {
+  value = 0
+
+  /** @param amount - how much to add (default 1) */
+  add (amount = 1): void {
+    this.value += amount
+  }
+}
+
+interface Entry<T> {
+  name: string
+  labels: Labels
+  metric: T
+}
+
+/** All metrics of one node. */
+export class Metrics {
+  private readonly counters = new Map<string, Entry<Counter>>()
+  private readonly timers = new Map<string, Entry<Stopwatch>>()
+  private readonly gauges = new Map<string, Entry<() => number>>()
+
+  /**
+   * @param name - name of the metric
+   * @param labels - labels of the series
+   * @returns the counter, made at first use
+   */
+  counter (name: string, labels: Labels = {}): Counter {
+    return obtain(this.counters, name, labels, () => new Counter())
+  }
+
+  /**
+   * @param name - name of the metric
+   * @param labels - labels of the series
+   * @returns the histogram, made at first use
+   */
+  timer (name: string, labels: Labels = {}): Stopwatch {
+    return obtain(this.timers, name, labels, () => new Stopwatch())
+  }
+
+  /**
+   * @param name - name of the metric
+   * @param read - gives the value when asked
+   * @param labels - labels of the series
+   */
+  gauge (name: string, read: () => number, labels: Labels = {}): void {
+    this.gauges.set(seriesKey(name, labels), { name, labels, metric: read })
+  }
+
+  /** @returns every series */
+  report (): Series[] {
+    const counters = [...this.counters.values()].map(({ name, labels, metric }): Series => ({ kind: 'counter', name, labels, value: metric.value }))
+    const gauges = [...this.gauges.values()].map(({ name, labels, metric }): Series => ({ kind: 'gauge', name, labels, value: metric() }))
+    const timers = [...this.timers.values()].map(({ name, labels, metric }): Series => ({ kind: 'timer', name, labels, value: metric.summary() }))
+    return [...counters, ...gauges, ...timers]
+  }
+
+  /** @returns every series in the Prometheus text format */
+  render (): string {
+    const lines: string[] = []
+    for (const { name, labels, metric } of this.counters.values()) lines.push(`${name}_total${formatLabels(labels)} ${metric.value}`)
+    for (const { name, labels, metric } of this.gauges.values()) lines.push(`${name}${formatLabels(labels)} ${metric()}`)
+    for (const { name, labels, metric } of this.timers.values()) {
+      const summary = metric.summary()
+      for (const quantile of QUANTILES) {
+        lines.push(`${name}_ms${formatLabels({ ...labels, quantile: String(quantile) })} ${metric.quantile(quantile)}`)
+      }
+      lines.push(`${name}_ms_count${formatLabels(labels)} ${summary.count}`)
+    }
+    return lines.map(line => line + '\n').join('')
+  }
+}
+
+function obtain<T> (entries: Map<string, Entry<T>>, name: string, labels: Labels, make: () => T): T {
+  const key = seriesKey(name, labels)
+  const known = entries.get(key)
+  if (known !== undefined) return known.metric
+  const metric = make()
+  entries.set(key, { name, labels, metric })
+  return metric
+}
+
+function seriesKey (name: string, labels: Labels): string {
+  return name + formatLabels(labels)
+}
+
+function formatLabels (labels: Labels): string {
+  const pairs = Object.entries(labels).map(([key, value]) => `${key}=${JSON.stringify(value)}`)
+  return pairs.length === 0 ? '' : `{${pairs.join(',')}}`
+}
