core: key messages name their claim, transfers their version

Cause: a late key-settle could free a key that another claim holds by then, a late key-transfer could be taken for that of a newer move, and nothing told the sender that either arrived. Weighed: numbering by the receiver (needs one more round trip before dispatch). Chosen: the claim's id on the settle and on the entry, the assignment version on the transfer, a key-ack that ends the repeats.

--- a/packages/core/src/types/message.ts
+++ b/packages/core/src/types/message.ts
@@ -114,6 +114,7 @@
   | 'clash'    // same key, another request
   | 'forgotten' // may have been seen by an earlier home: it must not run
   | 'not-home' // the asked node does not own the shard now
+  | 'full'     // no room to remember another key: it must not run now
 
 /** A home's answer. */
 export interface KeyVerdictMessage {
@@ -129,6 +130,9 @@
   kind: 'key-settle'
   shard: number
   key: string
+  /** `id` of the claim that was answered with `first`; another claim of the key is left alone. */
+  claim: string
+  fingerprint: string
   outcome: Outcome
   answer: StoredAnswer | null
 }
@@ -136,6 +140,8 @@
 /** One remembered key. */
 export interface KeyEntry {
   key: string
+  /** `id` of the claim that may run the request. */
+  claim: string
   fingerprint: string
   outcome: Outcome | 'running'
   answer: StoredAnswer | null
@@ -147,9 +153,23 @@
 export interface KeyTransferMessage {
   kind: 'key-transfer'
   shard: number
+  /** Version of the assignment that made the receiver the home. */
+  version: number
+  /** Wall-clock ms before which the sender cannot know the keys; 0 when it knows them all. */
+  epoch: number
+  /** Number of this part, from 0. */
+  part: number
+  /** Number of parts of the transfer. */
+  parts: number
   entries: KeyEntry[]
 }
 
+/** Confirms a `key-settle` (by its claim) or a part of a `key-transfer`, which is sent again until then. */
+export interface KeyAckMessage {
+  kind: 'key-ack'
+  id: string
+}
+
 /** Requests and answers of the job subsystem, whose shape is known to it alone. */
 export interface JobMessage {
   kind: 'job'
@@ -180,6 +200,7 @@
   | KeyVerdictMessage
   | KeySettleMessage
   | KeyTransferMessage
+  | KeyAckMessage
   | JobMessage
 
 /** Kinds of message. */
