Messages between nodes over gRPC streams

Cause: nodes need to reach each other; nothing carried the messages yet. Weighed: unary calls (an answer a message, which the protocols do not need), HTTP/2 keepalive pings on idle connections (bytes at rest for each pair). Change: one stream a direction, frames batch what one turn of the loop sends, acknowledged at most four times a second; a connection that acknowledges nothing for 1.5 s is replaced by a new one; both ends prove the shared secret by a digest over the other's nonce; every message is checked by a schema. Left: the bytes are not encrypted.

--- /dev/null
+++ b/packages/peer/src/node/GrpcNetwork.ts
@@ -0,0 +1,109 @@
+import { Network, SystemClock, SystemRandom } from '@rattanstep/core'
+import type { Address, Clock, Incarnation, Message, Random, Receiver } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import { Link } from './Link.js'
+import { PeerServer } from './PeerServer.js'
+
+/** What the network of one node needs. */
+export interface GrpcNetworkOptions {
+  self: Incarnation
+  /** Where this node listens; port 0 lets the system choose. */
+  address: Address
+  secret: string
+  log: Log
+  /** Default: the machine's clock. */
+  clock?: Clock
+  /** Default: the runtime's random numbers. */
+  random?: Random
+}
+
+/** Messages between nodes over gRPC streams, one for each direction of a pair. */
+export class GrpcNetwork extends Network {
+  private readonly links = new Map<Incarnation, Link>()
+  private readonly unnamed = new Set<Link>()
+  private readonly server: PeerServer
+  private readonly clock: Clock
+  private readonly random: Random
+  private receiver: Receiver = () => {}
+
+  constructor (private readonly options: GrpcNetworkOptions) {
+    super()
+    this.clock = options.clock ?? new SystemClock()
+    this.random = options.random ?? new SystemRandom()
+    const { self, address, secret, log } = options
+    const receive: Receiver = (from, message) => { this.receiver(from, message) }
+    this.server = new PeerServer({ self, address, secret, log, clock: this.clock, receive })
+  }
+
+  /** @returns the address listened on */
+  async listen (): Promise<Address> {
+    return await this.server.listen()
+  }
+
+  override introduce (incarnation: Incarnation, address: Address): void {
+    const { self, secret, log } = this.options
+    if (incarnation === self || this.links.has(incarnation)) return
+    const { clock, random } = this
+    this.links.set(incarnation, new Link({ self, peer: incarnation, address, secret, log, clock, random }))
+  }
+
+  /**
+   * Connects to whichever node listens at an address.
+   *
+   * @param address - where to connect
+   * @param onNamed - called with the incarnation of the node found, after which it can be sent to
+   */
+  discover (address: Address, onNamed: (peer: Incarnation) => void): void {
+    const { self, secret, log } = this.options
+    const { clock, random } = this
+    const named = (peer: Incarnation): void => {
+      this.adopt(peer, link)
+      onNamed(peer)
+    }
+    const link = new Link({ self, peer: null, address, secret, log, clock, random, onNamed: named })
+    this.unnamed.add(link)
+    link.open()
+  }
+
+  private adopt (peer: Incarnation, link: Link): void {
+    if (peer === this.options.self || this.links.has(peer)) return
+    this.unnamed.delete(link)
+    this.links.set(peer, link)
+  }
+
+  /**
+   * Forgets a node.
+   *
+   * @param incarnation - a node that is gone
+   */
+  forget (incarnation: Incarnation): void {
+    this.links.get(incarnation)?.close()
+    this.links.delete(incarnation)
+  }
+
+  /** @returns nodes that were introduced and not forgotten */
+  known (): Incarnation[] {
+    return [...this.links.keys()]
+  }
+
+  override send (to: Incarnation, message: Message): void {
+    if (to === this.options.self) {
+      setImmediate(() => { this.receiver(to, message) })
+      return
+    }
+    this.links.get(to)?.send(message)
+  }
+
+  override receive (receiver: Receiver): void {
+    this.receiver = receiver
+  }
+
+  /** Ends every connection. */
+  close (): void {
+    for (const link of this.links.values()) link.close()
+    for (const link of this.unnamed) link.close()
+    this.links.clear()
+    this.unnamed.clear()
+    this.server.close()
+  }
+}
--- /dev/null
+++ b/packages/peer/src/node/Link.ts
@@ -0,0 +1,203 @@
+import { credentials, Metadata } from '@grpc/grpc-js'
+import type { Client, ClientDuplexStream } from '@grpc/grpc-js'
+import { Chart } from '@rattanstep/core'
+import type { Address, Clock, Incarnation, Message, Random, Timer } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import chart from '../types/link.chart.json' with { type: 'json' }
+import { EVENTS } from '../types/events.js'
+import type { Envelope, Frame, Reply } from '../types/wire.js'
+import { encodeMessage } from '../utils/codec.js'
+import { isProof, makeNonce, makeProof } from '../utils/proof.js'
+import { CHANNEL_OPTIONS, FROM_KEY, NONCE_KEY, Peer } from './service.js'
+
+type LinkState = 'idle' | 'connecting' | 'open' | 'waiting' | 'closed'
+type LinkEvent = 'open' | 'challenged' | 'failed' | 'silent' | 'close'
+
+const CHART = new Chart<LinkState, LinkEvent>(chart as ConstructorParameters<typeof Chart>[0])
+
+/** Most messages that wait for a connection. */
+const LONGEST_QUEUE = 20_000
+
+/** Milliseconds without an acknowledgement after which a connection counts as silent. */
+const PROBE_MS = 1500
+
+/** Milliseconds before the first new try after a failure. */
+const FIRST_RETRY_MS = 100
+
+/** Most milliseconds between tries. */
+const LONGEST_RETRY_MS = 2000
+
+/** What a link needs. */
+export interface LinkOptions {
+  self: Incarnation
+  /** The node expected at the address, or `null` to take whichever answers. */
+  peer: Incarnation | null
+  address: Address
+  secret: string
+  clock: Clock
+  random: Random
+  log: Log
+  /** Called with the name of the node that answered. */
+  onNamed?: (peer: Incarnation) => void
+}
+
+/**
+ * The outgoing half of the connection to one node. Messages handed over in one turn of the loop go as one frame.
+ * A connection that acknowledges nothing for the probe time is given up and a new one is opened.
+ */
+export class Link {
+  private state: LinkState = CHART.initial
+  private client: Client | null = null
+  private stream: ClientDuplexStream<Frame, Reply> | null = null
+  private queue: Envelope[] = []
+  private flushing = false
+  private nonce: Buffer = Buffer.alloc(0)
+  private sent = 0
+  private received = 0
+  private oldestUnacknowledged = 0
+  private probe: Timer | null = null
+  private retry: Timer | null = null
+  private failures = 0
+
+  constructor (private readonly options: LinkOptions) {}
+
+  /** Opens the connection without waiting for a message. */
+  open (): void {
+    if (this.state === 'idle') this.connect()
+  }
+
+  /** @param message - queued until the connection is open */
+  send (message: Message): void {
+    if (this.state === 'closed') return
+    this.queue.push(encodeMessage(message))
+    if (this.queue.length > LONGEST_QUEUE) this.dropOldest()
+    if (this.state === 'idle') this.connect()
+    if (this.flushing) return
+    this.flushing = true
+    setImmediate(() => { this.flush() })
+  }
+
+  /** Ends the connection after what is queued has been handed to it. */
+  close (): void {
+    if (this.state === 'open') this.flush()
+    this.step('close')
+    this.retry?.cancel()
+    this.disconnect(true)
+  }
+
+  private get name (): string {
+    const { peer, address } = this.options
+    return peer ?? `${address.host}:${address.port}`
+  }
+
+  private dropOldest (): void {
+    const dropped = this.queue.length >> 1
+    this.queue = this.queue.slice(dropped)
+    this.options.log.write(EVENTS.overflow, { peer: this.name, dropped })
+  }
+
+  private connect (): void {
+    if (!this.step('open')) return
+    const { address, clock } = this.options
+    this.nonce = makeNonce()
+    this.sent = 0
+    this.received = 0
+    this.oldestUnacknowledged = clock.now()
+    this.client = new Peer(`${address.host}:${address.port}`, credentials.createInsecure(), CHANNEL_OPTIONS)
+    this.stream = this.openStream(this.client)
+    this.probe = clock.repeat(PROBE_MS / 3, () => { this.checkSilence() })
+  }
+
+  private openStream (client: Client): ClientDuplexStream<Frame, Reply> {
+    const metadata = new Metadata()
+    metadata.set(FROM_KEY, this.options.self)
+    metadata.set(NONCE_KEY, this.nonce.toString('hex'))
+    const open = (client as unknown as { Channel: (metadata: Metadata) => ClientDuplexStream<Frame, Reply> }).Channel
+    const stream = open.call(client, metadata)
+    stream.on('data', (reply: Reply) => { if (stream === this.stream) this.hear(reply) })
+    stream.on('error', (error: Error) => { if (stream === this.stream) this.fail('failed', error.message) })
+    stream.on('end', () => { if (stream === this.stream) this.fail('failed', 'the other end closed the connection') })
+    return stream
+  }
+
+  private hear (reply: Reply): void {
+    if (reply.challenge !== null) {
+      this.answer(reply.challenge)
+      return
+    }
+    this.received = reply.received
+    this.oldestUnacknowledged = this.options.clock.now()
+  }
+
+  private answer (challenge: NonNullable<Reply['challenge']>): void {
+    const { self, peer, address, secret, log } = this.options
+    const expected = makeProof(secret, 'callee', this.nonce, challenge.self, self)
+    if (!isProof(expected, challenge.digest)) {
+      log.write(EVENTS.refused, { from: challenge.self, address: `${address.host}:${address.port}`, reason: 'it does not know the secret' })
+      this.fail('failed', 'the other end does not know the secret')
+      return
+    }
+    if (peer !== null && challenge.self !== peer) {
+      this.fail('failed', `the address belongs to ${challenge.self} now`)
+      return
+    }
+    this.step('challenged')
+    this.failures = 0
+    log.write(EVENTS.connected, { peer: challenge.self, ...address })
+    this.options.onNamed?.(challenge.self)
+    const digest = makeProof(secret, 'caller', challenge.nonce, self, challenge.self)
+    this.write({ proof: { from: self, digest }, messages: [] })
+    this.flush()
+  }
+
+  private flush (): void {
+    this.flushing = false
+    if (this.state !== 'open' || this.queue.length === 0) return
+    const messages = this.queue
+    this.queue = []
+    this.write({ proof: null, messages })
+  }
+
+  private write (frame: Frame): void {
+    if (this.sent === this.received) this.oldestUnacknowledged = this.options.clock.now()
+    this.sent++
+    this.stream?.write(frame)
+  }
+
+  private checkSilence (): void {
+    const waiting = this.state === 'connecting' || this.sent > this.received
+    if (!waiting) return
+    if (this.options.clock.now() - this.oldestUnacknowledged < PROBE_MS) return
+    this.options.log.write(EVENTS.silent, { peer: this.name, unacknowledged: this.sent - this.received })
+    this.fail('silent', 'no acknowledgement within the probe time')
+  }
+
+  private fail (event: 'failed' | 'silent', reason: string): void {
+    if (!this.step(event)) return
+    this.disconnect(false)
+    const { clock, random, log } = this.options
+    const delay = random.jitter(Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** this.failures))
+    this.failures++
+    log.write(EVENTS.disconnected, { peer: this.name, reason, retry: Math.round(delay) })
+    this.retry = clock.schedule(delay, () => { this.connect() })
+  }
+
+  private disconnect (gracefully: boolean): void {
+    this.probe?.cancel()
+    const { stream, client } = this
+    this.stream = null
+    this.client = null
+    if (stream === null || client === null) return
+    stream.on('error', () => {})
+    if (gracefully) stream.end()
+    else stream.cancel()
+    client.close()
+  }
+
+  private step (event: LinkEvent): boolean {
+    const next = CHART.next(this.state, event)
+    if (next === null) return false
+    this.state = next
+    return true
+  }
+}
--- /dev/null
+++ b/packages/peer/src/node/PeerServer.ts
@@ -0,0 +1,113 @@
+import { Server, ServerCredentials, status } from '@grpc/grpc-js'
+import type { ServerDuplexStream } from '@grpc/grpc-js'
+import type { Address, Clock, Incarnation, Receiver, Timer } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import { EVENTS } from '../types/events.js'
+import type { Envelope, Frame, Reply } from '../types/wire.js'
+import { decodeMessage } from '../utils/codec.js'
+import { isProof, makeNonce, makeProof } from '../utils/proof.js'
+import { CHANNEL_OPTIONS, FROM_KEY, NONCE_KEY, Peer } from './service.js'
+
+type Channel = ServerDuplexStream<Frame, Reply>
+
+/** Milliseconds between acknowledgements of a busy connection. */
+const ACKNOWLEDGE_MS = 250
+
+/** Most characters of a name that a stranger gives which are logged. */
+const LONGEST_LOGGED = 64
+
+/** What the listening side needs. */
+export interface PeerServerOptions {
+  self: Incarnation
+  address: Address
+  secret: string
+  clock: Clock
+  log: Log
+  receive: Receiver
+}
+
+/** The listening side: takes frames from other nodes once they have proved the shared secret. */
+export class PeerServer {
+  private readonly server = new Server(CHANNEL_OPTIONS)
+
+  constructor (private readonly options: PeerServerOptions) {
+    this.server.addService(Peer.service, { Channel: (channel: Channel) => { this.accept(channel) } })
+  }
+
+  /** @returns the address listened on, with the port that the system chose when it was 0 */
+  async listen (): Promise<Address> {
+    const { host, port } = this.options.address
+    const bound = await new Promise<number>((resolve, reject) => {
+      this.server.bindAsync(`${host}:${port}`, ServerCredentials.createInsecure(), (error, chosen) => {
+        if (error === null) resolve(chosen)
+        else reject(error)
+      })
+    })
+    this.options.log.write(EVENTS.listening, { host, port: bound })
+    return { host, port: bound }
+  }
+
+  /** Ends every connection. */
+  close (): void {
+    this.server.forceShutdown()
+  }
+
+  private accept (channel: Channel): void {
+    const from = String(channel.metadata.get(FROM_KEY)[0] ?? '')
+    const nonce = Buffer.from(String(channel.metadata.get(NONCE_KEY)[0] ?? ''), 'hex')
+    if (from === '' || nonce.length === 0) {
+      this.refuse(channel, from, 'it gave no name or no nonce')
+      return
+    }
+    const challenge = makeNonce()
+    const { self, secret } = this.options
+    channel.write({ challenge: { self, nonce: challenge, digest: makeProof(secret, 'callee', nonce, self, from) }, received: 0 })
+    this.listenTo(channel, from, makeProof(secret, 'caller', challenge, from, self))
+  }
+
+  private listenTo (channel: Channel, from: Incarnation, expected: Buffer): void {
+    const { clock } = this.options
+    let proved = false
+    let received = 0
+    let acknowledgement: Timer | null = null
+    const acknowledge = (): void => {
+      acknowledgement = null
+      channel.write({ challenge: null, received })
+    }
+    channel.on('data', (frame: Frame) => {
+      received++
+      if (!proved) {
+        proved = frame.proof !== null && frame.proof.from === from && isProof(expected, frame.proof.digest)
+        if (!proved) {
+          this.refuse(channel, from, 'it does not know the secret')
+          return
+        }
+      }
+      acknowledgement ??= clock.schedule(ACKNOWLEDGE_MS, acknowledge)
+      for (const envelope of frame.messages) this.deliver(from, envelope)
+    })
+    const finish = (): void => {
+      acknowledgement?.cancel()
+      channel.end()
+    }
+    channel.on('end', finish)
+    channel.on('error', finish)
+    channel.on('cancelled', finish)
+  }
+
+  private deliver (from: Incarnation, envelope: Envelope): void {
+    const message = decodeMessage(envelope)
+    if (message === null) {
+      this.options.log.write(EVENTS.malformed, { from, body: String(envelope.body).slice(0, LONGEST_LOGGED) })
+      return
+    }
+    this.options.receive(from, message)
+  }
+
+  private refuse (channel: Channel, from: string, reason: string): void {
+    this.options.log.write(EVENTS.refused, { from: from.slice(0, LONGEST_LOGGED), address: channel.getPeer(), reason })
+    channel.removeAllListeners('data')
+    channel.on('data', () => {})
+    channel.emit('error', { code: status.UNAUTHENTICATED, details: reason })
+  }
+}
--- /dev/null
+++ b/packages/peer/src/node/service.ts
@@ -0,0 +1,40 @@
+import { fileURLToPath } from 'node:url'
+import { loadPackageDefinition } from '@grpc/grpc-js'
+import type { ChannelOptions, ServiceClientConstructor, ServiceDefinition } from '@grpc/grpc-js'
+import { loadSync } from '@grpc/proto-loader'
+
+const PROTO_FILE = fileURLToPath(new URL('../../../proto/peer.proto', import.meta.url))
+
+/** Most bytes of one frame. */
+const LARGEST_FRAME = 16 * 1024 * 1024
+
+const definition = loadSync(PROTO_FILE, {
+  longs: Number,
+  enums: String,
+  defaults: true,
+  arrays: true,
+  objects: true,
+  oneofs: true
+})
+
+interface PeerPackage {
+  rattanstep: { peer: { Peer: ServiceClientConstructor & { service: ServiceDefinition } } }
+}
+
+/** Client and service definition of the protocol between nodes. */
+export const { Peer } = (loadPackageDefinition(definition) as unknown as PeerPackage).rattanstep.peer
+
+/** Settings for both ends of a connection. Each client opens a connection of its own. */
+export const CHANNEL_OPTIONS: ChannelOptions = {
+  'grpc.max_receive_message_length': LARGEST_FRAME,
+  'grpc.max_send_message_length': LARGEST_FRAME,
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.enable_retries': 0,
+  'grpc.enable_http_proxy': 0
+}
+
+/** Metadata key of the caller's name. */
+export const FROM_KEY = 'rattanstep-from'
+
+/** Metadata key of the caller's nonce, in hexadecimal. */
+export const NONCE_KEY = 'rattanstep-nonce'
--- /dev/null
+++ b/packages/peer/src/utils/codec.ts
@@ -0,0 +1,106 @@
+import type { Message, MessageKind, StoredAnswer } from '@rattanstep/core'
+import { messageSchema } from '../types/schema.js'
+import type { Envelope, Fields } from '../types/wire.js'
+
+/**
+ * Turns messages into what the codec writes and back.
+ */
+
+const FIELD_OF: Record<MessageKind, string> = {
+  heartbeat: 'heartbeat',
+  promise: 'promise',
+  'vote-request': 'voteRequest',
+  vote: 'vote',
+  assignment: 'assignment',
+  rules: 'rules',
+  fetch: 'fetch',
+  ask: 'ask',
+  grant: 'grant',
+  refuse: 'refuse',
+  release: 'release',
+  cancel: 'cancel',
+  permits: 'permits',
+  'permits-request': 'permitsRequest',
+  'key-claim': 'keyClaim',
+  'key-verdict': 'keyVerdict',
+  'key-settle': 'keySettle',
+  'key-transfer': 'keyTransfer',
+  job: 'job'
+}
+
+const KIND_OF = new Map(Object.entries(FIELD_OF).map(([kind, field]) => [field, kind]))
+
+/**
+ * @param message - a message
+ * @returns the envelope to write
+ */
+export function encodeMessage (message: Message): Envelope {
+  return { [FIELD_OF[message.kind]]: encodeFields(message) }
+}
+
+/**
+ * @param envelope - an envelope as read
+ * @returns the message, or `null` when it is not one that this version understands
+ */
+export function decodeMessage (envelope: Envelope): Message | null {
+  const kind = KIND_OF.get(envelope.body ?? '')
+  if (kind === undefined) return null
+  const fields = envelope[envelope.body!] as Fields | null
+  const checked = messageSchema.safeParse({ ...decodeFields(kind as MessageKind, fields ?? {}), kind })
+  return checked.success ? checked.data as Message : null
+}
+
+function encodeFields (message: Message): Fields {
+  switch (message.kind) {
+    case 'assignment': {
+      const { nextVoters, ...rest } = message.assignment
+      const voters = nextVoters === null ? null : { incarnations: nextVoters }
+      return { assignment: { ...rest, nextVoters: voters } }
+    }
+    case 'key-verdict':
+    case 'key-settle':
+      return { ...message, answer: encodeAnswer(message.answer) }
+    case 'key-transfer':
+      return { ...message, entries: message.entries.map(entry => ({ ...entry, answer: encodeAnswer(entry.answer) })) }
+    default:
+      return { ...message }
+  }
+}
+
+function decodeFields (kind: MessageKind, fields: Fields): Fields {
+  switch (kind) {
+    case 'assignment':
+      return { assignment: decodeAssignment(asFields(fields.assignment)) }
+    case 'key-verdict':
+    case 'key-settle':
+      return { ...fields, answer: decodeAnswer(fields.answer) }
+    case 'key-transfer':
+      return { ...fields, entries: asList(fields.entries).map(entry => ({ ...entry, answer: decodeAnswer(entry.answer) })) }
+    default:
+      return fields
+  }
+}
+
+function decodeAssignment (assignment: Fields): Fields {
+  const { nextVoters } = assignment
+  return { ...assignment, nextVoters: nextVoters === null ? null : asFields(nextVoters).incarnations }
+}
+
+function encodeAnswer (answer: StoredAnswer | null): Fields | null {
+  if (answer === null) return null
+  return { ...answer, headers: answer.headers.map(([name, value]) => ({ name, value })) }
+}
+
+function decodeAnswer (answer: unknown): Fields | null {
+  if (answer === null) return null
+  const fields = asFields(answer)
+  return { ...fields, headers: asList(fields.headers).map(({ name, value }) => [name, value]) }
+}
+
+function asFields (value: unknown): Fields {
+  return typeof value === 'object' && value !== null ? value as Fields : {}
+}
+
+function asList (value: unknown): Fields[] {
+  return Array.isArray(value) ? value.map(asFields) : []
+}
--- /dev/null
+++ b/packages/peer/test/node/GrpcNetwork.test.ts
@@ -0,0 +1,119 @@
+import { after, test } from 'node:test'
+import { createServer, connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { expect } from 'earl'
+import type { Address, Incarnation, Message } from '@rattanstep/core'
+import { MemoryLog } from '@rattanstep/telemetry'
+import { GrpcNetwork } from '../../src/index.js'
+import { EVERY_MESSAGE } from './messages.js'
+
+const LOCAL: Address = { host: '127.0.0.1', port: 0 }
+
+interface End {
+  network: GrpcNetwork
+  address: Address
+  log: MemoryLog
+  heard: Array<{ from: Incarnation, message: Message }>
+}
+
+const opened: GrpcNetwork[] = []
+after(() => { for (const network of opened) network.close() })
+
+async function openEnd (self: Incarnation, secret = 'shared'): Promise<End> {
+  const log = new MemoryLog()
+  const network = new GrpcNetwork({ self, address: LOCAL, secret, log })
+  opened.push(network)
+  const heard: End['heard'] = []
+  network.receive((from, message) => heard.push({ from, message }))
+  const address = await network.listen()
+  return { network, address, log, heard }
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 5))
+}
+
+function ping (number: number): Message {
+  return { kind: 'vote-request', holder: 'x@1', version: number }
+}
+
+/** Relays connections and can stop relaying without closing them. */
+async function openRelay (target: Address): Promise<{ address: Address, blackHole: () => void, close: () => void }> {
+  const sockets: Socket[] = []
+  let holed: Socket[] = []
+  const server = createServer(socket => {
+    const out = connect(target.port, target.host)
+    sockets.push(socket, out)
+    for (const [a, b] of [[socket, out], [out, socket]] as const) {
+      a.on('data', bytes => { if (!holed.includes(a)) b.write(bytes) })
+      a.on('error', () => {})
+      a.on('close', () => { b.destroy() })
+    }
+  })
+  await new Promise<void>(resolve => server.listen(0, LOCAL.host, resolve))
+  const { port } = server.address() as { port: number }
+  return {
+    address: { host: LOCAL.host, port },
+    blackHole: () => { holed = [...sockets] },
+    close: () => {
+      server.close()
+      for (const socket of sockets) socket.destroy()
+    }
+  }
+}
+
+test('every kind of message arrives as it was sent', async () => {
+  const [a, b] = [await openEnd('a@1'), await openEnd('b@1')]
+  a.network.introduce('b@1', b.address)
+  for (const message of EVERY_MESSAGE) a.network.send('b@1', message)
+  await until(() => b.heard.length === EVERY_MESSAGE.length)
+  expect(b.heard.map(item => item.message)).toEqual(EVERY_MESSAGE)
+  expect(b.heard.every(item => item.from === 'a@1')).toEqual(true)
+})
+
+test('a message to itself is delivered', async () => {
+  const a = await openEnd('self@1')
+  a.network.send('self@1', ping(1))
+  await until(() => a.heard.length === 1)
+  expect(a.heard[0]).toEqual({ from: 'self@1', message: ping(1) })
+})
+
+test('a node with another secret is refused and nothing it says is delivered', async () => {
+  const [stranger, b] = [await openEnd('s@1', 'guessed'), await openEnd('b@2')]
+  stranger.network.introduce('b@2', b.address)
+  stranger.network.send('b@2', ping(1))
+  await until(() => stranger.log.lines.some(line => line.event.name === 'peer-refused'))
+  expect(b.heard).toEqual([])
+})
+
+test('a restarted node at the same address does not get messages meant for its former life', async () => {
+  const [a, b] = [await openEnd('a@3'), await openEnd('b@new')]
+  a.network.introduce('b@old', b.address)
+  a.network.send('b@old', ping(1))
+  await until(() => a.log.lines.some(line => String(line.fields.reason).includes('belongs to b@new')))
+  expect(b.heard).toEqual([])
+})
+
+test('a node is found by its address alone', async () => {
+  const [a, b] = [await openEnd('a@4'), await openEnd('b@4')]
+  const found = await new Promise<Incarnation>(resolve => { a.network.discover(b.address, resolve) })
+  expect(found).toEqual('b@4')
+  a.network.send(found, ping(7))
+  await until(() => b.heard.length === 1)
+  expect(b.heard[0]?.message).toEqual(ping(7))
+})
+
+test('a connection that went silent is replaced by a new one', async () => {
+  const [a, b] = [await openEnd('a@5'), await openEnd('b@5')]
+  const relay = await openRelay(b.address)
+  a.network.introduce('b@5', relay.address)
+  a.network.send('b@5', ping(1))
+  await until(() => b.heard.length === 1)
+  relay.blackHole()
+  a.network.send('b@5', ping(2))
+  await until(() => a.log.lines.some(line => line.event.name === 'peer-silent'))
+  a.network.send('b@5', ping(3))
+  await until(() => b.heard.length === 2)
+  expect(b.heard[1]?.message).toEqual(ping(3))
+  relay.close()
+})
