Carry the widened key messages between nodes

Cause: settles, transfers and acknowledgements of keys gained fields. Change: the same fields in the protocol, the schema and the round-trip test.

--- a/packages/peer/src/types/schema.ts
+++ b/packages/peer/src/types/schema.ts
@@ -48,9 +48,10 @@
   headers: list(z.tuple([z.string(), z.string()])),
   body: z.string()
 }).nullable()
-const verdict = z.enum(['first', 'running', 'settled', 'clash', 'forgotten', 'not-home'])
+const verdict = z.enum(['first', 'running', 'settled', 'clash', 'forgotten', 'not-home', 'full'])
 const keyEntry = z.object({
   key: name,
+  claim: name,
   fingerprint: name,
   outcome: z.enum(['run', 'not-run', 'unknown', 'running']),
   answer,
@@ -90,7 +91,16 @@
     firstSent: z.number()
   }),
   z.object({ kind: z.literal('key-verdict'), id: name, verdict, outcome, answer }),
-  z.object({ kind: z.literal('key-settle'), shard: amount, key: name, outcome, answer }),
-  z.object({ kind: z.literal('key-transfer'), shard: amount, entries: list(keyEntry) }),
+  z.object({ kind: z.literal('key-settle'), shard: amount, key: name, claim: name, fingerprint: name, outcome, answer }),
+  z.object({
+    kind: z.literal('key-transfer'),
+    shard: amount,
+    version: amount,
+    epoch: amount,
+    part: amount,
+    parts: amount,
+    entries: list(keyEntry)
+  }),
+  z.object({ kind: z.literal('key-ack'), id: name }),
   z.object({ kind: z.literal('job'), id: name, operation: name, body: z.string() })
 ])
--- a/packages/peer/src/utils/codec.ts
+++ b/packages/peer/src/utils/codec.ts
@@ -25,6 +25,7 @@
   'key-verdict': 'keyVerdict',
   'key-settle': 'keySettle',
   'key-transfer': 'keyTransfer',
+  'key-ack': 'keyAck',
   job: 'job'
 }
 
--- a/packages/peer/test/node/messages.ts
+++ b/packages/peer/test/node/messages.ts
@@ -49,14 +49,19 @@
   { kind: 'key-claim', id: 'c1', shard: 3, key: 'k', fingerprint: 'f', firstSent: 1_800_000_000_000 },
   { kind: 'key-verdict', id: 'c1', verdict: 'settled', outcome: 'run', answer: ANSWER },
   { kind: 'key-verdict', id: 'c2', verdict: 'first', outcome: 'unknown', answer: null },
-  { kind: 'key-settle', shard: 3, key: 'k', outcome: 'run', answer: ANSWER },
+  { kind: 'key-settle', shard: 3, key: 'k', claim: 'c1', fingerprint: 'f', outcome: 'run', answer: ANSWER },
   {
     kind: 'key-transfer',
     shard: 3,
+    version: 5,
+    epoch: 1_800_000_000_000,
+    part: 0,
+    parts: 2,
     entries: [
-      { key: 'k', fingerprint: 'f', outcome: 'run', answer: ANSWER, age: 10 },
-      { key: 'l', fingerprint: 'g', outcome: 'running', answer: null, age: 1 }
+      { key: 'k', claim: 'c1', fingerprint: 'f', outcome: 'run', answer: ANSWER, age: 10 },
+      { key: 'l', claim: 'c2', fingerprint: 'g', outcome: 'running', answer: null, age: 1 }
     ]
   },
+  { kind: 'key-ack', id: 'c1' },
   { kind: 'job', id: 'j1', operation: 'hold', body: '{"a":1}' }
 ]
