Admit work by strict priority with fair queues, and choose owners

Cause: fronts and admission need one place that decides who gets room. Weighed: a first-in-first-out queue an owner (a caller's burst holds up the others), a scan of all workers for each ask (cost grows with workers), and a tree of the largest free amounts, which finds room without a scan. Change: Admission keeps the books of workers, classes and permits and grants by priority, weight and fair turns of callers; chooseOwner draws owners in proportion to their free slots. Not there yet: worker reports, quarantine, gangs, preemption, redirects.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export { Admission } from './runtime/Admission.js'
+export type { AdmissionOptions } from './runtime/Admission.js'
+export { chooseOwner } from './runtime/chooseOwner.js'
+export type { OwnerChoice, OwnerOptions, OwnerView } from './runtime/chooseOwner.js'
+export { RunTimes } from './runtime/RunTimes.js'
+export type { Decision, GrantDecision, PeerLoad, RefuseDecision, WorkerRoom, WorkerUsage } from './types/decision.js'
--- /dev/null
+++ b/packages/policy/src/runtime/FlowQueue.ts
@@ -0,0 +1,187 @@
+import type { Ask, Incarnation } from '@rattanstep/core'
+import { Heap } from '../utils/Heap.js'
+import type { Placed } from '../utils/Heap.js'
+
+/** An ask that waits. */
+export interface WaitingAsk extends Placed {
+  ask: Ask
+  front: Incarnation
+  /** Identifies the ask over all fronts. */
+  key: string
+  /** When it was queued, in ms. */
+  queuedAt: number
+  /** When its patience runs out, in ms. */
+  deadline: number
+  /** Whether it was taken out of the queue. */
+  gone: boolean
+}
+
+interface Flow extends Placed {
+  name: string
+  items: WaitingAsk[]
+  /** Items before this index are gone. */
+  first: number
+  /** Live items. */
+  count: number
+  /** Start tag of the flow's next item. */
+  tag: number
+  /** Keeps flows of the same tag in order of arrival. */
+  order: number
+}
+
+/** Gone items are cut off a list once there are this many. */
+const COMPACTION = 64
+
+/**
+ * The asks of one class, served by start-time fair queueing over flows (callers within teams),
+ * so that the burst of one caller does not hold up the others.
+ */
+export class FlowQueue {
+  /** Number of asks that wait. */
+  size = 0
+  private readonly flows = new Map<string, Flow>()
+  private readonly ready = new Heap<Flow>(compareFlows)
+  private arrivals: WaitingAsk[] = []
+  private firstArrival = 0
+  private virtualTime = 0
+  private order = 0
+
+  /** @param item - an ask to queue */
+  push (item: WaitingAsk): void {
+    const name = flowName(item.ask)
+    const flow = this.flows.get(name) ?? this.open(name)
+    flow.items.push(item)
+    flow.count++
+    this.size++
+    this.arrivals.push(item)
+    if (flow.count === 1) this.activate(flow)
+  }
+
+  /** @returns the ask that waits longest, or `null` */
+  oldest (): WaitingAsk | null {
+    while (this.firstArrival < this.arrivals.length) {
+      const item = this.arrivals[this.firstArrival]!
+      if (!item.gone) return item
+      this.firstArrival++
+    }
+    this.arrivals = []
+    this.firstArrival = 0
+    return null
+  }
+
+  /**
+   * Lists the first ask of the flows that are next in turn.
+   *
+   * @param limit - at most this many
+   * @returns asks in the order in which they should be served
+   */
+  heads (limit: number): WaitingAsk[] {
+    return this.ready.first(limit).map(headOf)
+  }
+
+  /**
+   * Takes out an ask that was granted; its flow's turn moves on.
+   *
+   * @param item - an ask of this queue
+   */
+  serve (item: WaitingAsk): void {
+    const flow = this.flows.get(flowName(item.ask))!
+    this.virtualTime = Math.max(this.virtualTime, flow.tag)
+    flow.tag += 1
+    this.drop(flow, item)
+    if (flow.count > 0) this.ready.update(flow)
+  }
+
+  /**
+   * Takes out an ask that will not be granted.
+   *
+   * @param item - an ask of this queue
+   */
+  remove (item: WaitingAsk): void {
+    this.drop(this.flows.get(flowName(item.ask))!, item)
+  }
+
+  /**
+   * Notes that a flow was served without waiting.
+   *
+   * @param ask - the ask that was granted
+   */
+  charge (ask: Ask): void {
+    if (this.size === 0) return
+    const flow = this.flows.get(flowName(ask))
+    if (flow !== undefined) flow.tag += 1
+  }
+
+  /**
+   * @param ask - an ask that would be queued
+   * @returns number of asks that fair service would put before it
+   */
+  ahead (ask: Ask): number {
+    const own = this.flows.get(flowName(ask))?.count ?? 0
+    const others = this.ready.size - (own > 0 ? 1 : 0)
+    return Math.min(this.size, own + others * (own + 1))
+  }
+
+  /**
+   * @param ask - any ask of a flow
+   * @returns number of asks of the same flow that wait
+   */
+  waitingOf (ask: Ask): number {
+    return this.flows.get(flowName(ask))?.count ?? 0
+  }
+
+  /** @returns the asks that wait, by arrival */
+  * [Symbol.iterator] (): Iterator<WaitingAsk> {
+    for (let index = this.firstArrival; index < this.arrivals.length; index++) {
+      const item = this.arrivals[index]!
+      if (!item.gone) yield item
+    }
+  }
+
+  private open (name: string): Flow {
+    const flow: Flow = { name, items: [], first: 0, count: 0, tag: this.virtualTime, order: 0, place: -1 }
+    this.flows.set(name, flow)
+    return flow
+  }
+
+  private activate (flow: Flow): void {
+    flow.tag = Math.max(flow.tag, this.virtualTime)
+    flow.order = this.order++
+    this.ready.push(flow)
+  }
+
+  private drop (flow: Flow, item: WaitingAsk): void {
+    item.gone = true
+    flow.count--
+    this.size--
+    while (flow.first < flow.items.length && flow.items[flow.first]!.gone) flow.first++
+    if (flow.first > COMPACTION) {
+      flow.items = flow.items.slice(flow.first)
+      flow.first = 0
+    }
+    if (this.firstArrival > COMPACTION && 2 * this.firstArrival > this.arrivals.length) {
+      this.arrivals = this.arrivals.slice(this.firstArrival)
+      this.firstArrival = 0
+    }
+    if (flow.count === 0) this.close(flow)
+    if (this.size === 0) this.arrivals = []
+    if (this.size === 0) this.firstArrival = 0
+  }
+
+  private close (flow: Flow): void {
+    this.ready.remove(flow)
+    this.flows.delete(flow.name)
+  }
+}
+
+function flowName (ask: Ask): string {
+  return `${ask.team} ${ask.caller}`
+}
+
+function headOf (flow: Flow): WaitingAsk {
+  return flow.items[flow.first]!
+}
+
+function compareFlows (a: Flow, b: Flow): number {
+  return a.tag - b.tag || a.order - b.order
+}
--- /dev/null
+++ b/packages/policy/src/runtime/FreeIndex.ts
@@ -0,0 +1,106 @@
+/**
+ * Index of free room that finds workers with enough of everything without looking at all of them.
+ */
+
+/** Amounts that the index compares: slots, cores, memory, accelerators, connections, room for long work. */
+export type Amounts = [number, number, number, number, number, number]
+
+const DIMENSIONS = 6
+
+/** Tolerance for sums of fractional cores. */
+const ROUNDING = 1e-9
+
+/** A tree whose inner nodes hold the largest amount below them in each dimension. */
+export class FreeIndex {
+  private leaves = 1
+  private tree = new Float64Array(2 * DIMENSIONS).fill(-1)
+  private readonly vacant: number[] = []
+  private next = 0
+
+  /** @returns the position of a new leaf without room */
+  add (): number {
+    const position = this.vacant.pop() ?? this.next++
+    if (position >= this.leaves) this.grow()
+    return position
+  }
+
+  /** @param position - a leaf that is no longer needed */
+  remove (position: number): void {
+    this.block(position)
+    this.vacant.push(position)
+  }
+
+  /** @param position - a leaf that is to be found by no search */
+  block (position: number): void {
+    this.set(position, [-1, -1, -1, -1, -1, -1])
+  }
+
+  /**
+   * @param position - a leaf
+   * @param amounts - its free room
+   */
+  set (position: number, amounts: Amounts): void {
+    let node = position + this.leaves
+    for (let dimension = 0; dimension < DIMENSIONS; dimension++) {
+      this.tree[node * DIMENSIONS + dimension] = amounts[dimension]!
+    }
+    node >>= 1
+    while (node >= 1) {
+      if (!this.combine(node)) return
+      node >>= 1
+    }
+  }
+
+  /**
+   * @param need - least amounts
+   * @param limit - at most this many leaves
+   * @param accept - tells whether a leaf may be used
+   * @returns positions in ascending order
+   */
+  find (need: Amounts, limit: number, accept: (position: number) => boolean): number[] {
+    const found: number[] = []
+    this.search(1, need, limit, accept, found)
+    return found
+  }
+
+  private search (node: number, need: Amounts, limit: number, accept: (position: number) => boolean, found: number[]): void {
+    if (found.length >= limit || !this.fits(node, need)) return
+    if (node >= this.leaves) {
+      const position = node - this.leaves
+      if (accept(position)) found.push(position)
+      return
+    }
+    this.search(2 * node, need, limit, accept, found)
+    this.search(2 * node + 1, need, limit, accept, found)
+  }
+
+  private fits (node: number, need: Amounts): boolean {
+    const start = node * DIMENSIONS
+    for (let dimension = 0; dimension < DIMENSIONS; dimension++) {
+      if (need[dimension]! > this.tree[start + dimension]! + ROUNDING) return false
+    }
+    return true
+  }
+
+  private combine (node: number): boolean {
+    let changed = false
+    for (let dimension = 0; dimension < DIMENSIONS; dimension++) {
+      const left = this.tree[2 * node * DIMENSIONS + dimension]!
+      const right = this.tree[(2 * node + 1) * DIMENSIONS + dimension]!
+      const most = Math.max(left, right)
+      if (this.tree[node * DIMENSIONS + dimension] === most) continue
+      this.tree[node * DIMENSIONS + dimension] = most
+      changed = true
+    }
+    return changed
+  }
+
+  private grow (): void {
+    const before = this.tree
+    const count = this.leaves
+    this.leaves *= 2
+    this.tree = new Float64Array(2 * this.leaves * DIMENSIONS).fill(-1)
+    this.tree.set(before.subarray(count * DIMENSIONS), this.leaves * DIMENSIONS)
+    for (let node = this.leaves - 1; node >= 1; node--) this.combine(node)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/runtime/Ledger.ts
@@ -0,0 +1,113 @@
+import { addResources, fitsResources, NO_RESOURCES, subtractResources } from '@rattanstep/core'
+import type { Resources } from '@rattanstep/core'
+import type { ClassBooks } from './ClassBooks.js'
+import { PermitBook } from './PermitBook.js'
+import type { PermitEntry } from './PermitBook.js'
+import type { WorkerBook } from './WorkerBook.js'
+import type { WorkerBooks } from './WorkerBooks.js'
+
+/** Room held on a worker for a task. */
+export interface Hold {
+  id: string
+  worker: string
+  class: string
+  team: string
+  resources: Resources
+  long: boolean
+}
+
+/** Keeps the books of workers, classes and permits in step. */
+export class Ledger {
+  readonly permits = new PermitBook()
+  private readonly holds = new Map<string, Hold>()
+  private readonly workers: WorkerBooks
+  private readonly classes: ClassBooks
+
+  /** @param options - the books */
+  constructor (options: { workers: WorkerBooks, classes: ClassBooks }) {
+    this.workers = options.workers
+    this.classes = options.classes
+  }
+
+  /** @param entry - a permit whose work starts or is already in use */
+  open (entry: PermitEntry): void {
+    const worker = this.workers.get(entry.worker)
+    if (worker === undefined) return
+    this.permits.add(entry)
+    this.classes.take(entry)
+    this.workers.take(worker, entry.resources, { permits: 1, long: longSlots(entry) })
+  }
+
+  /** @param entry - a permit whose work has ended */
+  close (entry: PermitEntry): void {
+    this.permits.remove(entry)
+    this.classes.give(entry)
+    const worker = this.workers.get(entry.worker)
+    if (worker === undefined) return
+    this.workers.give(worker, entry.resources, { permits: 1, long: longSlots(entry) })
+  }
+
+  /** @param entry - a permit whose run takes so long that it counts as long work */
+  markLong (entry: PermitEntry): void {
+    if (entry.long || entry.released) return
+    this.classes.give(entry)
+    entry.long = true
+    this.classes.take(entry)
+    const worker = this.workers.get(entry.worker)
+    if (worker === undefined) return
+    worker.long += entry.resources.slots
+    this.workers.refresh(worker)
+  }
+
+  /**
+   * @param id - a hold
+   * @returns the hold, if it is in use
+   */
+  getHold (id: string): Hold | undefined {
+    return this.holds.get(id)
+  }
+
+  /**
+   * Counts room as held.
+   *
+   * @param worker - where
+   * @param hold - what
+   */
+  hold (worker: WorkerBook, hold: Hold): void {
+    this.holds.set(hold.id, hold)
+    worker.holds++
+    worker.held = addResources(worker.held, hold.resources)
+    this.classes.take(hold)
+    this.workers.take(worker, hold.resources, { permits: 0, long: longSlots(hold) })
+  }
+
+  /**
+   * @param id - a hold
+   * @returns whether it was in use
+   */
+  releaseHold (id: string): boolean {
+    const hold = this.holds.get(id)
+    if (hold === undefined) return false
+    this.holds.delete(id)
+    this.classes.give(hold)
+    const worker = this.workers.get(hold.worker)
+    if (worker === undefined) return true
+    worker.holds--
+    worker.held = worker.holds === 0 ? { ...NO_RESOURCES } : subtractResources(worker.held, hold.resources)
+    this.workers.give(worker, hold.resources, { permits: 0, long: longSlots(hold) })
+    return true
+  }
+
+  /**
+   * @param worker - a worker
+   * @param resources - what is to be held
+   * @returns whether it fits now
+   */
+  fits (worker: WorkerBook, resources: Resources): boolean {
+    return worker.usable && fitsResources(resources, worker.free())
+  }
+}
+
+function longSlots (work: { long: boolean, resources: Resources }): number {
+  return work.long ? work.resources.slots : 0
+}
--- /dev/null
+++ b/packages/policy/src/runtime/PermitBook.ts
@@ -0,0 +1,131 @@
+import type { Incarnation, Permit, Resources } from '@rattanstep/core'
+import { Heap } from '../utils/Heap.js'
+import type { Placed } from '../utils/Heap.js'
+
+/** A permit in use. */
+export interface PermitEntry extends Placed {
+  permit: string
+  worker: string
+  class: string
+  caller: string
+  team: string
+  resources: Resources
+  front: Incarnation
+  /** Identifies the ask over all fronts; empty for an adopted permit. */
+  key: string
+  grantedAt: number
+  /** When the permit is freed unless it is renewed, in ms. */
+  expiresAt: number
+  /** Whether it counts as long work. */
+  long: boolean
+  /** Whether its front was lost, and since when. */
+  lostAt: number | null
+  /** Consecutive lists of its front that did not name it. */
+  missing: number
+  released: boolean
+}
+
+/** All permits in use, by identifier, front, ask and time of expiry. */
+export class PermitBook {
+  private readonly byId = new Map<string, PermitEntry>()
+  private readonly byKey = new Map<string, PermitEntry>()
+  private readonly byFront = new Map<Incarnation, Set<PermitEntry>>()
+  private readonly expiries = new Heap<PermitEntry>((a, b) => a.expiresAt - b.expiresAt)
+
+  /** @returns number of permits in use */
+  get size (): number {
+    return this.byId.size
+  }
+
+  /**
+   * @param permit - identifier
+   * @returns the permit, if it is in use
+   */
+  get (permit: string): PermitEntry | undefined {
+    return this.byId.get(permit)
+  }
+
+  /**
+   * @param key - identifies an ask over all fronts
+   * @returns the permit granted for it, if it is in use
+   */
+  ofAsk (key: string): PermitEntry | undefined {
+    return this.byKey.get(key)
+  }
+
+  /**
+   * @param front - a front
+   * @returns its permits
+   */
+  ofFront (front: Incarnation): Iterable<PermitEntry> {
+    return this.byFront.get(front) ?? []
+  }
+
+  /** @returns all permits */
+  all (): Iterable<PermitEntry> {
+    return this.byId.values()
+  }
+
+  /** @param entry - a new permit */
+  add (entry: PermitEntry): void {
+    this.byId.set(entry.permit, entry)
+    if (entry.key !== '') this.byKey.set(entry.key, entry)
+    const permits = this.byFront.get(entry.front) ?? new Set()
+    this.byFront.set(entry.front, permits.add(entry))
+    this.expiries.push(entry)
+  }
+
+  /** @param entry - a permit that is no longer in use */
+  remove (entry: PermitEntry): void {
+    entry.released = true
+    this.byId.delete(entry.permit)
+    if (entry.key !== '') this.byKey.delete(entry.key)
+    this.expiries.remove(entry)
+    const permits = this.byFront.get(entry.front)!
+    permits.delete(entry)
+    if (permits.size === 0) this.byFront.delete(entry.front)
+  }
+
+  /**
+   * @param entry - a permit in use
+   * @param expiresAt - new time of expiry in ms
+   */
+  extend (entry: PermitEntry, expiresAt: number): void {
+    entry.expiresAt = expiresAt
+    this.expiries.update(entry)
+  }
+
+  /**
+   * @param now - ms
+   * @returns a permit whose time has run out, if there is one
+   */
+  expired (now: number): PermitEntry | undefined {
+    const first = this.expiries.peek()
+    return first !== undefined && first.expiresAt <= now ? first : undefined
+  }
+}
+
+/**
+ * @param permit - as a front reports it
+ * @param options - `front`: the front; `now` and `expiresAt`: ms
+ * @returns the entry for the book
+ */
+export function adoptedEntry (permit: Permit, options: { front: Incarnation, now: number, expiresAt: number }): PermitEntry {
+  return {
+    permit: permit.permit,
+    worker: permit.worker,
+    class: permit.class,
+    caller: permit.caller,
+    team: permit.team,
+    resources: permit.resources,
+    front: options.front,
+    key: '',
+    grantedAt: options.now - permit.age,
+    expiresAt: options.expiresAt,
+    long: false,
+    lostAt: null,
+    missing: 0,
+    released: false,
+    place: -1
+  }
+}
--- /dev/null
+++ b/packages/policy/src/utils/Heap.ts
@@ -0,0 +1,97 @@
+/** An item that knows its place in a heap; -1 when it is in none. */
+export interface Placed {
+  place: number
+}
+
+/** A binary heap whose items can be removed and moved in logarithmic time. */
+export class Heap<T extends Placed> {
+  private readonly items: T[] = []
+  private readonly compare: (a: T, b: T) => number
+
+  /** @param compare - negative when the first item comes before the second */
+  constructor (compare: (a: T, b: T) => number) {
+    this.compare = compare
+  }
+
+  /** @returns number of items */
+  get size (): number {
+    return this.items.length
+  }
+
+  /** @returns the first item, if there is one */
+  peek (): T | undefined {
+    return this.items[0]
+  }
+
+  /** @param item - an item that is in no heap */
+  push (item: T): void {
+    item.place = this.items.length
+    this.items.push(item)
+    this.rise(item)
+  }
+
+  /** @param item - an item; one that is not in the heap is ignored */
+  remove (item: T): void {
+    const place = item.place
+    if (this.items[place] !== item) return
+    item.place = -1
+    const last = this.items.pop()!
+    if (last === item) return
+    this.items[place] = last
+    last.place = place
+    this.update(last)
+  }
+
+  /** @param item - an item of the heap whose order has changed */
+  update (item: T): void {
+    this.rise(item)
+    this.sink(item)
+  }
+
+  /**
+   * @param limit - at most this many
+   * @returns the first items in order
+   */
+  first (limit: number): T[] {
+    const found: T[] = []
+    const frontier = this.items.length > 0 ? [this.items[0]!] : []
+    while (found.length < limit && frontier.length > 0) {
+      frontier.sort(this.compare)
+      const item = frontier.shift()!
+      found.push(item)
+      for (const child of this.children(item)) frontier.push(child)
+    }
+    return found
+  }
+
+  private children (item: T): T[] {
+    return this.items.slice(2 * item.place + 1, 2 * item.place + 3)
+  }
+
+  private rise (item: T): void {
+    while (item.place > 0) {
+      const parent = this.items[(item.place - 1) >>> 1]!
+      if (this.compare(parent, item) <= 0) return
+      this.exchange(parent, item)
+    }
+  }
+
+  private sink (item: T): void {
+    while (true) {
+      const left = this.items[2 * item.place + 1]
+      const right = this.items[2 * item.place + 2]
+      if (left === undefined) return
+      const child = right !== undefined && this.compare(right, left) < 0 ? right : left
+      if (this.compare(item, child) <= 0) return
+      this.exchange(item, child)
+    }
+  }
+
+  private exchange (a: T, b: T): void {
+    const place = a.place
+    a.place = b.place
+    b.place = place
+    this.items[a.place] = a
+    this.items[b.place] = b
+  }
+}
--- /dev/null
+++ b/packages/policy/test/runtime/chooseOwner.test.ts
@@ -0,0 +1,33 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { SeededRandom } from '@rattanstep/core'
+import { chooseOwner } from '../../src/index.js'
+import type { OwnerView } from '../../src/index.js'
+
+function owner (incarnation: string, free: number, slots = 24): OwnerView {
+  return { incarnation, load: { slots, free, waiting: [], service: 50 }, age: 300, dataCentre: 'dc-1' }
+}
+
+test('no owner with a worker gives no choice', () => {
+  expect(chooseOwner({ owners: [owner('a', 0, 0)], priority: 50, random: new SeededRandom(1) })).toEqual(null)
+})
+
+test('owners that are excluded are not chosen', () => {
+  const options = { owners: [owner('a', 9), owner('b', 1)], priority: 50, random: new SeededRandom(1) }
+  expect(chooseOwner({ ...options, exclude: new Set(['a']) })?.owner).toEqual('b')
+})
+
+test('asks are spread in proportion to free slots, so that an old load draws no crowd', () => {
+  const random = new SeededRandom(7)
+  const owners = [owner('a', 12), owner('b', 4)]
+  let first = 0
+  for (let count = 0; count < 1000; count++) {
+    if (chooseOwner({ owners, priority: 50, random })?.owner === 'a') first++
+  }
+  expect(first > 650 && first < 850).toEqual(true)
+})
+
+test('asks that the load does not show yet are counted', () => {
+  const options = { owners: [owner('a', 4), owner('b', 1)], priority: 50, random: new SeededRandom(1) }
+  expect(chooseOwner({ ...options, outstanding: new Map([['a', 4]]) })?.owner).toEqual('b')
+})
