Adapters for the platform and stand-ins for it

Cause: the other packages need a table, an object store, an instance list and workers to run against.

Weighed: a start or a renewal that is delayed in the network or read by a worker after a pause extends a lease from its receipt, so that no finite wait of the owner proves that the task has stopped. Commands may therefore carry a moment on the worker's own clock after which they have no effect; reports carry that clock. Both fields are optional in core.

Change: adapters over HTTP with a deadline on each call, settled commits, stand-ins in memory and as separate processes, one table of contract cases over both kinds of table and of workers.

--- a/packages/core/src/runtime/Workers.ts
+++ b/packages/core/src/runtime/Workers.ts
@@ -5,6 +5,14 @@
  * Commands to workers about tasks, and their reports.
  */
 
+/** A point on the monotonic time of one life of a worker process. */
+export interface WorkerMoment {
+  /** Differs for each life of the process. */
+  epoch: string
+  /** Milliseconds on the process's own monotonic clock. */
+  time: number
+}
+
 /** Identifies one placement of a task. A worker refuses commands with an older fence. */
 export interface TaskLease {
   task: string
@@ -12,6 +20,8 @@
   fence: number
   /** Milliseconds from the receipt of the command after which the worker stops the task by itself. */
   duration: number
+  /** The worker refuses the command after this moment, and in another life; a late command then has no effect. */
+  validUntil?: WorkerMoment
 }
 
 /** Starts a task under a lease. */
@@ -49,6 +59,8 @@
   requests: number
   /** Open connections. */
   connections: number
+  /** When the report was made, on the worker's own clock; absent when the worker does not tell. */
+  moment?: WorkerMoment
 }
 
 /**
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+export { formatHost, HttpCaller } from './node/HttpCaller.js'
+export type { HttpAnswer, HttpFailure, HttpOptions } from './node/HttpCaller.js'
+export { HttpInstanceList } from './node/HttpInstanceList.js'
+export { HttpObjectStore } from './node/HttpObjectStore.js'
+export { HttpTable } from './node/HttpTable.js'
+export { HttpWorkers } from './node/HttpWorkers.js'
+export type { PlatformOptions } from './node/PlatformClient.js'
+export { commitSettled } from './runtime/commitSettled.js'
+export type { SettleOptions, Settlement } from './runtime/commitSettled.js'
+export * as schemas from './types/schemas.js'
+export { parseJson } from './utils/parseJson.js'
--- /dev/null
+++ b/packages/platform/src/node/HttpWorkers.ts
@@ -0,0 +1,77 @@
+import { Err, Ok, Workers } from '@rattanstep/core'
+import type { Instance, Result, TaskLease, TaskStart, WorkerError, WorkerReport } from '@rattanstep/core'
+import type { z } from 'zod'
+import { CHECKPOINT, EMPTY, MISSING, REPORT, WORKER_FAULT } from '../types/schemas.js'
+import { parseJson } from '../utils/parseJson.js'
+import { HttpCaller } from './HttpCaller.js'
+import type { HttpOptions } from './HttpCaller.js'
+
+const CONTROL_PREFIX = '/rattanstep'
+const HTTP_OK = 200
+/** Control connections to one worker; they count against its limit of connections. */
+const CONTROL_CONNECTIONS = 1
+
+interface TaskName {
+  task: string
+  fence: number
+}
+
+/** Control of tasks on workers over HTTP. */
+export class HttpWorkers extends Workers {
+  private readonly caller: HttpCaller
+
+  /** @param options - how long to wait; one connection a worker unless told otherwise */
+  constructor (options: HttpOptions = {}) {
+    super()
+    this.caller = new HttpCaller({ connections: CONTROL_CONNECTIONS, ...options })
+  }
+
+  override async start (worker: Instance, start: TaskStart): Promise<Result<void, WorkerError>> {
+    const answer = await this.post(worker, 'start', start, EMPTY)
+    return answer.map(() => undefined)
+  }
+
+  override async renew (worker: Instance, leases: TaskLease[]): Promise<Result<string[], WorkerError>> {
+    const answer = await this.post(worker, 'renew', { leases }, MISSING)
+    return answer.map(content => content.missing)
+  }
+
+  override async stop (worker: Instance, tasks: TaskName[]): Promise<Result<void, WorkerError>> {
+    const answer = await this.post(worker, 'stop', { tasks }, EMPTY)
+    return answer.map(() => undefined)
+  }
+
+  override async checkpoint (worker: Instance, task: TaskName): Promise<Result<string, WorkerError>> {
+    const answer = await this.post(worker, 'checkpoint', task, CHECKPOINT)
+    return answer.map(content => content.object)
+  }
+
+  override async throttle (worker: Instance, task: TaskName, speed: number): Promise<Result<void, WorkerError>> {
+    const answer = await this.post(worker, 'throttle', { ...task, speed }, EMPTY)
+    return answer.map(() => undefined)
+  }
+
+  override async report (worker: Instance): Promise<Result<WorkerReport, WorkerError>> {
+    return await this.post(worker, 'report', {}, REPORT)
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await this.caller.close()
+  }
+
+  private async post<T> (worker: Instance, command: string, body: unknown, schema: z.ZodType<T>): Promise<Result<T, WorkerError>> {
+    const path = `${CONTROL_PREFIX}/${command}`
+    const answer = await this.caller.call(worker.address, { method: 'POST', path, body: JSON.stringify(body) })
+    if (answer.isErr()) {
+      const fault = answer.error.sent ? 'unknown' : 'unreachable'
+      return Err({ fault, message: `worker ${worker.id} gave no answer: ${answer.error.message}` })
+    }
+    const content = parseJson(answer.value.body)
+    const checked = answer.value.status === HTTP_OK ? schema.safeParse(content) : undefined
+    if (checked?.success === true) return Ok(checked.data)
+    const fault = WORKER_FAULT.safeParse(content)
+    if (answer.value.status !== HTTP_OK && fault.success) return Err(fault.data)
+    return Err({ fault: 'unknown', message: `worker ${worker.id} answered status ${answer.value.status} with an unexpected body` })
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/runtime/HostedTask.ts
@@ -0,0 +1,90 @@
+import type { Clock, Resources, TaskReport, TaskStart, TaskState, Timer } from '@rattanstep/core'
+import { parseCommand } from './command.js'
+
+/** One task on a worker: its work, its lease and its speed. */
+export class HostedTask {
+  readonly task: string
+  readonly fence: number
+  readonly resources: Resources
+  state: TaskState = 'running'
+  checkpoint: string
+  speed = 1
+  private readonly clock: Clock
+  private readonly ending: 'done' | 'failed'
+  private readonly onEnd: (task: HostedTask) => void
+  private remaining: number
+  private since: number
+  private endTimer: Timer | null = null
+  private leaseTimer: Timer | null = null
+
+  /**
+   * @param options - `start`: the command; `done`: ms of work that a checkpoint has saved;
+   * `onEnd`: called once when the task no longer runs
+   */
+  constructor (options: { clock: Clock, start: TaskStart, done: number, onEnd: (task: HostedTask) => void }) {
+    const command = parseCommand(options.start.command)
+    this.clock = options.clock
+    this.task = options.start.task
+    this.fence = options.start.fence
+    this.resources = options.start.resources
+    this.checkpoint = options.start.checkpoint
+    this.ending = command.ending
+    this.onEnd = options.onEnd
+    this.remaining = Math.max(0, command.work - options.done)
+    this.since = this.clock.now()
+    this.work = command.work
+    this.schedule()
+    this.extend(options.start.duration)
+  }
+
+  private readonly work: number
+
+  /** Milliseconds of work done so far. */
+  get done (): number {
+    this.settle()
+    return this.work === Infinity ? 0 : this.work - this.remaining
+  }
+
+  /** @param duration - ms from now until the lease ends */
+  extend (duration: number): void {
+    this.leaseTimer?.cancel()
+    this.leaseTimer = this.clock.schedule(duration, () => { this.end('stopped') })
+  }
+
+  /** @param speed - from 0 to 1 */
+  throttle (speed: number): void {
+    this.settle()
+    this.speed = speed
+    this.schedule()
+  }
+
+  /** @param state - how the task ended */
+  end (state: TaskState): void {
+    if (this.state !== 'running') return
+    this.settle()
+    this.state = state
+    this.endTimer?.cancel()
+    this.leaseTimer?.cancel()
+    this.onEnd(this)
+  }
+
+  /** @returns what the worker reports of the task */
+  report (): TaskReport {
+    const running = this.state === 'running'
+    const usage = running ? this.resources : { slots: 0, cores: 0, memory: 0, accelerators: 0 }
+    return { task: this.task, fence: this.fence, state: this.state, usage, speed: this.speed, checkpoint: this.checkpoint }
+  }
+
+  private settle (): void {
+    const now = this.clock.now()
+    this.remaining = Math.max(0, this.remaining - (now - this.since) * this.speed)
+    this.since = now
+  }
+
+  private schedule (): void {
+    this.endTimer?.cancel()
+    this.endTimer = null
+    if (this.speed === 0 || this.remaining === Infinity) return
+    this.endTimer = this.clock.schedule(this.remaining / this.speed, () => { this.end(this.ending) })
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/runtime/TaskHost.ts
@@ -0,0 +1,182 @@
+import { addResources, Err, fitsResources, NO_RESOURCES, Ok, subtractResources } from '@rattanstep/core'
+import type { Clock, ObjectStore, Resources, Result, TaskLease, TaskStart, WorkerError, WorkerReport } from '@rattanstep/core'
+import type { TaskRun } from '../types/run.js'
+import { HostedTask } from './HostedTask.js'
+
+/** Names one placement of a task. */
+export interface TaskName {
+  task: string
+  fence: number
+}
+
+/** Runs tasks under fenced leases, as a worker does. */
+export class TaskHost {
+  readonly worker: string
+  readonly resources: Resources
+  /** Every stretch of time in which a task ran. */
+  readonly runs: TaskRun[] = []
+  /** What the host was told to do against the rules. */
+  readonly violations: string[] = []
+  /** Set to make every task fail as it starts. */
+  failing = false
+  /** What else is in use, such as slots of requests. */
+  otherUse: () => Resources = () => NO_RESOURCES
+  private readonly clock: Clock
+  private readonly objects: ObjectStore | null
+  private tasks = new Map<string, HostedTask>()
+  /** Highest fence seen of each task; a stopped fence never starts. */
+  private fences = new Map<string, { fence: number, stopped: boolean }>()
+  private life = 1
+
+  /**
+   * @param options - `worker`: its identifier; `resources`: what it holds; `objects`: where checkpoints go
+   */
+  constructor (options: { worker: string, resources: Resources, clock: Clock, objects?: ObjectStore, epoch?: string }) {
+    this.worker = options.worker
+    this.resources = options.resources
+    this.clock = options.clock
+    this.objects = options.objects ?? null
+    this.epochPrefix = options.epoch ?? 'life'
+  }
+
+  private readonly epochPrefix: string
+
+  /** Identifies this life of the worker. */
+  get epoch (): string {
+    return `${this.epochPrefix}-${this.life}`
+  }
+
+  /**
+   * Starts a task; a repeat has no further effect.
+   *
+   * @param start - what to run, under which lease
+   */
+  async start (start: TaskStart): Promise<Result<void, WorkerError>> {
+    const life = this.life
+    const done = await this.loadCheckpoint(start.checkpoint)
+    if (life !== this.life) return refused('the worker was restarted')
+    return this.startNow(start, done)
+  }
+
+  /**
+   * @param leases - leases to extend
+   * @returns tasks that do not run under the fence given
+   */
+  renew (leases: TaskLease[]): string[] {
+    const missing: string[] = []
+    for (const lease of leases) {
+      const task = this.find(lease)
+      if (task?.state === 'running' && this.isValid(lease)) task.extend(lease.duration)
+      else missing.push(lease.task)
+    }
+    return missing
+  }
+
+  /** @param names - tasks that must not run any longer, nor start later */
+  stop (names: TaskName[]): void {
+    for (const name of names) {
+      const known = this.fences.get(name.task)
+      if (known !== undefined && known.fence > name.fence) continue
+      this.fences.set(name.task, { fence: name.fence, stopped: true })
+      this.tasks.get(name.task)?.end('stopped')
+      this.tasks.delete(name.task)
+    }
+  }
+
+  /**
+   * @param name - a running task
+   * @returns name of the object that holds the checkpoint
+   */
+  async checkpoint (name: TaskName): Promise<Result<string, WorkerError>> {
+    const task = this.find(name)
+    if (task?.state !== 'running' || this.objects === null) return refused(`task ${name.task} does not run here`)
+    const object = `checkpoint/${name.task}/${name.fence}`
+    const stored = await this.objects.put(object, new TextEncoder().encode(JSON.stringify({ done: task.done })))
+    if (stored.isErr()) return Err({ fault: 'unknown', message: stored.error.message })
+    task.checkpoint = object
+    return Ok(object)
+  }
+
+  /**
+   * @param name - a running task
+   * @param speed - from 0 to 1
+   */
+  throttle (name: TaskName, speed: number): Result<void, WorkerError> {
+    const task = this.find(name)
+    if (task?.state !== 'running') return refused(`task ${name.task} does not run here`)
+    task.throttle(speed)
+    return Ok(undefined)
+  }
+
+  /** @returns what runs here now */
+  report (): WorkerReport {
+    const tasks = [...this.tasks.values()].map(task => task.report())
+    const moment = { epoch: this.epoch, time: this.clock.now() }
+    return { worker: this.worker, lag: 0, tasks, requests: 0, connections: 0, moment }
+  }
+
+  /** Ends the worker process: tasks and memory are gone. */
+  kill (): void {
+    this.life++
+    for (const task of this.tasks.values()) task.end('stopped')
+    this.tasks = new Map()
+    this.fences = new Map()
+  }
+
+  /** @returns what running tasks hold */
+  used (): Resources {
+    const running = [...this.tasks.values()].filter(task => task.state === 'running')
+    return running.reduce((sum, task) => addResources(sum, task.resources), NO_RESOURCES)
+  }
+
+  private startNow (start: TaskStart, done: number): Result<void, WorkerError> {
+    if (!this.isValid(start)) return refused('the command came too late')
+    const known = this.fences.get(start.task)
+    if (known !== undefined && known.fence > start.fence) return refused(`fence ${start.fence} is older than ${known.fence}`)
+    if (known?.fence === start.fence) return known.stopped ? refused('the task was stopped') : Ok(undefined)
+    this.tasks.get(start.task)?.end('stopped')
+    const room = subtractResources(subtractResources(this.resources, this.used()), this.otherUse())
+    if (!fitsResources(start.resources, room)) {
+      this.violations.push(`${start.task} at fence ${start.fence} does not fit on ${this.worker}`)
+      return refused('the task does not fit')
+    }
+    this.run(start, done)
+    return Ok(undefined)
+  }
+
+  private run (start: TaskStart, done: number): void {
+    const run: TaskRun = { worker: this.worker, task: start.task, fence: start.fence, resources: start.resources, from: this.clock.now(), until: null }
+    const onEnd = (): void => { run.until = this.clock.now() }
+    this.runs.push(run)
+    this.fences.set(start.task, { fence: start.fence, stopped: false })
+    const task = new HostedTask({ clock: this.clock, start, done, onEnd })
+    this.tasks.set(start.task, task)
+    if (this.failing) task.end('failed')
+  }
+
+  private find (name: TaskName): HostedTask | undefined {
+    const task = this.tasks.get(name.task)
+    return task?.fence === name.fence ? task : undefined
+  }
+
+  private isValid (lease: TaskLease): boolean {
+    if (lease.validUntil === undefined) return true
+    return lease.validUntil.epoch === this.epoch && this.clock.now() <= lease.validUntil.time
+  }
+
+  private async loadCheckpoint (object: string): Promise<number> {
+    if (object === '' || this.objects === null) return 0
+    const loaded = await this.objects.get(object)
+    if (loaded.isErr() || loaded.value === null) return 0
+    try {
+      const content = JSON.parse(new TextDecoder().decode(loaded.value)) as { done?: unknown }
+      return typeof content.done === 'number' ? content.done : 0
+    } catch {
+      return 0
+    }
+  }
+}
+
+function refused<T> (message: string): Result<T, WorkerError> {
+  return Err({ fault: 'refused', message })
+}
--- /dev/null
+++ b/packages/stand-ins/src/runtime/command.ts
@@ -0,0 +1,24 @@
+/** What a stand-in worker does for a task's command. */
+export interface ParsedCommand {
+  /** Milliseconds at full speed until the task ends; infinite for a service. */
+  work: number
+  ending: 'done' | 'failed'
+}
+
+/** Milliseconds that a task without a known command runs. */
+const DEFAULT_WORK_MS = 100
+
+/**
+ * Understands `run MS`, `fail`, `fail MS` and `serve`.
+ *
+ * @param command - text of the command
+ * @returns what to do; other text runs for 100 ms
+ */
+export function parseCommand (command: string): ParsedCommand {
+  const [verb, argument] = command.trim().split(/\s+/)
+  const duration = Number(argument)
+  const work = argument !== undefined && duration >= 0 ? duration : null
+  if (verb === 'serve') return { work: Infinity, ending: 'done' }
+  if (verb === 'fail') return { work: work ?? 0, ending: 'failed' }
+  return { work: verb === 'run' && work !== null ? work : DEFAULT_WORK_MS, ending: 'done' }
+}
--- /dev/null
+++ b/packages/stand-ins/src/runtime/echoKnobs.ts
@@ -0,0 +1,50 @@
+/** How a stand-in worker answers one caller's request. */
+export interface EchoKnobs {
+  /** Milliseconds before the answer. */
+  time: number
+  /** Bytes of the answer's body; `null` echoes the request. */
+  size: number | null
+  /** Bytes after which the connection is cut; `null` never cuts. */
+  cut: number | null
+  /** Whether no answer comes at all. */
+  hang: boolean
+  /** HTTP status. */
+  status: number
+}
+
+const HTTP_OK = 200
+const HTTP_ERROR = 500
+const MAX_SIZE_BYTES = 256 * 1024 * 1024
+const MIN_STATUS = 200
+const MAX_STATUS = 599
+
+/**
+ * Reads the knobs from headers `echo-time`, `echo-size`, `echo-cut`, `echo-hang`, `echo-fail`, `echo-status`, or from query
+ * parameters `time`, `size`, `cut`, `hang`, `fail`, `status`.
+ *
+ * @param headers - headers by their names in small letters
+ * @param query - query parameters
+ * @returns the knobs; values that make no sense are left at their defaults
+ */
+export function readKnobs (headers: Record<string, string | string[] | undefined>, query: URLSearchParams): EchoKnobs {
+  const read = (name: string): string | null => {
+    const header = headers[`echo-${name}`]
+    return typeof header === 'string' ? header : query.get(name)
+  }
+  const number = (name: string, max: number): number | null => {
+    const value = Number(read(name) ?? NaN)
+    return value >= 0 && value <= max ? value : null
+  }
+  const status = number('status', MAX_STATUS)
+  return {
+    time: number('time', Number.MAX_SAFE_INTEGER) ?? 0,
+    size: number('size', MAX_SIZE_BYTES),
+    cut: number('cut', MAX_SIZE_BYTES),
+    hang: isSet(read('hang')),
+    status: isSet(read('fail')) ? HTTP_ERROR : status !== null && status >= MIN_STATUS ? status : HTTP_OK
+  }
+}
+
+function isSet (value: string | null): boolean {
+  return value !== null && value !== '0' && value !== 'false'
+}
--- /dev/null
+++ b/packages/stand-ins/test/runtime/commitSettled.test.ts
@@ -0,0 +1,58 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { FakeClock, SeededRandom } from '@rattanstep/core'
+import type { Transaction } from '@rattanstep/core'
+import { commitSettled } from '@rattanstep/platform'
+import type { Settlement } from '@rattanstep/platform'
+import { MemoryTable } from '../../src/index.js'
+import type { Faults } from '../../src/index.js'
+
+const CHANGE: Transaction = { operation: 'mine', checks: [{ key: 'a', version: 1 }], writes: [{ key: 'a', value: 'mine' }] }
+
+interface Case {
+  title: string
+  /** Faults of each write in turn. */
+  faults: Array<Partial<Faults>>
+  /** Whether another writer changes the row after the first write. */
+  rival: boolean
+  outcome: Settlement['outcome']
+  value: string
+}
+
+const DOWN = { down: true }
+const LOST = { loseAnswers: true }
+const LATE = { lateWrites: 500 }
+
+const CASES: Case[] = [
+  { title: 'no fault', faults: [], rival: false, outcome: 'committed', value: 'mine' },
+  { title: 'lost answer', faults: [LOST], rival: false, outcome: 'committed', value: 'mine' },
+  { title: 'down, then up', faults: [DOWN, DOWN], rival: false, outcome: 'committed', value: 'mine' },
+  { title: 'down throughout', faults: [DOWN, DOWN, DOWN], rival: false, outcome: 'unavailable', value: 'old' },
+  { title: 'late write, repeated before it lands', faults: [LATE], rival: false, outcome: 'committed', value: 'mine' },
+  { title: 'late writes throughout', faults: [LATE, LATE, LATE], rival: false, outcome: 'undecided', value: 'mine' },
+  { title: 'lost answer, then changed again', faults: [LOST, DOWN], rival: true, outcome: 'undecided', value: 'rival' }
+]
+
+for (const { title, faults, rival, outcome, value } of CASES) {
+  test(`a transaction is settled: ${title}`, async () => {
+    const clock = new FakeClock()
+    const table = new MemoryTable({ clock })
+    await table.commit({ operation: 'first', checks: [], writes: [{ key: 'a', value: 'old' }] })
+    const offset = table.gate.writeCount
+    table.faults.at = write => faults[write - offset] ?? null
+    if (rival) table.onCommit = overwriteOnce(table)
+    let settled: Settlement | null = null
+    commitSettled(table, CHANGE, { clock, random: new SeededRandom(1), attempts: 3 }).then(result => { settled = result }, () => {})
+    await clock.advance(5000)
+    expect((settled as Settlement | null)?.outcome).toEqual(outcome)
+    expect(table.peek('a').map(row => row.value)).toEqual([value])
+  })
+}
+
+function overwriteOnce (table: MemoryTable): (transaction: Transaction) => void {
+  return transaction => {
+    if (transaction.operation !== 'mine') return
+    table.faults.at = () => null
+    table.commit({ operation: 'rival', checks: [], writes: [{ key: 'a', value: 'rival' }] }).catch(() => {})
+  }
+}
