core: one bound on the age of a grant for fronts and owners

Cause: an owner paused after its decision may send a grant after a successor took over. Weighed: a lease end in the grant (needs clocks compared between nodes).

--- a/packages/core/src/types/request.ts
+++ b/packages/core/src/types/request.ts
@@ -36,6 +36,12 @@
   avoid: string[]
 }
 
+/**
+ * Milliseconds that a grant may spend on its way from the owner to the dispatch of the request.
+ * A front does not use an older one; a new owner waits that long before it trusts a worker's report.
+ */
+export const PERMIT_VALIDITY_MS = 1000
+
 /** Room on one worker, valid while the asker renews it. */
 export interface Grant {
   ask: string
