Ownership: leases by promises of voters, one row changed only by compare-and-set

Cause: each worker and key shard needs one node that admits for it, and serving must not depend on the table.

Weighed: static shares of slots (8 slots do not divide by 9), a table write a request, a lease row in the table (an outage then either stops serving or lets a cut-off owner and its successor admit together). Chosen: the row holds versions, owners and voters only; leases are promises between nodes.

Change: pure voter, lease and planner; a driver with heartbeats, removal by votes, claims, hand-overs, exchange of voters through a row that names both sets, and a fresh start when a majority of voters is gone. The model and the random runs are not there yet, so safety is not shown by this commit.

--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export { Ownership } from './runtime/Ownership.js'
+export type { HeartbeatListener } from './runtime/Ownership.js'
+export type { AssignmentListener } from './runtime/Follower.js'
+export { EVENTS as OWNERSHIP_EVENTS } from './types/events.js'
+export type { OwnershipOptions } from './types/OwnershipOptions.js'
+export type { OwnershipStatus } from './types/OwnershipStatus.js'
+export type { Timing } from './types/Timing.js'
--- /dev/null
+++ b/packages/ownership/src/runtime/Planner.ts
@@ -0,0 +1,50 @@
+import type { Assignment } from '@rattanstep/core'
+import type { Facts } from '../types/Facts.js'
+import type { Plan } from '../types/Plan.js'
+import { namedVoters } from '../utils/quorum.js'
+import { Draft } from './plan/Draft.js'
+import { exchangeVoters } from './plan/exchangeVoters.js'
+import { join } from './plan/join.js'
+import { removeHolders } from './plan/removeHolders.js'
+import { claimUnowned, handOver } from './plan/shareOut.js'
+
+/**
+ * Plans the next assignment from the current one and what a node knows. Whatever was planned from facts of
+ * a version stays valid for a compare-and-set on that version, however late it lands.
+ */
+export class Planner {
+  /**
+   * @param current - newest known assignment
+   * @param facts - what the node knows at this version
+   * @returns the next assignment with the reasons, or null when nothing is to be changed
+   */
+  plan (current: Assignment, facts: Facts): Plan | null {
+    const draft = new Draft(current)
+    join(draft, facts)
+    handOver(draft, facts)
+    if (this.coordinates(current, facts)) this.coordinate(draft, facts)
+    if (draft.changes.length === 0 && facts.voidsVotes) draft.changes.push('made votes void')
+    if (draft.changes.length === 0) return null
+    return { next: draft.finish(), changes: draft.changes }
+  }
+
+  /** Voters coordinate, and every node once the voters are lost. */
+  protected coordinates (current: Assignment, facts: Facts): boolean {
+    if (facts.lost.voters || facts.lost.nextVoters) return true
+    return namedVoters(current).includes(facts.self.incarnation)
+  }
+
+  protected coordinate (draft: Draft, facts: Facts): void {
+    this.removeHolders(draft, facts)
+    claimUnowned(draft, facts)
+    this.exchangeVoters(draft, facts)
+  }
+
+  protected removeHolders (draft: Draft, facts: Facts): void {
+    removeHolders(draft, facts)
+  }
+
+  protected exchangeVoters (draft: Draft, facts: Facts): void {
+    exchangeVoters(draft, facts)
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/runtime/plan/chooseVoters.ts
@@ -0,0 +1,51 @@
+import type { Holder, Incarnation } from '@rattanstep/core'
+
+/** Least number of nodes for each number of voters, largest first. */
+const VOTER_COUNTS = [
+  { nodes: 15, voters: 7 },
+  { nodes: 5, voters: 5 },
+  { nodes: 3, voters: 3 },
+  { nodes: 1, voters: 1 }
+]
+
+/**
+ * @param nodes - number of nodes that could vote
+ * @returns how many of them should
+ */
+export function voterCount (nodes: number): number {
+  return VOTER_COUNTS.find(entry => nodes >= entry.nodes)?.voters ?? 0
+}
+
+/**
+ * Chooses voters, spread over data centres, keeping the current ones where that does no harm to the spread.
+ *
+ * @param holders - holders that can vote
+ * @param voters - voters now
+ * @param heard - holders heard of; others are kept but not chosen anew
+ * @returns the voters, sorted; fewer than wanted when too few are heard
+ */
+export function chooseVoters (
+  holders: readonly Holder[],
+  voters: readonly Incarnation[],
+  heard: ReadonlySet<Incarnation>
+): Incarnation[] {
+  const wanted = voterCount(holders.length)
+  const most = Math.ceil(wanted / new Set(holders.map(holder => holder.dataCentre)).size)
+  const able = holders.filter(holder => voters.includes(holder.incarnation) || heard.has(holder.incarnation))
+  const queue = sortCandidates(able, voters)
+  const chosen: Holder[] = []
+  for (const limit of [most, wanted]) {
+    for (const holder of queue) {
+      if (chosen.length === wanted) break
+      if (chosen.includes(holder)) continue
+      if (chosen.filter(other => other.dataCentre === holder.dataCentre).length >= limit) continue
+      chosen.push(holder)
+    }
+  }
+  return chosen.map(holder => holder.incarnation).sort()
+}
+
+function sortCandidates (holders: readonly Holder[], voters: readonly Incarnation[]): Holder[] {
+  const rank = (holder: Holder): number => voters.includes(holder.incarnation) ? 0 : 1
+  return [...holders].sort((a, b) => rank(a) - rank(b) || (a.incarnation < b.incarnation ? -1 : 1))
+}
--- /dev/null
+++ b/packages/ownership/src/runtime/plan/exchangeVoters.ts
@@ -0,0 +1,64 @@
+import type { Incarnation } from '@rattanstep/core'
+import type { Facts } from '../../types/Facts.js'
+import { sameMembers } from '../../utils/quorum.js'
+import { chooseVoters } from './chooseVoters.js'
+import type { Draft } from './Draft.js'
+
+/**
+ * Moves the exchange of voters on by one step: names the next voters beside the current ones, or drops the
+ * current ones once every holder has said that it counts by the next, or drops a set that is lost for good.
+ *
+ * @param draft - the assignment to change
+ * @param facts - what this node knows
+ */
+export function exchangeVoters (draft: Draft, facts: Facts): void {
+  if (draft.current.nextVoters !== null) {
+    finishExchange(draft, draft.current.nextVoters, facts)
+    return
+  }
+  const wanted = wantedVoters(draft, facts)
+  if (wanted.length === 0 || sameMembers(wanted, draft.voters)) return
+  if (facts.lost.voters) {
+    draft.voters = wanted
+    draft.changes.push(`named voters afresh: ${wanted.join(' ')}`)
+    return
+  }
+  draft.nextVoters = wanted
+  draft.changes.push(`named next voters: ${wanted.join(' ')}`)
+}
+
+/**
+ * @param draft - the assignment to change
+ * @param facts - what this node knows
+ * @returns the voters that there should be, sorted
+ */
+export function wantedVoters (draft: Draft, facts: Facts): Incarnation[] {
+  const able = draft.holders.filter(holder => !holder.draining && !facts.leaving.has(holder.incarnation))
+  if (!facts.lost.voters) return chooseVoters(able, draft.voters, facts.heard)
+  return chooseVoters(able.filter(holder => facts.heard.has(holder.incarnation)), [], facts.heard)
+}
+
+function finishExchange (draft: Draft, next: Incarnation[], facts: Facts): void {
+  const { lost } = facts
+  if (lost.voters && lost.nextVoters) {
+    draft.voters = wantedVoters(draft, facts)
+    draft.nextVoters = null
+    draft.changes.push(`named voters afresh: ${draft.voters.join(' ')}`)
+    return
+  }
+  if (lost.nextVoters) {
+    draft.nextVoters = null
+    draft.changes.push('dropped the next voters, who are lost')
+    return
+  }
+  const counted = draft.holders.every(holder => countsBy(holder.incarnation, next, facts))
+  if (!lost.voters && !counted) return
+  draft.voters = next
+  draft.nextVoters = null
+  draft.changes.push(`dropped the old voters for ${next.join(' ')}`)
+}
+
+function countsBy (holder: Incarnation, voters: readonly Incarnation[], facts: Facts): boolean {
+  const said = facts.countsBy.get(holder)
+  return said !== undefined && sameMembers(said, voters)
+}
--- /dev/null
+++ b/packages/ownership/src/runtime/plan/shareOut.ts
@@ -0,0 +1,50 @@
+import type { Facts } from '../../types/Facts.js'
+import type { Draft } from './Draft.js'
+import { candidates, Shares } from './shares.js'
+
+/**
+ * Hands over what this node has stopped admitting for: to the holder that owns least, or to nobody when the
+ * resource is gone or no other holder can take it.
+ *
+ * @param draft - the assignment to change
+ * @param facts - what this node knows
+ */
+export function handOver (draft: Draft, facts: Facts): void {
+  if (facts.released.length === 0) return
+  const self = facts.self.incarnation
+  const others = candidates(draft.holders, facts.heard, facts.leaving).filter(holder => holder !== self)
+  const shares = new Shares(draft, others)
+  for (const resource of facts.released) {
+    delete draft.owners[resource]
+    if (facts.resources?.includes(resource) === false) continue
+    const owner = shares.least(resource)
+    if (owner === null) continue
+    draft.owners[resource] = owner
+    shares.add(resource, owner)
+  }
+  draft.changes.push(`handed over ${facts.released.length} resources of ${self}`)
+}
+
+/**
+ * Gives resources without an owner to the holders that own least. It is done at once with a removal, and
+ * otherwise when claims are due.
+ *
+ * @param draft - the assignment to change
+ * @param facts - what this node knows
+ */
+export function claimUnowned (draft: Draft, facts: Facts): void {
+  if (facts.resources === null) return
+  const removed = draft.current.holders.some(holder => !draft.hasHolder(holder.incarnation))
+  if (!facts.claims && !removed) return
+  const unowned = facts.resources.filter(resource => draft.owners[resource] === undefined)
+  const shares = new Shares(draft, candidates(draft.holders, facts.heard, facts.leaving))
+  let claimed = 0
+  for (const resource of unowned) {
+    const owner = shares.least(resource)
+    if (owner === null) return
+    draft.owners[resource] = owner
+    shares.add(resource, owner)
+    claimed++
+  }
+  if (claimed > 0) draft.changes.push(`claimed ${claimed} resources`)
+}
--- /dev/null
+++ b/packages/ownership/src/runtime/plan/shares.ts
@@ -0,0 +1,80 @@
+import type { Holder, Incarnation, ResourceKey } from '@rattanstep/core'
+import type { Draft } from './Draft.js'
+
+/**
+ * @param resource - what is owned
+ * @returns its kind, which is shared out by itself: `worker` or `shard`
+ */
+export function kindOf (resource: ResourceKey): string {
+  return resource.slice(0, resource.indexOf('/'))
+}
+
+/** How many resources of one kind each candidate owns; finds the one that owns least. */
+export class Shares {
+  private readonly counts = new Map<string, Map<Incarnation, number>>()
+
+  /**
+   * @param draft - the assignment as it stands
+   * @param candidates - holders that may be given resources
+   */
+  constructor (draft: Draft, private readonly candidates: readonly Incarnation[]) {
+    for (const [resource, owner] of Object.entries(draft.owners)) this.add(resource, owner)
+  }
+
+  /**
+   * Counts a resource.
+   *
+   * @param resource - what is owned
+   * @param owner - its owner
+   */
+  add (resource: ResourceKey, owner: Incarnation): void {
+    const counts = this.of(kindOf(resource))
+    counts.set(owner, (counts.get(owner) ?? 0) + 1)
+  }
+
+  /**
+   * @param kind - kind of resource
+   * @param owner - a holder
+   * @returns how many it owns
+   */
+  count (kind: string, owner: Incarnation): number {
+    return this.of(kind).get(owner) ?? 0
+  }
+
+  /**
+   * @param resource - what is to be owned
+   * @returns the candidate that owns least of its kind, or null without candidates
+   */
+  least (resource: ResourceKey): Incarnation | null {
+    const counts = this.of(kindOf(resource))
+    let best: Incarnation | null = null
+    for (const candidate of this.candidates) {
+      if (best === null || (counts.get(candidate) ?? 0) < (counts.get(best) ?? 0)) best = candidate
+    }
+    return best
+  }
+
+  private of (kind: string): Map<Incarnation, number> {
+    const counts = this.counts.get(kind) ?? new Map<Incarnation, number>()
+    this.counts.set(kind, counts)
+    return counts
+  }
+}
+
+/**
+ * @param holders - holders of the assignment
+ * @param usable - holders that are heard of
+ * @param leaving - holders whose instance leaves
+ * @returns the holders that may be given resources, sorted
+ */
+export function candidates (
+  holders: readonly Holder[],
+  usable: ReadonlySet<Incarnation>,
+  leaving: ReadonlySet<Incarnation>
+): Incarnation[] {
+  return holders
+    .filter(holder => !holder.draining)
+    .map(holder => holder.incarnation)
+    .filter(holder => usable.has(holder) && !leaving.has(holder))
+    .sort()
+}
--- /dev/null
+++ b/packages/ownership/src/types/Timing.ts
@@ -0,0 +1,25 @@
+/** Periods of the protocol, in ms unless said otherwise. All nodes of a cell use the same lease. */
+export interface Timing {
+  /** Between two heartbeats. */
+  heartbeat: number
+  /** How long a voter's promise lasts on the voter's clock. */
+  lease: number
+  /** Part of the lease that a holder gives up, so that clocks may run at different rates. */
+  margin: number
+  /** Between two reads of the assignment row while something is unsettled. */
+  poll: number
+  /** How long a resource is seen without an owner before it is claimed. */
+  claimDelay: number
+  /** Between the ranks of nodes that may all write the same change. */
+  stagger: number
+  /** Least time between two hand-overs that even out the shares. */
+  balance: number
+  /** How long a resource is missing from the list before its owner drops it. */
+  dropDelay: number
+  /** How long an answer of the table is waited for. */
+  answer: number
+  /** First and longest delay between tries while the table fails. */
+  backoff: { first: number, longest: number }
+  /** Nodes other than voters that a heartbeat goes to. */
+  peers: number
+}
--- /dev/null
+++ b/packages/ownership/src/utils/parseAssignment.ts
@@ -0,0 +1,36 @@
+import { Err, Ok } from '@rattanstep/core'
+import type { Assignment, Result } from '@rattanstep/core'
+import { z } from 'zod'
+
+const address = z.object({ host: z.string(), port: z.number().int() })
+
+const schema = z.object({
+  version: z.number().int().nonnegative(),
+  holders: z.array(z.object({
+    incarnation: z.string().min(1),
+    dataCentre: z.string(),
+    peer: address,
+    draining: z.boolean()
+  })),
+  owners: z.record(z.string(), z.string()),
+  voters: z.array(z.string()),
+  nextVoters: z.array(z.string()).nullable()
+})
+
+/**
+ * Checks an assignment that came from outside the process.
+ *
+ * @param value - parsed JSON
+ * @returns the assignment, or one finding a line with its place
+ */
+export function parseAssignment (value: unknown): Result<Assignment, string> {
+  const parsed = schema.safeParse(value)
+  if (!parsed.success) {
+    const findings = parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`)
+    return Err(findings.join('\n'))
+  }
+  const named = new Set(parsed.data.holders.map(holder => holder.incarnation))
+  const strays = Object.entries(parsed.data.owners).filter(([, owner]) => !named.has(owner))
+  if (strays.length === 0) return Ok(parsed.data)
+  return Err(strays.map(([resource, owner]) => `owners.${resource}: ${owner} is no holder`).join('\n'))
+}
--- /dev/null
+++ b/packages/ownership/test/support/Cell.ts
@@ -0,0 +1,146 @@
+import { SeededRandom } from '@rattanstep/core'
+import type { Instance, ResourceKey } from '@rattanstep/core'
+import { MemoryLog, SilentLog } from '@rattanstep/telemetry'
+import type { Log } from '@rattanstep/telemetry'
+import { Ownership } from '../../src/index.js'
+import type { Timing } from '../../src/index.js'
+import { FakeNetwork, FakeWire } from './FakeNetwork.js'
+import { FakeStore, FakeTable } from './FakeTable.js'
+import { NodeClock } from './NodeClock.js'
+import { Simulation } from './Simulation.js'
+
+/** One process of a node. */
+export interface Process {
+  id: string
+  incarnation: string
+  clock: NodeClock
+  ownership: Ownership
+}
+
+/** How a cell is set up. */
+export interface CellOptions {
+  seed?: number
+  nodes?: number
+  resources?: ResourceKey[]
+  /** Most by which the rate of a clock differs from true time. */
+  drift?: number
+  timing?: Partial<Timing>
+  keepsLog?: boolean
+}
+
+/** Several nodes with a fake network, table and list, and the invariant: no resource is admitted for twice. */
+export class Cell {
+  readonly simulation = new Simulation()
+  readonly random: SeededRandom
+  readonly wire: FakeWire
+  readonly store = new FakeStore()
+  readonly processes = new Map<string, Process>()
+  readonly log: Log
+  readonly violations: string[] = []
+  resources: ResourceKey[]
+  instances: Instance[] | null
+  private readonly drift: number
+  private readonly timing: Partial<Timing>
+  private lives = 0
+
+  constructor (options: CellOptions = {}) {
+    const { seed = 1, nodes = 3 } = options
+    this.random = new SeededRandom(seed)
+    this.wire = new FakeWire(this.simulation, this.random)
+    this.resources = options.resources ?? ['worker/a', 'worker/b', 'worker/c', 'shard/0']
+    this.drift = options.drift ?? 0
+    this.timing = options.timing ?? {}
+    this.log = options.keepsLog === true ? new MemoryLog() : new SilentLog()
+    this.instances = Array.from({ length: nodes }, (_, index) => entry(`n${index}`))
+    for (const { id } of this.instances) this.start(id)
+  }
+
+  /** Starts a process on an instance. */
+  start (id: string): Process {
+    const incarnation = `${id}@${++this.lives}`
+    const rate = 1 + this.drift * (this.random.next() * 2 - 1)
+    const clock = new NodeClock(this.simulation, rate, this.random.next() * 1e6)
+    const network = new FakeNetwork(this.wire, incarnation, clock)
+    const ownership = new Ownership({
+      self: { incarnation, dataCentre: dataCentreOf(id), peer: { host: '127.0.0.1', port: 1 }, draining: false },
+      network,
+      table: new FakeTable(this.store, this.simulation, clock, this.random),
+      clock,
+      random: this.random,
+      log: this.log,
+      instances: () => this.instances,
+      resources: () => this.resources,
+      load: () => null,
+      rules: () => 1,
+      timing: this.timing
+    })
+    network.receive((from, message) => { ownership.receive(from, message) })
+    const process = { id, incarnation, clock, ownership }
+    this.processes.set(id, process)
+    ownership.start().catch(error => { this.violations.push(String(error)) })
+    return process
+  }
+
+  /** Ends a process without a word. */
+  kill (id: string): void {
+    const process = this.processes.get(id)
+    if (process === undefined) return
+    process.clock.dead = true
+    this.processes.delete(id)
+  }
+
+  node (id: string): Process {
+    return this.processes.get(id)!
+  }
+
+  async run (duration: number): Promise<void> {
+    await this.simulation.run(duration, () => { this.check() })
+  }
+
+  /** @returns ms until the condition holds, or `Infinity` when it does not within the limit */
+  async until (condition: () => boolean, limit: number, step = 10): Promise<number> {
+    const start = this.simulation.time
+    while (!condition()) {
+      if (this.simulation.time - start >= limit) return Infinity
+      await this.run(step)
+    }
+    return this.simulation.time - start
+  }
+
+  admitters (resource: ResourceKey): string[] {
+    return [...this.processes.values()].filter(process => process.ownership.mayAdmit(resource)).map(process => process.id)
+  }
+
+  /** Whether each resource is admitted for by one node. */
+  isServed (): boolean {
+    return this.resources.every(resource => this.admitters(resource).length === 1)
+  }
+
+  /** Nodes that follow the same version agree, so that only differing versions need a look. */
+  private check (): void {
+    const versions = new Set([...this.processes.values()].map(process => process.ownership.assignment.version))
+    if (versions.size < 2) return
+    for (const resource of this.resources) {
+      const admitters = this.admitters(resource)
+      if (admitters.length < 2) continue
+      this.violations.push(`${this.simulation.time}: ${resource} admitted by ${admitters.join(' and ')}`)
+    }
+  }
+}
+
+export function entry (id: string): Instance {
+  return {
+    id,
+    role: 'entry',
+    state: 'live',
+    dataCentre: dataCentreOf(id),
+    rack: 'r',
+    address: { host: '127.0.0.1', port: 1 },
+    resources: { slots: 0, cores: 0, memory: 0, accelerators: 0 },
+    connections: 0
+  }
+}
+
+function dataCentreOf (id: string): string {
+  return `dc${Number(id.slice(1)) % 4}`
+}
--- /dev/null
+++ b/packages/ownership/test/support/FakeTable.ts
@@ -0,0 +1,78 @@
+import { Err, Ok, Table } from '@rattanstep/core'
+import type { Random, Range, Result, Row, TableError, Transaction } from '@rattanstep/core'
+import type { NodeClock } from './NodeClock.js'
+import type { Simulation } from './Simulation.js'
+
+/** The rows, shared by all nodes, and the faults in force. */
+export class FakeStore {
+  readonly rows = new Map<string, Row>()
+  down = false
+  /** Most ms that a request and its answer each take. */
+  slow = 2
+  loseAnswers = 0
+  lateWrites = 0
+  reads = 0
+  commits = 0
+  /** Writes that took effect. */
+  writes = 0
+
+  commit (transaction: Transaction): Result<Row[], TableError> {
+    const fits = transaction.checks.every(check => (this.rows.get(check.key)?.version ?? 0) === check.version)
+    if (!fits) return Err({ fault: 'conflict', message: 'another version' })
+    this.writes++
+    return Ok(transaction.writes.map(({ key, value }) => {
+      const version = (this.rows.get(key)?.version ?? 0) + 1
+      const row = { key, version, value: value ?? '', operation: transaction.operation }
+      this.rows.set(key, row)
+      return row
+    }))
+  }
+}
+
+/** How one process sees the table. */
+export class FakeTable extends Table {
+  constructor (
+    private readonly store: FakeStore,
+    private readonly simulation: Simulation,
+    private readonly clock: NodeClock,
+    private readonly random: Random
+  ) {
+    super()
+  }
+
+  override async read (keys: string[]): Promise<Result<Row[], TableError>> {
+    this.store.reads++
+    return await this.ask<Row[]>(() => Ok(keys.flatMap(key => this.store.rows.get(key) ?? [])), false)
+  }
+
+  override async list (range: Range): Promise<Result<Row[], TableError>> {
+    return await this.ask<Row[]>(() => Ok([...this.store.rows.values()].filter(row => row.key.startsWith(range.prefix))), false)
+  }
+
+  override async commit (transaction: Transaction): Promise<Result<Row[], TableError>> {
+    this.store.commits++
+    return await this.ask(() => this.store.commit(transaction), true)
+  }
+
+  private async ask<T> (work: () => Result<T, TableError>, isWrite: boolean): Promise<Result<T, TableError>> {
+    const { store, simulation, clock, random } = this
+    return await new Promise(resolve => {
+      const answer = (result: Result<T, TableError>): void => { clock.run(() => { resolve(result) }) }
+      if (isWrite && random.next() < store.lateWrites) {
+        simulation.schedule(random.next() * LATEST, work)
+        simulation.schedule(store.slow, () => { answer(Err({ fault: 'unknown', message: 'no answer' })) })
+        return
+      }
+      simulation.schedule(random.next() * store.slow, () => {
+        const result = store.down ? Err({ fault: 'unavailable' as const, message: 'down' }) : work()
+        const lost = random.next() < store.loseAnswers
+        simulation.schedule(random.next() * store.slow, () => {
+          answer(lost ? Err({ fault: 'unknown', message: 'answer lost' }) : result)
+        })
+      })
+    })
+  }
+}
+
+/** Most ms until a late write takes effect. */
+const LATEST = 8000
