--- a/packages/stand-ins/test/node/tableContract.test.ts
+++ b/packages/stand-ins/test/node/tableContract.test.ts
@@ -18,11 +18,11 @@
 
 const SUBJECTS: Record<string, () => Promise<Subject>> = {
   MemoryTable: async () => {
-    const table = new MemoryTable({ clock: clock })
+    const table = new MemoryTable({ clock })
     return { table, faults: table.faults, close: async () => {} }
   },
   HttpTable: async () => {
-    const server = new PlatformServer({ clock: clock })
+    const server = new PlatformServer({ clock })
     const table = new HttpTable({ address: await server.listen(LOCAL) })
     const close = async (): Promise<void> => {
       await table.close()
@@ -111,7 +111,7 @@
 }
 
 test('HttpTable: a call past its deadline is unknown for a commit and unavailable for a read', async () => {
-  const server = new PlatformServer({ clock: clock })
+  const server = new PlatformServer({ clock })
   const table = new HttpTable({ address: await server.listen(LOCAL), timeout: 30 })
   server.table.faults.slow = 300
   const committed = await table.commit(put('o1', 'a', 0, '1'))
@@ -123,7 +123,7 @@
 })
 
 test('HttpTable: a commit to a closed port is unavailable, for no byte left', async () => {
-  const server = new PlatformServer({ clock: clock })
+  const server = new PlatformServer({ clock })
   const address = await server.listen(LOCAL)
   await server.close()
   const table = new HttpTable({ address })
