Owner's side of permits as a service over messages

Cause: the policy decides, but nothing received asks, gated decisions by the lease, or recovered the books of a worker taken over. Confirming a worker by fronts' answers alone misses a front that was removed but still runs, so a report taken a permit's validity after the takeover is needed too; requests nobody claims stay counted. Change: AdmissionService, Takeover, Outbox; Admission.admitting, permitsOf and unclaimed requests at confirm.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export { AdmissionService } from './runtime/AdmissionService.js'
+export type { AdmissionServiceOptions } from './runtime/AdmissionService.js'
+export { EVENTS as ADMISSION_EVENTS } from './types/events.js'
--- /dev/null
+++ b/packages/admission/src/runtime/AdmissionService.ts
@@ -0,0 +1,336 @@
+import { workerResource } from '@rattanstep/core'
+import type { Ask, Assignment, Clock, Grant, Incarnation, Instance, Load, Message, Network, Random, Refusal, RefusalReason, Resources, Timer, WorkerReport } from '@rattanstep/core'
+import { Admission } from '@rattanstep/policy'
+import type { Decision, GrantDecision, RefuseDecision } from '@rattanstep/policy'
+import type { ResolvedRules } from '@rattanstep/rules'
+import type { Log, Metrics } from '@rattanstep/telemetry'
+import { EVENTS } from '../types/events.js'
+import { Outbox } from './Outbox.js'
+import { Takeover } from './Takeover.js'
+
+/** Milliseconds between looks at patience, ageing and the lease. */
+const TICK_MS = 20
+
+/** Milliseconds after which a node is asked again for its permits. */
+const REPEAT_REQUEST_MS = 500
+
+/** Hint in ms for an ask that came to a node which may not admit. */
+const NOT_OWNER_RETRY_MS = 250
+
+/** What an admission service is made of. */
+export interface AdmissionServiceOptions {
+  self: Incarnation
+  network: Network
+  clock: Clock
+  random: Random
+  log: Log
+  metrics: Metrics
+  rules: () => ResolvedRules
+  /** Newest known assignment. */
+  assignment: () => Assignment
+  /** Whether this node may fill the resource at this very moment. */
+  mayAdmit: (resource: string) => boolean
+  /** Milliseconds that the node's lease still lasts. */
+  leaseLeft: () => number
+  /** Newest entry of the platform's list for a worker, if there is one. */
+  instance: (worker: string) => Instance | undefined
+}
+
+/**
+ * The owner's side of permits. Messages come in, the policy decides, decisions go out as messages, and what a new owner
+ * cannot know counts as used until every node has told its permits or a worker's report shows them.
+ */
+export class AdmissionService {
+  private readonly admission: Admission
+  private readonly outbox: Outbox
+  private readonly owned = new Map<string, Instance>()
+  private readonly takeovers = new Map<string, Takeover>()
+  private readonly timers: Timer[] = []
+  private lapsedAt: number | null = null
+  private draining = false
+
+  /** @param options - where messages go, what may be admitted and by which rules */
+  constructor (private readonly options: AdmissionServiceOptions) {
+    const { self, clock, random, rules, network } = options
+    const { classes, teams } = rules()
+    this.admission = new Admission({ name: self, classes, teams, now: clock.now(), random })
+    this.outbox = new Outbox(network)
+  }
+
+  /** Starts the periodic work. */
+  start (): void {
+    const { clock } = this.options
+    this.timers.push(clock.repeat(TICK_MS, () => { this.tick() }))
+    this.timers.push(clock.repeat(REPEAT_REQUEST_MS, () => { this.repeatRequests() }))
+  }
+
+  /** Ends the periodic work. */
+  stop (): void {
+    for (const timer of this.timers.splice(0)) timer.cancel()
+  }
+
+  /** Refuses new asks from now on; what waits is still served. */
+  drain (): void {
+    this.draining = true
+  }
+
+  /** Puts the newest rules in force. */
+  rulesChanged (): void {
+    this.checkLease()
+    const { classes, teams } = this.options.rules()
+    this.publish(this.admission.configure(classes, teams, this.now))
+  }
+
+  /**
+   * Follows a new assignment.
+   *
+   * @param assignment - the newest
+   * @param previous - the one followed before
+   */
+  assignmentChanged (assignment: Assignment, previous: Assignment): void {
+    this.updateWorkers()
+    const present = new Set(assignment.holders.map(holder => holder.incarnation))
+    for (const { incarnation } of previous.holders) {
+      if (present.has(incarnation)) continue
+      this.admission.frontLost(incarnation, this.now)
+      for (const takeover of this.takeovers.values()) takeover.gone(incarnation)
+    }
+  }
+
+  /** Follows the platform's list and the assignment: takes workers up, lets them go, drains leaving ones. */
+  updateWorkers (): void {
+    this.checkLease()
+    const { self, assignment, instance } = this.options
+    const { owners, version } = assignment()
+    for (const worker of [...this.owned.keys()]) {
+      if (owners[workerResource(worker)] !== self) this.letGo(worker, version)
+    }
+    for (const [resource, owner] of Object.entries(owners)) {
+      if (owner !== self || !resource.startsWith('worker/')) continue
+      const entry = instance(resource.slice('worker/'.length))
+      if (entry !== undefined) this.follow(entry, version)
+    }
+  }
+
+  /**
+   * @param from - sender
+   * @param message - any message
+   * @returns whether it was one for this service
+   */
+  receive (from: Incarnation, message: Message): boolean {
+    this.checkLease()
+    switch (message.kind) {
+      case 'ask':
+        for (const ask of message.asks) this.ask(ask, from)
+        break
+      case 'cancel':
+        this.publish(this.admission.cancel(message.asks, from, this.now))
+        break
+      case 'release':
+        for (const release of message.releases) this.publish(this.admission.release(release, from, this.now))
+        break
+      case 'permits':
+        this.admission.renew(from, message.permits, this.now)
+        for (const takeover of this.takeovers.values()) takeover.answered(from, message.version)
+        break
+      default:
+        return false
+    }
+    this.outbox.flush()
+    return true
+  }
+
+  /**
+   * Takes in what a worker says of itself.
+   *
+   * @param report - the report
+   */
+  reported (report: WorkerReport): void {
+    this.checkLease()
+    const takeover = this.takeovers.get(report.worker)
+    if (takeover === undefined) return
+    if (!takeover.trusts(this.now - report.lag)) return
+    if (takeover.silent().length > 0) return
+    this.confirm(takeover, report.requests)
+  }
+
+  /** @returns the load for heartbeats */
+  load (): Load {
+    return this.admission.load(this.now)
+  }
+
+  /** @returns workers whose books this node keeps */
+  workers (): Instance[] {
+    return [...this.owned.values()]
+  }
+
+  /**
+   * Holds room for a task; see `Admission.hold`.
+   *
+   * @param options - which room for whom
+   * @returns whether the room is held
+   */
+  hold (options: { worker: string, resources: Resources, class: string, team: string, id: string }): boolean {
+    if (!this.options.mayAdmit(workerResource(options.worker))) return false
+    return this.admission.hold(options.worker, options.resources, options.class, options.team, options.id, this.now)
+  }
+
+  /** @param id - hold to give back */
+  releaseHold (id: string): void {
+    this.checkLease()
+    this.publish(this.admission.releaseHold(id, this.now))
+    this.outbox.flush()
+  }
+
+  /**
+   * @param worker - a worker
+   * @returns what is free there
+   */
+  free (worker: string): Resources {
+    return this.admission.free(worker)
+  }
+
+  /** @returns figures for operators */
+  status (): { workers: Array<{ worker: string, free: Resources, confirmed: boolean }>, load: Load, lapsedFor: number } {
+    const workers = [...this.owned.keys()].map(worker => ({
+      worker,
+      free: this.admission.free(worker),
+      confirmed: !this.takeovers.has(worker)
+    }))
+    return { workers, load: this.load(), lapsedFor: this.lapsedAt === null ? 0 : this.now - this.lapsedAt }
+  }
+
+  private get now (): number {
+    return this.options.clock.now()
+  }
+
+  private ask (ask: Ask, front: Incarnation): void {
+    const obstacle = this.obstacle()
+    if (obstacle !== null) {
+      const decision: Decision = { kind: 'refuse', ask, front, reason: obstacle, retryAfter: NOT_OWNER_RETRY_MS, redirect: '' }
+      this.publish([decision])
+      return
+    }
+    this.publish(this.admission.ask(ask, front, this.now))
+  }
+
+  private obstacle (): RefusalReason | null {
+    if (this.draining) return 'draining'
+    if (this.options.leaseLeft() <= 0) return 'not-owner'
+    return null
+  }
+
+  private tick (): void {
+    this.checkLease()
+    this.publish(this.admission.tick(this.now))
+    this.outbox.flush()
+  }
+
+  private publish (decisions: Decision[]): void {
+    for (const decision of decisions) {
+      if (decision.kind === 'grant') this.grant(decision)
+      else this.refuse(decision)
+    }
+  }
+
+  private grant (decision: GrantDecision): void {
+    const { ask, front, permit, worker, address, waited, reason, candidates } = decision
+    const { log, metrics, assignment, mayAdmit } = this.options
+    if (!mayAdmit(workerResource(worker))) {
+      this.withdraw(decision)
+      return
+    }
+    log.write(EVENTS.granted, { ask: ask.id, class: ask.class, front, waited, reason, worker, permit, candidates })
+    metrics.timer('admission_wait', { class: ask.class }).record(waited)
+    metrics.counter('admission_granted', { class: ask.class }).add()
+    const grant: Grant = { ask: ask.id, permit, worker, address, waited, version: assignment().version }
+    this.outbox.grant(front, grant)
+  }
+
+  private withdraw (decision: GrantDecision): void {
+    const { ask, front, permit, worker } = decision
+    this.options.log.write(EVENTS.grantWithdrawn, { ask: ask.id, worker })
+    this.admission.drainWorker(worker)
+    this.publish(this.admission.release({ permit, worker, ending: 'unsent', serviceTime: 0 }, front, this.now))
+    this.refuse({ kind: 'refuse', ask, front, reason: 'not-owner', retryAfter: NOT_OWNER_RETRY_MS, redirect: '' })
+  }
+
+  private refuse (decision: RefuseDecision): void {
+    const { ask, front, reason, retryAfter, redirect } = decision
+    const { log, metrics } = this.options
+    log.write(EVENTS.refused, { ask: ask.id, class: ask.class, front, waited: ask.waited, reason, retryAfter, redirect })
+    metrics.counter('admission_refused', { class: ask.class, reason }).add()
+    const refusal: Refusal = { ask: ask.id, reason, retryAfter, redirect }
+    this.outbox.refuse(front, refusal)
+  }
+
+  private follow (entry: Instance, version: number): void {
+    if (!this.owned.has(entry.id)) this.takeUp(entry, version)
+    const known = this.owned.get(entry.id)!
+    if (entry.state === 'leaving' && known.state !== 'leaving') {
+      this.options.log.write(EVENTS.workerLeaving, { worker: entry.id })
+      this.admission.drainWorker(entry.id)
+    }
+    this.owned.set(entry.id, entry)
+  }
+
+  private takeUp (entry: Instance, version: number): void {
+    const { id, address, resources, connections, dataCentre, rack } = entry
+    const { assignment, log } = this.options
+    const fronts = assignment().holders.map(holder => holder.incarnation)
+    this.owned.set(id, { ...entry, state: 'live' })
+    this.admission.addWorker({ id, address, resources, connections, dataCentre, rack }, this.now, resources)
+    const takeover = new Takeover({ worker: id, version, since: this.now, fronts })
+    this.takeovers.set(id, takeover)
+    log.write(EVENTS.workerGained, { worker: id, version, awaiting: fronts })
+    this.requestPermits(fronts, version, [id])
+  }
+
+  private letGo (worker: string, version: number): void {
+    this.owned.delete(worker)
+    this.takeovers.delete(worker)
+    this.options.log.write(EVENTS.workerLost, { worker, version })
+    this.publish(this.admission.removeWorker(worker, this.now))
+  }
+
+  private repeatRequests (): void {
+    for (const takeover of this.takeovers.values()) {
+      const { version, worker } = takeover.options
+      this.requestPermits(takeover.silent(), version, [worker])
+    }
+  }
+
+  private requestPermits (fronts: Incarnation[], version: number, workers: string[]): void {
+    for (const front of fronts) this.options.network.send(front, { kind: 'permits-request', version, workers })
+  }
+
+  private confirm (takeover: Takeover, requests: number): void {
+    const { worker, since } = takeover.options
+    const permits = this.admission.permitsOf(worker)
+    const unknown = Math.max(0, requests - permits)
+    if (unknown === 0) this.takeovers.delete(worker)
+    this.options.log.write(EVENTS.workerConfirmed, { worker, after: this.now - since, permits, unknown })
+    this.publish(this.admission.confirm(worker, this.now, unknown))
+    this.outbox.flush()
+  }
+
+  private checkLease (): void {
+    this.admission.admitting = this.options.leaseLeft() > 0
+    if (this.admission.admitting) this.noteRenewal()
+    else this.noteLapse()
+  }
+
+  private noteLapse (): void {
+    if (this.lapsedAt !== null || this.owned.size === 0) return
+    this.lapsedAt = this.now
+    const waiting = this.load().waiting.reduce((sum, entry) => sum + entry.count, 0)
+    this.options.log.write(EVENTS.leaseLapsed, { version: this.options.assignment().version, waiting })
+  }
+
+  private noteRenewal (): void {
+    if (this.lapsedAt === null) return
+    const paused = this.now - this.lapsedAt
+    this.lapsedAt = null
+    this.options.log.write(EVENTS.leaseRenewed, { version: this.options.assignment().version, paused })
+  }
+}
--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -40,6 +40,8 @@
 
 /** Admits work to the workers of one owner: the books of these workers, and the queue before them. */
 export class Admission {
+  /** Whether grants may be given now; asks wait while it is off. */
+  admitting = true
   readonly runTimes = new RunTimes()
   private readonly name: string
   private readonly random: Random
@@ -111,16 +113,25 @@
    *
    * @param worker - the worker
    * @param now - ms
+   * @param unclaimed - requests on the worker that no front claims; a slot for each stays counted
    * @returns what starts in the room
    */
-  confirm (worker: string, now: number): Decision[] {
+  confirm (worker: string, now: number, unclaimed = 0): Decision[] {
     const book = this.workers.get(worker)
     if (book === undefined) return []
-    book.unknown = { ...NO_RESOURCES }
+    book.unknown = { ...NO_RESOURCES, slots: unclaimed }
     this.workers.refresh(book)
     return this.dispatch(now)
   }
 
+  /**
+   * @param worker - a worker
+   * @returns permits in use there
+   */
+  permitsOf (worker: string): number {
+    return this.workers.get(worker)?.permits ?? 0
+  }
+
   /**
    * Gives a worker no new work and forgets it once its permits and holds have ended.
    *
@@ -308,7 +319,7 @@
 
   private dispatch (now: number): Decision[] {
     const decisions: Decision[] = []
-    while (this.waiting.size > 0 && this.workers.freeSlots > 0) {
+    while (this.admitting && this.waiting.size > 0 && this.workers.freeSlots > 0) {
       const grant = this.dispatchOne(now)
       if (grant === null) break
       decisions.push(grant)
@@ -327,6 +338,7 @@
   }
 
   private tryGrant (book: ClassBook, item: WaitingAsk, now: number): Decision | null {
+    if (!this.admitting) return null
     const { ask, front, key } = item
     const room = { slots: this.workers.slots, free: this.workers.freeSlots }
     if (this.classes.limit(book, ask, room) !== null) return null
