front: thin path of a request through abstract permits

Cause: callers need one HTTP hop that streams both ways and says for every request whether it was run. Weighed: undici's Pool (sends again on another socket behind the front's back when a connection dies idle) against one Client a connection that opens one socket in its life. Chosen: the second, so that the moment of the first byte is known exactly. Change: Front, Dispatcher, Connection, the request's chart, the outcome module, limits, problem answers, FRONT_EVENTS 1000 to 1008.

--- a/packages/front/src/index.ts
+++ b/packages/front/src/index.ts
@@ -1,1 +1,10 @@
-export {}
+export { Dispatcher } from './node/Dispatcher.js'
+export type { DispatcherOptions } from './node/Dispatcher.js'
+export { Front } from './node/Front.js'
+export type { FrontOptions } from './node/Front.js'
+export { Keys } from './runtime/Keys.js'
+export type { KeyAnswer, KeyClaim, KeySilence } from './runtime/Keys.js'
+export { Permits } from './runtime/Permits.js'
+export type { Placement } from './runtime/Permits.js'
+export { FRONT_EVENTS } from './types/events.js'
+export type { AnswerHead, AnswerSink, HeaderList, Run, RunEnd, RunFault, RunStep } from './types/run.js'
--- /dev/null
+++ b/packages/front/src/node/Attempt.ts
@@ -0,0 +1,179 @@
+import type { Dispatcher as Undici } from 'undici'
+import type { Clock, Timer } from '@rattanstep/core'
+import type { AnswerSink, Framing, HeaderList, Run, RunEnd, RunFault, RunStep } from '../types/run.js'
+import type { Connection } from './Connection.js'
+import { endToEnd, headerValue, pairHeaders, passableTrailers } from './headers.js'
+
+/** Statuses whose answers have no body. */
+const BODILESS = new Set([204, 304])
+
+/** What one attempt works with. */
+export interface AttemptOptions {
+  run: Run
+  sink: AnswerSink
+  connection: Connection
+  clock: Clock
+  /** Called once. */
+  onEnd: (end: RunEnd) => void
+}
+
+/**
+ * One request on one connection: follows its steps, watches for silence and for the bound, and passes the answer on.
+ */
+export class Attempt implements Undici.DispatchHandler {
+  private step: RunStep = 'dispatching'
+  private controller: Undici.DispatchController | null = null
+  private finished = false
+  private startedAt: number
+  private framing: Framing = 'delimited'
+  private probeTimer: Timer | null = null
+  private readonly boundTimer: Timer
+  private readonly leave = (): void => { this.abandon(abortFault(this.options.run.signal)) }
+
+  constructor (private readonly options: AttemptOptions) {
+    const { run, clock } = options
+    this.startedAt = clock.now()
+    this.boundTimer = clock.schedule(run.bound, () => { this.abandon('bound') })
+    run.signal.addEventListener('abort', this.leave, { once: true })
+  }
+
+  /** Sends the request. */
+  start (): void {
+    const { run, connection } = this.options
+    const { method, path, headers, body } = run
+    if (run.signal.aborted) {
+      this.leave()
+      return
+    }
+    connection.dispatch({ method, path, headers, body }, this)
+  }
+
+  /**
+   * Gives the attempt up: the connection is closed and never used again, and nothing that arrives later is passed on.
+   *
+   * @param fault - why
+   */
+  abandon (fault: RunFault): void {
+    if (this.finished) return
+    this.finish(fault, `abandoned: ${fault}`)
+    this.controller?.abort(new Error(fault))
+    this.options.connection.close()
+  }
+
+  onRequestStart (controller: Undici.DispatchController): void {
+    const { run, clock, connection, sink } = this.options
+    this.controller = controller
+    if (this.finished) {
+      controller.abort(new Error('given up before the first byte'))
+      return
+    }
+    if (clock.now() >= run.validUntil) {
+      this.abandon('stale-permit')
+      return
+    }
+    connection.touch()
+    this.step = 'sending'
+    this.startedAt = clock.now()
+    this.armProbe()
+    sink.sending()
+  }
+
+  onResponseStart (controller: Undici.DispatchController, status: number, _headers: unknown, message?: string): void {
+    if (this.finished || status < 200) return
+    this.options.connection.touch()
+    const raw = pairHeaders((controller.rawHeaders ?? []) as Buffer[])
+    this.step = 'answering'
+    this.framing = this.findFraming(status, raw)
+    this.armProbe()
+    const head = { status, message: message ?? '', headers: endToEnd(raw), framing: this.framing }
+    try {
+      this.options.sink.head(head, () => { this.resume() })
+    } catch {
+      // The head holds bytes that may not be passed on.
+      this.step = 'sending'
+      this.abandon('garbage')
+    }
+  }
+
+  onResponseData (controller: Undici.DispatchController, chunk: Buffer): void {
+    if (this.finished) return
+    this.options.connection.touch()
+    if (this.options.sink.data(chunk)) {
+      this.armProbe()
+      return
+    }
+    this.probeTimer?.cancel()
+    controller.pause()
+  }
+
+  onResponseEnd (controller: Undici.DispatchController): void {
+    if (this.finished) return
+    if (this.framing === 'until-close' && this.options.connection.isBroken) {
+      this.abandon('reset')
+      return
+    }
+    this.step = 'ended'
+    this.options.connection.touch()
+    this.options.sink.end(this.trailers(controller))
+    this.finish(null, '')
+  }
+
+  onResponseError (_controller: Undici.DispatchController, error: Error): void {
+    if (this.finished) return
+    const { code, message } = error as Error & { code?: string }
+    this.finish(classify(code, this.step, this.options.run), code === undefined ? message : `${code}: ${message}`)
+    this.options.connection.close()
+  }
+
+  private resume (): void {
+    if (this.finished) return
+    this.armProbe()
+    this.controller?.resume()
+  }
+
+  private trailers (controller: Undici.DispatchController): HeaderList {
+    return passableTrailers(pairHeaders((controller.rawTrailers ?? []) as Buffer[]))
+  }
+
+  private armProbe (): void {
+    this.probeTimer?.cancel()
+    const { clock, run } = this.options
+    this.probeTimer = clock.schedule(run.probe, () => { this.abandon('silent') })
+  }
+
+  private findFraming (status: number, headers: HeaderList): Framing {
+    if (this.options.run.method === 'HEAD' || BODILESS.has(status)) return 'delimited'
+    const delimited = headerValue(headers, 'content-length') !== undefined || headerValue(headers, 'transfer-encoding') !== undefined
+    return delimited ? 'delimited' : 'until-close'
+  }
+
+  private finish (fault: RunFault | null, detail: string): void {
+    this.finished = true
+    this.probeTimer?.cancel()
+    this.boundTimer.cancel()
+    this.options.run.signal.removeEventListener('abort', this.leave)
+    const serviceTime = this.options.clock.now() - this.startedAt
+    this.options.onEnd({ step: this.step, fault, detail, serviceTime })
+  }
+}
+
+const UNSENDABLE = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED'])
+const GARBAGE = new Set(['UND_ERR_RES_CONTENT_LENGTH_MISMATCH', 'UND_ERR_HEADERS_OVERFLOW', 'UND_ERR_RES_EXCEEDED_MAX_SIZE'])
+
+function abortFault (signal: AbortSignal): RunFault {
+  return signal.reason === 'caller-slow' ? 'caller-slow' : 'caller-gone'
+}
+
+function classify (code: string | undefined, step: RunStep, run: Run): RunFault {
+  if (run.signal.aborted) return abortFault(run.signal)
+  if (code !== undefined && UNSENDABLE.has(code)) return 'unsendable'
+  if (isBodyError(code, run)) return 'body'
+  if (step === 'dispatching') return 'refused'
+  if (code?.startsWith('HPE_') === true || (code !== undefined && GARBAGE.has(code))) return 'garbage'
+  return 'reset'
+}
+
+function isBodyError (code: string | undefined, run: Run): boolean {
+  if (code === 'UND_ERR_REQ_CONTENT_LENGTH_MISMATCH') return true
+  return run.body !== null && !Buffer.isBuffer(run.body) && run.body.errored !== null
+}
--- /dev/null
+++ b/packages/front/src/node/CallerServer.ts
@@ -0,0 +1,157 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import type { Address, Clock } from '@rattanstep/core'
+import type { ResolvedLimits } from '@rattanstep/rules'
+import { whenOver } from './whenOver.js'
+
+/** Period at which the server looks for callers that are too slow with their header, in ms. */
+const CHECK_PERIOD_MS = 250
+
+/** Time that an idle caller's connection is kept, in ms. */
+const KEEP_ALIVE_MS = 30_000
+
+/** Time that the rest of an unwanted body is read for after the answer, in ms. */
+const LINGER_MS = 2000
+
+/** Connections that are accepted for each request that may be in flight. */
+const CONNECTIONS_PER_REQUEST = 2
+
+/** A request as the server hands it on. */
+export interface Arrival {
+  message: IncomingMessage
+  response: ServerResponse
+  /** Whether the caller waits to be told before it sends its body. */
+  expectsContinue: boolean
+}
+
+/** How callers are listened to. */
+export interface CallerServerOptions {
+  address: Address
+  clock: Clock
+  limits: () => ResolvedLimits
+  onRequest: (arrival: Arrival) => void
+  /** Bytes that are no request, or a request that no front can take. */
+  onMalformed: (remote: string, code: string, status: number) => void
+}
+
+const PARSER_STATUS: Record<string, number> = {
+  HPE_HEADER_OVERFLOW: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408
+}
+
+const STATUS_TEXT: Record<number, string> = {
+  400: 'Bad Request',
+  405: 'Method Not Allowed',
+  408: 'Request Timeout',
+  417: 'Expectation Failed',
+  431: 'Request Header Fields Too Large'
+}
+
+/** The HTTP server that callers reach. It answers malformed requests itself. */
+export class CallerServer {
+  private readonly server: Server
+  private readonly inFlight = new WeakMap<Duplex, number>()
+  private readonly doomed = new WeakMap<Duplex, () => void>()
+  private sequence = 0
+
+  constructor (private readonly options: CallerServerOptions) {
+    const limits = options.limits()
+    this.server = createServer({
+      maxHeaderSize: limits.header,
+      headersTimeout: limits.headerTimeout,
+      requestTimeout: 0,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connectionsCheckingInterval: CHECK_PERIOD_MS,
+      requireHostHeader: false,
+      noDelay: true
+    })
+    this.server.maxConnections = limits.callers * CONNECTIONS_PER_REQUEST
+    this.server.on('request', (message, response) => { this.arrive({ message, response, expectsContinue: false }) })
+    this.server.on('checkContinue', (message, response) => { this.arrive({ message, response, expectsContinue: true }) })
+    this.server.on('checkExpectation', (message, response) => { this.reject(message.socket, 'expectation', 417); response.destroy() })
+    this.server.on('connect', (_message, socket) => { this.reject(socket, 'connect', 405) })
+    this.server.on('clientError', (error: Error & { code?: string }, socket) => { this.refuseBytes(error.code ?? 'unknown', socket) })
+  }
+
+  /** @returns where the server listens */
+  async listen (): Promise<Address> {
+    const { host, port } = this.options.address
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen({ host, port }, () => {
+        this.server.off('error', reject)
+        resolve()
+      })
+    })
+    const bound = this.server.address() as AddressInfo
+    return { host: bound.address, port: bound.port }
+  }
+
+  /** Takes no new connections and closes those that are idle. */
+  stop (): void {
+    this.server.close()
+    this.server.closeIdleConnections()
+  }
+
+  /** Closes every connection at once. */
+  close (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  private arrive (arrival: Arrival): void {
+    const { message, response } = arrival
+    const socket = message.socket
+    this.server.headersTimeout = this.options.limits().headerTimeout
+    this.inFlight.set(socket, (this.inFlight.get(socket) ?? 0) + 1)
+    whenOver(message, response, () => { this.depart(message, socket) })
+    response.on('error', () => {})
+    message.on('error', () => {})
+    this.options.onRequest(arrival)
+  }
+
+  private depart (message: IncomingMessage, socket: Socket): void {
+    const left = (this.inFlight.get(socket) ?? 1) - 1
+    this.inFlight.set(socket, left)
+    if (left === 0) this.doomed.get(socket)?.()
+    if (message.complete || socket.destroyed) return
+    const timer = this.options.clock.schedule(LINGER_MS, () => { socket.destroy() })
+    const settle = (): void => { timer.cancel() }
+    message.once('end', settle)
+    message.once('close', settle)
+  }
+
+  private refuseBytes (code: string, socket: Duplex): void {
+    if (code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy()
+      return
+    }
+    const status = PARSER_STATUS[code] ?? 400
+    if ((this.inFlight.get(socket) ?? 0) === 0) {
+      this.reject(socket, code, status)
+      return
+    }
+    // The bytes may belong to the body of a request in flight, whose answer must stay its own.
+    this.doomed.set(socket, () => { this.reject(socket, code, status) })
+    const message = (socket as Duplex & { _httpMessage?: { req?: IncomingMessage } })._httpMessage?.req
+    if (message?.complete !== true) socket.destroy()
+  }
+
+  private reject (socket: Duplex, code: string, status: number): void {
+    const remote = (socket as Socket).remoteAddress ?? ''
+    this.options.onMalformed(remote, code, status)
+    const detail = `The bytes are no request that can be taken (${code}); send HTTP/1.1 as RFC 9112 has it.`
+    const body = JSON.stringify({ type: 'urn:rattanstep:malformed', title: STATUS_TEXT[status], status, detail, outcome: 'not-run' })
+    const head = [
+      `HTTP/1.1 ${status} ${STATUS_TEXT[status] ?? ''}`,
+      'content-type: application/problem+json',
+      `content-length: ${Buffer.byteLength(body)}`,
+      'rattanstep-outcome: not-run',
+      `rattanstep-request: malformed-${this.sequence++}`,
+      'connection: close'
+    ]
+    if (socket.writable) socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
+  }
+}
--- /dev/null
+++ b/packages/front/src/node/Exchange.ts
@@ -0,0 +1,297 @@
+import { Chart, hash64 } from '@rattanstep/core'
+import type { Clock, Outcome, Random, Refusal } from '@rattanstep/core'
+import type { Log, Metrics } from '@rattanstep/telemetry'
+import file from '../charts/request.json' with { type: 'json' }
+import type { KeyAnswer, KeyClaim, Keys } from '../runtime/Keys.js'
+import { decideOutcome, refusalOutcome } from '../runtime/outcome.js'
+import type { Decision } from '../runtime/outcome.js'
+import type { Permits, Placement } from '../runtime/Permits.js'
+import { keyProblem, refusalProblem, runProblem } from '../runtime/problems.js'
+import type { RetryTokens } from '../runtime/RetryTokens.js'
+import { FRONT_EVENTS } from '../types/events.js'
+import type { Intake } from '../types/intake.js'
+import type { RequestEvent, RequestState } from '../types/life.js'
+import type { Problem } from '../types/problem.js'
+import type { RunEnd, RunFault } from '../types/run.js'
+import { AnswerRelay } from './AnswerRelay.js'
+import type { Dispatcher } from './Dispatcher.js'
+import { endToEnd } from './headers.js'
+import type { Reply } from './Reply.js'
+import type { RequestBody } from './RequestBody.js'
+
+const chart = new Chart<RequestState, RequestEvent>(file as ConstructorParameters<typeof Chart>[0])
+
+/** Most attempts to run one request. */
+const MOST_ATTEMPTS = 4
+
+/** Mean delay before the second attempt, in ms; it doubles with each further one. */
+const BACKOFF_MS = 20
+
+/** Least time without a byte after which a connection counts as silent, in ms. */
+const LEAST_PROBE_MS = 1000
+
+/** How many times its expected run time a request that can be repeated is waited for before its connection counts as silent. */
+const PROBE_FACTOR = 10
+
+/** Longest wait for the end of another run of the same key, in ms. */
+const RUNNING_PATIENCE_MS = 500
+/** Time between questions about a run of the same key, in ms. */
+const RUNNING_PERIOD_MS = 100
+
+/** What every exchange of a front works with. */
+export interface ExchangeContext {
+  permits: Permits
+  keys: Keys
+  dispatcher: Dispatcher
+  clock: Clock
+  random: Random
+  log: Log
+  metrics: Metrics
+  retries: RetryTokens
+}
+
+/** One request on its way from its caller to a worker and back. */
+export class Exchange {
+  private state: RequestState = chart.initial
+  private readonly arrivedAt: number
+  private readonly avoid: string[] = []
+  private attempts = 0
+  private sentBefore = false
+  private claim: KeyClaim | null = null
+  private held: KeyAnswer | null = null
+  private relay: AnswerRelay | null = null
+
+  constructor (
+    private readonly context: ExchangeContext,
+    private readonly intake: Intake,
+    private readonly body: RequestBody,
+    private readonly reply: Reply,
+    private readonly gone: AbortController
+  ) {
+    this.arrivedAt = context.clock.now()
+  }
+
+  /** Runs the request and answers its caller. */
+  async run (): Promise<void> {
+    this.context.retries.deposit(this.intake.class)
+    if (this.intake.key !== '' && !(await this.claimKey())) return
+    for (;;) {
+      const again = await this.attempt()
+      if (!again) return
+    }
+  }
+
+  private get signal (): AbortSignal {
+    return this.gone.signal
+  }
+
+  private get waited (): number {
+    return this.context.clock.now() - this.arrivedAt
+  }
+
+  private get timeLeft (): number {
+    return this.intake.timeout - this.waited
+  }
+
+  private async claimKey (): Promise<boolean> {
+    this.step('claim')
+    const claim = { key: this.intake.key, fingerprint: this.fingerprint(), firstSent: this.intake.firstSent }
+    const answer = await this.askHome(claim)
+    if (answer?.verdict === 'first') {
+      this.claim = claim
+      this.held = answer
+      return true
+    }
+    if (answer?.verdict === 'settled' && answer.outcome === 'run' && answer.answer !== null) {
+      this.step('replay')
+      this.reply.replay(answer.answer)
+      this.context.metrics.counter('front_replays', { class: this.intake.class.name }).add()
+      return false
+    }
+    this.refuse(keyProblem(answer))
+    return false
+  }
+
+  private async askHome (claim: KeyClaim): Promise<KeyAnswer | null> {
+    const { keys, clock } = this.context
+    const end = clock.now() + Math.min(RUNNING_PATIENCE_MS, this.timeLeft)
+    for (;;) {
+      const result = await keys.claim(claim, this.signal)
+      if (result.isErr()) return null
+      if (result.value.verdict !== 'running' || clock.now() + RUNNING_PERIOD_MS >= end) return result.value
+      await clock.sleep(RUNNING_PERIOD_MS)
+    }
+  }
+
+  private fingerprint (): string {
+    const bytes = this.body.bytes
+    const content = bytes === null ? String(this.body.declared ?? 'chunked') : hash64(bytes.toString('latin1'))
+    return hash64(`${this.intake.method} ${this.intake.path} ${content}`)
+  }
+
+  private async attempt (): Promise<boolean> {
+    const { permits } = this.context
+    this.step('ask')
+    this.attempts++
+    const result = await permits.acquire(this.ask(), this.signal)
+    if (result.isErr()) {
+      const outcome = refusalOutcome(this.sentBefore)
+      this.settle(outcome)
+      this.refuse(refusalProblem(result.error, outcome), result.error)
+      return false
+    }
+    this.step('grant')
+    const placement = result.value
+    const wait = this.waited
+    const end = await this.dispatch(placement)
+    return await this.conclude(placement, end, wait)
+  }
+
+  private ask (): Parameters<Permits['acquire']>[0] {
+    const { intake } = this
+    const { cores, memory, accelerators } = intake.route
+    return {
+      id: `${intake.id}.${this.attempts}`,
+      class: intake.class.name,
+      caller: intake.caller,
+      team: intake.team,
+      resources: { slots: 1, cores, memory, accelerators },
+      patience: Math.max(0, Math.min(intake.class.patience - this.waited, this.timeLeft)),
+      waited: this.waited,
+      avoid: [...this.avoid]
+    }
+  }
+
+  private async dispatch (placement: Placement): Promise<RunEnd> {
+    const { intake, context } = this
+    const bound = Math.max(0, Math.min(intake.class.bound, this.timeLeft))
+    this.relay = new AnswerRelay({
+      reply: this.reply,
+      clock: context.clock,
+      idleTimeout: intake.limits.idleTimeout,
+      keep: this.held !== null,
+      onSending: () => { this.step('send') },
+      onHead: () => { this.step('answer') },
+      onSlow: () => { this.gone.abort('caller-slow' satisfies RunFault) }
+    })
+    return await context.dispatcher.dispatch({
+      worker: placement.worker,
+      address: placement.address,
+      method: intake.method,
+      path: intake.path,
+      headers: this.headers(),
+      body: this.body.open(),
+      fresh: !this.isRepeatable,
+      bound,
+      probe: this.probeTime(bound),
+      validUntil: placement.validUntil,
+      signal: this.signal
+    }, this.relay)
+  }
+
+  private get isRepeatable (): boolean {
+    return this.intake.idempotent && this.body.isReplayable
+  }
+
+  private probeTime (bound: number): number {
+    if (!this.isRepeatable) return bound
+    return Math.min(bound, Math.max(LEAST_PROBE_MS, this.intake.class.expected * PROBE_FACTOR))
+  }
+
+  private headers (): string[] {
+    const flat = endToEnd(this.intake.headers).flat()
+    flat.push('rattanstep-request', this.intake.id)
+    return flat
+  }
+
+  private async conclude (placement: Placement, end: RunEnd, wait: number): Promise<boolean> {
+    if (end.step === 'ended') {
+      this.step('end')
+      this.context.permits.release(placement, 'completed', end.serviceTime)
+      this.settle('run')
+      this.report(placement, end, wait, 'run')
+      return false
+    }
+    const decision = decideOutcome({ step: end.step, fault: end.fault ?? 'reset', repeatable: this.isRepeatable, sentBefore: this.sentBefore })
+    this.sentBefore ||= end.step !== 'dispatching'
+    this.context.permits.release(placement, decision.ending, end.serviceTime)
+    this.report(placement, end, wait, decision.outcome)
+    if (decision.action === 'retry' && await this.mayRetry(placement, end)) return true
+    this.settle(decision.outcome)
+    this.fail(decision, end)
+    return false
+  }
+
+  private async mayRetry (placement: Placement, end: RunEnd): Promise<boolean> {
+    const { clock, random, retries } = this.context
+    if (this.attempts >= MOST_ATTEMPTS || !this.body.isUnread) return false
+    if (!retries.take(this.intake.class)) return false
+    if (end.fault !== 'stale-permit') this.avoid.push(placement.worker)
+    const delay = random.jitter(BACKOFF_MS * 2 ** (this.attempts - 1))
+    if (delay >= this.timeLeft) return false
+    await clock.sleep(delay)
+    return !this.signal.aborted
+  }
+
+  private fail (decision: Decision, end: RunEnd): void {
+    const event = ({ retry: 'fail', answer: 'fail', cut: 'cut', drop: 'leave' } as const)[decision.action]
+    if (this.state === 'dispatching' && event === 'fail') this.step('refuse')
+    else this.step(event)
+    if (decision.action === 'cut') this.reply.cut()
+    else if (decision.action !== 'drop') this.reply.refuse(runProblem(decision, end, this.body.fault))
+    this.context.log.write(FRONT_EVENTS.answered, {
+      request: this.intake.id,
+      class: this.intake.class.name,
+      fault: end.fault,
+      outcome: decision.outcome,
+      status: decision.action === 'cut' || decision.action === 'drop' ? 0 : decision.status
+    })
+  }
+
+  private refuse (problem: Problem, refusal?: Refusal): void {
+    this.step(this.signal.aborted ? 'leave' : 'refuse')
+    this.reply.refuse(problem)
+    this.context.log.write(FRONT_EVENTS.refused, {
+      request: this.intake.id,
+      class: this.intake.class.name,
+      wait: this.waited,
+      reason: refusal?.reason ?? problem.code,
+      status: problem.status
+    })
+    this.context.metrics.counter('front_refused', { class: this.intake.class.name, reason: refusal?.reason ?? problem.code }).add()
+  }
+
+  private settle (outcome: Outcome): void {
+    if (this.claim === null || this.held === null) return
+    this.context.keys.settle(this.claim, this.held, outcome, outcome === 'run' ? this.relay?.stored() ?? null : null)
+    this.claim = null
+  }
+
+  private report (placement: Placement, end: RunEnd, wait: number, outcome: Outcome): void {
+    const { log, metrics } = this.context
+    const name = this.intake.class.name
+    log.write(FRONT_EVENTS.routed, {
+      request: this.intake.id,
+      attempt: this.attempts,
+      class: name,
+      owner: placement.owner,
+      worker: placement.worker,
+      wait,
+      reason: this.attempts === 1 ? 'load' : 'retry',
+      candidates: placement.candidates,
+      outcome,
+      fault: end.fault ?? '',
+      detail: end.detail,
+      service: end.serviceTime
+    })
+    metrics.counter('front_attempts', { class: name, outcome }).add()
+    metrics.timer('front_wait', { class: name }).record(wait)
+    metrics.timer('front_service', { class: name }).record(end.serviceTime)
+  }
+
+  private step (event: RequestEvent): void {
+    const next = chart.next(this.state, event)
+    if (next === null) throw new Error(`request ${this.intake.id}: '${event}' is not allowed in state '${this.state}'`)
+    this.state = next
+  }
+}
--- /dev/null
+++ b/packages/front/src/node/Reply.ts
@@ -0,0 +1,114 @@
+import { STATUS_CODES } from 'node:http'
+import type { ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Outcome, StoredAnswer } from '@rattanstep/core'
+import type { Problem } from '../types/problem.js'
+import type { AnswerHead, HeaderList } from '../types/run.js'
+import { endToEnd } from './headers.js'
+
+const MS_PER_SECOND = 1000
+
+/** The answer to one caller. Whatever comes after its end is dropped. */
+export class Reply {
+  constructor (
+    private readonly response: ServerResponse,
+    private readonly socket: Socket,
+    private readonly request: string,
+    private readonly isClosing: () => boolean
+  ) {}
+
+  /** Whether the head has been sent. */
+  get isStarted (): boolean {
+    return this.response.headersSent
+  }
+
+  /** Whether nothing can be said any more. */
+  get isOver (): boolean {
+    return this.response.writableEnded || this.response.destroyed
+  }
+
+  /**
+   * Answers for the front itself.
+   *
+   * @param problem - what the caller is told
+   */
+  refuse (problem: Problem): void {
+    if (this.isStarted || this.isOver) return
+    const { status, outcome, code, detail, retryAfter } = problem
+    const body = JSON.stringify({ type: `urn:rattanstep:${code}`, title: STATUS_CODES[status], status, detail, outcome, request: this.request })
+    const headers: HeaderList = [
+      ['content-type', 'application/problem+json'],
+      ['content-length', String(Buffer.byteLength(body))]
+    ]
+    if (retryAfter > 0) headers.push(['retry-after', String(Math.ceil(retryAfter / MS_PER_SECOND))])
+    this.write(status, STATUS_CODES[status] ?? '', headers, outcome)
+    this.response.end(body)
+  }
+
+  /**
+   * Begins to pass an endpoint's answer on.
+   *
+   * @param head - the endpoint's head
+   */
+  begin (head: AnswerHead): void {
+    if (this.isOver) return
+    if (head.framing === 'until-close') {
+      this.response.useChunkedEncodingByDefault = false
+      this.response.shouldKeepAlive = false
+    }
+    this.write(head.status, head.message, head.headers, 'run')
+    this.response.flushHeaders()
+  }
+
+  /**
+   * @param chunk - next bytes of the answer
+   * @returns whether more may be passed on now
+   */
+  pass (chunk: Buffer): boolean {
+    if (this.isOver) return true
+    return this.response.write(chunk)
+  }
+
+  /**
+   * @param callback - called once the caller has taken what was passed
+   */
+  onDrain (callback: () => void): void {
+    this.response.once('drain', callback)
+  }
+
+  /**
+   * Ends a whole answer.
+   *
+   * @param trailers - fields after the body
+   */
+  finish (trailers: HeaderList): void {
+    if (this.isOver) return
+    if (trailers.length > 0 && this.response.chunkedEncoding) this.response.addTrailers(trailers)
+    this.response.end()
+  }
+
+  /**
+   * Answers with what was answered before.
+   *
+   * @param answer - a remembered answer
+   */
+  replay (answer: StoredAnswer): void {
+    if (this.isStarted || this.isOver) return
+    this.write(answer.status, STATUS_CODES[answer.status] ?? '', endToEnd(answer.headers), 'run')
+    this.response.end(Buffer.from(answer.body, 'base64'))
+  }
+
+  /** Ends the caller's connection so that the answer cannot pass for a whole one. */
+  cut (): void {
+    this.socket.resetAndDestroy()
+    this.response.destroy()
+  }
+
+  private write (status: number, message: string, headers: HeaderList, outcome: Outcome): void {
+    const flat: string[] = []
+    for (const [name, value] of headers) flat.push(name, value)
+    flat.push('rattanstep-outcome', outcome, 'rattanstep-request', this.request)
+    if (this.isClosing()) flat.push('connection', 'close')
+    this.response.writeHead(status, message, flat)
+  }
+}
--- /dev/null
+++ b/packages/front/src/node/headers.ts
@@ -0,0 +1,80 @@
+import type { HeaderList } from '../types/run.js'
+
+/**
+ * Which header fields pass from one hop to the next (RFC 9110, section 7.6.1).
+ */
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect'
+])
+
+/** Fields that only the front may set on an answer. */
+const OWN_FIELDS = new Set(['rattanstep-outcome', 'rattanstep-request'])
+
+/** Fields that a trailer may not carry (RFC 9110, section 6.5.1). */
+const NEVER_TRAILERS = new Set(['content-length', 'content-encoding', 'content-type', 'content-range', 'host', 'set-cookie', 'authorization'])
+
+/**
+ * @param raw - names and values in turn, as Node gives them
+ * @returns the same as pairs
+ */
+export function pairHeaders (raw: ReadonlyArray<string | Buffer>): HeaderList {
+  const pairs: HeaderList = []
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    pairs.push([decode(raw[index]!), decode(raw[index + 1]!)])
+  }
+  return pairs
+}
+
+/**
+ * Leaves out what belongs to one connection.
+ *
+ * @param headers - fields of a request or an answer
+ * @returns the fields that pass on
+ */
+export function endToEnd (headers: HeaderList): HeaderList {
+  const named = connectionOptions(headers)
+  return headers.filter(([name]) => {
+    const key = name.toLowerCase()
+    return !HOP_BY_HOP.has(key) && !named.has(key) && !OWN_FIELDS.has(key)
+  })
+}
+
+/**
+ * @param trailers - fields after a body
+ * @returns the fields that may pass on as trailers
+ */
+export function passableTrailers (trailers: HeaderList): HeaderList {
+  return endToEnd(trailers).filter(([name]) => !NEVER_TRAILERS.has(name.toLowerCase()))
+}
+
+/**
+ * @param headers - header fields
+ * @param name - name in lower case
+ * @returns the first value, or `undefined`
+ */
+export function headerValue (headers: HeaderList, name: string): string | undefined {
+  return headers.find(([key]) => key.toLowerCase() === name)?.[1]
+}
+
+function connectionOptions (headers: HeaderList): Set<string> {
+  const options = new Set<string>()
+  for (const [name, value] of headers) {
+    if (name.toLowerCase() !== 'connection') continue
+    for (const option of value.split(',')) options.add(option.trim().toLowerCase())
+  }
+  return options
+}
+
+function decode (value: string | Buffer): string {
+  return typeof value === 'string' ? value : value.toString('latin1')
+}
--- /dev/null
+++ b/packages/front/src/node/whenOver.ts
@@ -0,0 +1,24 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+
+/**
+ * Calls back once, when a response has ended or its connection is closed. A response that waits behind
+ * another one on the same connection reports neither by itself when the connection closes.
+ *
+ * @param message - the request
+ * @param response - its response
+ * @param callback - called once
+ */
+export function whenOver (message: IncomingMessage, response: ServerResponse, callback: () => void): void {
+  const socket = message.socket
+  let over = false
+  const settle = (): void => {
+    if (over) return
+    over = true
+    response.off('close', settle)
+    socket.off('close', settle)
+    callback()
+  }
+  response.on('close', settle)
+  socket.on('close', settle)
+  if (socket.destroyed) settle()
+}
--- /dev/null
+++ b/packages/front/src/runtime/outcome.ts
@@ -0,0 +1,93 @@
+import type { Ending, Outcome } from '@rattanstep/core'
+import type { RunFault, RunStep } from '../types/run.js'
+
+/**
+ * The one place that decides what a failed attempt means for the caller.
+ */
+
+/** One failed attempt. */
+export interface Failure {
+  step: Exclude<RunStep, 'ended'>
+  fault: RunFault
+  /** Whether the request may run twice and its body can be sent again. */
+  repeatable: boolean
+  /** Whether an earlier attempt of the same request may have reached an endpoint. */
+  sentBefore: boolean
+}
+
+/**
+ * What follows a failed attempt.
+ * - `retry`: another worker may be tried; when none is, the outcome and status are answered
+ * - `answer`: the outcome and status are answered
+ * - `cut`: the answer has begun; the caller's connection ends abnormally
+ * - `drop`: there is nobody to answer
+ */
+export type Action = 'retry' | 'answer' | 'cut' | 'drop'
+
+/** What a failed attempt means. */
+export interface Decision {
+  outcome: Outcome
+  status: number
+  action: Action
+  /** What the permit's owner is told. */
+  ending: Ending
+}
+
+const UNSENT: Record<RunFault, { status: number, action: Action, ending: Ending }> = {
+  refused: { status: 503, action: 'retry', ending: 'failed' },
+  'no-connection': { status: 503, action: 'retry', ending: 'unsent' },
+  'stale-permit': { status: 503, action: 'retry', ending: 'unsent' },
+  unsendable: { status: 400, action: 'answer', ending: 'unsent' },
+  reset: { status: 503, action: 'retry', ending: 'failed' },
+  garbage: { status: 503, action: 'retry', ending: 'failed' },
+  silent: { status: 503, action: 'retry', ending: 'failed' },
+  bound: { status: 503, action: 'answer', ending: 'unsent' },
+  body: { status: 400, action: 'answer', ending: 'unsent' },
+  'caller-gone': { status: 503, action: 'drop', ending: 'unsent' },
+  'caller-slow': { status: 408, action: 'answer', ending: 'unsent' }
+}
+
+const BAD_GATEWAY = 502
+const GATEWAY_TIMEOUT = 504
+
+/** Faults after which a second attempt cannot help this caller. */
+const FINAL_FAULTS: ReadonlySet<RunFault> = new Set(['bound', 'body', 'unsendable', 'caller-slow'])
+
+/**
+ * Decides what a failed attempt means.
+ *
+ * @param failure - how far the attempt came and why it failed
+ * @returns the outcome, and what to do
+ */
+export function decideOutcome (failure: Failure): Decision {
+  if (failure.step === 'dispatching') return decideUnsent(failure)
+  if (failure.fault === 'caller-gone') return { outcome: 'unknown', status: BAD_GATEWAY, action: 'drop', ending: 'failed' }
+  if (failure.step === 'answering') return { outcome: 'run', status: BAD_GATEWAY, action: 'cut', ending: 'failed' }
+  const retry = failure.repeatable && !FINAL_FAULTS.has(failure.fault)
+  return {
+    outcome: 'unknown',
+    status: isTimeout(failure.fault) ? GATEWAY_TIMEOUT : BAD_GATEWAY,
+    action: retry ? 'retry' : 'answer',
+    ending: 'failed'
+  }
+}
+
+/**
+ * Decides what a refusal of room means.
+ *
+ * @param sentBefore - whether an earlier attempt may have reached an endpoint
+ * @returns what is known about the run
+ */
+export function refusalOutcome (sentBefore: boolean): Outcome {
+  return sentBefore ? 'unknown' : 'not-run'
+}
+
+function decideUnsent ({ fault, sentBefore }: Failure): Decision {
+  const { status, action, ending } = UNSENT[fault]
+  if (sentBefore) return { outcome: 'unknown', status: isTimeout(fault) ? GATEWAY_TIMEOUT : BAD_GATEWAY, action, ending }
+  return { outcome: 'not-run', status, action, ending }
+}
+
+function isTimeout (fault: RunFault): boolean {
+  return fault === 'silent' || fault === 'bound'
+}
--- /dev/null
+++ b/packages/front/src/runtime/problems.ts
@@ -0,0 +1,106 @@
+import type { Outcome, Refusal, RefusalReason } from '@rattanstep/core'
+import type { Problem } from '../types/problem.js'
+import type { RunEnd, RunFault } from '../types/run.js'
+import type { KeyAnswer } from './Keys.js'
+import type { Decision } from './outcome.js'
+
+/**
+ * What callers are told, and what they should do.
+ */
+
+/** Least time after which a refused caller is told to come back, in ms. */
+const LEAST_RETRY_MS = 1000
+
+const REFUSALS: Record<RefusalReason, string> = {
+  patience: 'the wait for room would be longer than the class allows; send the request again later',
+  'queue-full': 'too many requests wait already; send the request again later',
+  'caller-limit': 'this caller has too many requests in flight; wait for answers before sending more',
+  'no-worker': 'no worker is available for the request; send it again later',
+  'never-fits': 'no worker is large enough for what the rule declares; mend the rule or add larger workers',
+  'not-owner': 'no node may give room at the moment; send the request again later',
+  draining: 'the node is stopping; send the request again',
+  cancelled: 'the request was withdrawn',
+  'no-owner': 'no node that could give room is known; send the request again later',
+  quota: "the team's quota is used up; send the request again later"
+}
+
+const UNKNOWN_AFTER_RETRY = 'It is not known whether the request was run: a first attempt got no answer and there was no room for a second; send it again if that does no harm.'
+
+/** Refusals that are the caller's own limit. */
+const OWN_LIMITS: ReadonlySet<RefusalReason> = new Set(['caller-limit', 'quota'])
+
+/**
+ * @param refusal - why no room was given
+ * @param outcome - what is known about the run
+ * @returns what the caller is told
+ */
+export function refusalProblem (refusal: Refusal, outcome: Outcome): Problem {
+  const retryAfter = Math.max(LEAST_RETRY_MS, refusal.retryAfter)
+  if (outcome === 'unknown') return { status: 502, outcome, code: refusal.reason, detail: UNKNOWN_AFTER_RETRY, retryAfter }
+  return {
+    status: OWN_LIMITS.has(refusal.reason) ? 429 : 503,
+    outcome,
+    code: refusal.reason,
+    detail: `The request was not run: ${REFUSALS[refusal.reason]}.`,
+    retryAfter
+  }
+}
+
+const FAULTS: Record<RunFault, string> = {
+  refused: 'the worker took no connection',
+  'no-connection': 'no connection to the worker became free',
+  'stale-permit': 'the room given for it had lapsed',
+  unsendable: 'its header cannot be passed on',
+  reset: 'the connection to the worker ended before the answer',
+  garbage: "the worker's answer is not valid HTTP",
+  silent: 'the worker gave no byte for too long',
+  bound: 'the time for it passed',
+  body: 'its body broke off, was too large or came too slowly',
+  'caller-gone': 'the caller closed its connection',
+  'caller-slow': 'the caller stopped reading'
+}
+
+/**
+ * @param decision - what a failed attempt means
+ * @param end - how it failed
+ * @param bodyFault - what was wrong with the caller's body, if anything
+ * @returns what the caller is told
+ */
+export function runProblem (decision: Decision, end: RunEnd, bodyFault: string | null): Problem {
+  const fault = end.fault ?? 'reset'
+  const cause = FAULTS[fault] + (bodyFault === null ? '' : ` (${bodyFault})`)
+  const detail = decision.outcome === 'not-run'
+    ? `The request was not run: ${cause}; send it again.`
+    : `It is not known whether the request was run: ${cause}; before sending it again find out whether it took effect, or repeat it with the same Idempotency-Key.`
+  return { status: decision.status, outcome: decision.outcome, code: fault, detail, retryAfter: LEAST_RETRY_MS }
+}
+
+/**
+ * @param answer - what the key's home said, or `null` when it said nothing
+ * @returns what the caller is told when the request may not run and no answer can be repeated
+ */
+export function keyProblem (answer: KeyAnswer | null): Problem {
+  if (answer === null || answer.verdict === 'not-home' || answer.verdict === 'first') {
+    return problem(503, 'not-run', 'key-silent', 'The request was not run: nobody could say whether its Idempotency-Key was used before; send it again with the same key.', LEAST_RETRY_MS)
+  }
+  if (answer.verdict === 'full') {
+    return problem(503, 'not-run', 'keys-full', 'The request was not run: no further Idempotency-Key can be remembered now; send it again later with the same key.', LEAST_RETRY_MS)
+  }
+  if (answer.verdict === 'clash') {
+    return problem(422, 'not-run', 'key-clash', 'The request was not run: its Idempotency-Key belongs to another request; use a new key for each request.', 0)
+  }
+  if (answer.verdict === 'running') {
+    return problem(409, 'unknown', 'key-running', 'A request with this Idempotency-Key is still running; ask again with the same key.', LEAST_RETRY_MS)
+  }
+  if (answer.verdict === 'forgotten') {
+    return problem(502, 'unknown', 'key-forgotten', 'It is not known whether a request with this Idempotency-Key was run before, and it was not run now; find out whether it took effect before sending it with a new key.', 0)
+  }
+  if (answer.outcome === 'run') {
+    return problem(409, 'run', 'key-settled', 'The request with this Idempotency-Key was run; its answer was too large to be kept or was cut short. Do not send it again with a new key.', 0)
+  }
+  return problem(502, 'unknown', 'key-unknown', 'It is not known whether the request with this Idempotency-Key was run; it was not run again. Find out whether it took effect.', 0)
+}
+
+function problem (status: number, outcome: Problem['outcome'], code: string, detail: string, retryAfter: number): Problem {
+  return { status, outcome, code, detail, retryAfter }
+}
--- /dev/null
+++ b/packages/front/src/runtime/resolveIntake.ts
@@ -0,0 +1,128 @@
+import { Err, hash64, Ok } from '@rattanstep/core'
+import type { Result } from '@rattanstep/core'
+import type { ResolvedClass, ResolvedRoute, ResolvedRules } from '@rattanstep/rules'
+import type { Intake } from '../types/intake.js'
+import type { HeaderList } from '../types/run.js'
+import { readFirstSent } from './firstSent.js'
+import { matchRoute } from './matchRoute.js'
+
+/** A request's head as it arrived. */
+export interface RequestHead {
+  id: string
+  method: string
+  url: string
+  headers: HeaderList
+  /** Remote address of the caller. */
+  remote: string
+}
+
+/** What is wrong with a request's head. */
+export interface IntakeFault {
+  status: number
+  code: string
+  detail: string
+}
+
+/** Methods that RFC 9110, section 9.2.1, calls safe. */
+const SAFE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'TRACE'])
+
+const KEY_BYTES = 255
+const CALLER_BYTES = 128
+const WHOLE_NUMBER = /^\d{1,9}$/
+
+/**
+ * Resolves a request's head against the rules.
+ *
+ * @param head - what arrived
+ * @param rules - rules in force
+ * @returns the request with every value set, or what is wrong with it
+ */
+export function resolveIntake (head: RequestHead, rules: ResolvedRules): Result<Intake, IntakeFault> {
+  const fields = new Map(head.headers.map(([name, value]) => [name.toLowerCase(), value]))
+  const fault = checkHead(head, rules, fields)
+  if (fault !== null) return Err(fault)
+  const path = originForm(head.url)
+  if (path === null) return Err(badTarget(head.url))
+  const route = matchRoute(rules, head.method, path.split('?')[0]!)
+  if (route === null) return Err(noRoute(head.method, path))
+  const work = rules.classes.find(candidate => candidate.name === route.class)
+  if (work === undefined) return Err(noRoute(head.method, path))
+  return Ok(buildIntake({ head, rules, fields, path, route, work }))
+}
+
+/**
+ * Names whoever shares a fair part of a class.
+ *
+ * @param headers - header fields of the request
+ * @param remote - remote address
+ * @returns a name that discloses no secret
+ */
+export function callerOf (headers: HeaderList, remote: string): string {
+  const fields = new Map(headers.map(([name, value]) => [name.toLowerCase(), value]))
+  const authorization = fields.get('authorization')
+  if (authorization !== undefined) return `key:${hash64(authorization)}`
+  const named = fields.get('rattanstep-caller')
+  return named === undefined ? remote : `name:${named.slice(0, CALLER_BYTES)}`
+}
+
+interface Parts {
+  head: RequestHead
+  rules: ResolvedRules
+  fields: Map<string, string>
+  path: string
+  route: ResolvedRoute
+  work: ResolvedClass
+}
+
+function buildIntake ({ head, rules, fields, path, route, work }: Parts): Intake {
+  const longest = work.patience + work.bound
+  const asked = fields.get('rattanstep-timeout')
+  const key = fields.get('idempotency-key') ?? ''
+  return {
+    id: head.id,
+    method: head.method,
+    path,
+    headers: head.headers,
+    class: work,
+    route,
+    limits: rules.limits,
+    idempotent: SAFE_METHODS.has(head.method) || route.idempotent,
+    caller: callerOf(head.headers, head.remote),
+    team: fields.get('rattanstep-team') ?? '',
+    timeout: asked === undefined ? longest : Math.min(longest, Number(asked)),
+    key: SAFE_METHODS.has(head.method) ? '' : key,
+    firstSent: readFirstSent(key, fields.get('rattanstep-first-sent')) ?? 0
+  }
+}
+
+function checkHead (head: RequestHead, rules: ResolvedRules, fields: Map<string, string>): IntakeFault | null {
+  const size = head.headers.reduce((sum, [name, value]) => sum + name.length + value.length, head.url.length)
+  if (size > rules.limits.header) return fault(431, 'header-too-large', `the header has ${size} bytes; at most ${rules.limits.header} are taken; send fewer or shorter fields`)
+  if (!fields.has('host')) return fault(400, 'no-host', 'no Host field was given; send one')
+  const timeout = fields.get('rattanstep-timeout')
+  if (timeout !== undefined && !WHOLE_NUMBER.test(timeout)) return fault(400, 'bad-timeout', `rattanstep-timeout is '${timeout}'; give a whole number of milliseconds`)
+  const key = fields.get('idempotency-key')
+  if (key !== undefined && (key === '' || key.length > KEY_BYTES)) return fault(400, 'bad-key', `Idempotency-Key has ${key.length} bytes; give 1 to ${KEY_BYTES}`)
+  if (readFirstSent(key ?? '', fields.get('rattanstep-first-sent')) === null) return fault(400, 'bad-first-sent', 'rattanstep-first-sent is no whole number; give the milliseconds since 1970 at which the request was first sent')
+  return null
+}
+
+function originForm (url: string): string | null {
+  if (url.startsWith('/')) return url
+  const absolute = /^https?:\/\/[^/?#]+(.*)$/i.exec(url)
+  if (absolute === null) return null
+  const rest = absolute[1]!
+  return rest.startsWith('/') ? rest : `/${rest}`
+}
+
+function badTarget (url: string): IntakeFault {
+  return fault(400, 'bad-target', `the request target is '${url.slice(0, 80)}'; give a path that starts with /`)
+}
+
+function noRoute (method: string, path: string): IntakeFault {
+  return fault(404, 'no-route', `no rule takes ${method} ${path.slice(0, 200)}; add a route to the rules or mend the path`)
+}
+
+function fault (status: number, code: string, detail: string): IntakeFault {
+  return { status, code, detail }
+}
--- /dev/null
+++ b/packages/front/test/node/Front.test.ts
@@ -0,0 +1,71 @@
+import { createHash } from 'node:crypto'
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { request } from 'undici'
+import { FakeWorker, sampleRules, startFront } from './rig.js'
+
+test('a request is run on a worker and its whole answer comes back', async () => {
+  const worker = await FakeWorker.start((incoming, response) => {
+    response.writeHead(201, 'Made', ['x-one', '1', 'set-cookie', 'a=1', 'set-cookie', 'b=2', 'rattanstep-outcome', 'forged', 'connection', 'x-hop', 'x-hop', '1'])
+    incoming.pipe(response)
+  })
+  const rig = await startFront([worker.address])
+  const body = Buffer.from(Array.from({ length: 256 }, (_, index) => index))
+  const answer = await request(`${rig.url}/a%20b?c=d`, { method: 'POST', body })
+  expect(answer.statusCode).toEqual(201)
+  expect(answer.headers['rattanstep-outcome']).toEqual('run')
+  expect(answer.headers['rattanstep-request']).toEqual('n1.0')
+  expect(answer.headers['set-cookie']).toEqual(['a=1', 'b=2'])
+  expect(answer.headers['x-hop']).toEqual(undefined)
+  expect(Buffer.from(await answer.body.arrayBuffer())).toEqual(body)
+  expect([...worker.runs]).toEqual([['/a%20b?c=d', 1]])
+  expect(rig.permits.held.size).toEqual(0)
+  expect(rig.permits.endings).toEqual(['completed'])
+  expect(rig.log.lines.filter(line => line.event.name === 'request-routed').map(line => [line.fields['class'], line.fields['worker'], line.fields['outcome']])).toEqual([['checks', 'w0', 'run']])
+  await rig.close()
+  worker.close()
+})
+
+for (const { sized, length } of [{ sized: true, length: 900_000 }, { sized: false, length: 900_000 }, { sized: false, length: 0 }]) {
+  test(`a ${sized ? 'sized' : 'chunked'} body of ${length} bytes is streamed both ways unchanged`, async () => {
+    const worker = await FakeWorker.start((incoming, response) => { incoming.pipe(response) })
+    const rig = await startFront([worker.address])
+    const bytes = Buffer.alloc(length, Buffer.from([0, 255, 13, 10, 7]))
+    const body = sized ? bytes : (async function * () { for (let at = 0; at < length; at += 10_000) yield bytes.subarray(at, at + 10_000) })()
+    const answer = await request(`${rig.url}/echo`, { method: 'PUT', body: body as never })
+    const received = Buffer.from(await answer.body.arrayBuffer())
+    expect(received.length).toEqual(length)
+    expect(createHash('sha256').update(received).digest('hex')).toEqual(createHash('sha256').update(bytes).digest('hex'))
+    await rig.close()
+    worker.close()
+  })
+}
+
+const REFUSALS = [
+  { name: 'an unknown path', path: '/none', rules: { routes: [] }, status: 404 },
+  { name: 'a declared body that is too large', path: '/x', rules: { limits: sampleRules({ body: 10 }).limits }, status: 413 },
+  { name: 'a limit of the node', path: '/x', rules: { limits: sampleRules({ callers: 0 }).limits }, status: 503 },
+  { name: 'a limit of the caller', path: '/x', rules: { limits: sampleRules({ perCaller: 0 }).limits }, status: 429 }
+]
+
+for (const { name, path, rules, status } of REFUSALS) {
+  test(`${name} is answered with ${status} and was not run`, async () => {
+    const worker = await FakeWorker.start((_, response) => { response.end() })
+    const rig = await startFront([worker.address], { rules: () => ({ ...sampleRules(), ...rules }) })
+    const answer = await request(`${rig.url}${path}`, { method: 'POST', body: 'twelve bytes' })
+    expect(answer.statusCode).toEqual(status)
+    expect(answer.headers['rattanstep-outcome']).toEqual('not-run')
+    expect(answer.headers['content-type']).toEqual('application/problem+json')
+    expect((await answer.body.json() as { outcome: string }).outcome).toEqual('not-run')
+    expect(worker.runs.size).toEqual(0)
+    await rig.close()
+    worker.close()
+  })
+}
+
+test('a refusal of room is answered with 503 and a time to come back', async () => {
+  const rig = await startFront([], { refusal: { ask: '', reason: 'patience', retryAfter: 2400, redirect: '' } })
+  const answer = await request(`${rig.url}/x`)
+  expect([answer.statusCode, answer.headers['rattanstep-outcome'], answer.headers['retry-after']]).toEqual([503, 'not-run', '3'])
+  await rig.close()
+})
