Rules and settings: YAML text to resolved types with every finding

Cause: operators' rules and nodes' settings had types but no reader. Weighed: zod over parsed values (loses line and column, and coerces units) and the default YAML schema (turns 1e3, yes and 0x10 into other values); taken are the document API with the failsafe schema and one table of fields that also feeds the reference.

--- /dev/null
+++ b/packages/rules/src/runtime/editRule.ts
@@ -0,0 +1,67 @@
+import { Err, Ok } from '@rattanstep/core'
+import type { Finding, Result } from '@rattanstep/core'
+import { isMap, isScalar, isSeq } from 'yaml'
+import type { Node, Pair, YAMLMap } from 'yaml'
+import { parseRules } from './parseRules.js'
+import { readDocument } from './readDocument.js'
+import { Source } from './Source.js'
+
+/** One value of one rule to be changed. */
+export interface Edit {
+  section: 'classes' | 'routes' | 'teams' | 'limits'
+  /** Name of a class or team, path of a route; not used for limits. */
+  rule?: string
+  key: string
+  /** As written in the text, such as `20%`. */
+  value: string
+  /** Comment for a limit that the text does not hold yet (default `operator`). */
+  askedBy?: string
+}
+
+/**
+ * Changes one value of one rule. All other bytes of the text stay.
+ *
+ * @param text - rules without findings
+ * @param edit - what to change
+ * @param options - `file`: name of the text in findings
+ * @returns the new text, or the findings that it would have
+ */
+export function editRule (text: string, edit: Edit, options: { file: string }): Result<string, Finding[]> {
+  const before = parseRules(text, options)
+  if (before.isErr()) return before
+  const source = new Source(text, options.file)
+  const map = findRule(source, edit)
+  if (map === null) {
+    source.report('no-rule', 0, `${edit.section} has no rule ${edit.rule ?? ''}; check the name`)
+    return Err(source.findings)
+  }
+  const changed = replaceValue(text, map, edit)
+  const after = parseRules(changed, options)
+  return after.isErr() ? after : Ok(changed)
+}
+
+function findRule (source: Source, edit: Edit): YAMLMap | null {
+  const contents = readDocument(source)?.contents
+  const section = isMap(contents) ? contents.get(edit.section) : null
+  if (edit.section === 'limits') return isMap(section) ? section as YAMLMap : null
+  if (!isSeq(section)) return null
+  const key = edit.section === 'routes' ? 'path' : 'name'
+  return (section.items as YAMLMap[]).find(item => item.get(key) === edit.rule) ?? null
+}
+
+function replaceValue (text: string, map: YAMLMap, edit: Edit): string {
+  const pairs = map.items as Array<Pair<Node, Node>>
+  const present = pairs.find(({ key }) => isScalar(key) && key.value === edit.key)?.value?.range
+  if (present != null) return splice(text, present[0], present[1], edit.value)
+  const last = pairs.at(-1)?.value?.range?.[1] ?? 0
+  if (map.flow === true) return splice(text, last, last, `, ${edit.key}: ${edit.value}`)
+  // A limit is a line of its own; it goes under the last one with the same indentation.
+  const end = text.indexOf('\n', last)
+  const at = end === -1 ? text.length : end
+  const column = new Source(text, '').place(map.range![0]).column
+  return splice(text, at, at, `\n${' '.repeat(column - 1)}${edit.key}: ${edit.value} # ${edit.askedBy ?? 'operator'}`)
+}
+
+function splice (text: string, start: number, end: number, value: string): string {
+  return text.slice(0, start) + value + text.slice(end)
+}
--- /dev/null
+++ b/packages/rules/src/runtime/fields.ts
@@ -0,0 +1,253 @@
+import type { Address } from '@rattanstep/core'
+import { isScalar, isSeq } from 'yaml'
+import type { Node } from 'yaml'
+import { z } from 'zod'
+import type { Field, Report } from '../types/Field.js'
+import { nearest } from '../utils/nearest.js'
+import { BYTES_PER_MIB, parseDecimal, parseDuration, parsePart, parseSize } from '../utils/units.js'
+
+/**
+ * Constructors of the fields that the operators' text is made of.
+ */
+
+/** Longest part of a value that a message repeats. */
+const MAX_QUOTED = 60
+
+/** What every field is described by. */
+export interface Description {
+  meaning: string
+  example: string
+  /** As written in the text; a field without one is required. */
+  fallback?: string
+}
+
+/** Bounds of a number, as written in the text. */
+export interface Bounds {
+  least: string
+  most: string
+}
+
+type Parse<T> = (text: string) => T | null
+
+/**
+ * @param options - description and bounds, such as `2s`
+ * @returns a field in milliseconds
+ */
+export function duration (options: Description & Bounds): Field<number> {
+  return quantity('duration', 'a number with ms, s, m or h, such as 250ms', parseDuration, options)
+}
+
+/**
+ * @param options - description and bounds, such as `10%`
+ * @returns a field from 0 to 1
+ */
+export function part (options: Description & Bounds): Field<number> {
+  return quantity('percentage', 'a number with %, such as 10%', parsePart, options)
+}
+
+/**
+ * @param options - description and bounds, such as `8KiB`
+ * @returns a field in bytes
+ */
+export function size (options: Description & Bounds): Field<number> {
+  return quantity('size', 'a number with B, KiB, MiB or GiB, such as 64MiB', parseSize, options)
+}
+
+/**
+ * @param options - description and bounds, such as `64MiB`
+ * @returns a field in MiB
+ */
+export function memory (options: Description & Bounds): Field<number> {
+  const parse: Parse<number> = text => {
+    const bytes = parseSize(text)
+    return bytes === null ? null : bytes / BYTES_PER_MIB
+  }
+  return quantity('size', 'a number with B, KiB, MiB or GiB, such as 64MiB', parse, options)
+}
+
+/**
+ * @param options - description and bounds
+ * @returns a field that holds a whole number
+ */
+export function integer (options: Description & Bounds): Field<number> {
+  const parse: Parse<number> = text => /^\d{1,15}$/.test(text) ? Number(text) : null
+  return quantity('whole number', 'a whole number without a unit', parse, options)
+}
+
+/**
+ * @param options - description and bounds
+ * @returns a field that holds a number, fractions allowed
+ */
+export function decimal (options: Description & Bounds): Field<number> {
+  return quantity('number', 'a number without a unit', parseDecimal, options)
+}
+
+/**
+ * @param options - description
+ * @returns a field that holds true or false
+ */
+export function flag (options: Description): Field<boolean> {
+  const parse: Parse<boolean> = text => text === 'true' ? true : text === 'false' ? false : null
+  return scalar({ unit: 'true or false', expected: 'true or false', bounds: '`true`, `false`', parse, description: options })
+}
+
+/**
+ * @param choices - allowed words
+ * @param options - description
+ * @returns a field that holds one of the words
+ */
+export function choice<T extends string> (choices: readonly T[], options: Description): Field<T> {
+  const parse: Parse<T> = text => choices.find(word => word === text) ?? null
+  return scalar({
+    unit: 'word',
+    expected: `one of ${choices.join(', ')}`,
+    bounds: choices.map(word => `\`${word}\``).join(', '),
+    parse,
+    description: options,
+    hint: text => suggestion(text, choices)
+  })
+}
+
+/**
+ * @param pattern - what the text must match
+ * @param expected - the pattern in words
+ * @param options - description
+ * @returns a field that holds text
+ */
+export function text (pattern: RegExp, expected: string, options: Description): Field<string> {
+  const parse: Parse<string> = given => pattern.test(given) ? given : null
+  return scalar({ unit: 'text', expected, bounds: expected, parse, description: options })
+}
+
+/**
+ * @param options - description; `anyPort` allows port 0, which lets the system choose
+ * @returns a field that holds an IP number and a port
+ */
+export function address (options: Description & { anyPort?: boolean }): Field<Address> {
+  const least = options.anyPort === true ? 0 : 1
+  return scalar({
+    unit: 'address',
+    expected: `an IP number and a port from ${least} to 65535, such as 127.0.0.1:7070 or "[::1]:7070"`,
+    bounds: `port ${least} to 65535`,
+    parse: given => parseAddress(given, least),
+    description: options
+  })
+}
+
+/**
+ * @param options - description
+ * @returns a field that holds a list of addresses
+ */
+export function addresses (options: Description): Field<Address[]> {
+  const item = address({ meaning: '', example: '' })
+  return {
+    unit: 'list of addresses',
+    fallback: [],
+    fallbackText: '[]',
+    bounds: item.bounds,
+    example: options.example,
+    meaning: options.meaning,
+    read: (key, node, report) => {
+      if (!isSeq(node)) {
+        report('wrong-value', `${key}: expected a list of addresses; write ${key}: ${options.example}`, node)
+        return undefined
+      }
+      const items = node.items.map(entry => item.read(key, entry as Node, report))
+      return items.includes(undefined) ? undefined : items as Address[]
+    }
+  }
+}
+
+/**
+ * @param given - text such as `127.0.0.1:7070`
+ * @param least - least port allowed
+ * @returns the address, or `null` when the text is none
+ */
+export function parseAddress (given: string, least = 1): Address | null {
+  const match = /^(?:\[([0-9a-fA-F:.]{2,45})\]|([0-9.]{7,15})):(\d{1,5})$/.exec(given)
+  if (match === null) return null
+  const host = match[1] ?? match[2]!
+  const port = Number(match[3])
+  const form = match[1] === undefined ? z.ipv4() : z.ipv6()
+  if (!form.safeParse(host).success) return null
+  return port >= least && port <= 65535 ? { host, port } : null
+}
+
+/**
+ * @param word - what was given
+ * @param known - what is allowed
+ * @returns `; did you mean …?`, or empty when nothing is close
+ */
+export function suggestion (word: string, known: readonly string[]): string {
+  const close = nearest(word, known)
+  return close === null ? '' : `; did you mean ${close}?`
+}
+
+/**
+ * @param given - text from the operators
+ * @returns the text in quotes, cut when long
+ */
+export function quote (given: string): string {
+  return JSON.stringify(given.length > MAX_QUOTED ? given.slice(0, MAX_QUOTED) + '…' : given)
+}
+
+interface ScalarOptions<T> {
+  unit: string
+  expected: string
+  bounds: string
+  parse: Parse<T>
+  description: Description
+  code?: string
+  hint?: (text: string) => string
+  check?: (value: T) => string | null
+}
+
+function quantity (unit: string, expected: string, parse: Parse<number>, options: Description & Bounds): Field<number> {
+  const least = parse(options.least)
+  const most = parse(options.most)
+  if (least === null || most === null) throw new Error(`bounds of ${options.meaning} are not ${expected}`)
+  return scalar({
+    unit,
+    expected,
+    bounds: `${options.least} to ${options.most}`,
+    parse,
+    description: options,
+    code: 'wrong-unit',
+    check: value => value < least || value > most ? `expected ${options.least} to ${options.most}` : null
+  })
+}
+
+function scalar<T> (options: ScalarOptions<T>): Field<T> {
+  const { unit, bounds, expected, parse, description } = options
+  const fallback = description.fallback === undefined ? undefined : parse(description.fallback)
+  if (fallback === null) throw new Error(`default of ${description.meaning} is not ${expected}`)
+  return {
+    unit,
+    bounds,
+    fallback,
+    fallbackText: description.fallback ?? '',
+    example: description.example,
+    meaning: description.meaning,
+    read: (key, node, report) => readScalar(key, node, report, options)
+  }
+}
+
+function readScalar<T> (key: string, node: Node, report: Report, options: ScalarOptions<T>): T | undefined {
+  if (!isScalar(node) || typeof node.value !== 'string') {
+    report('wrong-value', `${key}: a list or map was given, expected ${options.expected}`, node)
+    return undefined
+  }
+  const given = node.value
+  const value = options.parse(given)
+  if (value === null) {
+    const hint = options.hint?.(given) ?? ''
+    report(options.code ?? 'wrong-value', `${key}: ${quote(given)} was given, expected ${options.expected}${hint}`, node)
+    return undefined
+  }
+  const fault = options.check?.(value) ?? null
+  if (fault !== null) {
+    report('out-of-bounds', `${key}: ${quote(given)} was given, ${fault}`, node)
+    return undefined
+  }
+  return value
+}
--- /dev/null
+++ b/packages/rules/src/runtime/parseSettings.ts
@@ -0,0 +1,64 @@
+import { Err, Ok } from '@rattanstep/core'
+import type { Address, Finding, Result } from '@rattanstep/core'
+import { isMap } from 'yaml'
+import type { Document, Node, YAMLMap } from 'yaml'
+import type { ResolvedSettings } from '../types/settings.js'
+import { readDocument } from './readDocument.js'
+import { offsetOf, readFields } from './readFields.js'
+import type { ReadFields } from './readFields.js'
+import { SETTINGS_SCHEMA } from './schema.js'
+import { Source } from './Source.js'
+
+/** Options of {@link parseSettings}. */
+export interface ParseSettingsOptions {
+  /** Name of the text in findings. */
+  file: string
+  /** Used when the text gives no secret. */
+  secret?: string
+}
+
+/**
+ * Reads the settings of one node.
+ *
+ * @param text - the text as the operators wrote it
+ * @param options - name of the text and values from elsewhere
+ * @returns the settings with every default filled in, or every finding in the order of the text
+ */
+export function parseSettings (text: string, options: ParseSettingsOptions): Result<ResolvedSettings, Finding[]> {
+  const source = new Source(text, options.file)
+  const document = readDocument(source)
+  if (document === null || source.findings.length > 0) return Err(source.sorted())
+  const settings = read(source, document, options.secret ?? '')
+  if (settings === null || source.findings.length > 0) return Err(source.sorted())
+  return Ok(settings)
+}
+
+function read (source: Source, document: Document, secret: string): ResolvedSettings | null {
+  const { contents } = document
+  if (contents === null || !isMap(contents)) {
+    source.report('not-a-map', offsetOf(contents as Node | null), `expected a map with the keys ${Object.keys(SETTINGS_SCHEMA).join(', ')}`)
+    return null
+  }
+  const optional: Array<keyof ResolvedSettings> = secret === '' ? [] : ['secret']
+  const fields = readFields<ResolvedSettings>(source, contents as YAMLMap, SETTINGS_SCHEMA, optional)
+  checkAddresses(source, fields)
+  if (!fields.complete) return null
+  return { secret, ...fields.values } as ResolvedSettings
+}
+
+/** Two listeners of one node can not share an address. */
+function checkAddresses (source: Source, { values, offsets }: ReadFields<ResolvedSettings>): void {
+  const seen = new Map<string, string>()
+  for (const key of ['front', 'peer', 'control', 'platform'] as const) {
+    const value = values[key]
+    if (value === undefined || value.port === 0) continue
+    const name = addressName(value)
+    const other = seen.get(name)
+    if (other === undefined) seen.set(name, key)
+    else source.report('same-address', offsets[key] ?? 0, `${key} and ${other} are both ${name}; give each its own port`)
+  }
+}
+
+function addressName ({ host, port }: Address): string {
+  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`
+}
--- /dev/null
+++ b/packages/rules/src/runtime/readFields.ts
@@ -0,0 +1,77 @@
+import { isScalar } from 'yaml'
+import type { Node, Pair, YAMLMap } from 'yaml'
+import type { Schema } from '../types/Field.js'
+import { quote, suggestion } from './fields.js'
+import type { Source } from './Source.js'
+
+/** Values read from a map; a value that had a finding is missing. */
+export interface ReadFields<T> {
+  values: Partial<T>
+  /** Where each key that was given stands. */
+  offsets: Partial<Record<keyof T, number>>
+  /** Whether no finding was made. */
+  complete: boolean
+}
+
+/**
+ * Reads the keys of a map by its schema: defaults are filled in, faults become findings.
+ *
+ * @param source - the text
+ * @param map - the map
+ * @param schema - keys that are allowed
+ * @param optional - required keys that may be absent all the same
+ * @returns what was read
+ */
+export function readFields<T extends object> (source: Source, map: YAMLMap, schema: Schema<T>, optional: ReadonlyArray<keyof T> = []): ReadFields<T> {
+  const read: ReadFields<T> = { values: {}, offsets: {}, complete: true }
+  const report = (code: string, message: string, node: Node): void => {
+    read.complete = false
+    source.report(code, offsetOf(node, map), message)
+  }
+  for (const pair of map.items) readPair(pair as Pair<Node, Node | null>, map, schema, read, report)
+  for (const key of Object.keys(schema) as Array<keyof T & string>) {
+    if (key in read.offsets) continue
+    const field = schema[key]
+    if (field.fallback !== undefined) read.values[key] = field.fallback
+    else if (!optional.includes(key)) report('missing-key', `${key} is missing, expected ${field.bounds}; add ${key}: ${field.example}`, map)
+  }
+  return read
+}
+
+/**
+ * @param node - a node of the document
+ * @param parent - used when the node has no place of its own
+ * @returns offset in the text
+ */
+export function offsetOf (node: Node | null | undefined, parent?: Node): number {
+  return node?.range?.[0] ?? parent?.range?.[0] ?? 0
+}
+
+function readPair<T extends object> (
+  pair: Pair<Node, Node | null>,
+  map: YAMLMap,
+  schema: Schema<T>,
+  read: ReadFields<T>,
+  report: (code: string, message: string, node: Node) => void
+): void {
+  const keyNode = pair.key ?? map
+  const key = isScalar(keyNode) ? String(keyNode.value) : ''
+  const known = Object.keys(schema)
+  if (!known.includes(key)) {
+    report('unknown-key', `${quote(key)} is no key here${suggestion(key, known)}; allowed are ${known.join(', ')}`, keyNode)
+    return
+  }
+  const name = key as keyof T & string
+  if (name in read.offsets) {
+    report('duplicate-key', `${key} is given twice; remove one of them`, keyNode)
+    return
+  }
+  read.offsets[name] = offsetOf(pair.value, keyNode)
+  const field = schema[name]
+  if (pair.value === null || (isScalar(pair.value) && pair.value.value === '')) {
+    report('wrong-value', `${key} has no value, expected ${field.bounds}; write ${key}: ${field.example}`, keyNode)
+    return
+  }
+  const value = field.read(key, pair.value, report)
+  if (value !== undefined) read.values[name] = value
+}
--- /dev/null
+++ b/packages/rules/src/runtime/readRules.ts
@@ -0,0 +1,84 @@
+import { isMap, isSeq } from 'yaml'
+import type { Node, YAMLMap } from 'yaml'
+import type { Schema } from '../types/Field.js'
+import { MANY_LINES } from './readDocument.js'
+import { offsetOf, readFields } from './readFields.js'
+import type { Section } from './readSections.js'
+import type { Source } from './Source.js'
+
+/** One rule with its comment and its place. */
+export interface Rule<T> {
+  values: Partial<T>
+  offsets: Partial<Record<keyof T, number>>
+  /** Whether every value is set. */
+  complete: boolean
+  askedBy: string
+  line: number
+  offset: number
+}
+
+/**
+ * Reads a section that is a list of one-line maps.
+ *
+ * @param source - the text
+ * @param name - name of the section
+ * @param section - the section, when it was given
+ * @param schema - keys of a rule
+ * @param most - most rules that the section may hold
+ * @returns its rules
+ */
+export function readRules<T extends object> (source: Source, name: string, section: Section | undefined, schema: Schema<T>, most: number): Array<Rule<T>> {
+  if (section === undefined || isEmptySection(section)) return []
+  const { value } = section
+  if (!isSeq(value) || value.flow === true) {
+    source.report('not-a-list', offsetOf(value, section.key), `${name} is a list with one rule on a line: - { … } # who asked for it`)
+    return []
+  }
+  if (value.items.length > most) {
+    source.report('too-many', offsetOf(value), `${name} holds ${value.items.length} rules, at most ${most} are allowed; join rules where one can do`)
+    return []
+  }
+  const rules: Array<Rule<T>> = []
+  for (const item of value.items as Array<Node | null>) {
+    const rule = readRule(source, name, item, value, schema)
+    if (rule !== null) rules.push(rule)
+  }
+  return rules
+}
+
+/**
+ * Checks that a rule stands on one line with a comment behind it.
+ *
+ * @param source - the text
+ * @param start - where the rule starts
+ * @param end - where its value ends
+ * @returns the comment
+ */
+export function readAskedBy (source: Source, start: number, end: number): string {
+  if (source.lineOf(start) !== source.lineOf(Math.max(start, end - 1))) {
+    source.report('many-lines', start, MANY_LINES)
+    return ''
+  }
+  const askedBy = source.commentAfter(end)
+  if (askedBy === '') source.report('no-asker', start, 'the rule has no comment on who asked for it; add "# name, reason" at the end of its line')
+  return askedBy
+}
+
+/**
+ * @param section - a section of the rules
+ * @returns whether nothing stands under its name
+ */
+export function isEmptySection ({ value }: Section): boolean {
+  return value === null || value.range?.[0] === value.range?.[1] || (isSeq(value) && value.items.length === 0)
+}
+
+function readRule<T extends object> (source: Source, name: string, item: Node | null, list: Node, schema: Schema<T>): Rule<T> | null {
+  const offset = offsetOf(item, list)
+  if (!isMap(item) || item.flow !== true) {
+    source.report('not-a-map', offset, `each line of ${name} is a map in braces: - { … } # who asked for it`)
+    return null
+  }
+  const askedBy = readAskedBy(source, offset, item.range?.[1] ?? offset)
+  const fields = readFields(source, item as YAMLMap, schema)
+  return { ...fields, askedBy, line: source.lineOf(offset), offset }
+}
--- /dev/null
+++ b/packages/rules/src/runtime/schema.ts
@@ -0,0 +1,76 @@
+import type { Schema } from '../types/Field.js'
+import type { ResolvedClass, ResolvedLimits, ResolvedRoute, ResolvedTeam, WorkKind } from '../types/rules.js'
+import type { ResolvedSettings } from '../types/settings.js'
+import { address, addresses, choice, decimal, duration, flag, integer, memory, part, size, text } from './fields.js'
+
+/**
+ * Every key of the rules and of the settings, with unit, default and bounds.
+ */
+
+/** Kinds of work, as written in the text. */
+export const WORK_KINDS: readonly WorkKind[] = ['request', 'batch', 'gang', 'service']
+
+const NAME = /^[a-z][a-z0-9-]{0,62}$/
+const NAME_FORM = 'a small letter, then up to 62 small letters, digits or hyphens'
+const PATH = /^(?:\/|(?:\/(?:\*{1,2}|[^/\s?#*]+))+)$/
+const PATH_FORM = 'a path that starts with /; a segment is *, ** or has no *, blank, ? or #'
+const METHOD = /^(?:\*|[A-Z][A-Z-]{0,31})$/
+const METHOD_FORM = 'a method in capitals, or *'
+
+/** Keys of a line under `classes`. */
+export const CLASS_SCHEMA: Schema<Omit<ResolvedClass, 'askedBy' | 'line'>> = {
+  name: text(NAME, NAME_FORM, { meaning: 'Name of the class; unique.', example: 'quick-check' }),
+  kind: choice(WORK_KINDS, { meaning: 'Kind of work: requests come by routes, the others by jobs.', example: 'request', fallback: 'request' }),
+  priority: integer({ meaning: 'Higher goes first.', example: '80', fallback: '50', least: '0', most: '100' }),
+  reserve: part({ meaning: 'Part of all slots kept for this class.', example: '10%', fallback: '0%', least: '0%', most: '100%' }),
+  most: part({ meaning: 'Most slots that the class may use, as a part of all.', example: '60%', fallback: '100%', least: '1%', most: '100%' }),
+  patience: duration({ meaning: 'How long work waits for room before it is refused.', example: '2s', fallback: '2s', least: '0ms', most: '720h' }),
+  bound: duration({ meaning: 'How long one run may take before it is cut off.', example: '30s', fallback: '30s', least: '1ms', most: '720h' }),
+  weight: decimal({ meaning: 'Share of the room among classes of the same priority.', example: '2', fallback: '1', least: '0.1', most: '1000' }),
+  ageing: duration({ meaning: 'Waiting time that raises the priority by one point; 0ms turns ageing off.', example: '500ms', fallback: '1s', least: '0ms', most: '24h' }),
+  expected: duration({ meaning: 'Run time assumed until run times have been learned.', example: '40ms', fallback: '100ms', least: '1ms', most: '720h' }),
+  retries: part({ meaning: 'Part of the requests of the class that may be repeated after a failure.', example: '10%', fallback: '10%', least: '0%', most: '100%' }),
+  preempts: choice(['nothing', 'throttle', 'checkpoint', 'stop'], { meaning: 'What lower work may suffer so that this class starts.', example: 'throttle', fallback: 'nothing' })
+}
+
+/** Keys of a line under `routes`. */
+export const ROUTE_SCHEMA: Schema<Omit<ResolvedRoute, 'askedBy' | 'line'>> = {
+  path: text(PATH, PATH_FORM, { meaning: 'Path pattern: `*` is one segment, `**` any number.', example: '/checks/*/final' }),
+  method: text(METHOD, METHOD_FORM, { meaning: 'Method in capitals; `*` is any.', example: 'POST', fallback: '*' }),
+  class: text(NAME, NAME_FORM, { meaning: 'Class of the requests that match.', example: 'quick-check' }),
+  idempotent: flag({ meaning: 'Whether a request may be sent again after a failure; true without being written when `method` is GET, HEAD or OPTIONS.', example: 'true', fallback: 'false' }),
+  cores: decimal({ meaning: 'Processor cores that a request needs.', example: '0.5', fallback: '0', least: '0', most: '1024' }),
+  memory: memory({ meaning: 'Memory that a request needs.', example: '64MiB', fallback: '0MiB', least: '0MiB', most: '16384GiB' }),
+  accelerators: integer({ meaning: 'Accelerators that a request needs.', example: '1', fallback: '0', least: '0', most: '64' })
+}
+
+/** Keys of a line under `teams`. */
+export const TEAM_SCHEMA: Schema<Omit<ResolvedTeam, 'askedBy' | 'line'>> = {
+  name: text(NAME, NAME_FORM, { meaning: 'Name of the team; unique.', example: 'field-desk' }),
+  most: part({ meaning: 'Most slots that the team may use at once, as a part of all.', example: '50%', fallback: '100%', least: '1%', most: '100%' })
+}
+
+/** Keys under `limits`. */
+export const LIMITS_SCHEMA: Schema<ResolvedLimits> = {
+  header: size({ meaning: 'Most bytes of a request\'s header.', example: '16KiB', fallback: '16KiB', least: '1KiB', most: '256KiB' }),
+  body: size({ meaning: 'Most bytes of a request\'s body.', example: '64MiB', fallback: '64MiB', least: '0B', most: '16GiB' }),
+  callers: integer({ meaning: 'Most requests in flight at one node.', example: '4000', fallback: '4000', least: '1', most: '100000' }),
+  perCaller: integer({ meaning: 'Most requests in flight or waiting of one caller at one node.', example: '400', fallback: '400', least: '1', most: '100000' }),
+  headerTimeout: duration({ meaning: 'How long a caller may take to send its header.', example: '10s', fallback: '10s', least: '100ms', most: '10m' }),
+  idleTimeout: duration({ meaning: 'How long a body may go without a byte before it is given up.', example: '30s', fallback: '30s', least: '100ms', most: '1h' })
+}
+
+/** Keys of a settings file. */
+export const SETTINGS_SCHEMA: Schema<ResolvedSettings> = {
+  id: text(NAME, NAME_FORM, { meaning: 'Name of the node; unique in the cell.', example: 'node-1' }),
+  cell: text(NAME, NAME_FORM, { meaning: 'Name of the cell that the node belongs to.', example: 'winter' }),
+  dataCentre: text(NAME, NAME_FORM, { meaning: 'Data centre that the node runs in.', example: 'jm-south-1' }),
+  front: address({ meaning: 'Where callers\' HTTP is served; port 0 lets the system choose.', example: '127.0.0.1:8080', anyPort: true }),
+  peer: address({ meaning: 'Where other nodes reach this one; port 0 lets the system choose.', example: '127.0.0.1:7071', anyPort: true }),
+  control: address({ meaning: 'Where operators\' HTTP, readiness, liveness and metrics are served; port 0 lets the system choose.', example: '127.0.0.1:7070', anyPort: true }),
+  platform: address({ meaning: 'Where the platform service is reached.', example: '127.0.0.1:7900' }),
+  seeds: addresses({ meaning: 'Peer addresses asked for the assignment and the rules when the table is down.', example: '[127.0.0.1:7171, 127.0.0.1:7271]' }),
+  secret: text(/^[\x21-\x7e]{16,256}$/, '16 to 256 printable characters without blanks', { meaning: 'Shared secret of nodes and operators; may come from the environment variable `RATTANSTEP_SECRET` instead.', example: 'change-me-before-winter' }),
+  log: choice(['debug', 'info', 'warn', 'error'], { meaning: 'Least severity logged.', example: 'info', fallback: 'info' }),
+  drain: duration({ meaning: 'How long a planned stop waits for requests in flight.', example: '30s', fallback: '30s', least: '0ms', most: '1h' })
+}
--- /dev/null
+++ b/packages/rules/src/runtime/tokenType.ts
@@ -0,0 +1,34 @@
+import { CST } from 'yaml'
+
+/** Kinds of lexer token that are told apart here. */
+export type TokenType = 'marker' | 'flow-start' | 'newline' | 'indicator' | 'flow-end' | 'anchor' | 'alias' | 'tag' | 'directive-line' | 'doc-start' | 'doc-end' | 'other'
+
+const KNOWN = new Map<string, TokenType>([
+  ['doc-mode', 'marker'],
+  ['flow-error-end', 'marker'],
+  ['scalar', 'marker'],
+  ['flow-map-start', 'flow-start'],
+  ['flow-seq-start', 'flow-start'],
+  ['flow-map-end', 'flow-end'],
+  ['flow-seq-end', 'flow-end'],
+  ['newline', 'newline'],
+  ['seq-item-ind', 'indicator'],
+  ['explicit-key-ind', 'indicator'],
+  ['map-value-ind', 'indicator'],
+  ['anchor', 'anchor'],
+  ['alias', 'alias'],
+  ['tag', 'tag'],
+  ['directive-line', 'directive-line'],
+  ['doc-start', 'doc-start'],
+  ['doc-end', 'doc-end']
+])
+
+/**
+ * Classifies a token of the YAML lexer. Markers take no room in the text.
+ *
+ * @param token - what the lexer yielded
+ * @returns its kind
+ */
+export function tokenType (token: string): TokenType {
+  return KNOWN.get(CST.tokenType(token) ?? '') ?? 'other'
+}
