front: permits from owners over messages

Cause: the front needs room from whichever node owns a worker, over messages that may be lost, late, repeated or out of order. Weighed: counting a permit's age from the grant's arrival (a front that was paused would use a permit that its owner has written off); counting from the sending of the ask plus the wait that the owner states is never too young. A grant is refused once a later assignment names another owner, or once this front has told a newer owner its permits. Change: OwnerPermits, its outbox, list and count of outstanding asks. Fails without: the check against the told version (test 22) and the owner's check (test 21) were not tried apart in this commit.

--- a/packages/front/src/node/Exchange.ts
+++ b/packages/front/src/node/Exchange.ts
@@ -277,7 +277,7 @@
       owner: placement.owner,
       worker: placement.worker,
       wait,
-      reason: this.attempts === 1 ? 'load' : 'retry',
+      reason: this.attempts === 1 ? placement.reason : `${placement.reason}, retry`,
       candidates: placement.candidates,
       outcome,
       fault: end.fault ?? '',
--- /dev/null
+++ b/packages/front/src/runtime/OwnerPermits.ts
@@ -0,0 +1,281 @@
+import { Err, Ok, PERMIT_VALIDITY_MS, workerResource } from '@rattanstep/core'
+import type { Ask, Assignment, Clock, Ending, Grant, Incarnation, Load, Message, Network, Permit, Random, Refusal, Result, Timer } from '@rattanstep/core'
+import { chooseOwner } from '@rattanstep/policy'
+import type { OwnerChoice } from '@rattanstep/policy'
+import type { Log, Metrics } from '@rattanstep/telemetry'
+import { FRONT_EVENTS } from '../types/events.js'
+import { Outstanding } from './Outstanding.js'
+import type { OutstandingAsk } from './Outstanding.js'
+import { PermitList } from './PermitList.js'
+import { PermitOutbox } from './PermitOutbox.js'
+import { Permits } from './Permits.js'
+import type { Placement } from './Permits.js'
+import { nextStep } from './refusals.js'
+
+/** An owner as a front knows it. */
+export interface KnownOwner {
+  incarnation: Incarnation
+  load: Load
+  /** Milliseconds since the load was made. */
+  age: number
+  dataCentre: string
+}
+
+/** What `OwnerPermits` works with. */
+export interface OwnerPermitsOptions {
+  self: Incarnation
+  network: Network
+  clock: Clock
+  random: Random
+  log: Log
+  metrics: Metrics
+  /** Owners that can be asked now; this node may be among them. */
+  owners: () => KnownOwner[]
+  /** @returns priority of a class */
+  priorityOf: (className: string) => number
+  /** Newest known assignment. */
+  assignment: () => Assignment
+  /** Data centre of this front. */
+  dataCentre?: string
+}
+
+/** Time between renewals of the permits in use, in ms. */
+const RENEWAL_PERIOD_MS = 1000
+
+/** Time after which an ask without an answer is sent again, in ms. */
+const RESEND_MS = 500
+
+/** Time given to an owner's own refusal beyond the ask's patience, in ms. */
+const PATIENCE_MARGIN_MS = 50
+
+/** Hint to callers when no owner is known, in ms. */
+const NO_OWNER_RETRY_MS = 1000
+
+interface Pending {
+  ask: Ask
+  startedAt: number
+  owner: Incarnation
+  reason: string
+  /** Monotonic ms of the first sending to this owner. */
+  sentAt: number
+  outstanding: OutstandingAsk
+  exclude: Set<Incarnation>
+  moves: number
+  resend: Timer
+  settle: (result: Result<Placement, Refusal>) => void
+}
+
+/** Asks the owners of workers for room, over messages that may be lost, late, repeated or out of order. */
+export class OwnerPermits extends Permits {
+  private readonly pending = new Map<string, Pending>()
+  private readonly outstanding = new Outstanding()
+  private readonly outbox: PermitOutbox
+  private readonly list: PermitList
+  /** For each worker, the version at which its permits were told to a new owner; older grants came too late to be counted. */
+  private readonly told = new Map<string, number>()
+  private timer: Timer | null = null
+
+  constructor (private readonly options: OwnerPermitsOptions) {
+    super()
+    this.outbox = new PermitOutbox(options.network)
+    this.list = new PermitList(options.clock, options.assignment)
+    options.metrics.gauge('front_permits', () => this.list.size)
+    options.metrics.gauge('front_asks', () => this.pending.size)
+  }
+
+  /** Begins to renew permits. */
+  start (): void {
+    this.timer ??= this.options.clock.repeat(RENEWAL_PERIOD_MS, () => { this.renew() })
+  }
+
+  /** Ends the renewals. */
+  stop (): void {
+    this.timer?.cancel()
+    this.timer = null
+  }
+
+  override async acquire (ask: Ask, signal: AbortSignal): Promise<Result<Placement, Refusal>> {
+    const choice = this.choose(ask, new Set())
+    if (choice === null) return Err(refusal(ask, 'no-owner'))
+    if (signal.aborted) return Err(refusal(ask, 'cancelled'))
+    return await new Promise(resolve => {
+      const { clock } = this.options
+      const deadline = clock.schedule(ask.patience + PATIENCE_MARGIN_MS, () => { this.giveUp(ask, 'patience') })
+      const withdraw = (): void => { this.giveUp(ask, 'cancelled') }
+      signal.addEventListener('abort', withdraw, { once: true })
+      const settle = (result: Result<Placement, Refusal>): void => {
+        deadline.cancel()
+        signal.removeEventListener('abort', withdraw)
+        resolve(result)
+      }
+      this.send({ ask, startedAt: clock.now(), exclude: new Set(), moves: 0, settle }, choice.owner, choice.reason)
+    })
+  }
+
+  override release (grant: Grant, ending: Ending, serviceTime: number): void {
+    const held = this.list.remove(grant.permit)
+    if (held === undefined) return
+    this.outstanding.settle(held.outstanding)
+    this.outbox.release(this.list.ownerOf(held), { permit: grant.permit, worker: grant.worker, ending, serviceTime })
+  }
+
+  /**
+   * @param from - sender
+   * @param message - any message
+   * @returns whether it was one for this front's permits
+   */
+  receive (from: Incarnation, message: Message): boolean {
+    if (message.kind === 'grant') for (const grant of message.grants) this.granted(from, grant)
+    else if (message.kind === 'refuse') for (const refused of message.refusals) this.refused(from, refused)
+    else if (message.kind === 'permits-request') this.tell(from, message.version, message.workers)
+    else return false
+    return true
+  }
+
+  /** Tells each owner the whole list of the permits in use at its workers. */
+  renew (): void {
+    const version = this.options.assignment().version
+    for (const [owner, permits] of this.list.byOwner()) {
+      this.options.network.send(owner, { kind: 'permits', version, permits })
+    }
+  }
+
+  /** @returns the permits in use */
+  active (): Permit[] {
+    return this.list.all()
+  }
+
+  /**
+   * Follows a new assignment: tells new owners of workers which permits are in use there, and moves asks away from nodes that own nothing.
+   *
+   * @param assignment - the newest
+   * @param previous - the one followed before
+   */
+  ownerChanged (assignment: Assignment, previous: Assignment): void {
+    const gained = new Map<Incarnation, string[]>()
+    for (const [resource, owner] of Object.entries(assignment.owners)) {
+      if (previous.owners[resource] === owner || !resource.startsWith(WORKER_PREFIX)) continue
+      const workers = gained.get(owner) ?? []
+      workers.push(resource.slice(WORKER_PREFIX.length))
+      gained.set(owner, workers)
+    }
+    for (const [owner, workers] of gained) this.tell(owner, assignment.version, workers)
+    const holders = new Set(assignment.holders.map(holder => holder.incarnation))
+    for (const pending of [...this.pending.values()]) {
+      if (!holders.has(pending.owner)) this.move(pending, refusal(pending.ask, 'not-owner'))
+    }
+  }
+
+  private choose (ask: Ask, exclude: ReadonlySet<Incarnation>): OwnerChoice | null {
+    const { random, priorityOf, clock, dataCentre } = this.options
+    const owners = this.options.owners()
+    const made = new Map(owners.map(owner => [owner.incarnation, clock.now() - owner.age]))
+    return chooseOwner({
+      owners,
+      priority: priorityOf(ask.class),
+      outstanding: this.outstanding.count(made),
+      random,
+      exclude,
+      ...(dataCentre === undefined ? {} : { dataCentre })
+    })
+  }
+
+  private send (base: Pick<Pending, 'ask' | 'startedAt' | 'exclude' | 'moves' | 'settle'>, owner: Incarnation, reason: string): void {
+    const { clock } = this.options
+    const now = clock.now()
+    const pending: Pending = {
+      ...base,
+      owner,
+      reason,
+      sentAt: now,
+      outstanding: this.outstanding.add(owner, now),
+      resend: clock.repeat(RESEND_MS, () => { this.sendAgain(pending) })
+    }
+    this.pending.set(base.ask.id, pending)
+    this.outbox.ask(owner, this.current(pending))
+  }
+
+  private current ({ ask, startedAt }: Pending): Ask {
+    const waited = this.options.clock.now() - startedAt
+    return { ...ask, waited: ask.waited + waited, patience: Math.max(0, ask.patience - waited) }
+  }
+
+  private sendAgain (pending: Pending): void {
+    const known = this.options.owners().some(owner => owner.incarnation === pending.owner)
+    if (known) this.outbox.ask(pending.owner, this.current(pending))
+    else this.move(pending, refusal(pending.ask, 'not-owner'))
+  }
+
+  private granted (from: Incarnation, grant: Grant): void {
+    const pending = this.pending.get(grant.ask)
+    if (pending === undefined || pending.owner !== from) {
+      if (!this.list.has(grant.permit)) this.giveBack(from, grant)
+      return
+    }
+    if (this.isOutdated(from, grant)) {
+      this.giveBack(from, grant)
+      this.move(pending, refusal(pending.ask, 'not-owner'))
+      return
+    }
+    this.drop(pending)
+    const { ask, sentAt, owner, outstanding, reason } = pending
+    const grantedAt = sentAt + grant.waited
+    this.list.add({ grant, ask, owner, grantedAt, outstanding })
+    const candidates = this.options.owners().map(known => `${known.incarnation} ${known.load.free}/${known.load.slots}`)
+    pending.settle(Ok({ ...grant, owner, reason, candidates, validUntil: grantedAt + PERMIT_VALIDITY_MS }))
+  }
+
+  private isOutdated (from: Incarnation, grant: Grant): boolean {
+    if (grant.version < (this.told.get(grant.worker) ?? 0)) return true
+    const { version, owners } = this.options.assignment()
+    return version > grant.version && owners[workerResource(grant.worker)] !== from
+  }
+
+  private giveBack (owner: Incarnation, { permit, worker }: Grant): void {
+    this.outbox.release(owner, { permit, worker, ending: 'unsent', serviceTime: 0 })
+  }
+
+  private refused (from: Incarnation, refused: Refusal): void {
+    const pending = this.pending.get(refused.ask)
+    if (pending?.owner === from) this.move(pending, refused)
+  }
+
+  private move (pending: Pending, refused: Refusal): void {
+    this.drop(pending)
+    this.outstanding.settle(pending.outstanding)
+    pending.exclude.add(pending.owner)
+    const choice = nextStep(refused, pending, () => this.choose(pending.ask, pending.exclude))
+    if (choice === null) {
+      pending.settle(Err(refused))
+      return
+    }
+    this.options.log.write(FRONT_EVENTS.redirected, { ask: pending.ask.id, owner: pending.owner, reason: refused.reason, next: choice.owner })
+    this.outbox.cancel(pending.owner, pending.ask.id)
+    this.send({ ...pending, moves: pending.moves + 1 }, choice.owner, choice.reason)
+  }
+
+  private giveUp (ask: Ask, reason: 'patience' | 'cancelled'): void {
+    const pending = this.pending.get(ask.id)
+    if (pending === undefined) return
+    this.drop(pending)
+    this.outstanding.settle(pending.outstanding)
+    this.outbox.cancel(pending.owner, ask.id)
+    pending.settle(Err(refusal(ask, reason)))
+  }
+
+  private drop (pending: Pending): void {
+    pending.resend.cancel()
+    this.pending.delete(pending.ask.id)
+  }
+
+  private tell (owner: Incarnation, version: number, workers: string[]): void {
+    for (const worker of workers) this.told.set(worker, Math.max(version, this.told.get(worker) ?? 0))
+    this.options.network.send(owner, { kind: 'permits', version, permits: this.list.at(new Set(workers)) })
+  }
+}
+
+const WORKER_PREFIX = workerResource('')
+
+function refusal (ask: Ask, reason: 'no-owner' | 'not-owner' | 'patience' | 'cancelled'): Refusal {
+  return { ask: ask.id, reason, retryAfter: NO_OWNER_RETRY_MS, redirect: '' }
+}
--- /dev/null
+++ b/packages/front/src/runtime/PermitList.ts
@@ -0,0 +1,81 @@
+import { workerResource } from '@rattanstep/core'
+import type { Ask, Assignment, Clock, Grant, Incarnation, Permit } from '@rattanstep/core'
+import type { OutstandingAsk } from './Outstanding.js'
+
+/** A permit in use. */
+export interface HeldPermit {
+  grant: Grant
+  ask: Ask
+  owner: Incarnation
+  /** Monotonic ms before which the permit cannot have been granted. */
+  grantedAt: number
+  outstanding: OutstandingAsk
+}
+
+/** The permits that this front uses. */
+export class PermitList {
+  private readonly permits = new Map<string, HeldPermit>()
+
+  constructor (private readonly clock: Clock, private readonly assignment: () => Assignment) {}
+
+  get size (): number {
+    return this.permits.size
+  }
+
+  has (permit: string): boolean {
+    return this.permits.has(permit)
+  }
+
+  add (permit: HeldPermit): void {
+    this.permits.set(permit.grant.permit, permit)
+  }
+
+  /** @returns the permit that was in use, or `undefined` */
+  remove (permit: string): HeldPermit | undefined {
+    const held = this.permits.get(permit)
+    this.permits.delete(permit)
+    return held
+  }
+
+  /** @returns every permit in use */
+  all (): Permit[] {
+    return [...this.permits.values()].map(held => this.describe(held))
+  }
+
+  /**
+   * @param workers - which workers
+   * @returns the permits in use at these workers
+   */
+  at (workers: ReadonlySet<string>): Permit[] {
+    return [...this.permits.values()].filter(held => workers.has(held.grant.worker)).map(held => this.describe(held))
+  }
+
+  /** @returns the permits in use by the owner of their worker */
+  byOwner (): Map<Incarnation, Permit[]> {
+    const lists = new Map<Incarnation, Permit[]>()
+    for (const held of this.permits.values()) {
+      const owner = this.ownerOf(held)
+      const list = lists.get(owner) ?? []
+      list.push(this.describe(held))
+      lists.set(owner, list)
+    }
+    return lists
+  }
+
+  /** @returns the node that keeps the books of the permit's worker now, as far as is known */
+  ownerOf (held: HeldPermit): Incarnation {
+    return this.assignment().owners[workerResource(held.grant.worker)] ?? held.owner
+  }
+
+  private describe ({ grant, ask, grantedAt }: HeldPermit): Permit {
+    return {
+      permit: grant.permit,
+      worker: grant.worker,
+      class: ask.class,
+      caller: ask.caller,
+      team: ask.team,
+      resources: ask.resources,
+      age: Math.max(0, this.clock.now() - grantedAt)
+    }
+  }
+}
--- /dev/null
+++ b/packages/front/src/runtime/PermitOutbox.ts
@@ -0,0 +1,48 @@
+import type { Ask, Incarnation, Network, Release } from '@rattanstep/core'
+
+interface Mail {
+  asks: Ask[]
+  cancels: string[]
+  releases: Release[]
+}
+
+/** Collects what is said to each owner in one turn of the loop, and sends one message of a kind. */
+export class PermitOutbox {
+  private readonly mails = new Map<Incarnation, Mail>()
+  private scheduled = false
+
+  constructor (private readonly network: Network) {}
+
+  ask (owner: Incarnation, ask: Ask): void {
+    this.mail(owner).asks.push(ask)
+  }
+
+  cancel (owner: Incarnation, ask: string): void {
+    this.mail(owner).cancels.push(ask)
+  }
+
+  release (owner: Incarnation, release: Release): void {
+    this.mail(owner).releases.push(release)
+  }
+
+  /** Sends what was collected. */
+  flush (): void {
+    this.scheduled = false
+    for (const [owner, { asks, cancels, releases }] of this.mails) {
+      if (releases.length > 0) this.network.send(owner, { kind: 'release', releases })
+      if (asks.length > 0) this.network.send(owner, { kind: 'ask', asks })
+      if (cancels.length > 0) this.network.send(owner, { kind: 'cancel', asks: cancels })
+    }
+    this.mails.clear()
+  }
+
+  private mail (owner: Incarnation): Mail {
+    const known = this.mails.get(owner)
+    if (known !== undefined) return known
+    const mail = { asks: [], cancels: [], releases: [] }
+    this.mails.set(owner, mail)
+    if (!this.scheduled) setImmediate(() => { this.flush() })
+    this.scheduled = true
+    return mail
+  }
+}
--- a/packages/front/src/runtime/Permits.ts
+++ b/packages/front/src/runtime/Permits.ts
@@ -4,7 +4,9 @@
 export interface Placement extends Grant {
   /** The node that gave the permit. */
   owner: Incarnation
-  /** The owners that were compared, for the log. */
+  /** Why this owner was asked. */
+  reason: string
+  /** The owners that were compared, each with its free and all slots, for the log. */
   candidates: string[]
   /** Monotonic ms after which the permit may not be used for a dispatch. */
   validUntil: number
--- a/packages/front/src/types/events.ts
+++ b/packages/front/src/types/events.ts
@@ -83,6 +83,18 @@
     message: 'The front failed while it handled a request, and cut the caller off.',
     fields: { request: 'identifier of the request', error: 'what was thrown' }
   },
+  redirected: {
+    number: 1009,
+    name: 'ask-redirected',
+    level: 'debug',
+    message: 'An owner gave no room, and another one is asked.',
+    fields: {
+      ask: 'identifier of the ask: the request and the number of the attempt',
+      owner: 'who gave no room',
+      reason: 'why not',
+      next: 'who is asked now'
+    }
+  },
   drained: {
     number: 1007,
     name: 'front-drained',
--- a/packages/front/test/node/rig.ts
+++ b/packages/front/test/node/rig.ts
@@ -29,7 +29,7 @@
     if (choice === undefined) return Err({ ask: ask.id, reason: 'no-worker', retryAfter: 10, redirect: '' })
     const permit = `p${number}`
     this.held.add(permit)
-    return Ok({ ask: ask.id, permit, ...choice, waited: 0, version: 1, owner: 'owner', candidates: [], validUntil: performance.now() + this.validity })
+    return Ok({ ask: ask.id, permit, ...choice, waited: 0, version: 1, owner: 'owner', reason: 'test', candidates: [], validUntil: performance.now() + this.validity })
   }
 
   override release (grant: Grant, ending: Ending): void {
