Jobs and tasks under fenced leases, thin

Cause: batch tasks, gangs and services need a life of their own, apart from requests.

Weighed: a renewal needs no table write, so a former owner that declares a task lost after a takeover could do so while the new owner renews it. Every placement and every end of a task therefore checks the version of the worker's keeper row, which an owner changes when it takes over, before its first renewal. The same version ends a placement that is written after its hold has expired: the room stays taken until the version has moved on.

Change: submit, drive, hold, place, keep, cancel; task, job and keeper lives as charts; a cell of nodes on a fake clock.

--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,1 +1,12 @@
-export {}
+export { FailureWatch } from './runtime/FailureWatch.js'
+export { Jobs } from './runtime/Jobs.js'
+export type { JobsOptions } from './runtime/Jobs.js'
+export { Owned } from './runtime/Owned.js'
+export { Room } from './runtime/Room.js'
+export { SimpleRoom } from './runtime/SimpleRoom.js'
+export type { JobError } from './runtime/Submitter.js'
+export type { CancelResult } from './runtime/Canceller.js'
+export { EVENTS as JOBS_EVENTS } from './types/events.js'
+export type { JobKind, JobSpec, JobState, JobStatus, JobSummary, TaskLife, TaskSpec, TaskStatus } from './types/job.js'
+export { DEFAULT_TUNING } from './types/tuning.js'
+export type { Tuning } from './types/tuning.js'
--- /dev/null
+++ b/packages/jobs/src/runtime/Canceller.ts
@@ -0,0 +1,90 @@
+import { Err, Ok } from '@rattanstep/core'
+import type { Result, Row, TableError } from '@rattanstep/core'
+import type { Context } from '../types/context.js'
+import { EVENTS } from '../types/events.js'
+import type { JobSummary } from '../types/job.js'
+import { JOB_ROW, jobKey } from '../types/rows.js'
+import { parseRow } from '../utils/parseRow.js'
+import { JOB_CHART } from './Driver.js'
+import type { Post } from './Post.js'
+import type { TableWriter } from './TableWriter.js'
+
+/** How a cancellation ended; `null` when there is no such job. */
+export type CancelResult = Result<JobSummary | null, TableError>
+
+interface Waiting {
+  id: string
+  resolve: (result: CancelResult) => void
+}
+
+/** Time over which cancellations are gathered before they are written. */
+const GATHER_MS = 20
+const READ_KEYS = 200
+
+/** Marks jobs as cancelled; waves of cancellations share reads and transactions. */
+export class Canceller {
+  private readonly context: Context
+  private readonly writer: TableWriter
+  private readonly post: Post
+  private waiting: Waiting[] = []
+
+  /** @param options - table and messages */
+  constructor (options: { context: Context, writer: TableWriter, post: Post }) {
+    this.context = options.context
+    this.writer = options.writer
+    this.post = options.post
+  }
+
+  /**
+   * @param id - identifier of a job
+   * @returns how the job stands; one that has ended stays as it is
+   */
+  async cancel (id: string): Promise<CancelResult> {
+    return await new Promise(resolve => {
+      this.waiting.push({ id, resolve })
+      if (this.waiting.length === 1) this.context.clock.schedule(GATHER_MS, () => { this.flush() })
+    })
+  }
+
+  private flush (): void {
+    const wave = this.waiting
+    this.waiting = []
+    for (let from = 0; from < wave.length; from += READ_KEYS) {
+      const part = wave.slice(from, from + READ_KEYS)
+      this.write(part).catch((error: unknown) => {
+        this.context.log.write(EVENTS.fault, { step: 'cancel', error: String(error) })
+        for (const entry of part) entry.resolve(Err({ fault: 'unknown', message: String(error) }))
+      })
+    }
+  }
+
+  private async write (wave: Waiting[]): Promise<void> {
+    const ids = [...new Set(wave.map(entry => entry.id))]
+    const rows = await this.context.table.read(ids.map(jobKey))
+    if (rows.isErr()) {
+      for (const entry of wave) entry.resolve(rows)
+      return
+    }
+    const found = new Map(rows.value.map(row => [row.key, row]))
+    const results = new Map<string, CancelResult>()
+    await Promise.all(ids.map(async id => { results.set(id, await this.writeOne(found.get(jobKey(id)))) }))
+    const cancelled = [...results].flatMap(([id, result]) => result.isOk() && result.value?.state === 'cancelling' ? [id] : [])
+    if (cancelled.length > 0) this.context.log.write(EVENTS.cancelled, { jobs: cancelled.length })
+    this.post.tellDrivers(cancelled)
+    for (const entry of wave) entry.resolve(results.get(entry.id) ?? Ok(null))
+  }
+
+  private async writeOne (row: Row | undefined): Promise<CancelResult> {
+    if (row === undefined) return Ok(null)
+    const content = parseRow(row, JOB_ROW)
+    if (content.isErr()) return Err({ fault: 'unavailable', message: `row ${row.key} can not be read: ${content.error}` })
+    const state = JOB_CHART.next(content.value.state, 'cancel')
+    const { id, kind, team, reason } = content.value
+    const summary: JobSummary = { id, kind, class: content.value.class, team, state: state ?? content.value.state, reason }
+    if (state === null) return Ok(summary)
+    const change = { checks: [{ key: row.key, version: row.version }], writes: [{ key: row.key, value: JSON.stringify({ ...content.value, state }) }] }
+    const settlement = await this.writer.write(change)
+    if (settlement.outcome === 'committed') return Ok(summary)
+    return Err({ fault: settlement.outcome === 'undecided' ? 'unknown' : settlement.outcome, message: `${settlement.message}; cancel the job again` })
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/runtime/HoldBook.ts
@@ -0,0 +1,135 @@
+import type { Incarnation, Instance } from '@rattanstep/core'
+import { subtractResources } from '@rattanstep/core'
+import type { Context } from '../types/context.js'
+import type { Body, Hold, HoldRequest } from '../types/messages.js'
+import type { Post } from './Post.js'
+import type { WorkerKeeper } from './WorkerKeeper.js'
+
+/** Room held for one unit of a job. */
+interface HeldUnit {
+  holds: Hold[]
+  until: number
+}
+
+/** A gang that younger jobs make way for. */
+interface Insistence {
+  submitted: number
+  until: number
+}
+
+type Need = HoldRequest['needs'][number]
+
+/** Gives room on the workers kept here to the drivers of jobs, for a short time each. */
+export class HoldBook {
+  private readonly context: Context
+  private readonly post: Post
+  private readonly keepers: ReadonlyMap<string, WorkerKeeper>
+  private readonly isQuarantined: (worker: string) => boolean
+  private readonly units = new Map<string, HeldUnit>()
+  private readonly insistences = new Map<string, Insistence>()
+
+  /** @param options - `keepers`: workers kept here; `isQuarantined`: workers that are given nothing new */
+  constructor (options: { context: Context, post: Post, keepers: ReadonlyMap<string, WorkerKeeper>, isQuarantined: (worker: string) => boolean }) {
+    this.context = options.context
+    this.post = options.post
+    this.keepers = options.keepers
+    this.isQuarantined = options.isQuarantined
+  }
+
+  /**
+   * @param from - the driver
+   * @param request - what it needs; a repeat is answered as before
+   */
+  request (from: Incarnation, request: HoldRequest): void {
+    const known = this.units.get(request.unit)
+    const holds = known?.holds ?? this.give(request)
+    this.post.send(from, 'held', { unit: request.unit, holds })
+  }
+
+  /** @param body - a unit whose placement did not take effect and never will */
+  release (body: Body<'release'>): void {
+    const unit = this.units.get(body.unit)
+    if (unit === undefined) return
+    this.units.delete(body.unit)
+    for (const hold of unit.holds) this.context.room.release(hold.hold)
+  }
+
+  /** @param body - a unit whose placement was written; its workers are looked at */
+  committed (body: Body<'committed'>): void {
+    this.units.delete(body.unit)
+  }
+
+  /** Ends holds that are overdue; their room stays taken until their placement can no longer be written. */
+  expire (): void {
+    const now = this.context.clock.now()
+    for (const [name, unit] of this.units) {
+      if (unit.until > now) continue
+      this.units.delete(name)
+      for (const hold of unit.holds) this.doubt(hold)
+    }
+    for (const [job, insistence] of this.insistences) {
+      if (insistence.until <= now) this.insistences.delete(job)
+    }
+  }
+
+  /**
+   * Forgets holds on a worker that is no longer kept here.
+   *
+   * @param worker - the worker
+   */
+  drop (worker: string): void {
+    for (const unit of this.units.values()) {
+      for (const hold of unit.holds.filter(entry => entry.worker === worker)) this.context.room.release(hold.hold)
+      unit.holds = unit.holds.filter(entry => entry.worker !== worker)
+    }
+  }
+
+  private doubt (hold: Hold): void {
+    const keeper = this.keepers.get(hold.worker)
+    if (keeper === undefined) this.context.room.release(hold.hold)
+    else keeper.doubt(hold.hold)
+  }
+
+  private give (request: HoldRequest): Hold[] {
+    const until = this.context.clock.now() + this.context.tuning.hold
+    if (request.insists) this.insistences.set(request.job, { submitted: request.submitted, until })
+    if (this.mustMakeWay(request)) return []
+    const holds = request.needs.flatMap(need => this.take(request, need) ?? [])
+    if (holds.length > 0) this.units.set(request.unit, { holds, until })
+    return holds
+  }
+
+  private mustMakeWay (request: HoldRequest): boolean {
+    const now = this.context.clock.now()
+    return [...this.insistences].some(([job, { submitted, until }]) => {
+      if (job === request.job || until <= now) return false
+      return submitted < request.submitted || (submitted === request.submitted && job < request.job)
+    })
+  }
+
+  private take (request: HoldRequest, need: Need): Hold | null {
+    const hold = `${request.unit}#${need.index}`
+    for (const keeper of this.rank(need)) {
+      if (!this.context.room.tryHold(keeper.worker, need.resources, request.class, request.team, hold)) continue
+      return { index: need.index, worker: keeper.worker, version: keeper.claim.version, hold }
+    }
+    return null
+  }
+
+  /** Best fit first: the worker that is left with least; equal ones in the order of their names. */
+  private rank (need: Need): WorkerKeeper[] {
+    return [...this.keepers.values()]
+      .filter(keeper => keeper.isOpen && !need.avoid.includes(keeper.worker) && !this.isQuarantined(keeper.worker))
+      .map(keeper => ({ keeper, left: this.leftover(keeper.instance!, need) }))
+      .sort((a, b) => a.left - b.left || (a.keeper.worker < b.keeper.worker ? -1 : 1))
+      .map(entry => entry.keeper)
+  }
+
+  /** Sum over the resources of the part that would stay free. */
+  private leftover (instance: Instance, need: Need): number {
+    const left = subtractResources(this.context.room.free(instance.id), need.resources)
+    const total = instance.resources
+    const part = (name: keyof typeof total): number => total[name] === 0 ? 0 : left[name] / total[name]
+    return part('slots') + part('cores') + part('memory') + part('accelerators')
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/runtime/JobReader.ts
@@ -0,0 +1,73 @@
+import { Ok } from '@rattanstep/core'
+import type { Result, Row, TableError } from '@rattanstep/core'
+import type { Context } from '../types/context.js'
+import { EVENTS } from '../types/events.js'
+import type { JobStatus, JobSummary, TaskStatus } from '../types/job.js'
+import { JOB_ROW, jobKey, TASK_ROW } from '../types/rows.js'
+import type { JobRow, TaskRow } from '../types/rows.js'
+import { parseRow } from '../utils/parseRow.js'
+
+const LIST_LIMIT = 1000
+
+/** Reads how jobs stand. */
+export class JobReader {
+  private readonly context: Context
+
+  /** @param context - the table */
+  constructor (context: Context) {
+    this.context = context
+  }
+
+  /**
+   * @param id - identifier of a job
+   * @returns how it stands, or `null` when there is none
+   */
+  async status (id: string): Promise<Result<JobStatus | null, TableError>> {
+    const { table, tuning } = this.context
+    const jobs = await table.read([jobKey(id)])
+    if (jobs.isErr()) return jobs
+    const tasks = await table.list({ prefix: `task/${id}/`, limit: tuning.tasksPerJob })
+    if (tasks.isErr()) return tasks
+    const job = this.parseJob(jobs.value[0])
+    if (job === null) return Ok(null)
+    return Ok({ ...summarize(job), tasks: tasks.value.flatMap(row => this.parseTask(row)) })
+  }
+
+  /**
+   * @param range - `after`: identifiers after this one only; `limit`: at most this many (default 1000)
+   * @returns jobs in the order of their identifiers, ended ones too
+   */
+  async list (range: { after?: string, limit?: number } = {}): Promise<Result<JobSummary[], TableError>> {
+    const after = range.after === undefined ? undefined : jobKey(range.after)
+    const rows = await this.context.table.list({ prefix: jobKey(''), after, limit: Math.min(range.limit ?? LIST_LIMIT, LIST_LIMIT) })
+    return rows.map(found => found.flatMap(row => {
+      const job = this.parseJob(row)
+      return job === null ? [] : [summarize(job)]
+    }))
+  }
+
+  private parseJob (row: Row | undefined): JobRow | null {
+    if (row === undefined) return null
+    const content = parseRow(row, JOB_ROW)
+    if (content.isOk()) return content.value
+    this.context.log.write(EVENTS.badRow, { key: row.key, problem: content.error })
+    return null
+  }
+
+  private parseTask (row: Row): TaskStatus[] {
+    const content = parseRow(row, TASK_ROW)
+    if (content.isOk()) return [pickTask(content.value)]
+    this.context.log.write(EVENTS.badRow, { key: row.key, problem: content.error })
+    return []
+  }
+}
+
+function summarize (job: JobRow): JobSummary {
+  const { id, kind, team, state, reason } = job
+  return { id, kind, class: job.class, team, state, reason }
+}
+
+function pickTask (task: TaskRow): TaskStatus {
+  const { index, state, worker, fence, attempts, reason } = task
+  return { index, state, worker, fence, attempts, reason }
+}
--- /dev/null
+++ b/packages/jobs/src/runtime/Keepers.ts
@@ -0,0 +1,131 @@
+import { rendezvous } from '@rattanstep/core'
+import type { Instance } from '@rattanstep/core'
+import type { Context } from '../types/context.js'
+import { EVENTS } from '../types/events.js'
+import { FailureWatch } from './FailureWatch.js'
+import { HoldBook } from './HoldBook.js'
+import type { Post } from './Post.js'
+import type { TableWriter } from './TableWriter.js'
+import type { Transitions } from './Transitions.js'
+import { WorkerKeeper } from './WorkerKeeper.js'
+
+const KEEPER_PREFIX = 'keeper/'
+const MAX_KEEPERS = 1000
+/** Looks between two searches for workers that are gone. */
+const GONE_EVERY = 5
+
+/** The keepers of the workers that this node owns. */
+export class Keepers {
+  readonly holds: HoldBook
+  readonly failures = new FailureWatch()
+  private readonly context: Context
+  private readonly writer: TableWriter
+  private readonly transitions: Transitions
+  private readonly post: Post
+  private readonly keepers = new Map<string, WorkerKeeper>()
+  private ticks = 0
+
+  /** @param options - what keepers work with */
+  constructor (options: { context: Context, writer: TableWriter, transitions: Transitions, post: Post }) {
+    this.context = options.context
+    this.writer = options.writer
+    this.transitions = options.transitions
+    this.post = options.post
+    this.holds = new HoldBook({ ...options, keepers: this.keepers, isQuarantined: worker => this.failures.isBad(worker) })
+  }
+
+  /** Follows the ownership and looks at every worker once. */
+  tick (): void {
+    this.follow()
+    this.holds.expire()
+    for (const keeper of this.keepers.values()) this.runLook(keeper)
+    if (this.ticks++ % GONE_EVERY !== 0) return
+    this.findGone().catch((error: unknown) => { this.context.log.write(EVENTS.fault, { step: 'find-gone', error: String(error) }) })
+  }
+
+  /** @param worker - one that this node has become the owner of */
+  gain (worker: Instance): void {
+    this.lose(worker.id)
+    this.add(worker.id, worker, () => this.context.owned.owns(worker.id))
+  }
+
+  /** @param worker - one that this node no longer owns */
+  lose (worker: string): void {
+    const keeper = this.keepers.get(worker)
+    if (keeper === undefined) return
+    this.keepers.delete(worker)
+    this.holds.drop(worker)
+    keeper.drop()
+    this.context.log.write(EVENTS.dropped, { worker })
+  }
+
+  /** @param workers - those to look at now; ones not kept here are passed over */
+  look (workers: string[]): void {
+    for (const name of new Set(workers)) {
+      const keeper = this.keepers.get(name)
+      if (keeper !== undefined) this.runLook(keeper)
+    }
+  }
+
+  /**
+   * @param worker - a worker kept here
+   * @param choose - which tasks are to go (default all)
+   * @returns number of tasks told to go
+   */
+  async vacate (worker: string, choose: (task: { job: string, index: number, class: string }) => boolean = () => true): Promise<number> {
+    const keeper = this.keepers.get(worker)
+    return keeper === undefined ? 0 : await keeper.vacate(choose)
+  }
+
+  /** Ends the keeping of all workers. */
+  stop (): void {
+    for (const worker of [...this.keepers.keys()]) this.lose(worker)
+  }
+
+  private follow (): void {
+    const { owned } = this.context
+    const instances = new Map(owned.ownedWorkers().map(worker => [worker.id, worker]))
+    for (const [worker, instance] of instances) {
+      const known = this.keepers.get(worker)
+      if (known?.instance == null) this.gain(instance)
+      else known.instance = instance
+    }
+    for (const [worker, keeper] of this.keepers) {
+      const isKept = keeper.instance === null ? owned.isGone(worker) : instances.has(worker)
+      if (!isKept) this.lose(worker)
+    }
+  }
+
+  /** Tasks on workers that nobody can own any longer are given up by one node for each worker. */
+  private async findGone (): Promise<void> {
+    const { holders, owned, self, table } = this.context
+    const rows = await table.list({ prefix: KEEPER_PREFIX, limit: MAX_KEEPERS })
+    if (rows.isErr()) return
+    for (const row of rows.value) {
+      const worker = row.key.slice(KEEPER_PREFIX.length)
+      if (this.keepers.has(worker) || !owned.isGone(worker)) continue
+      if (rendezvous(worker, holders())[0] === self) this.add(worker, null, () => owned.isGone(worker))
+    }
+  }
+
+  private add (worker: string, instance: Instance | null, mayAct: () => boolean): void {
+    const events = {
+      changed: (jobs: string[]) => { this.post.tellDrivers(jobs) },
+      ran: (name: string, ok: boolean) => { this.note(name, ok) }
+    }
+    const keeper = new WorkerKeeper({ context: this.context, writer: this.writer, transitions: this.transitions, events, worker, instance, mayAct })
+    this.keepers.set(worker, keeper)
+    this.runLook(keeper)
+  }
+
+  private note (worker: string, ok: boolean): void {
+    const verdict = this.failures.note(worker, ok)
+    if (verdict === null) return
+    this.context.log.write(EVENTS.quarantined, { worker, ...verdict })
+    this.context.quarantine(worker, `${verdict.failures} of its last ${verdict.runs} runs failed`)
+  }
+
+  private runLook (keeper: WorkerKeeper): void {
+    keeper.look().catch((error: unknown) => { this.context.log.write(EVENTS.fault, { step: `look ${keeper.worker}`, error: String(error) }) })
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/runtime/PlacementBook.ts
@@ -0,0 +1,86 @@
+import type { Context } from '../types/context.js'
+import { EVENTS } from '../types/events.js'
+import { PLACEMENT_ROW, placementPrefix } from '../types/rows.js'
+import { parseRow } from '../utils/parseRow.js'
+import { Placement } from './Placement.js'
+
+const PAGE_ROWS = 500
+
+/** What the table places on one worker. */
+export class PlacementBook {
+  private readonly context: Context
+  private readonly worker: string
+  private readonly placements = new Map<string, Placement>()
+
+  /** @param options - `worker`: whose placements are kept */
+  constructor (options: { context: Context, worker: string }) {
+    this.context = options.context
+    this.worker = options.worker
+  }
+
+  /** @returns all placements */
+  all (): Placement[] {
+    return [...this.placements.values()]
+  }
+
+  /**
+   * @param name - name of a task
+   * @param fence - its fence
+   * @returns whether the table places it here
+   */
+  has (name: string, fence: number): boolean {
+    return this.placements.has(`${name}@${fence}`)
+  }
+
+  /**
+   * Reads the placements anew and counts them in the worker's room.
+   *
+   * @returns whether all of them could be read
+   */
+  async refresh (): Promise<boolean> {
+    const rows = await this.readAll()
+    if (rows === null) return false
+    for (const row of rows.values()) this.add(row)
+    for (const [key, placement] of this.placements) {
+      if (!rows.has(key)) this.remove(placement)
+    }
+    return true
+  }
+
+  /** @param placement - one that has ended; its room is given back */
+  remove (placement: Placement): void {
+    this.placements.delete(placement.key)
+    this.context.room.release(placement.row.hold)
+  }
+
+  private add (found: Placement): void {
+    const known = this.placements.get(found.key)
+    if (known !== undefined) {
+      known.intent = found.intent
+      return
+    }
+    this.placements.set(found.key, found)
+    const { row } = found
+    this.context.room.occupy(this.worker, row.resources, row.class, row.team, row.hold)
+  }
+
+  private async readAll (): Promise<Map<string, Placement> | null> {
+    const found = new Map<string, Placement>()
+    let after: string | undefined
+    for (;;) {
+      const rows = await this.context.table.list({ prefix: placementPrefix(this.worker), after, limit: PAGE_ROWS })
+      if (rows.isErr()) return null
+      for (const row of rows.value) {
+        const content = parseRow(row, PLACEMENT_ROW)
+        if (content.isErr()) {
+          this.context.log.write(EVENTS.badRow, { key: row.key, problem: content.error })
+          continue
+        }
+        const placement = new Placement(content.value)
+        found.set(placement.key, placement)
+      }
+      if (rows.value.length < PAGE_ROWS) return found
+      after = rows.value.at(-1)?.key
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/runtime/SimpleRoom.ts
@@ -0,0 +1,43 @@
+import { addResources, fitsResources, NO_RESOURCES, subtractResources } from '@rattanstep/core'
+import type { Resources } from '@rattanstep/core'
+import { Room } from './Room.js'
+
+interface Entry {
+  worker: string
+  resources: Resources
+}
+
+/** Books for tasks alone, without classes and quotas. */
+export class SimpleRoom extends Room {
+  private readonly total: (worker: string) => Resources
+  private readonly entries = new Map<string, Entry>()
+
+  /** @param options - `total`: what a worker holds in all */
+  constructor (options: { total: (worker: string) => Resources }) {
+    super()
+    this.total = options.total
+  }
+
+  override tryHold (worker: string, resources: Resources, _workClass: string, _team: string, id: string): boolean {
+    if (!fitsResources(resources, this.free(worker))) return false
+    this.entries.set(id, { worker, resources })
+    return true
+  }
+
+  override occupy (worker: string, resources: Resources, _workClass: string, _team: string, id: string): void {
+    this.entries.set(id, { worker, resources })
+  }
+
+  override settled (): void {}
+
+  override release (id: string): void {
+    this.entries.delete(id)
+  }
+
+  override free (worker: string): Resources {
+    const used = [...this.entries.values()]
+      .filter(entry => entry.worker === worker)
+      .reduce((sum, entry) => addResources(sum, entry.resources), NO_RESOURCES)
+    return subtractResources(this.total(worker), used)
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/runtime/Submitter.ts
@@ -0,0 +1,117 @@
+import { Err, hash64, Ok } from '@rattanstep/core'
+import type { Finding, Result, Row, TableError } from '@rattanstep/core'
+import type { Context } from '../types/context.js'
+import { EVENTS } from '../types/events.js'
+import type { JobStatus, ResolvedJob } from '../types/job.js'
+import { JOB_ROW, jobKey, openKey, taskKey } from '../types/rows.js'
+import type { JobRow, TaskRow } from '../types/rows.js'
+import { parseRow } from '../utils/parseRow.js'
+import type { JobReader } from './JobReader.js'
+import { resolveJob } from './resolveJob.js'
+import type { Change, TableWriter } from './TableWriter.js'
+
+/** Why a job was not accepted, or not found. */
+export type JobError =
+  | { kind: 'findings', findings: Finding[] }
+  | { kind: 'table', error: TableError }
+
+/** Accepts jobs. */
+export class Submitter {
+  private readonly context: Context
+  private readonly writer: TableWriter
+  private readonly reader: JobReader
+
+  /** @param options - table and rules */
+  constructor (options: { context: Context, writer: TableWriter, reader: JobReader }) {
+    this.context = options.context
+    this.writer = options.writer
+    this.reader = options.reader
+  }
+
+  /**
+   * Accepts a job by writing its rows. A repeat of the same job is accepted without effect.
+   *
+   * @param spec - the job as given, of any shape
+   * @returns how the job stands, or why it was not accepted; after a table error of fault `unknown` it may have been
+   */
+  async submit (spec: unknown): Promise<Result<JobStatus, JobError>> {
+    const { classes, log, owned, tuning } = this.context
+    const resolved = resolveJob(spec, { classes: classes(), tuning, cell: owned.cellWorkers() })
+    if (resolved.isErr()) {
+      log.write(EVENTS.refused, { job: nameOf(spec), findings: resolved.error })
+      return Err({ kind: 'findings', findings: resolved.error })
+    }
+    return await this.accept(resolved.value)
+  }
+
+  private async accept (job: ResolvedJob): Promise<Result<JobStatus, JobError>> {
+    const fingerprint = hash64(JSON.stringify(job))
+    const known = await this.find(job.id)
+    if (known.isErr()) return Err({ kind: 'table', error: known.error })
+    if (known.value !== undefined) return await this.compare(known.value, job, fingerprint)
+    const settlement = await this.writer.write(this.describe(job, fingerprint))
+    if (settlement.outcome === 'committed') {
+      this.context.log.write(EVENTS.accepted, { job: job.id, kind: job.kind, tasks: job.tasks.length })
+      return await this.read(job.id)
+    }
+    if (settlement.outcome === 'unavailable') return Err({ kind: 'table', error: { fault: 'unavailable', message: settlement.message } })
+    const written = await this.find(job.id)
+    if (written.isOk() && written.value !== undefined) return await this.compare(written.value, job, fingerprint)
+    return Err({ kind: 'table', error: { fault: 'unknown', message: 'the job may have been accepted; submit the same job with the same id again' } })
+  }
+
+  private async find (id: string): Promise<Result<Row | undefined, TableError>> {
+    const rows = await this.context.table.read([jobKey(id)])
+    return rows.map(found => found[0])
+  }
+
+  private async compare (row: Row, job: ResolvedJob, fingerprint: string): Promise<Result<JobStatus, JobError>> {
+    const known = parseRow(row, JOB_ROW)
+    if (known.isOk() && known.value.fingerprint === fingerprint) return await this.read(job.id)
+    const message = `id is ${job.id}, which another job has; choose an id that was never used`
+    return Err({ kind: 'findings', findings: [{ code: 'job-id-used', place: { file: 'job', line: 1, column: 1 }, message }] })
+  }
+
+  private async read (id: string): Promise<Result<JobStatus, JobError>> {
+    const status = await this.reader.status(id)
+    if (status.isErr()) return Err({ kind: 'table', error: status.error })
+    if (status.value !== null) return Ok(status.value)
+    return Err({ kind: 'table', error: { fault: 'unknown', message: 'the rows of the job could not be read back' } })
+  }
+
+  private describe (job: ResolvedJob, fingerprint: string): Change {
+    const { id, kind, team } = job
+    const row: JobRow = { id, kind, class: job.class, team, count: job.tasks.length, submitted: this.context.clock.wall(), fingerprint, state: 'open', reason: '' }
+    const writes = [
+      { key: jobKey(id), value: JSON.stringify(row) },
+      { key: openKey(id), value: '{}' },
+      ...job.tasks.map((_, index) => ({ key: taskKey(id, index), value: JSON.stringify(makeTask(job, index)) }))
+    ]
+    return { checks: writes.map(({ key }) => ({ key, version: 0 })), writes }
+  }
+}
+
+function makeTask (job: ResolvedJob, index: number): TaskRow {
+  return {
+    job: job.id,
+    index,
+    kind: job.kind,
+    class: job.class,
+    team: job.team,
+    ...job.tasks[index]!,
+    state: 'pending',
+    fence: 0,
+    worker: '',
+    attempts: 0,
+    losses: 0,
+    notBefore: 0,
+    checkpoint: '',
+    reason: '',
+    avoid: []
+  }
+}
+
+function nameOf (spec: unknown): string {
+  const id = typeof spec === 'object' && spec !== null && 'id' in spec ? spec.id : ''
+  return typeof id === 'string' ? id.slice(0, 64) : ''
+}
--- /dev/null
+++ b/packages/jobs/src/runtime/TableWriter.ts
@@ -0,0 +1,114 @@
+import type { Check, Transaction, Write } from '@rattanstep/core'
+import { commitSettled } from '@rattanstep/platform'
+import type { Settlement } from '@rattanstep/platform'
+import { EVENTS } from '../types/events.js'
+import type { Context } from '../types/context.js'
+
+/** Rows that change together. Each row written ought to be checked. */
+export interface Change {
+  checks: Check[]
+  writes: Write[]
+}
+
+interface Waiting {
+  change: Change
+  resolve: (settlement: Settlement) => void
+}
+
+const SECOND_MS = 1000
+const ATTEMPTS = 3
+
+/** Groups changes into few transactions and bounds their rate. Changes are written in the order in which they came. */
+export class TableWriter {
+  private readonly context: Context
+  private readonly waiting: Waiting[] = []
+  private writing = false
+  private lastWrite = -Infinity
+  private operations = 0
+
+  /** @param context - table, clock and bounds */
+  constructor (context: Context) {
+    this.context = context
+  }
+
+  /**
+   * @param change - rows to change
+   * @returns what became of it
+   */
+  async write (change: Change): Promise<Settlement> {
+    return await new Promise(resolve => {
+      this.waiting.push({ change, resolve })
+      if (!this.writing) this.run()
+    })
+  }
+
+  private run (): void {
+    this.writing = true
+    this.drain().then(() => { this.writing = false }, (error: unknown) => {
+      this.writing = false
+      this.context.log.write(EVENTS.fault, { step: 'write', error: String(error) })
+    })
+  }
+
+  private async drain (): Promise<void> {
+    const { clock, tuning } = this.context
+    while (this.waiting.length > 0) {
+      const pause = this.lastWrite + SECOND_MS / tuning.writesPerSecond - clock.now()
+      if (pause > 0) await clock.sleep(pause)
+      const group = this.takeGroup()
+      const settlement = await this.commit(group.map(entry => entry.change))
+      if (settlement.outcome === 'conflict' && group.length > 1) await this.writeApart(group)
+      else for (const entry of group) entry.resolve(settlement)
+    }
+  }
+
+  private async writeApart (group: Waiting[]): Promise<void> {
+    for (const entry of group) entry.resolve(await this.commit([entry.change]))
+  }
+
+  private async commit (changes: Change[]): Promise<Settlement> {
+    const { clock, random, self, table, log } = this.context
+    this.lastWrite = clock.now()
+    const transaction: Transaction = {
+      operation: `${self}#${this.operations++}`,
+      checks: uniqueChecks(changes),
+      writes: changes.flatMap(change => change.writes)
+    }
+    const settlement = await commitSettled(table, transaction, { clock, random, attempts: ATTEMPTS })
+    if (settlement.outcome !== 'committed') {
+      log.write(EVENTS.tableFault, { action: transaction.operation, outcome: settlement.outcome, reason: settlement.message })
+    }
+    return settlement
+  }
+
+  private takeGroup (): Waiting[] {
+    const group: Waiting[] = []
+    const written = new Set<string>()
+    const checked = new Map<string, number>()
+    let rows = 0
+    for (const entry of this.waiting) {
+      const { checks, writes } = entry.change
+      rows += writes.length
+      if (group.length > 0 && rows > this.context.tuning.rowsPerWrite) break
+      if (clashes(entry.change, written, checked)) break
+      for (const write of writes) written.add(write.key)
+      for (const check of checks) checked.set(check.key, check.version)
+      group.push(entry)
+    }
+    this.waiting.splice(0, group.length)
+    return group
+  }
+}
+
+function clashes (change: Change, written: Set<string>, checked: Map<string, number>): boolean {
+  if (change.writes.some(write => written.has(write.key))) return true
+  return change.checks.some(check => written.has(check.key) || (checked.get(check.key) ?? check.version) !== check.version)
+}
+
+function uniqueChecks (changes: Change[]): Check[] {
+  const checks = new Map<string, Check>()
+  for (const change of changes) {
+    for (const check of change.checks) checks.set(check.key, check)
+  }
+  return [...checks.values()]
+}
--- /dev/null
+++ b/packages/jobs/src/runtime/resolveJob.ts
@@ -0,0 +1,76 @@
+import { Err, fitsResources, Ok } from '@rattanstep/core'
+import type { Finding, Instance, Resources, Result } from '@rattanstep/core'
+import type { ResolvedClass } from '@rattanstep/rules'
+import { z } from 'zod'
+import type { ResolvedJob, ResolvedTask } from '../types/job.js'
+import type { Tuning } from '../types/tuning.js'
+import { findMisfit } from './findMisfit.js'
+
+const amount = z.number().min(0)
+const MAX_COMMAND_CHARACTERS = 10_000
+
+const SPEC = z.strictObject({
+  id: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, 'expected 1 to 64 letters, digits, dots, hyphens or underscores'),
+  kind: z.enum(['batch', 'gang', 'service']),
+  class: z.string().min(1),
+  team: z.string().optional(),
+  tasks: z.array(z.strictObject({
+    command: z.string().min(1).max(MAX_COMMAND_CHARACTERS),
+    resources: z.strictObject({ slots: amount.int(), cores: amount, memory: amount, accelerators: amount.int() }).partial().optional(),
+    expected: amount.optional()
+  })).min(1)
+})
+
+const DEFAULT_RESOURCES: Resources = { slots: 1, cores: 1, memory: 0, accelerators: 0 }
+
+/**
+ * Checks a job and sets every value.
+ *
+ * @param spec - the job as given, of any shape
+ * @param options - rules, bounds and the cell as known
+ * @returns the job, or all that is wrong with it
+ */
+export function resolveJob (spec: unknown, options: { classes: ResolvedClass[], tuning: Tuning, cell: Instance[] }): Result<ResolvedJob, Finding[]> {
+  const parsed = SPEC.safeParse(spec)
+  if (!parsed.success) return Err(parsed.error.issues.map(issue => makeFinding('job-shape', `${issue.path.join('.') || 'the job'}: ${issue.message}; mend it and submit again`)))
+  const job: ResolvedJob = { ...parsed.data, team: parsed.data.team ?? '', tasks: parsed.data.tasks.map(resolveTask) }
+  const findings = [...checkClass(job, options.classes), ...checkCount(job, options.tuning), ...checkUse(job), ...checkFit(job, options.cell)]
+  return findings.length === 0 ? Ok(job) : Err(findings)
+}
+
+function resolveTask (task: z.infer<typeof SPEC>['tasks'][number]): ResolvedTask {
+  return { command: task.command, resources: { ...DEFAULT_RESOURCES, ...task.resources }, expected: task.expected ?? 0 }
+}
+
+function checkClass (job: ResolvedJob, classes: ResolvedClass[]): Finding[] {
+  const found = classes.find(entry => entry.name === job.class)
+  if (found === undefined) {
+    const names = classes.filter(entry => entry.kind === job.kind).map(entry => entry.name)
+    return [makeFinding('job-class', `class is ${job.class}, which the rules do not name; expected one of ${names.join(', ') || '(none of this kind)'}; add a rule or use another class`)]
+  }
+  if (found.kind === job.kind) return []
+  return [makeFinding('job-kind', `kind is ${job.kind} and class ${job.class} is for ${found.kind}; use a class of kind ${job.kind}`)]
+}
+
+function checkCount (job: ResolvedJob, tuning: Tuning): Finding[] {
+  const most = job.kind === 'gang' ? tuning.tasksPerGang : tuning.tasksPerJob
+  if (job.tasks.length <= most) return []
+  return [makeFinding('job-tasks', `the job has ${job.tasks.length} tasks, expected at most ${most} for kind ${job.kind}; divide it into several jobs`)]
+}
+
+function checkUse (job: ResolvedJob): Finding[] {
+  const none: Resources = { slots: 0, cores: 0, memory: 0, accelerators: 0 }
+  return job.tasks.flatMap((task, index) => {
+    if (!fitsResources(task.resources, none)) return []
+    return [makeFinding('job-resources', `tasks.${index}.resources are all 0; expected at least one above 0; say what the task needs`)]
+  })
+}
+
+function checkFit (job: ResolvedJob, cell: Instance[]): Finding[] {
+  const misfit = findMisfit(job.kind, job.tasks.map(task => task.resources), cell)
+  return misfit === null ? [] : [makeFinding('job-never-fits', misfit)]
+}
+
+function makeFinding (code: string, message: string): Finding {
+  return { code, place: { file: 'job', line: 1, column: 1 }, message }
+}
--- /dev/null
+++ b/packages/jobs/test/runtime/invariants.ts
@@ -0,0 +1,65 @@
+import { addResources, fitsResources, NO_RESOURCES } from '@rattanstep/core'
+import type { TaskRun } from '@rattanstep/stand-ins'
+import type { Cell } from './Cell.js'
+
+interface Row {
+  job: string
+  index: number
+  kind: string
+  state: string
+  worker: string
+  fence: number
+}
+
+/** Checks what must hold at every moment, from the workers' records and the table's rows. Returns what was broken. */
+export function findBreaches (cell: Cell): string[] {
+  const now = cell.clock.now()
+  return [...findDoubles(cell.workers.runs, now), ...findOverfull(cell, now), ...findTorn(cell), ...findStray(cell), ...cell.workers.violations]
+}
+
+function findDoubles (runs: TaskRun[], now: number): string[] {
+  const byTask = new Map<string, TaskRun[]>()
+  for (const run of runs) byTask.set(run.task, [...byTask.get(run.task) ?? [], run])
+  return [...byTask.values()].flatMap(list => {
+    const sorted = list.sort((a, b) => a.from - b.from || (a.until ?? now) - (b.until ?? now))
+    return sorted.slice(1).flatMap((run, number) => {
+      const before = sorted[number]!
+      if (run.from >= (before.until ?? Infinity)) return []
+      return [`${run.task} ran on ${before.worker} at fence ${before.fence} until ${String(before.until)} and on ${run.worker} at fence ${run.fence} from ${run.from}`]
+    })
+  })
+}
+
+function findOverfull (cell: Cell, now: number): string[] {
+  return [...cell.instances.values()].flatMap(worker => {
+    const running = cell.workers.runs.filter(run => run.worker === worker.id && run.from <= now && run.until === null)
+    const used = running.reduce((sum, run) => addResources(sum, run.resources), NO_RESOURCES)
+    return fitsResources(used, worker.resources) ? [] : [`${worker.id} holds more than it has`]
+  })
+}
+
+/** Every task has one row, and its placement row is there exactly while it is on a worker. */
+function findStray (cell: Cell): string[] {
+  const tasks = readTasks(cell)
+  const placements = new Set(cell.table.peek('on/').map(row => row.key))
+  const expected = tasks.filter(task => ['placed', 'vacating', 'cancelling'].includes(task.state)).map(task => `on/${task.worker}/${task.job}/${String(task.index).padStart(5, '0')}`)
+  const jobs = cell.table.peek('job/').map(row => JSON.parse(row.value) as { id: string, count: number })
+  const lost = jobs.filter(job => tasks.filter(task => task.job === job.id).length !== job.count).map(job => `${job.id} lost rows`)
+  return [...lost, ...expected.filter(key => !placements.has(key)).map(key => `${key} is missing`), ...expected.length === placements.size ? [] : ['a placement row has no task']]
+}
+
+/** The tasks of a gang are placed by one transaction: fences of tasks that ran together differ by none. */
+function findTorn (cell: Cell): string[] {
+  const gangs = new Map<string, Row[]>()
+  for (const task of readTasks(cell)) {
+    if (task.kind === 'gang') gangs.set(task.job, [...gangs.get(task.job) ?? [], task])
+  }
+  return [...gangs].flatMap(([job, tasks]) => {
+    const open = tasks.filter(task => task.state !== 'done')
+    return new Set(open.map(task => task.fence)).size > 1 ? [`${job} was placed in part`] : []
+  })
+}
+
+export function readTasks (cell: Cell): Row[] {
+  return cell.table.peek('task/').map(row => JSON.parse(row.value) as Row)
+}
