--- /dev/null
+++ b/packages/rules/src/runtime/parseJob.ts
@@ -0,0 +1,77 @@
+import { Err, Ok } from '@rattanstep/core'
+import type { Finding, Result } from '@rattanstep/core'
+import { isMap, isSeq } from 'yaml'
+import type { Document, Node, Pair, YAMLMap } from 'yaml'
+import type { ResolvedJob, ResolvedTaskGroup } from '../types/job.js'
+import { readDocument } from './readDocument.js'
+import { offsetOf, readFields } from './readFields.js'
+import { JOB_SCHEMA, TASK_SCHEMA } from './schema.js'
+import { Source } from './Source.js'
+
+const MAX_GROUPS = 1000
+const MAX_TASKS = 10_000
+
+/**
+ * Reads a job file.
+ *
+ * @param text - the text as the operators wrote it
+ * @param options - `file`: name of the text in findings
+ * @returns the job with every default filled in, or every finding in the order of the text
+ */
+export function parseJob (text: string, options: { file: string }): Result<ResolvedJob, Finding[]> {
+  const source = new Source(text, options.file)
+  const document = readDocument(source)
+  if (document === null || source.findings.length > 0) return Err(source.sorted())
+  const job = read(source, document)
+  return job === null || source.findings.length > 0 ? Err(source.sorted()) : Ok(job)
+}
+
+function read (source: Source, document: Document): ResolvedJob | null {
+  const { contents } = document
+  if (contents === null || !isMap(contents)) {
+    source.report('not-a-map', offsetOf(contents as Node | null), `expected a map with the keys ${Object.keys(JOB_SCHEMA).join(', ')}, tasks`)
+    return null
+  }
+  const { map, tasks, last } = splitTasks(contents as YAMLMap)
+  if (last !== null) source.report('duplicate-key', offsetOf(last), 'tasks is given twice; join the two')
+  const fields = readFields(source, map, JOB_SCHEMA)
+  const groups = readGroups(source, tasks, contents)
+  if (!fields.complete || groups === null) return null
+  return { ...fields.values, tasks: groups } as ResolvedJob
+}
+
+/** Takes `tasks` out of the map, as it holds more than one value. */
+function splitTasks (contents: YAMLMap): { map: YAMLMap, tasks: Pair<Node, Node | null> | null, last: Node | null } {
+  const pairs = contents.items as Array<Pair<Node, Node | null>>
+  const isTasks = (pair: Pair<Node, Node | null>): boolean => String(pair.key) === 'tasks'
+  const found = pairs.filter(isTasks)
+  const map = contents.clone() as YAMLMap
+  map.items = pairs.filter(pair => !isTasks(pair))
+  return { map, tasks: found[0] ?? null, last: found[1]?.key ?? null }
+}
+
+function readGroups (source: Source, tasks: Pair<Node, Node | null> | null, contents: Node): ResolvedTaskGroup[] | null {
+  const value = tasks?.value ?? null
+  const place = offsetOf(value, tasks?.key ?? contents)
+  if (!isSeq(value) || value.items.length === 0) {
+    source.report('missing-key', place, 'tasks is missing or no list; add tasks: with one - { command: … } for each kind of task')
+    return null
+  }
+  if (value.items.length > MAX_GROUPS) {
+    source.report('too-many', place, `tasks has ${value.items.length} entries, at most ${MAX_GROUPS} are allowed; use count for tasks that are alike`)
+    return null
+  }
+  const groups = value.items.map(item => readGroup(source, item as Node, value))
+  const count = groups.reduce((sum, group) => sum + (group?.count ?? 0), 0)
+  if (count > MAX_TASKS) source.report('too-many', place, `the job has ${count} tasks, at most ${MAX_TASKS} are allowed; split it`)
+  return groups.includes(null) ? null : groups as ResolvedTaskGroup[]
+}
+
+function readGroup (source: Source, item: Node, list: Node): ResolvedTaskGroup | null {
+  if (!isMap(item)) {
+    source.report('not-a-map', offsetOf(item, list), 'each entry of tasks is a map: - { command: …, count: 1 }')
+    return null
+  }
+  const fields = readFields(source, item as YAMLMap, TASK_SCHEMA)
+  return fields.complete ? fields.values as ResolvedTaskGroup : null
+}
--- a/packages/rules/src/runtime/readFields.ts
+++ b/packages/rules/src/runtime/readFields.ts
@@ -47,6 +47,11 @@
   return node?.range?.[0] ?? parent?.range?.[0] ?? 0
 }
 
+/** A pair of quotes is a value, nothing at all is none. */
+function isEmptyPlain (node: Node): boolean {
+  return isScalar(node) && node.value === '' && node.type === 'PLAIN'
+}
+
 function readPair<T extends object> (
   pair: Pair<Node, Node | null>,
   map: YAMLMap,
@@ -68,7 +73,7 @@
   }
   read.offsets[name] = offsetOf(pair.value, keyNode)
   const field = schema[name]
-  if (pair.value === null || (isScalar(pair.value) && pair.value.value === '')) {
+  if (pair.value === null || isEmptyPlain(pair.value)) {
     report('wrong-value', `${key} has no value, expected ${field.bounds}; write ${key}: ${field.example}`, keyNode)
     return
   }
--- a/packages/rules/src/runtime/schema.ts
+++ b/packages/rules/src/runtime/schema.ts
@@ -1,4 +1,5 @@
 import type { Schema } from '../types/Field.js'
+import type { ResolvedJob, ResolvedTaskGroup } from '../types/job.js'
 import type { ResolvedClass, ResolvedLimits, ResolvedRoute, ResolvedTeam, WorkKind } from '../types/rules.js'
 import type { ResolvedSettings } from '../types/settings.js'
 import { address, addresses, choice, decimal, duration, flag, integer, memory, part, size, text } from './fields.js'
@@ -12,6 +13,10 @@
 
 const NAME = /^[a-z][a-z0-9-]{0,62}$/
 const NAME_FORM = 'a small letter, then up to 62 small letters, digits or hyphens'
+const TEAM = /^(?:[a-z][a-z0-9-]{0,62})?$/
+const TEAM_FORM = `empty, or ${NAME_FORM}`
+const COMMAND = /^.{1,4096}$/u
+const COMMAND_FORM = 'one line of 1 to 4096 characters'
 const PATH = /^(?:\/|(?:\/(?:\*{1,2}|[^/\s?#*]+))+)$/
 const PATH_FORM = 'a path that starts with /; a segment is *, ** or has no *, blank, ? or #'
 const METHOD = /^(?:\*|[A-Z][A-Z-]{0,31})$/
@@ -60,6 +65,24 @@
   idleTimeout: duration({ meaning: 'How long a body may go without a byte before it is given up.', example: '30s', fallback: '30s', least: '100ms', most: '1h' })
 }
 
+/** Keys of a job file, but for `tasks`. */
+export const JOB_SCHEMA: Schema<Omit<ResolvedJob, 'tasks'>> = {
+  id: text(NAME, NAME_FORM, { meaning: 'Name of the job; unique in the cell.', example: 'scene-4' }),
+  kind: choice(['batch', 'gang', 'service'], { meaning: 'Kind of the job; a gang starts all its tasks at once, a service is kept running.', example: 'batch', fallback: 'batch' }),
+  class: text(NAME, NAME_FORM, { meaning: 'Class of the same kind in the rules in force.', example: 'audio-render' }),
+  team: text(TEAM, TEAM_FORM, { meaning: 'Team whose quota applies; "" is none.', example: 'audio-studio', fallback: '' })
+}
+
+/** Keys of an entry of `tasks`. */
+export const TASK_SCHEMA: Schema<ResolvedTaskGroup> = {
+  command: text(COMMAND, COMMAND_FORM, { meaning: 'What the worker runs.', example: 'render scene-4' }),
+  count: integer({ meaning: 'How many such tasks the job has.', example: '3', fallback: '1', least: '1', most: '10000' }),
+  cores: decimal({ meaning: 'Processor cores that one task needs.', example: '2', fallback: '1', least: '0', most: '1024' }),
+  memory: memory({ meaning: 'Memory that one task needs.', example: '2GiB', fallback: '256MiB', least: '0MiB', most: '16384GiB' }),
+  accelerators: integer({ meaning: 'Accelerators that one task needs.', example: '1', fallback: '0', least: '0', most: '64' }),
+  expected: duration({ meaning: 'How long a task is expected to run.', example: '10m', fallback: '1m', least: '1ms', most: '720h' })
+}
+
 /** Keys of a settings file. */
 export const SETTINGS_SCHEMA: Schema<ResolvedSettings> = {
   id: text(NAME, NAME_FORM, { meaning: 'Name of the node; unique in the cell.', example: 'node-1' }),
