Command line: check, apply, show, status, drain, submit, cancel, jobs

Cause: operators had no program. Weighed: the exit code of clipanion for a wrong command line is 1, the same as for findings; so the line is parsed first and a fault there ends with 2.

--- /dev/null
+++ b/packages/cli/src/cli/BaseCommand.ts
@@ -0,0 +1,50 @@
+import { Command, Option } from 'clipanion'
+import { formatFinding } from '@rattanstep/core'
+import type { Finding } from '@rattanstep/core'
+import { EXIT_MISUSE, EXIT_REFUSED } from '../types/exitCode.js'
+import { Misuse } from '../types/Misuse.js'
+
+/** What all commands share: output, findings and exit codes. */
+export abstract class BaseCommand extends Command {
+  json = Option.Boolean('--json', false, { description: 'print JSON for other programs' })
+
+  /** @returns the exit code */
+  abstract perform (): Promise<number>
+
+  override async execute (): Promise<number> {
+    try {
+      return await this.perform()
+    } catch (error) {
+      if (!(error instanceof Misuse)) throw error
+      this.warn(error.message)
+      return EXIT_MISUSE
+    }
+  }
+
+  /** @param text - printed to standard output with a line end */
+  protected print (text: string): void {
+    this.context.stdout.write(text + '\n')
+  }
+
+  /** @param text - printed to standard error with a line end */
+  protected warn (text: string): void {
+    this.context.stderr.write(text + '\n')
+  }
+
+  /** @param value - printed to standard output as JSON */
+  protected printJson (value: unknown): void {
+    this.print(JSON.stringify(value, null, 2))
+  }
+
+  /**
+   * Prints findings, a line each, or all as JSON.
+   *
+   * @param findings - at least one finding
+   * @returns the exit code
+   */
+  protected refuse (findings: Finding[]): number {
+    if (this.json) this.printJson({ findings })
+    else for (const finding of findings) this.print(formatFinding(finding))
+    return EXIT_REFUSED
+  }
+}
--- /dev/null
+++ b/packages/cli/src/cli/CheckCommand.ts
@@ -0,0 +1,39 @@
+import { Command, Option } from 'clipanion'
+import { parseJob, parseRules, parseSettings } from '@rattanstep/rules'
+import { readText } from '../node/readText.js'
+import { guessKind } from '../runtime/guessKind.js'
+import type { TextKind } from '../runtime/guessKind.js'
+import { EXIT_FINE } from '../types/exitCode.js'
+import { Misuse } from '../types/Misuse.js'
+import { BaseCommand } from './BaseCommand.js'
+
+const KINDS: readonly string[] = ['rules', 'settings', 'job']
+
+/** Checks a file without a node. */
+export class CheckCommand extends BaseCommand {
+  static override paths = [['check']]
+  static override usage = Command.Usage({
+    description: 'check a file of rules, of settings, or of a job',
+    details: 'Prints every finding on a line of its own: `FILE:LINE:COLUMN: CODE message`. The exit code is 0 without findings, 1 with findings, 2 when the command line is wrong.',
+    examples: [['Check the rules of the hunt desk', '$0 check examples/hunt-desk.yaml'], ['Check a node\'s settings', '$0 check examples/node.yaml']]
+  })
+
+  kind = Option.String('--kind', { description: 'rules, settings or job (default: told by the keys of the file)' })
+  file = Option.String({ name: 'FILE' })
+
+  override async perform (): Promise<number> {
+    if (this.kind !== undefined && !KINDS.includes(this.kind)) {
+      throw new Misuse(`--kind ${this.kind} was given, expected one of ${KINDS.join(', ')}`)
+    }
+    const text = await readText(this.file)
+    if (text.isErr()) return this.refuse(text.error)
+    const kind = this.kind as TextKind | undefined ?? guessKind(text.value)
+    const options = { file: this.file, secret: this.context.env.RATTANSTEP_SECRET ?? '' }
+    const parse = kind === 'settings' ? parseSettings : kind === 'job' ? parseJob : parseRules
+    const result = parse(text.value, options)
+    if (result.isErr()) return this.refuse(result.error)
+    if (this.json) this.printJson({ kind, findings: [] })
+    else this.print(`${this.file}: no findings (${kind})`)
+    return EXIT_FINE
+  }
+}
--- /dev/null
+++ b/packages/cli/src/cli/JobsCommand.ts
@@ -0,0 +1,20 @@
+import { Command, Option } from 'clipanion'
+import type { ControlClient } from '../node/ControlClient.js'
+import { renderJob, renderJobs } from '../runtime/renderJobs.js'
+import { RemoteCommand } from './RemoteCommand.js'
+
+/** Lists jobs, or tells how one stands. */
+export class JobsCommand extends RemoteCommand {
+  static override paths = [['jobs']]
+  static override usage = Command.Usage({
+    description: 'list the jobs, or tell how one stands',
+    examples: [['List all', '$0 jobs'], ['One job with its tasks', '$0 jobs scene-4']]
+  })
+
+  id = Option.String({ name: 'ID', required: false })
+
+  override async speak (client: ControlClient): Promise<number> {
+    if (this.id === undefined) return this.report(await client.jobs(), jobs => renderJobs(jobs))
+    return this.report(await client.job(this.id), job => renderJob(job))
+  }
+}
--- /dev/null
+++ b/packages/cli/src/cli/RemoteCommand.ts
@@ -0,0 +1,61 @@
+import { Option } from 'clipanion'
+import type { Result } from '@rattanstep/core'
+import { parseAddress } from '@rattanstep/rules'
+import { ControlClient } from '../node/ControlClient.js'
+import type { ControlError } from '../types/control.js'
+import { EXIT_FINE, EXIT_REFUSED } from '../types/exitCode.js'
+import { Misuse } from '../types/Misuse.js'
+import { BaseCommand } from './BaseCommand.js'
+
+/** Control address when neither option nor environment names one. */
+const DEFAULT_NODE = '127.0.0.1:7070'
+
+/** Commands that speak to a running node. */
+export abstract class RemoteCommand extends BaseCommand {
+  node = Option.String('--node', { description: `control address HOST:PORT of the node (default RATTANSTEP_NODE, else ${DEFAULT_NODE})` })
+  secret = Option.String('--secret', { description: 'secret of the node\'s settings (default RATTANSTEP_SECRET)' })
+
+  /**
+   * @param client - speaks to the node
+   * @returns the exit code
+   */
+  abstract speak (client: ControlClient): Promise<number>
+
+  override async perform (): Promise<number> {
+    const { env } = this.context
+    const name = this.node ?? env.RATTANSTEP_NODE ?? DEFAULT_NODE
+    const node = parseAddress(name)
+    if (node === null) throw new Misuse(`${JSON.stringify(name)} was given as node, expected an IP number and a port such as ${DEFAULT_NODE}; correct --node or RATTANSTEP_NODE`)
+    const client = new ControlClient({ node, secret: this.secret ?? env.RATTANSTEP_SECRET ?? '' })
+    try {
+      return await this.speak(client)
+    } finally {
+      await client.close()
+    }
+  }
+
+  /**
+   * Prints what a node answered.
+   *
+   * @param result - the answer
+   * @param render - the answer as text for people
+   * @returns the exit code
+   */
+  protected report<T> (result: Result<T, ControlError>, render: (value: T) => string): number {
+    if (result.isErr()) return this.fail(result.error)
+    if (this.json) this.printJson(result.value)
+    else this.print(render(result.value))
+    return EXIT_FINE
+  }
+
+  /**
+   * @param error - why the node did not do as asked
+   * @returns the exit code
+   */
+  protected fail (error: ControlError): number {
+    if (this.json) this.printJson({ error })
+    else for (const { code, message } of error.findings) this.print(`${code} ${message}`)
+    this.warn(error.message)
+    return EXIT_REFUSED
+  }
+}
--- /dev/null
+++ b/packages/cli/src/cli/ShowCommand.ts
@@ -0,0 +1,27 @@
+import { Command } from 'clipanion'
+import type { ControlClient } from '../node/ControlClient.js'
+import { EXIT_FINE } from '../types/exitCode.js'
+import { RemoteCommand } from './RemoteCommand.js'
+
+/** Gives the rules in force back. */
+export class ShowCommand extends RemoteCommand {
+  static override paths = [['show']]
+  static override usage = Command.Usage({
+    description: 'print the rules in force, byte for byte',
+    details: 'The version goes to standard error, so that the text can be sent to a file. With `--json` both stand in one object.',
+    examples: [['Save the rules', '$0 show > rules.yaml']]
+  })
+
+  override async speak (client: ControlClient): Promise<number> {
+    const result = await client.rules()
+    if (result.isErr()) return this.fail(result.error)
+    const { version, text } = result.value
+    if (this.json) {
+      this.printJson(result.value)
+      return EXIT_FINE
+    }
+    this.context.stdout.write(text)
+    this.warn(`version ${version}`)
+    return EXIT_FINE
+  }
+}
--- /dev/null
+++ b/packages/cli/src/cli/SubmitCommand.ts
@@ -0,0 +1,25 @@
+import { Command, Option } from 'clipanion'
+import { parseJob } from '@rattanstep/rules'
+import type { ControlClient } from '../node/ControlClient.js'
+import { readText } from '../node/readText.js'
+import { RemoteCommand } from './RemoteCommand.js'
+
+/** Submits a job. */
+export class SubmitCommand extends RemoteCommand {
+  static override paths = [['submit']]
+  static override usage = Command.Usage({
+    description: 'submit the job of a file',
+    details: 'The job is kept once the command has ended with 0. Submitting the same file again has no further effect.',
+    examples: [['Submit a batch job', '$0 submit examples/render-job.yaml']]
+  })
+
+  file = Option.String({ name: 'FILE' })
+
+  override async speak (client: ControlClient): Promise<number> {
+    const text = await readText(this.file)
+    if (text.isErr()) return this.refuse(text.error)
+    const job = parseJob(text.value, { file: this.file })
+    if (job.isErr()) return this.refuse(job.error)
+    return this.report(await client.submit(job.value), () => `job ${job.value.id} is accepted; see jobs ${job.value.id}`)
+  }
+}
--- /dev/null
+++ b/packages/cli/src/cli/runProgram.ts
@@ -0,0 +1,46 @@
+import { Builtins, Cli } from 'clipanion'
+import type { BaseContext, CommandClass } from 'clipanion'
+import { EXIT_MISUSE } from '../types/exitCode.js'
+import { ApplyCommand } from './ApplyCommand.js'
+import { CancelCommand } from './CancelCommand.js'
+import { CheckCommand } from './CheckCommand.js'
+import { DrainCommand } from './DrainCommand.js'
+import { JobsCommand } from './JobsCommand.js'
+import { ShowCommand } from './ShowCommand.js'
+import { StatusCommand } from './StatusCommand.js'
+import { SubmitCommand } from './SubmitCommand.js'
+
+const VERSION = '0.1.0'
+
+const COMMANDS: CommandClass[] = [
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+  ApplyCommand,
+  CancelCommand,
+  CheckCommand,
+  DrainCommand,
+  JobsCommand,
+  ShowCommand,
+  StatusCommand,
+  SubmitCommand
+]
+
+/**
+ * Runs one command line.
+ *
+ * @param args - arguments without the program's name
+ * @param context - streams and environment (default those of the process)
+ * @returns the exit code
+ */
+export async function runProgram (args: string[], context: Partial<BaseContext> = {}): Promise<number> {
+  const full = { ...Cli.defaultContext, ...context }
+  const enableColors = 'isTTY' in full.stdout && full.stdout.isTTY === true
+  const cli = Cli.from(COMMANDS, { binaryLabel: 'rattanstep, a cluster scheduler', binaryName: 'rattanstep', binaryVersion: VERSION, enableColors })
+  try {
+    const command = cli.process(args, full)
+    return await cli.run(command, full)
+  } catch (error) {
+    full.stderr.write(cli.error(error, { colored: false }))
+    return EXIT_MISUSE
+  }
+}
--- /dev/null
+++ b/packages/cli/src/runtime/guessKind.ts
@@ -0,0 +1,19 @@
+/** What a file may hold. */
+export type TextKind = 'rules' | 'settings' | 'job'
+
+/** Keys at the start of a line that only one kind of file has. */
+const SIGNS: Array<[TextKind, RegExp]> = [
+  ['rules', /^(?:classes|routes|teams|limits)\s*:/mu],
+  ['settings', /^(?:cell|dataCentre|front|peer|control|platform|seeds|drain)\s*:/mu],
+  ['job', /^(?:tasks|team|class)\s*:/mu]
+]
+
+/**
+ * Tells what a file holds by the keys that start its lines.
+ *
+ * @param text - contents of the file
+ * @returns its kind; rules when nothing tells
+ */
+export function guessKind (text: string): TextKind {
+  return SIGNS.find(([, sign]) => sign.test(text))?.[0] ?? 'rules'
+}
--- /dev/null
+++ b/packages/cli/test/cli/commands.test.ts
@@ -0,0 +1,194 @@
+import { readFile } from 'node:fs/promises'
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { Writable } from 'node:stream'
+import { after, before, beforeEach, describe, test } from 'node:test'
+import { fileURLToPath } from 'node:url'
+import { expect } from 'earl'
+import { runProgram } from '../../src/index.js'
+
+/** One answer of the fake node. */
+interface Answer {
+  status: number
+  body?: string
+  headers?: Record<string, string>
+}
+
+/** A control server that records what it was asked and answers as told. */
+class FakeNode {
+  readonly asked: Array<{ line: string, headers: IncomingMessage['headers'], body: string }> = []
+  answers: Record<string, Answer> = {}
+  private readonly server: Server = createServer((request, response) => {
+    const line = `${request.method} ${request.url}`
+    const chunks: Buffer[] = []
+    request.on('data', (chunk: Buffer) => chunks.push(chunk))
+    request.on('end', () => {
+      this.asked.push({ line, headers: request.headers, body: Buffer.concat(chunks).toString() })
+      const answer = this.answers[line]
+      if (answer === undefined) {
+        request.socket.destroy()
+        return
+      }
+      response.writeHead(answer.status, answer.headers).end(answer.body)
+    })
+  })
+
+  async listen (): Promise<string> {
+    await new Promise<void>(resolve => { this.server.listen(0, '127.0.0.1', resolve) })
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  async close (): Promise<void> {
+    await new Promise(resolve => this.server.close(resolve))
+  }
+}
+
+function example (name: string): string {
+  return fileURLToPath(new URL(`../../../../../examples/${name}.yaml`, import.meta.url))
+}
+
+class Sink extends Writable {
+  text = ''
+
+  override _write (chunk: Buffer, _encoding: string, callback: () => void): void {
+    this.text += chunk.toString()
+    callback()
+  }
+}
+
+const SECRET = 'a-secret-of-the-test'
+
+async function run (args: string[], env: Record<string, string> = {}): Promise<{ code: number, out: string, err: string }> {
+  const stdout = new Sink()
+  const stderr = new Sink()
+  const code = await runProgram(args, { stdout, stderr, env: { RATTANSTEP_SECRET: SECRET, ...env } })
+  return { code, out: stdout.text, err: stderr.text }
+}
+
+describe('commands without a node', () => {
+  const table: Array<[string, string[], number, string]> = [
+    ['check accepts rules', ['check', example('hunt-desk')], 0, 'no findings (rules)'],
+    ['check accepts settings', ['check', example('node')], 0, 'no findings (settings)'],
+    ['check accepts a job', ['check', example('render-job')], 0, 'no findings (job)'],
+    ['check prints findings with their place', ['check', '--kind', 'settings', example('render-job')], 1, `${example('render-job')}:2:1: missing-key cell is missing`],
+    ['check prints findings as JSON', ['check', '--json', '--kind', 'job', example('node')], 1, '"code": "unknown-key"'],
+    ['check refuses a file that is no text', ['check', process.execPath], 1, 'too-large'],
+    ['check refuses a missing file', ['check', 'missing.yaml'], 2, 'missing.yaml can not be read (ENOENT)'],
+    ['check refuses a directory', ['check', '.'], 2, '. can not be read (EISDIR)'],
+    ['check refuses an unknown kind', ['check', '--kind', 'x', example('node')], 2, 'expected one of rules, settings, job'],
+    ['check needs a file', ['check'], 2, 'Not enough positional arguments'],
+    ['an unknown command is misuse', ['chekc', 'x'], 2, 'Command not found'],
+    ['an unknown option is misuse', ['check', '--yes', 'x'], 2, 'Unsupported option name'],
+    ['a node that is no address is misuse', ['status', '--node', 'localhost'], 2, '"localhost" was given as node'],
+    ['a version that is no number is misuse', ['apply', '--based-on', 'x', example('hunt-desk')], 2, 'expected a version such as 7'],
+    ['apply checks before it speaks', ['apply', example('node')], 1, 'unknown-key'],
+    ['submit checks before it speaks', ['submit', example('node')], 1, 'missing-key'],
+    ['a node that does not answer is told', ['status', '--node', '127.0.0.1:1'], 1, 'ECONNREFUSED']
+  ]
+  for (const [title, args, code, text] of table) {
+    test(title, async () => {
+      const result = await run(args)
+      expect(result.code).toEqual(code)
+      expect(result.out + result.err).toEqual(expect.includes(text))
+      expect(result.out + result.err).not.toEqual(expect.regex(/\n\s+at /))
+    })
+  }
+
+  for (const name of ['apply', 'cancel', 'check', 'drain', 'jobs', 'show', 'status', 'submit']) {
+    test(`${name} --help tells its usage`, async () => {
+      const { code, out } = await run([name, '--help'])
+      expect(code).toEqual(0)
+      expect(out).toEqual(expect.includes(`rattanstep ${name}`))
+    })
+  }
+})
+
+describe('commands to a node', () => {
+  const node = new FakeNode()
+  let env: Record<string, string> = {}
+
+  before(async () => {
+    env = { RATTANSTEP_NODE: await node.listen() }
+  })
+  beforeEach(() => {
+    node.asked.length = 0
+    node.answers = {}
+  })
+  after(async () => { await node.close() })
+
+  test('show gives the text back byte for byte and the version apart', async () => {
+    const text = '# é\r\nclasses: []  \n\n'
+    node.answers['GET /v1/rules'] = { status: 200, body: text, headers: { 'rattanstep-rules-version': '7' } }
+    expect(await run(['show'], env)).toEqual({ code: 0, out: text, err: 'version 7\n' })
+    expect(JSON.parse((await run(['show', '--json'], env)).out)).toEqual({ version: 7, text })
+    expect(node.asked[0]?.headers.authorization).toEqual(`Bearer ${SECRET}`)
+  })
+
+  test('apply sends the file as it is with the version that it was made from', async () => {
+    node.answers['PUT /v1/rules'] = { status: 200, body: '{"version":8}' }
+    const { code, out } = await run(['apply', '--based-on', '7', example('hunt-desk')], env)
+    expect([code, out]).toEqual([0, `${example('hunt-desk')} is version 8 of the rules\n`])
+    expect(node.asked[0]?.headers['rattanstep-rules-version']).toEqual('7')
+    expect(node.asked[0]?.body).toEqual(await readFile(example('hunt-desk'), 'utf8'))
+    await run(['apply', example('hunt-desk')], env)
+    expect(node.asked[1]?.headers['rattanstep-rules-version']).toEqual('*')
+  })
+
+  const refusals: Array<[string, Answer | undefined, string]> = [
+    ['another operator was first', { status: 409, body: '{"version":9}' }, 'version 9 is in force'],
+    ['the node has findings', { status: 422, body: '{"findings":[{"code":"no-asker","message":"m","place":{"file":"f","line":1,"column":1}}]}' }, 'no-asker m'],
+    ['the table is down', { status: 503, body: '{"detail":"table is down"}' }, 'table is down'],
+    ['the secret is wrong', { status: 401, body: '' }, 'RATTANSTEP_SECRET'],
+    ['the address is another server', { status: 200, body: 'hello' }, 'was not understood'],
+    ['the connection breaks', undefined, 'it may have taken effect']
+  ]
+  for (const [title, answer, text] of refusals) {
+    test(`apply ends with 1 when ${title}`, async () => {
+      if (answer !== undefined) node.answers['PUT /v1/rules'] = answer
+      const result = await run(['apply', example('hunt-desk')], env)
+      expect(result.code).toEqual(1)
+      expect(result.out + result.err).toEqual(expect.includes(text))
+    })
+  }
+
+  test('submit sends the job with its defaults', async () => {
+    node.answers['POST /v1/jobs'] = { status: 201, body: '{"id":"scene-4"}' }
+    const { code } = await run(['submit', example('render-job')], env)
+    expect(code).toEqual(0)
+    expect(JSON.parse(node.asked[0]?.body ?? '')).toEqual({
+      id: 'scene-4',
+      kind: 'batch',
+      class: 'audio-render',
+      team: 'audio-studio',
+      tasks: [{ command: 'render scene-4', count: 3, cores: 2, memory: 2048, accelerators: 0, expected: 600_000 }]
+    })
+  })
+
+  test('cancel, drain and jobs ask for what their names say', async () => {
+    node.answers = {
+      'DELETE /v1/jobs/a%2Fb': { status: 200, body: '{}' },
+      'POST /v1/drain': { status: 202, body: '{}' },
+      'GET /v1/jobs': { status: 200, body: '{"jobs":[{"id":"j","kind":"gang","class":"c","state":"running","tasks":[{"id":"j/1","state":"running","worker":"w1"}]}]}' },
+      'GET /v1/jobs/j': { status: 404, body: '{"detail":"no job j"}' }
+    }
+    expect((await run(['cancel', 'a/b'], env)).code).toEqual(0)
+    expect((await run(['drain'], env)).code).toEqual(0)
+    expect((await run(['jobs'], env)).out).toEqual('ID  KIND  CLASS  STATE    TASKS\nj   gang  c      running  1 running\n')
+    expect((await run(['jobs', 'j'], env)).code).toEqual(1)
+  })
+
+  test('status tells first what is wrong, since when, which rule and who asked', async () => {
+    const problem = { code: 'waits-long', since: '2026-12-04T02:10:00Z', message: 'quick-check waits 900 ms, its patience is 800 ms', rule: { name: 'quick-check', line: 7, askedBy: 'solvers\' panel' } }
+    const status = { id: 'node-1', ready: true, problems: [problem], classes: [{ name: 'quick-check', running: 3 }] }
+    node.answers['GET /v1/status'] = { status: 200, body: JSON.stringify(status) }
+    const { out } = await run(['status'], env)
+    expect(out.split('\n').slice(0, 3)).toEqual([
+      '1 wrong:',
+      '  waits-long since 2026-12-04T02:10:00Z: quick-check waits 900 ms, its patience is 800 ms',
+      '    rule quick-check on line 7, asked for by solvers\' panel'
+    ])
+    expect(out).toEqual(expect.includes('node-1'))
+    expect(JSON.parse((await run(['status', '--json'], env)).out)).toEqual(status)
+  })
+})
