--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -1,27 +1,21 @@
 import { NO_RESOURCES } from '@rattanstep/core'
-import type { Ask, Incarnation, Load, Permit, Random, RefusalReason, Release, Resources } from '@rattanstep/core'
+import type { Ask, Incarnation, Load, Permit, Random, Release, Resources } from '@rattanstep/core'
 import type { ResolvedClass, ResolvedTeam } from '@rattanstep/rules'
-import type { Decision, WorkerRoom } from '../types/decision.js'
-import { Heap } from '../utils/Heap.js'
-import type { ClassBook } from './ClassBook.js'
+import type { Decision, PeerLoad, WorkerRoom, WorkerUsage } from '../types/decision.js'
+import type { AdmissionStatus } from '../types/status.js'
 import { ALL_CLASSES, ClassBooks } from './ClassBooks.js'
-import type { WaitingAsk } from './FlowQueue.js'
+import { Dispatcher } from './Dispatcher.js'
+import { explainBooks } from './explainBooks.js'
 import { Ledger } from './Ledger.js'
-import { adoptedEntry } from './PermitBook.js'
+import { LongRuns } from './LongRuns.js'
+import { Peers } from './Peers.js'
 import type { PermitEntry } from './PermitBook.js'
+import { PermitKeeper } from './PermitKeeper.js'
 import { Projection } from './Projection.js'
+import { Quarantine } from './Quarantine.js'
 import { RunTimes } from './RunTimes.js'
 import { WorkerBooks } from './WorkerBooks.js'
 
-/** Milliseconds beyond the class's bound after which a permit that is not renewed is freed. */
-const BOUND_MARGIN = 10_000
-
-/** Flows whose first ask is tried when a class has its turn. */
-const TRIED_FLOWS = 4
-
-/** Shortest hint in ms for a new attempt. */
-const LEAST_RETRY = 50
-
 /** What an `Admission` is made of. */
 export interface AdmissionOptions {
   /** Unique in the cell and over restarts: the node's incarnation. */
@@ -36,33 +30,43 @@
   longPartOfWorker?: number
   /** Most asks that wait in one class. */
   queueMost?: number
+  /** Milliseconds that an ask waits before it is sent on to a peer with room. */
+  redirectAfter?: number
 }
 
 /** Admits work to the workers of one owner: the books of these workers, and the queue before them. */
 export class Admission {
-  /** Whether grants may be given now; asks wait while it is off. */
-  admitting = true
   readonly runTimes = new RunTimes()
-  private readonly name: string
-  private readonly random: Random
-  private readonly queueMost: number
   private readonly workers: WorkerBooks
   private readonly classes: ClassBooks
   private readonly ledger: Ledger
   private readonly projection: Projection
-  private readonly waiting = new Map<string, WaitingAsk>()
-  private readonly deadlines = new Heap<WaitingAsk>((a, b) => a.deadline - b.deadline)
-  private permitCount = 0
+  private readonly keeper: PermitKeeper
+  private readonly dispatcher: Dispatcher
+  private readonly quarantine = new Quarantine()
+  private readonly longRuns: LongRuns
+  private readonly peers: Peers
 
   /** @param options - rules, sources of time and randomness, and limits */
   constructor (options: AdmissionOptions) {
-    this.name = options.name
-    this.random = options.random
-    this.queueMost = options.queueMost ?? 10_000
-    this.workers = new WorkerBooks({ longPart: options.longPartOfWorker ?? 0.75 })
-    this.classes = new ClassBooks({ runTimes: this.runTimes, longPart: options.longPart ?? 0.5 })
-    this.ledger = new Ledger({ workers: this.workers, classes: this.classes })
-    this.projection = new Projection({ workers: this.workers, classes: this.classes })
+    const { runTimes, quarantine } = this
+    const { name, random } = options
+    const workers = new WorkerBooks({ longPart: options.longPartOfWorker ?? 0.75 })
+    const classes = new ClassBooks({ runTimes, longPart: options.longPart ?? 0.5 })
+    const ledger = new Ledger({ workers, classes })
+    const projection = new Projection({ workers, classes })
+    const longRuns = new LongRuns({ ledger, runTimes })
+    const peers = new Peers({ random })
+    const limits = { queueMost: options.queueMost ?? 10_000, redirectAfter: options.redirectAfter ?? 20 }
+    const books = { workers, classes, ledger, projection, quarantine, longRuns, peers }
+    this.workers = workers
+    this.classes = classes
+    this.ledger = ledger
+    this.projection = projection
+    this.longRuns = longRuns
+    this.peers = peers
+    this.keeper = new PermitKeeper({ workers, classes, ledger })
+    this.dispatcher = new Dispatcher({ name, random, ...limits, ...books })
     this.classes.configure(options.classes, options.teams ?? [])
   }
 
@@ -76,7 +80,7 @@
    */
   configure (classes: ResolvedClass[], teams: ResolvedTeam[], now: number): Decision[] {
     this.classes.configure(classes, teams)
-    return this.dispatch(now)
+    return this.dispatcher.dispatch(now)
   }
 
   /**
@@ -88,6 +92,7 @@
    */
   addWorker (worker: WorkerRoom, now: number, unknown: Resources = NO_RESOURCES): void {
     this.workers.add(worker, now, unknown)
+    this.quarantine.add(worker.id)
   }
 
   /**
@@ -98,14 +103,7 @@
    * @param now - ms
    */
   adopt (front: Incarnation, permits: Permit[], now: number): void {
-    for (const permit of permits) {
-      const worker = this.workers.get(permit.worker)
-      if (worker === undefined || this.ledger.permits.get(permit.permit) !== undefined) continue
-      worker.learn(permit.resources)
-      const bound = this.classes.get(permit.class).rule.bound
-      const expiresAt = Math.max(now, now - permit.age + bound) + BOUND_MARGIN
-      this.ledger.open(adoptedEntry(permit, { front, now, expiresAt }))
-    }
+    this.keeper.adopt(front, permits, now)
   }
 
   /**
@@ -121,7 +119,16 @@
     if (book === undefined) return []
     book.unknown = { ...NO_RESOURCES, slots: unclaimed }
     this.workers.refresh(book)
-    return this.dispatch(now)
+    return this.dispatcher.dispatch(now)
+  }
+
+  /** @returns whether grants may be given now; asks wait while it is off */
+  get admitting (): boolean {
+    return this.dispatcher.admitting
+  }
+
+  set admitting (admitting: boolean) {
+    this.dispatcher.admitting = admitting
   }
 
   /**
@@ -145,7 +152,8 @@
     book.removed = true
     this.workers.refresh(book)
     this.runTimes.forget(id)
-    return this.dispatch(now)
+    this.quarantine.remove(id)
+    return this.dispatcher.dispatch(now)
   }
 
   /** @param id - a worker that is leaving and gets no new work */
@@ -165,19 +173,7 @@
    * @returns a grant, a refusal, or nothing when the ask waits; a repeated ask gets its grant again
    */
   ask (ask: Ask, front: Incarnation, now: number): Decision[] {
-    const key = askKey(front, ask.id)
-    if (this.waiting.has(key)) return []
-    const granted = this.ledger.permits.ofAsk(key)
-    if (granted !== undefined) return [this.repeatGrant(granted, ask, now)]
-    const book = this.classes.get(ask.class)
-    const deadline = now + Math.min(ask.patience, book.rule.patience)
-    const item: WaitingAsk = { ask, front, key, queuedAt: now, deadline, gone: false, place: -1 }
-    const grant = this.tryGrant(book, item, now)
-    if (grant !== null) return [grant]
-    const refusal = this.refuseEarly(book, item, now)
-    if (refusal !== null) return [refusal]
-    this.enqueue(book, item, now)
-    return []
+    return this.dispatcher.ask(ask, front, now)
   }
 
   /**
@@ -189,15 +185,8 @@
    * @returns the withdrawals, and what starts in room that became free
    */
   cancel (asks: string[], front: Incarnation, now: number): Decision[] {
-    const decisions: Decision[] = []
-    for (const id of asks) {
-      const key = askKey(front, id)
-      const item = this.waiting.get(key)
-      if (item !== undefined) decisions.push(this.refuse(item, 'cancelled', now))
-      const permit = this.ledger.permits.ofAsk(key)
-      if (permit !== undefined) this.ledger.close(permit)
-    }
-    return [...decisions, ...this.dispatch(now)]
+    const decisions = this.dispatcher.cancel(asks, front, now)
+    return [...decisions, ...this.dispatcher.dispatch(now)]
   }
 
   /**
@@ -212,8 +201,8 @@
     const entry = this.ledger.permits.get(release.permit)
     if (entry === undefined || entry.front !== front) return []
     this.ledger.close(entry)
-    if (release.ending === 'completed') this.learn(entry, release.serviceTime)
-    return this.dispatch(now)
+    this.learn(entry, release, now)
+    return this.dispatcher.dispatch(now)
   }
 
   /**
@@ -224,13 +213,7 @@
    * @param now - ms
    */
   renew (front: Incarnation, permits: Permit[], now: number): void {
-    this.adopt(front, permits, now)
-    for (const permit of permits) {
-      const entry = this.ledger.permits.get(permit.permit)
-      if (entry === undefined || entry.front !== front) continue
-      entry.lostAt = null
-      this.ledger.permits.extend(entry, Math.max(entry.expiresAt, now + BOUND_MARGIN))
-    }
+    this.keeper.renew(front, permits, now)
   }
 
   /**
@@ -240,27 +223,38 @@
    * @param now - ms
    */
   frontLost (front: Incarnation, now: number): void {
-    for (const entry of this.ledger.permits.ofFront(front)) entry.lostAt ??= now
-    for (const item of [...this.waiting.values()]) {
-      if (item.front === front) this.refuse(item, 'cancelled', now)
-    }
+    this.keeper.lose(front, now)
+    this.dispatcher.drop(front, now)
   }
 
   /**
-   * Does what is due.
+   * Takes in what a worker says it runs.
    *
+   * @param worker - the worker
+   * @param usage - what it runs, with the age of the figures
    * @param now - ms
-   * @returns refusals of asks whose patience ran out, and what starts
+   * @returns what starts in room that became free
    */
-  tick (now: number): Decision[] {
-    for (let entry = this.ledger.permits.expired(now); entry !== undefined; entry = this.ledger.permits.expired(now)) {
-      this.ledger.close(entry)
-    }
-    const decisions = this.dispatch(now)
-    for (let item = this.deadlines.peek(); item !== undefined && item.deadline <= now; item = this.deadlines.peek()) {
-      decisions.push(this.refuse(item, 'patience', now))
-    }
-    return decisions
+  reported (worker: string, usage: WorkerUsage, now: number): Decision[] {
+    const book = this.workers.get(worker)
+    if (book === undefined) return []
+    this.keeper.reported(book, usage, now)
+    return this.dispatcher.dispatch(now)
+  }
+
+  /**
+   * Does what is due. Call it every few tens of milliseconds.
+   *
+   * @param now - ms
+   * @param peers - newest loads of the other owners
+   * @returns refusals of asks whose patience ran out or that a peer has room for, and what starts
+   */
+  tick (now: number, peers: PeerLoad[] = []): Decision[] {
+    this.peers.update(peers, now)
+    this.keeper.expire(now)
+    this.longRuns.sweep(this.classes.longThreshold(), now)
+    for (const worker of this.quarantine.tick(now)) this.followTrust(worker)
+    return [...this.dispatcher.dispatch(now), ...this.dispatcher.expire(now)]
   }
 
   /**
@@ -282,17 +276,22 @@
     const room = { slots: this.workers.slots, free: this.workers.freeSlots }
     if (this.classes.limit(classBook, { team, resources }, room) !== null) return false
     this.classes.charge(classBook, resources.slots)
-    this.ledger.hold(book, { id, worker, class: className, team, resources, long: this.classes.isLong(classBook) })
+    const long = this.classes.isLong(classBook)
+    this.ledger.hold(book, { id, worker, class: className, team, resources, long, heldAt: now })
     return true
   }
 
   /**
    * @param id - a hold that is no longer needed
    * @param now - ms
+   * @param ended - whether its task ran to its end, so that its run time is learned from
    * @returns what starts in the room
    */
-  releaseHold (id: string, now: number): Decision[] {
-    return this.ledger.releaseHold(id) ? this.dispatch(now) : []
+  releaseHold (id: string, now: number, ended = false): Decision[] {
+    const hold = this.ledger.releaseHold(id, now)
+    if (hold === undefined) return []
+    if (ended) this.observeTime(hold.class, hold.worker, now - hold.heldAt)
+    return this.dispatcher.dispatch(now)
   }
 
   /**
@@ -312,91 +311,34 @@
     return this.projection.load(now)
   }
 
-  private learn (entry: PermitEntry, time: number): void {
-    this.runTimes.observe({ className: entry.class, worker: entry.worker, time })
-    this.runTimes.observe({ className: ALL_CLASSES, worker: '', time })
-  }
-
-  private dispatch (now: number): Decision[] {
-    const decisions: Decision[] = []
-    while (this.admitting && this.waiting.size > 0 && this.workers.freeSlots > 0) {
-      const grant = this.dispatchOne(now)
-      if (grant === null) break
-      decisions.push(grant)
-    }
-    return decisions
+  /**
+   * @param now - ms
+   * @returns how classes and workers stand, for operators
+   */
+  explain (now: number): AdmissionStatus {
+    const { workers, classes, quarantine, runTimes } = this
+    return explainBooks({ workers, classes, quarantine, runTimes }, now)
   }
 
-  private dispatchOne (now: number): Decision | null {
-    for (const book of this.classes.inOrder(now)) {
-      for (const item of book.queue.heads(TRIED_FLOWS)) {
-        const grant = this.tryGrant(book, item, now)
-        if (grant !== null) return grant
-      }
+  private learn (entry: PermitEntry, release: Release, now: number): void {
+    if (release.ending === 'completed') {
+      this.observeTime(entry.class, entry.worker, release.serviceTime)
     }
-    return null
-  }
-
-  private tryGrant (book: ClassBook, item: WaitingAsk, now: number): Decision | null {
-    if (!this.admitting) return null
-    const { ask, front, key } = item
-    const room = { slots: this.workers.slots, free: this.workers.freeSlots }
-    if (this.classes.limit(book, ask, room) !== null) return null
-    const long = this.classes.isLong(book)
-    const choice = this.workers.find(ask.resources, { avoid: ask.avoid, long: long ? ask.resources.slots : 0 })
-    if (choice === null) return null
-    const { worker, candidates } = choice
-    const queued = this.waiting.has(key)
-    if (queued) this.dequeue(book, item, now)
-    const permit = `${this.name}:${++this.permitCount}`
-    const expiresAt = now + book.rule.bound + BOUND_MARGIN
-    const { caller, team, resources } = ask
-    const shared = { permit, worker: worker.room.id, class: ask.class, caller, team, resources, front, key }
-    this.ledger.open({ ...shared, grantedAt: now, expiresAt, long, lostAt: null, missing: 0, released: false, place: -1 })
-    this.classes.charge(book, resources.slots)
-    book.grants.add(1, now)
-    const reason = queued ? 'queued' : 'free-room'
-    return { kind: 'grant', ask, front, permit, worker: worker.room.id, address: worker.room.address, waited: now - item.queuedAt, reason, candidates }
-  }
-
-  private repeatGrant (entry: PermitEntry, ask: Ask, now: number): Decision {
-    const address = this.workers.get(entry.worker)!.room.address
-    const { front, permit, worker } = entry
-    return { kind: 'grant', ask, front, permit, worker, address, waited: now - entry.grantedAt, reason: 'repeated', candidates: 1 }
-  }
-
-  private refuseEarly (book: ClassBook, item: WaitingAsk, now: number): Decision | null {
-    if (this.workers.size === 0) return this.refuse(item, 'no-worker', now)
-    if (!this.workers.couldHold(item.ask.resources)) return this.refuse(item, 'never-fits', now)
-    if (book.queue.size >= this.queueMost) return this.refuse(item, 'queue-full', now)
-    if (this.projection.wait(book, item.ask, now) > item.deadline - now) return this.refuse(item, 'patience', now)
-    return null
+    const untried = release.ending === 'unsent' && release.serviceTime === 0
+    if (untried) return
+    if (this.quarantine.observe(entry.worker, release.ending === 'completed', now)) this.followTrust(entry.worker)
   }
 
-  private refuse (item: WaitingAsk, reason: RefusalReason, now: number): Decision {
-    const book = this.classes.get(item.ask.class)
-    if (this.waiting.has(item.key)) this.dequeue(book, item, now, false)
-    const wait = this.projection.wait(book, item.ask, now)
-    const retryAfter = Math.round(this.random.jitter(Math.max(LEAST_RETRY, wait)))
-    return { kind: 'refuse', ask: item.ask, front: item.front, reason, retryAfter, redirect: '' }
-  }
-
-  private enqueue (book: ClassBook, item: WaitingAsk, now: number): void {
-    this.waiting.set(item.key, item)
-    this.deadlines.push(item)
-    book.queue.push(item)
-    book.noteQueue(now)
+  private observeTime (className: string, worker: string, time: number): void {
+    this.runTimes.observe({ className, worker, time })
+    this.runTimes.observe({ className: ALL_CLASSES, worker: '', time })
   }
 
-  private dequeue (book: ClassBook, item: WaitingAsk, now: number, served = true): void {
-    this.waiting.delete(item.key)
-    this.deadlines.remove(item)
-    if (served) book.queue.serve(item)
-    else book.queue.remove(item)
-    book.noteQueue(now)
+  private followTrust (worker: string): void {
+    const book = this.workers.get(worker)
+    if (book === undefined) return
+    const trust = this.quarantine.trust(worker)
+    book.quarantined = trust === 'quarantined' || trust === 'awaiting'
+    this.workers.refresh(book)
   }
 }
-
-function askKey (front: Incarnation, ask: string): string {
-  return `${front} ${ask}`
-}
--- a/packages/policy/src/runtime/ClassBooks.ts
+++ b/packages/policy/src/runtime/ClassBooks.ts
@@ -77,12 +77,35 @@
   inOrder (now: number): ClassBook[] {
     const waiting: Array<{ book: ClassBook, priority: number }> = []
     for (const book of this.books.values()) {
-      if (book.queue.size > 0) waiting.push({ book, priority: book.effectivePriority(now, this.top) })
+      if (book.queue.size > 0) waiting.push({ book, priority: this.priority(book, now) })
     }
     waiting.sort((a, b) => b.priority - a.priority || a.book.virtualTime - b.book.virtualTime)
     return waiting.map(({ book }) => book)
   }
 
+  /**
+   * @param book - a class
+   * @param now - ms
+   * @returns its priority with ageing
+   */
+  priority (book: ClassBook, now: number): number {
+    return book.effectivePriority(now, this.top)
+  }
+
+  /**
+   * @param book - a class
+   * @param slots - slots of the owner in all
+   * @returns slots kept for the class
+   */
+  reserve (book: ClassBook, slots: number): number {
+    return Math.round(book.rule.reserve * slots)
+  }
+
+  /** @returns ms of running after which a run counts as long */
+  longThreshold (): number {
+    return LONG_RATIO * this.shortTime()
+  }
+
   /**
    * @param book - a class
    * @returns mean run time in ms, learned where possible
@@ -101,7 +124,7 @@
    * @returns whether its work is long beside most other work
    */
   isLong (book: ClassBook): boolean {
-    return this.meanTime(book) > LONG_RATIO * this.shortTime()
+    return book.rule.kind !== 'service' && this.meanTime(book) > this.longThreshold()
   }
 
   /**
@@ -117,7 +140,7 @@
     if (book.inUse + need > mostSlots(book.rule.most, room.slots)) return 'most'
     if (this.isOverQuota(ask.team, need, room.slots)) return 'team'
     if (this.isLong(book) && this.long + need > mostSlots(this.longPart, room.slots)) return 'long'
-    if (book.inUse + need <= reservedSlots(book.rule.reserve, room.slots)) return null
+    if (book.inUse + need <= this.reserve(book, room.slots)) return null
     if (room.free - need < this.keptForOthers(book, room.slots)) return 'reserve'
     return null
   }
@@ -175,7 +198,7 @@
     let kept = 0
     for (const other of this.books.values()) {
       if (other === book || other.rule.reserve === 0) continue
-      kept += Math.max(0, reservedSlots(other.rule.reserve, slots) - other.inUse)
+      kept += Math.max(0, this.reserve(other, slots) - other.inUse)
     }
     return kept
   }
@@ -191,7 +214,3 @@
 function mostSlots (part: number, slots: number): number {
   return Math.max(1, Math.floor(part * slots + 1e-9))
 }
-
-function reservedSlots (part: number, slots: number): number {
-  return Math.round(part * slots)
-}
--- a/packages/policy/src/runtime/Ledger.ts
+++ b/packages/policy/src/runtime/Ledger.ts
@@ -14,6 +14,8 @@
   team: string
   resources: Resources
   long: boolean
+  /** Since when, in ms. */
+  heldAt: number
 }
 
 /** Keeps the books of workers, classes and permits in step. */
@@ -83,19 +85,21 @@
 
   /**
    * @param id - a hold
-   * @returns whether it was in use
+   * @param now - ms
+   * @returns the hold that ended, if it was in use
    */
-  releaseHold (id: string): boolean {
+  releaseHold (id: string, now: number): Hold | undefined {
     const hold = this.holds.get(id)
-    if (hold === undefined) return false
+    if (hold === undefined) return undefined
     this.holds.delete(id)
     this.classes.give(hold)
     const worker = this.workers.get(hold.worker)
-    if (worker === undefined) return true
+    if (worker === undefined) return hold
+    worker.holdReleasedAt = now
     worker.holds--
     worker.held = worker.holds === 0 ? { ...NO_RESOURCES } : subtractResources(worker.held, hold.resources)
     this.workers.give(worker, hold.resources, { permits: 0, long: longSlots(hold) })
-    return true
+    return hold
   }
 
   /**
--- a/packages/policy/src/runtime/PermitBook.ts
+++ b/packages/policy/src/runtime/PermitBook.ts
@@ -30,6 +30,7 @@
   private readonly byId = new Map<string, PermitEntry>()
   private readonly byKey = new Map<string, PermitEntry>()
   private readonly byFront = new Map<Incarnation, Set<PermitEntry>>()
+  private readonly byWorker = new Map<string, Set<PermitEntry>>()
   private readonly expiries = new Heap<PermitEntry>((a, b) => a.expiresAt - b.expiresAt)
 
   /** @returns number of permits in use */
@@ -61,17 +62,20 @@
     return this.byFront.get(front) ?? []
   }
 
-  /** @returns all permits */
-  all (): Iterable<PermitEntry> {
-    return this.byId.values()
+  /**
+   * @param worker - a worker
+   * @returns permits in use there
+   */
+  atWorker (worker: string): Iterable<PermitEntry> {
+    return this.byWorker.get(worker) ?? []
   }
 
   /** @param entry - a new permit */
   add (entry: PermitEntry): void {
     this.byId.set(entry.permit, entry)
     if (entry.key !== '') this.byKey.set(entry.key, entry)
-    const permits = this.byFront.get(entry.front) ?? new Set()
-    this.byFront.set(entry.front, permits.add(entry))
+    insert(this.byFront, entry.front, entry)
+    insert(this.byWorker, entry.worker, entry)
     this.expiries.push(entry)
   }
 
@@ -81,9 +85,8 @@
     this.byId.delete(entry.permit)
     if (entry.key !== '') this.byKey.delete(entry.key)
     this.expiries.remove(entry)
-    const permits = this.byFront.get(entry.front)!
-    permits.delete(entry)
-    if (permits.size === 0) this.byFront.delete(entry.front)
+    discard(this.byFront, entry.front, entry)
+    discard(this.byWorker, entry.worker, entry)
   }
 
   /**
@@ -105,6 +108,18 @@
   }
 }
 
+function insert (sets: Map<string, Set<PermitEntry>>, key: string, entry: PermitEntry): void {
+  const known = sets.get(key)
+  if (known === undefined) sets.set(key, new Set([entry]))
+  else known.add(entry)
+}
+
+function discard (sets: Map<string, Set<PermitEntry>>, key: string, entry: PermitEntry): void {
+  const known = sets.get(key)!
+  known.delete(entry)
+  if (known.size === 0) sets.delete(key)
+}
+
 /**
  * @param permit - as a front reports it
  * @param options - `front`: the front; `now` and `expiresAt`: ms
--- a/packages/policy/src/runtime/WorkerBook.ts
+++ b/packages/policy/src/runtime/WorkerBook.ts
@@ -1,4 +1,4 @@
-import { addResources, fitsResources, NO_RESOURCES, subtractResources } from '@rattanstep/core'
+import { addResources, NO_RESOURCES, subtractResources } from '@rattanstep/core'
 import type { Resources } from '@rattanstep/core'
 import type { WorkerRoom } from '../types/decision.js'
 import type { Amounts } from './FreeIndex.js'
@@ -23,7 +23,9 @@
   /** Slots in use by long work. */
   long = 0
   /** Since when the room counts, in ms. */
-  readonly since: number
+  since: number
+  /** When a hold was last released here, in ms. */
+  holdReleasedAt = -Infinity
   draining = false
   removed = false
   quarantined = false
@@ -68,14 +70,6 @@
     return [free.slots, free.cores, free.memory, free.accelerators, this.freeConnections(), longLimit - this.long]
   }
 
-  /**
-   * @param resources - an amount
-   * @returns whether the empty worker could hold it
-   */
-  couldHold (resources: Resources): boolean {
-    return fitsResources(resources, this.room.resources) && this.room.connections > 0
-  }
-
   /** @param resources - amount that was unknown until now and is known from here on */
   learn (resources: Resources): void {
     this.unknown = clampResources(subtractResources(this.unknown, resources))
--- a/packages/policy/src/runtime/WorkerBooks.ts
+++ b/packages/policy/src/runtime/WorkerBooks.ts
@@ -2,6 +2,7 @@
 import type { Resources } from '@rattanstep/core'
 import type { WorkerRoom } from '../types/decision.js'
 import { FreeIndex } from './FreeIndex.js'
+import type { Amounts } from './FreeIndex.js'
 import { WorkerBook } from './WorkerBook.js'
 
 /** Workers weighed for one placement. */
@@ -22,6 +23,8 @@
   private readonly books = new Map<string, WorkerBook>()
   private readonly positions: Array<WorkerBook | undefined> = []
   private readonly index = new FreeIndex()
+  /** What workers hold when empty; positions are those of `index`. */
+  private readonly totals = new FreeIndex()
   private readonly counted = new Map<WorkerBook, { slots: number, free: number }>()
   private readonly longPart: number
 
@@ -62,9 +65,11 @@
       known.removed = false
       known.draining = false
       known.unknown = { ...unknown }
+      known.since = now
       this.refresh(known)
       return
     }
+    this.totals.add()
     const book = new WorkerBook({ room, position: this.index.add(), unknown: { ...unknown }, now })
     this.books.set(room.id, book)
     this.positions[book.position] = book
@@ -107,8 +112,11 @@
       this.books.delete(book.room.id)
       this.positions[book.position] = undefined
       this.index.remove(book.position)
+      this.totals.remove(book.position)
       return
     }
+    if (book.removed || book.draining) this.totals.block(book.position)
+    else this.totals.set(book.position, totalOf(book))
     if (!book.usable) {
       this.index.block(book.position)
       return
@@ -125,12 +133,15 @@
    * Finds a worker with room: of the first few that fit, the one that is left with the least.
    *
    * @param resources - what is needed
-   * @param options - `avoid`: workers not to use; `long`: slots that count as long work
+   * @param options - `avoid`: workers not to use; `long`: slots that count as long work; `accept`: a further condition
    * @returns the worker, or `null` when none fits now
    */
-  find (resources: Resources, options: { avoid: string[], long: number }): Choice | null {
+  find (resources: Resources, options: { avoid: string[], long: number, accept?: (worker: WorkerBook) => boolean }): Choice | null {
     const { slots, cores, memory, accelerators } = resources
-    const accept = (position: number): boolean => !options.avoid.includes(this.positions[position]!.room.id)
+    const accept = (position: number): boolean => {
+      const book = this.positions[position]!
+      return !options.avoid.includes(book.room.id) && options.accept?.(book) !== false
+    }
     const long = options.long > 0 ? options.long : -Infinity
     const found = this.index.find([slots, cores, memory, accelerators, 1, long], CANDIDATES, accept)
     if (found.length === 0) return null
@@ -142,13 +153,13 @@
 
   /**
    * @param resources - what is needed
+   * @param avoid - workers not to use
    * @returns whether some worker could hold it when empty
    */
-  couldHold (resources: Resources): boolean {
-    for (const book of this.books.values()) {
-      if (!book.removed && book.couldHold(resources)) return true
-    }
-    return false
+  couldHold (resources: Resources, avoid: string[]): boolean {
+    const { slots, cores, memory, accelerators } = resources
+    const accept = (position: number): boolean => !avoid.includes(this.positions[position]!.room.id)
+    return this.totals.find([slots, cores, memory, accelerators, 1, 0], 1, accept).length > 0
   }
 
   private longLimit (book: WorkerBook): number {
@@ -164,6 +175,11 @@
   }
 }
 
+function totalOf (book: WorkerBook): Amounts {
+  const { slots, cores, memory, accelerators } = book.room.resources
+  return [slots, cores, memory, accelerators, book.room.connections, 0]
+}
+
 function leftover (book: WorkerBook): number {
   return book.room.resources.slots - book.used.slots
 }
--- /dev/null
+++ b/packages/policy/test/runtime/limits.test.ts
@@ -0,0 +1,85 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import type { Ask } from '@rattanstep/core'
+import type { ResolvedClass } from '@rattanstep/rules'
+import type { AdmissionOptions } from '../../src/index.js'
+import { admission, ask, rule, worker } from './fixtures.js'
+
+interface Case {
+  title: string
+  classes: ResolvedClass[]
+  options?: Partial<AdmissionOptions>
+  asks: Array<Partial<Ask>>
+  granted: number
+}
+
+function times (count: number, changes: Partial<Ask>): Array<Partial<Ask>> {
+  return Array.from({ length: count }, () => changes)
+}
+
+const TEAM = { name: 'red', most: 0.25, askedBy: '', line: 1 }
+
+// One worker of 8 slots.
+const CASES: Case[] = [
+  { title: 'work fills all slots', classes: [rule('quick')], asks: times(10, {}), granted: 8 },
+  { title: 'a class keeps to the most that it may use', classes: [rule('quick', { most: 0.5 })], asks: times(10, {}), granted: 4 },
+  {
+    title: 'the reserve of a class stays free of lower work',
+    classes: [rule('quick'), rule('urgent', { priority: 90, reserve: 0.25, expected: 5000 })],
+    asks: times(10, {}),
+    granted: 6
+  },
+  {
+    title: 'a class gets its whole reserve',
+    classes: [rule('quick'), rule('urgent', { priority: 90, reserve: 0.25 })],
+    asks: [...times(8, {}), ...times(3, { class: 'urgent' })],
+    granted: 8
+  },
+  { title: 'a team keeps to its quota', classes: [rule('quick')], options: { teams: [TEAM] }, asks: times(10, { team: 'red' }), granted: 2 },
+  {
+    title: 'a team at its quota does not hold up others',
+    classes: [rule('quick')],
+    options: { teams: [TEAM] },
+    asks: [...times(4, { team: 'red' }), ...times(3, { team: 'blue' })],
+    granted: 5
+  }
+]
+
+for (const { title, classes, options, asks, granted } of CASES) {
+  test(title, () => {
+    const node = admission(classes, options)
+    node.addWorker(worker('w1'), 0)
+    const decisions = asks.flatMap((changes, index) => node.ask(ask(`a${index}`, changes), 'f1', 0))
+    expect(decisions.filter(decision => decision.kind === 'grant').length).toEqual(granted)
+  })
+}
+
+test('a run that takes far longer than its class counts as long work', () => {
+  const node = admission([rule('quick', { bound: 1e6 })])
+  node.addWorker(worker('w1'), 0)
+  node.ask(ask('a'), 'f1', 0)
+  node.tick(10_000)
+  expect(node.explain(10_000).classes[0]?.meanTime).toEqual(10_000)
+})
+
+const AGEING: Array<{ title: string, ageing: number, order: string[] }> = [
+  { title: 'without ageing higher work goes first', ageing: 0, order: ['new1', 'new2', 'new3', 'old'] },
+  { title: 'aged work shares the room with the highest work', ageing: 100, order: ['new1', 'old', 'new2', 'new3'] }
+]
+
+for (const { title, ageing, order } of AGEING) {
+  test(title, () => {
+    const node = admission([rule('quick', { ageing }), rule('urgent', { priority: 60 })])
+    node.addWorker(worker('w1', { resources: { slots: 1, cores: 4, memory: 4096, accelerators: 0 } }), 0)
+    let decisions = node.ask(ask('a'), 'f1', 0)
+    node.ask(ask('old'), 'f1', 1)
+    for (const id of ['new1', 'new2', 'new3']) node.ask(ask(id, { class: 'urgent' }), 'f1', 1500)
+    const seen: string[] = []
+    for (let time = 2000; time < 2400; time += 100) {
+      const permit = decisions[0]?.kind === 'grant' ? decisions[0].permit : ''
+      decisions = node.release({ permit, worker: 'w1', ending: 'completed', serviceTime: 50 }, 'f1', time)
+      seen.push(...decisions.map(decision => decision.ask.id))
+    }
+    expect(seen).toEqual(order)
+  })
+}
--- /dev/null
+++ b/packages/policy/test/runtime/recovery.test.ts
@@ -0,0 +1,94 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { SeededRandom } from '@rattanstep/core'
+import { Backoff, Quarantine, RetryBudget, RunTimes, SizeEstimates } from '../../src/index.js'
+
+function watched (): Quarantine {
+  const quarantine = new Quarantine()
+  for (const worker of ['w1', 'w2', 'w3']) quarantine.add(worker)
+  return quarantine
+}
+
+function fail (quarantine: Quarantine, worker: string, count: number): void {
+  for (let run = 0; run < count; run++) quarantine.observe(worker, false, 1000)
+}
+
+test('a worker that alone fails everything is quarantined', () => {
+  const quarantine = watched()
+  fail(quarantine, 'w1', 4)
+  expect(quarantine.trust('w1')).toEqual('healthy')
+  fail(quarantine, 'w1', 1)
+  expect(quarantine.trust('w1')).toEqual('quarantined')
+})
+
+test('a worker that fails as its peers do is not quarantined', () => {
+  const quarantine = watched()
+  for (let run = 0; run < 20; run++) {
+    for (const worker of ['w2', 'w3']) quarantine.observe(worker, run % 4 === 0, 1000)
+  }
+  fail(quarantine, 'w1', 20)
+  expect(quarantine.trust('w1')).toEqual('healthy')
+})
+
+const PROBES: Array<{ title: string, succeeded: boolean, trust: string }> = [
+  { title: 'a probe that completes brings the worker back', succeeded: true, trust: 'healthy' },
+  { title: 'a probe that fails keeps the worker out', succeeded: false, trust: 'quarantined' }
+]
+
+for (const { title, succeeded, trust } of PROBES) {
+  test(title, () => {
+    const quarantine = watched()
+    fail(quarantine, 'w1', 5)
+    expect(quarantine.tick(2999)).toEqual([])
+    expect(quarantine.tick(3000)).toEqual(['w1'])
+    quarantine.granted('w1', 3001)
+    quarantine.observe('w1', succeeded, 3050)
+    expect(quarantine.trust('w1')).toEqual(trust as 'healthy')
+  })
+}
+
+test('retries stay within their part of first attempts', () => {
+  const budget = new RetryBudget()
+  let retries = 0
+  for (let request = 0; request < 1000; request++) {
+    budget.earn('quick', 0.1)
+    if (budget.spend('quick')) retries++
+  }
+  expect(retries >= 100 && retries <= 110).toEqual(true)
+})
+
+test('delays grow, are spread, and start over after a success', () => {
+  const backoff = new Backoff({ first: 100, most: 1000, random: new SeededRandom(3) })
+  const delays = Array.from({ length: 6 }, () => backoff.next())
+  const limits = [100, 200, 400, 800, 1000, 1000]
+  expect(delays.every((delay, index) => delay >= limits[index]! / 2 && delay <= limits[index]! * 1.5)).toEqual(true)
+  backoff.reset()
+  expect(backoff.next() <= 150).toEqual(true)
+})
+
+const DECLARED = [10, 250]
+
+for (const declared of DECLARED) {
+  test(`run times are learned when ${declared} ms are declared and 50 ms are needed`, () => {
+    const times = new RunTimes()
+    for (let run = 0; run < 100; run++) times.observe({ className: 'quick', worker: 'w1', time: 50 })
+    expect(Math.round(times.mean('quick', declared))).toEqual(50)
+    expect(Math.abs(times.quantile('quick', 0.99, declared) - 50) < 5).toEqual(true)
+  })
+}
+
+test('a slow worker is told from its peers', () => {
+  const times = new RunTimes()
+  for (let run = 0; run < 200; run++) {
+    for (const worker of ['w1', 'w2', 'w3']) times.observe({ className: 'quick', worker, time: 50 })
+    times.observe({ className: 'quick', worker: 'slow', time: 150 })
+  }
+  expect(times.factor('slow') > 1.8).toEqual(true)
+})
+
+test('declared sizes are corrected by use, within bounds', () => {
+  const sizes = new SizeEstimates()
+  const declared = { slots: 1, cores: 4, memory: 1000, accelerators: 1 }
+  for (let report = 0; report < 10; report++) sizes.observe('render', declared, { slots: 1, cores: 1, memory: 20_000, accelerators: 0 })
+  expect(sizes.correct('render', declared)).toEqual({ slots: 1, cores: 1.15, memory: 5000, accelerators: 1 })
+})
