A node as a process: the thin whole path

Cause: the parts stood alone; no request went through them. Change: Node joins front, admission, ownership and configuration by messages; control interface with the secret; life of a node as a chart; reports of workers, platform list and loads; runDaemon for the command line. A test starts a platform, three workers and two nodes as processes. Left: keys and jobs are not joined yet; a repeatable request that takes over 1 s is given up as silent by the front when its class expects short runs.

--- a/packages/admission/src/runtime/AdmissionService.ts
+++ b/packages/admission/src/runtime/AdmissionService.ts
@@ -25,7 +25,6 @@
   random: Random
   log: Log
   metrics: Metrics
-  rules: () => ResolvedRules
   /** Newest known assignment. */
   assignment: () => Assignment
   /** Whether this node may fill the resource at this very moment. */
@@ -48,12 +47,12 @@
   private readonly timers: Timer[] = []
   private lapsedAt: number | null = null
   private draining = false
+  private configured = false
 
   /** @param options - where messages go, what may be admitted and by which rules */
   constructor (private readonly options: AdmissionServiceOptions) {
-    const { self, clock, random, rules, network } = options
-    const { classes, teams } = rules()
-    this.admission = new Admission({ name: self, classes, teams, now: clock.now(), random })
+    const { self, clock, random, network } = options
+    this.admission = new Admission({ name: self, classes: [], now: clock.now(), random })
     this.outbox = new Outbox(network)
   }
 
@@ -74,10 +73,15 @@
     this.draining = true
   }
 
-  /** Puts the newest rules in force. */
-  rulesChanged (): void {
+  /**
+   * Puts rules in force. Nothing is admitted before the first.
+   *
+   * @param rules - the newest rules
+   */
+  configure (rules: ResolvedRules): void {
     this.checkLease()
-    const { classes, teams } = this.options.rules()
+    this.configured = true
+    const { classes, teams } = rules
     this.publish(this.admission.configure(classes, teams, this.now))
   }
 
@@ -159,9 +163,9 @@
     return this.admission.load(this.now)
   }
 
-  /** @returns workers whose books this node keeps */
-  workers (): Instance[] {
-    return [...this.owned.values()]
+  /** @returns workers whose books this node keeps, and whether all that runs there is known */
+  books (): Array<{ instance: Instance, complete: boolean }> {
+    return [...this.owned.values()].map(instance => ({ instance, complete: !this.takeovers.has(instance.id) }))
   }
 
   /**
@@ -216,7 +220,7 @@
 
   private obstacle (): RefusalReason | null {
     if (this.draining) return 'draining'
-    if (this.options.leaseLeft() <= 0) return 'not-owner'
+    if (!this.configured || this.options.leaseLeft() <= 0) return 'not-owner'
     return null
   }
 
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export type { Node, NodeAddresses } from './node/Node.js'
+export { runDaemon } from './node/runDaemon.js'
+export type { DaemonOptions } from './node/runDaemon.js'
+export { startNode } from './node/startNode.js'
+export { EVENTS as NODE_EVENTS } from './types/events.js'
+export type { NodeOptions, Platform } from './types/NodeOptions.js'
+export type { ClassStatus, NodeState, Problem, StatusReport } from './types/StatusReport.js'
--- /dev/null
+++ b/packages/node/src/node/startNode.ts
@@ -0,0 +1,30 @@
+import { randomBytes } from 'node:crypto'
+import { SystemClock, SystemRandom } from '@rattanstep/core'
+import { GrpcNetwork } from '@rattanstep/peer'
+import { DEFAULT_RULES } from '@rattanstep/rules'
+import { JsonLog } from '@rattanstep/telemetry'
+import type { NodeOptions } from '../types/NodeOptions.js'
+import { Node } from './Node.js'
+
+/** Random bytes that tell one life of a node from the next. */
+const INCARNATION_BYTES = 4
+
+/**
+ * Starts one node. It answers its control interface at once and serves callers as soon as it can.
+ *
+ * @param options - settings and the platform; the rest has defaults
+ * @returns the running node
+ * @throws Error when an address cannot be listened on
+ */
+export async function startNode (options: NodeOptions): Promise<Node> {
+  const { settings, platform } = options
+  const clock = options.clock ?? new SystemClock()
+  const random = options.random ?? new SystemRandom()
+  const log = options.log ?? new JsonLog({ node: settings.id, level: settings.log })
+  const incarnation = `${settings.id}@${randomBytes(INCARNATION_BYTES).toString('hex')}`
+  const network = new GrpcNetwork({ self: incarnation, address: settings.peer, secret: settings.secret, log, clock, random })
+  const peer = await network.listen()
+  const node = new Node({ settings, platform, incarnation, network, peer, clock, random, log, rules: options.rules ?? DEFAULT_RULES })
+  await node.start()
+  return node
+}
--- /dev/null
+++ b/packages/node/test/node/cell.test.ts
@@ -0,0 +1,78 @@
+import { after, before, test } from 'node:test'
+import { expect } from 'earl'
+import { Cell, SECRET } from './processes.js'
+import type { NodeProcess } from './processes.js'
+
+const cell = new Cell()
+let first: NodeProcess
+let second: NodeProcess
+
+before(async () => {
+  await cell.startPlatform()
+  for (const id of ['w1', 'w2', 'w3']) await cell.startWorker(id)
+  first = await cell.startNode('n1')
+  second = await cell.startNode('n2')
+})
+
+after(async () => { await cell.close() })
+
+function front (node: NodeProcess): string {
+  return `http://127.0.0.1:${node.addresses.front.port}`
+}
+
+async function control (node: NodeProcess, path: string, init: RequestInit = {}): Promise<Response> {
+  const headers = { authorization: `Bearer ${SECRET}`, ...init.headers }
+  return await fetch(`http://127.0.0.1:${node.addresses.control.port}${path}`, { ...init, headers })
+}
+
+async function until (condition: () => Promise<boolean>): Promise<void> {
+  while (!await condition()) await new Promise(resolve => setTimeout(resolve, 25))
+}
+
+async function send (node: NodeProcess, body: string): Promise<{ status: number, outcome: string | null, body: string }> {
+  const answer = await fetch(`${front(node)}/check`, { method: 'POST', body })
+  return { status: answer.status, outcome: answer.headers.get('rattanstep-outcome'), body: await answer.text() }
+}
+
+test('a request at any node is answered whole by one worker', async () => {
+  for (const node of [first, second]) {
+    await until(async () => (await send(node, 'probe')).status === 200)
+    for (let number = 0; number < 20; number++) {
+      const body = `${node.id} asks ${number}`
+      expect(await send(node, body)).toEqual({ status: 200, outcome: 'run', body })
+    }
+  }
+})
+
+test('rules applied at one node are in force at the other', async () => {
+  const text = await (await control(first, '/v1/rules')).text()
+  const changed = text + '# a comment that must survive\n'
+  const applied = await control(first, '/v1/rules', { method: 'PUT', body: changed })
+  expect(applied.status).toEqual(200)
+  await until(async () => await (await control(second, '/v1/rules')).text() === changed)
+})
+
+test('of two operators who start from one version, one wins and the other is told', async () => {
+  const shown = await control(first, '/v1/rules')
+  const version = shown.headers.get('rattanstep-rules-version')!
+  const text = await shown.text()
+  const headers = { 'rattanstep-rules-version': version }
+  const answers = await Promise.all([first, second].map(async (node, number) =>
+    (await control(node, '/v1/rules', { method: 'PUT', headers, body: `${text}# operator ${number}\n` })).status))
+  expect(answers.sort((a, b) => a - b)).toEqual([200, 409])
+})
+
+test('a stranger is refused at the control interface', async () => {
+  const answer = await fetch(`http://127.0.0.1:${first.addresses.control.port}/v1/status`)
+  expect(answer.status).toEqual(401)
+})
+
+test('SIGTERM ends a node without cutting the request that it serves', async () => {
+  const slow = fetch(`${front(second)}/slow?time=1500`, { method: 'POST' })
+  await new Promise(resolve => setTimeout(resolve, 200))
+  second.process.kill('SIGTERM')
+  const answer = await slow
+  expect([answer.status, answer.headers.get('rattanstep-outcome')]).toEqual([200, 'run'])
+  expect(await second.exited).toEqual(0)
+  await until(async () => (await send(first, 'after')).status === 200)
+})
--- /dev/null
+++ b/packages/node/test/node/processes.ts
@@ -0,0 +1,168 @@
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import type { NodeAddresses } from '../../src/index.js'
+
+const STAND_INS = fileURLToPath(import.meta.resolve('@rattanstep/stand-ins')).replace(/index\.js$/, 'node/main.js')
+const DAEMON = fileURLToPath(new URL('./daemon.js', import.meta.url))
+
+/** Secret of the test's cell. */
+export const SECRET = 'secret-of-the-test-cell'
+
+/** A process of the cell under test. */
+export interface Running {
+  process: ChildProcess
+  /** Resolves with the exit code. */
+  exited: Promise<number | null>
+}
+
+/** A stand-in. */
+export interface StandIn extends Running {
+  url: string
+}
+
+/** A node. */
+export interface NodeProcess extends Running {
+  id: string
+  addresses: NodeAddresses
+  incarnation: string
+  /** JSON log lines so far. */
+  log: Array<Record<string, unknown>>
+}
+
+/** Starts and ends the processes of one cell: a stand-in platform, stand-in workers and nodes. */
+export class Cell {
+  readonly nodes: NodeProcess[] = []
+  readonly workers: StandIn[] = []
+  private readonly running: Running[] = []
+  private readonly folder = mkdtempSync(join(tmpdir(), 'rattanstep-'))
+  private platformUrl = ''
+
+  /** @returns URL of the stand-in platform */
+  get platform (): string {
+    return this.platformUrl
+  }
+
+  /** Starts the platform. */
+  async startPlatform (): Promise<void> {
+    const standIn = await this.startStandIn(['platform', '--lag', '300'])
+    this.platformUrl = standIn.url
+  }
+
+  /**
+   * @param id - name of the worker
+   * @param extra - further arguments
+   */
+  async startWorker (id: string, extra: string[] = []): Promise<StandIn> {
+    const worker = await this.startStandIn(['worker', '--id', id, '--platform', this.platformUrl.slice('http://'.length), ...extra])
+    this.workers.push(worker)
+    return worker
+  }
+
+  /**
+   * @param id - name of the node
+   * @param overrides - settings that differ from the usual ones
+   */
+  async startNode (id: string, overrides: Record<string, unknown> = {}): Promise<NodeProcess> {
+    const file = join(this.folder, `${id}.yaml`)
+    const settings = {
+      id,
+      cell: 'test',
+      dataCentre: 'north',
+      front: '127.0.0.1:0',
+      peer: '127.0.0.1:0',
+      control: '127.0.0.1:0',
+      platform: this.platformUrl.slice('http://'.length),
+      secret: SECRET,
+      drain: '10s',
+      ...overrides
+    }
+    writeFileSync(file, Object.entries(settings).map(([key, value]) => `${key}: ${String(value)}\n`).join(''))
+    await this.register(id)
+    const child = spawn(process.execPath, [DAEMON, file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const log: NodeProcess['log'] = []
+    readLines(child.stdout, line => { log.push(JSON.parse(line) as Record<string, unknown>) })
+    const ready = await waitForReady(child, child.stderr) as unknown as { addresses: NodeAddresses, incarnation: string }
+    const node: NodeProcess = { id, process: child, exited: exitOf(child), log, ...ready }
+    this.running.push(node)
+    this.nodes.push(node)
+    return node
+  }
+
+  /**
+   * @param target - which part of the platform
+   * @param faults - faults to put in force
+   */
+  async setFaults (target: 'table' | 'objects' | 'instances', faults: Record<string, unknown>): Promise<void> {
+    await post(`${this.platformUrl}/faults`, { target, faults })
+  }
+
+  /** Ends every process that was started. */
+  async close (): Promise<void> {
+    for (const { process: child } of this.running) {
+      child.kill('SIGCONT')
+      child.kill('SIGKILL')
+    }
+    await Promise.all(this.running.map(async ({ exited }) => await exited))
+    rmSync(this.folder, { recursive: true })
+  }
+
+  private async register (id: string): Promise<void> {
+    await post(`${this.platformUrl}/instances/register`, {
+      id,
+      role: 'entry',
+      state: 'live',
+      dataCentre: 'north',
+      rack: 'r0',
+      address: { host: '127.0.0.1', port: 1 },
+      resources: { slots: 0, cores: 0, memory: 0, accelerators: 0 },
+      connections: 0
+    })
+  }
+
+  private async startStandIn (args: string[]): Promise<StandIn> {
+    const child = spawn(process.execPath, [STAND_INS, ...args], { stdio: ['ignore', 'pipe', 'inherit'] })
+    const { url } = await waitForReady(child, child.stdout) as unknown as { url: string }
+    const standIn = { process: child, url, exited: exitOf(child) }
+    this.running.push(standIn)
+    return standIn
+  }
+}
+
+/**
+ * @param url - where to send
+ * @param body - content, as JSON
+ */
+export async function post (url: string, body: unknown): Promise<void> {
+  const answer = await fetch(url, { method: 'POST', body: JSON.stringify(body) })
+  if (!answer.ok) throw new Error(`${url} answered ${answer.status}: ${await answer.text()}`)
+}
+
+async function exitOf (child: ChildProcess): Promise<number | null> {
+  if (child.exitCode !== null) return child.exitCode
+  return await new Promise(resolve => child.once('exit', code => { resolve(code) }))
+}
+
+async function waitForReady (child: ChildProcess, stream: NodeJS.ReadableStream): Promise<Record<string, unknown>> {
+  return await new Promise((resolve, reject) => {
+    const other: string[] = []
+    child.once('exit', code => { reject(new Error(`a process ended with ${String(code)} before it was ready: ${other.join('\n')}`)) })
+    readLines(stream, line => {
+      if (line.includes('"ready":true')) resolve(JSON.parse(line) as Record<string, unknown>)
+      else other.push(line)
+    })
+  })
+}
+
+function readLines (stream: NodeJS.ReadableStream, take: (line: string) => void): void {
+  let rest = ''
+  stream.setEncoding('utf8')
+  stream.on('data', (chunk: string) => {
+    const lines = (rest + chunk).split('\n')
+    rest = lines.pop()!
+    for (const line of lines) take(line)
+  })
+}
