Part what acts between nodes from a node's sockets

Cause: the fault matrix has to drive the real node code on a fake network and clock, but Node opened sockets in the same class. Change: Member (ownership, admission, permits, rules, loads) takes an abstract Network; Node adds gRPC, callers' HTTP and the control interface.

--- /dev/null
+++ b/packages/node/src/runtime/Member.ts
@@ -0,0 +1,206 @@
+import { AdmissionService } from '@rattanstep/admission'
+import { Configuration } from '@rattanstep/configuration'
+import type { RulesVersion } from '@rattanstep/configuration'
+import { KEY_SHARDS, shardResource, workerResource } from '@rattanstep/core'
+import type { Address, Assignment, Clock, Incarnation, Message, Network, Random, ResourceKey } from '@rattanstep/core'
+import { OwnerPermits } from '@rattanstep/front'
+import { Ownership } from '@rattanstep/ownership'
+import type { Log, Metrics } from '@rattanstep/telemetry'
+import type { Platform } from '../types/NodeOptions.js'
+import { Fleet } from './Fleet.js'
+import { LoadBoard } from './LoadBoard.js'
+import { WorkerReports } from './WorkerReports.js'
+
+/** What a member of a cell is made of. */
+export interface MemberOptions {
+  incarnation: Incarnation
+  cell: string
+  dataCentre: string
+  /** Where other members reach this one. */
+  peer: Address
+  network: Network
+  platform: Platform
+  clock: Clock
+  random: Random
+  log: Log
+  metrics: Metrics
+  /** Operators' text in force while the table has none. */
+  rules: string
+}
+
+/**
+ * Everything of a node that acts together with other nodes: ownership, admission, permits and rules, joined by
+ * messages. It opens no socket of its own.
+ */
+export class Member {
+  readonly fleet: Fleet
+  readonly configuration: Configuration
+  readonly ownership: Ownership
+  readonly admission: AdmissionService
+  readonly loads: LoadBoard
+  readonly reports: WorkerReports
+  readonly permits: OwnerPermits
+  private stopped = false
+
+  /** @param options - network, platform and sources of time and randomness */
+  constructor (private readonly options: MemberOptions) {
+    const { incarnation, clock, log, platform } = options
+    this.fleet = new Fleet({ instances: platform.instances, clock, log })
+    this.configuration = this.makeConfiguration()
+    this.ownership = this.makeOwnership()
+    this.admission = this.makeAdmission()
+    this.loads = new LoadBoard({ self: incarnation, clock, own: () => this.admission.load(), assignment: () => this.assignment })
+    this.reports = this.makeReports()
+    this.permits = this.makePermits()
+    this.connect()
+  }
+
+  /** @returns the newest known assignment */
+  get assignment (): Assignment {
+    return this.ownership.assignment
+  }
+
+  /** Starts everything. A platform that is down does not make this fail. */
+  async start (): Promise<void> {
+    this.options.network.receive((from, message) => { this.receive(from, message) })
+    await Promise.all([this.fleet.start(), this.configuration.start()])
+    await this.ownership.start()
+    this.admission.start()
+    this.permits.start()
+    this.reports.start()
+  }
+
+  /** Stops everything at once. */
+  stop (): void {
+    this.stopped = true
+    this.fleet.stop()
+    this.configuration.stop()
+    this.reports.stop()
+    this.permits.stop()
+    this.admission.stop()
+    this.ownership.stop()
+  }
+
+  /**
+   * Learns from a node that is known only by its address.
+   *
+   * @param peer - the node
+   */
+  meet (peer: Incarnation): void {
+    this.options.network.send(peer, { kind: 'fetch', what: 'assignment' })
+    if (!this.configuration.ready) this.configuration.fetch(peer)
+  }
+
+  /** Hands over what this member owns; it gives no more room. */
+  async handOver (): Promise<void> {
+    this.admission.drain()
+    await this.ownership.drain()
+  }
+
+  /** @returns the rules in force, or `null` before the first */
+  get rules (): RulesVersion | null {
+    return this.configuration.ready ? this.configuration.value : null
+  }
+
+  private makeConfiguration (): Configuration {
+    const { platform, network, clock, random, log, rules, incarnation, cell } = this.options
+    const { table } = platform
+    return new Configuration({ cell, self: incarnation, table, network, clock, random, log, defaults: rules })
+  }
+
+  private makeOwnership (): Ownership {
+    const { platform, network, clock, random, log, incarnation, peer, cell, dataCentre } = this.options
+    return new Ownership({
+      self: { incarnation, dataCentre, peer, draining: false },
+      cell,
+      network,
+      table: platform.table,
+      clock,
+      random,
+      log,
+      instances: () => this.fleet.all(),
+      resources: () => this.resources(),
+      load: () => this.admission.load(),
+      rules: () => this.configuration.version
+    })
+  }
+
+  private makeAdmission (): AdmissionService {
+    const { network, clock, random, log, metrics, incarnation } = this.options
+    return new AdmissionService({
+      self: incarnation,
+      network,
+      clock,
+      random,
+      log,
+      metrics,
+      assignment: () => this.assignment,
+      mayAdmit: resource => this.ownership.mayAdmit(resource),
+      leaseLeft: () => this.ownership.leaseLeft(),
+      instance: worker => this.fleet.find(worker)
+    })
+  }
+
+  private makeReports (): WorkerReports {
+    const { platform, clock, log } = this.options
+    return new WorkerReports({
+      workers: platform.workers,
+      clock,
+      log,
+      owned: () => this.admission.books(),
+      onReport: report => { this.admission.reported(report) }
+    })
+  }
+
+  private makePermits (): OwnerPermits {
+    const { network, clock, random, log, metrics, incarnation, dataCentre } = this.options
+    return new OwnerPermits({
+      self: incarnation,
+      network,
+      clock,
+      random,
+      log,
+      metrics,
+      owners: () => this.loads.owners(),
+      priorityOf: name => this.rules?.rules.classes.find(entry => entry.name === name)?.priority ?? 0,
+      assignment: () => this.assignment,
+      dataCentre
+    })
+  }
+
+  private connect (): void {
+    this.configuration.onChange(({ rules }) => { this.admission.configure(rules) })
+    this.fleet.onRead(() => { this.admission.updateWorkers() })
+    this.ownership.onChange((assignment, previous) => { this.followAssignment(assignment, previous) })
+    this.ownership.onHeartbeat((from, heartbeat) => {
+      this.configuration.heard(from, heartbeat.rules)
+      if (heartbeat.load !== null) this.loads.heard(from, heartbeat.load)
+    })
+  }
+
+  private followAssignment (assignment: Assignment, previous: Assignment): void {
+    const { network } = this.options
+    const present = new Set(assignment.holders.map(holder => holder.incarnation))
+    for (const { incarnation, peer } of assignment.holders) network.introduce(incarnation, peer)
+    this.admission.assignmentChanged(assignment, previous)
+    this.permits.ownerChanged(assignment, previous)
+    this.loads.prune()
+    for (const { incarnation } of previous.holders) {
+      if (!present.has(incarnation)) network.forget(incarnation)
+    }
+  }
+
+  private receive (from: Incarnation, message: Message): void {
+    if (this.stopped) return
+    const receivers = [this.ownership, this.admission, this.permits, this.configuration]
+    for (const receiver of receivers) {
+      if (receiver.receive(from, message)) return
+    }
+  }
+
+  private resources (): ResourceKey[] {
+    const workers = this.fleet.workers().map(worker => workerResource(worker.id))
+    const shards = Array.from({ length: KEY_SHARDS }, (_, shard) => shardResource(shard))
+    return [...workers, ...shards]
+  }
+}
--- a/packages/node/src/runtime/reportStatus.ts
+++ b/packages/node/src/runtime/reportStatus.ts
@@ -1,12 +1,62 @@
-import type { ResolvedRules } from '@rattanstep/rules'
-import type { ClassStatus, StatusReport } from '../types/StatusReport.js'
+import type { Incarnation } from '@rattanstep/core'
+import type { ResolvedRules, ResolvedSettings } from '@rattanstep/rules'
+import type { ClassStatus, NodeState, StatusReport } from '../types/StatusReport.js'
+import { findProblems } from './findProblems.js'
+import type { Member } from './Member.js'
+
+/** What a status report is made from. */
+export interface StatusFacts {
+  settings: ResolvedSettings
+  member: Member
+  incarnation: Incarnation
+  state: NodeState
+  /** Milliseconds since the process started. */
+  uptime: number
+  front: StatusReport['front']
+  metrics: StatusReport['metrics']
+}
 
 /**
- * @param rules - rules in force, if any
- * @param waiting - requests that wait, by priority
- * @returns each class with its rule and who asked for it
+ * @param facts - one node
+ * @returns everything that operators see
  */
-export function reportClasses (rules: ResolvedRules | null, waiting: StatusReport['admission']['load']['waiting']): ClassStatus[] {
+export function reportStatus (facts: StatusFacts): StatusReport {
+  const { settings, member, incarnation, state, uptime, front, metrics } = facts
+  const ownership = member.ownership.status()
+  const admission = member.admission.status()
+  const workers = member.fleet.workers()
+  const problems = findProblems({
+    state,
+    ownership,
+    lapsedFor: admission.lapsedFor,
+    listLostFor: member.fleet.lostFor(),
+    rulesReady: member.rules !== null,
+    workers: workers.length,
+    silentWorkers: member.reports.silent()
+  })
+  return {
+    node: settings.id,
+    incarnation,
+    cell: settings.cell,
+    dataCentre: settings.dataCentre,
+    state,
+    uptime,
+    problems,
+    rules: { version: member.configuration.version },
+    classes: reportClasses(member.rules?.rules ?? null, admission.load.waiting),
+    ownership,
+    admission,
+    fleet: {
+      workers: workers.length,
+      leaving: workers.filter(worker => worker.state === 'leaving').length,
+      listAge: member.fleet.age()
+    },
+    front,
+    metrics
+  }
+}
+
+function reportClasses (rules: ResolvedRules | null, waiting: StatusReport['admission']['load']['waiting']): ClassStatus[] {
   const counts = new Map(waiting.map(entry => [entry.priority, entry.count]))
   return (rules?.classes ?? []).map(({ name, priority, askedBy, line }) => ({
     name,
--- a/packages/peer/src/node/GrpcNetwork.ts
+++ b/packages/peer/src/node/GrpcNetwork.ts
@@ -71,12 +71,7 @@
     this.links.set(peer, link)
   }
 
-  /**
-   * Forgets a node.
-   *
-   * @param incarnation - a node that is gone
-   */
-  forget (incarnation: Incarnation): void {
+  override forget (incarnation: Incarnation): void {
     this.links.get(incarnation)?.close()
     this.links.delete(incarnation)
   }
