Jobs: seeded runs under random faults, and what they found

Cause: 300 seeded runs of three nodes and four workers, with faults of the table, the nodes, the workers and the messages.

Change: holds are named by the owner and closed units remembered; the placement names the holds it used; one node by rendezvous gives up a worker that is gone; workers that failed a task are passed over for four attempts only; largest needs are placed first; the writer marks its end in the same turn as its last look.

--- a/packages/jobs/src/runtime/Canceller.ts
+++ b/packages/jobs/src/runtime/Canceller.ts
@@ -68,9 +68,7 @@
     const found = new Map(rows.value.map(row => [row.key, row]))
     const results = new Map<string, CancelResult>()
     await Promise.all(ids.map(async id => { results.set(id, await this.writeOne(found.get(jobKey(id)))) }))
-    const cancelled = [...results].flatMap(([id, result]) => result.isOk() && result.value?.state === 'cancelling' ? [id] : [])
-    if (cancelled.length > 0) this.context.log.write(EVENTS.cancelled, { jobs: cancelled.length })
-    this.post.tellDrivers(cancelled)
+    this.post.tellDrivers([...results].flatMap(([id, result]) => result.isOk() && result.value?.state === 'cancelling' ? [id] : []))
     for (const entry of wave) entry.resolve(results.get(entry.id) ?? Ok(null))
   }
 
@@ -84,7 +82,10 @@
     if (state === null) return Ok(summary)
     const change = { checks: [{ key: row.key, version: row.version }], writes: [{ key: row.key, value: JSON.stringify({ ...content.value, state }) }] }
     const settlement = await this.writer.write(change)
-    if (settlement.outcome === 'committed') return Ok(summary)
+    if (settlement.outcome === 'committed') {
+      this.context.log.write(EVENTS.cancelled, { job: id })
+      return Ok(summary)
+    }
     return Err({ fault: settlement.outcome === 'undecided' ? 'unknown' : settlement.outcome, message: `${settlement.message}; cancel the job again` })
   }
 }
--- a/packages/jobs/src/runtime/Driver.ts
+++ b/packages/jobs/src/runtime/Driver.ts
@@ -23,6 +23,9 @@
 /** Longest delay before room is asked for again. */
 const MAX_PLACE_DELAY_MS = 2000
 
+/** Attempts in which a task is kept off workers that failed it; after them any worker will do. */
+const AVOIDING_TRIES = 4
+
 interface Attempt {
   tries: number
   at: number
@@ -116,10 +119,11 @@
     const { id } = plan.job.content
     const now = this.context.clock.now()
     if (plan.units.length === 0 || (this.attempts.get(id)?.at ?? now) > now) return
+    const avoids = (this.attempts.get(id)?.tries ?? 0) < AVOIDING_TRIES
     let wanted = 0
     let held = 0
     for (const unit of plan.units) {
-      const outcome = await this.placer.place({ ...unit, insists: plan.insists })
+      const outcome = await this.placer.place({ ...unit, insists: plan.insists, avoids })
       wanted += unit.tasks.length
       held += outcome.held
       if (outcome.placed.length > 0) this.context.log.write(EVENTS.placed, { job: id, placements: outcome.placed, age: plan.age })
--- a/packages/jobs/src/runtime/HoldBook.ts
+++ b/packages/jobs/src/runtime/HoldBook.ts
@@ -17,6 +17,9 @@
   until: number
 }
 
+/** Lengths of a hold for which closed units are remembered. */
+const REMEMBER_HOLDS = 10
+
 type Need = HoldRequest['needs'][number]
 
 /** Gives room on the workers kept here to the drivers of jobs, for a short time each. */
@@ -27,6 +30,9 @@
   private readonly isQuarantined: (worker: string) => boolean
   private readonly units = new Map<string, HeldUnit>()
   private readonly insistences = new Map<string, Insistence>()
+  /** Units that were released or written, so that a late repeat of their request is given nothing. */
+  private readonly closed = new Map<string, number>()
+  private given = 0
 
   /** @param options - `keepers`: workers kept here; `isQuarantined`: workers that are given nothing new */
   constructor (options: { context: Context, post: Post, keepers: ReadonlyMap<string, WorkerKeeper>, isQuarantined: (worker: string) => boolean }) {
@@ -42,21 +48,22 @@
    */
   request (from: Incarnation, request: HoldRequest): void {
     const known = this.units.get(request.unit)
-    const holds = known?.holds ?? this.give(request)
+    const holds = known?.holds ?? (this.closed.has(request.unit) ? [] : this.give(request))
     this.post.send(from, 'held', { unit: request.unit, holds })
   }
 
   /** @param body - a unit whose placement did not take effect and never will */
   release (body: Body<'release'>): void {
-    const unit = this.units.get(body.unit)
-    if (unit === undefined) return
-    this.units.delete(body.unit)
-    for (const hold of unit.holds) this.context.room.release(hold.hold)
+    const unit = this.close(body.unit)
+    for (const hold of unit?.holds ?? []) this.context.room.release(hold.hold)
   }
 
   /** @param body - a unit whose placement was written; its workers are looked at */
   committed (body: Body<'committed'>): void {
-    this.units.delete(body.unit)
+    const used = new Set(body.holds)
+    for (const hold of this.close(body.unit)?.holds ?? []) {
+      if (!used.has(hold.hold)) this.context.room.release(hold.hold)
+    }
   }
 
   /** Ends holds that are overdue; their room stays taken until their placement can no longer be written. */
@@ -70,6 +77,9 @@
     for (const [job, insistence] of this.insistences) {
       if (insistence.until <= now) this.insistences.delete(job)
     }
+    for (const [name, until] of this.closed) {
+      if (until <= now) this.closed.delete(name)
+    }
   }
 
   /**
@@ -84,6 +94,13 @@
     }
   }
 
+  private close (name: string): HeldUnit | undefined {
+    const unit = this.units.get(name)
+    this.units.delete(name)
+    this.closed.set(name, this.context.clock.now() + REMEMBER_HOLDS * this.context.tuning.hold)
+    return unit
+  }
+
   private doubt (hold: Hold): void {
     const keeper = this.keepers.get(hold.worker)
     if (keeper === undefined) this.context.room.release(hold.hold)
@@ -94,7 +111,8 @@
     const until = this.context.clock.now() + this.context.tuning.hold
     if (request.insists) this.insistences.set(request.job, { submitted: request.submitted, until })
     if (this.mustMakeWay(request)) return []
-    const holds = request.needs.flatMap(need => this.take(request, need) ?? [])
+    const largestFirst = [...request.needs].sort((a, b) => this.size(b) - this.size(a) || a.index - b.index)
+    const holds = largestFirst.flatMap(need => this.take(request, need) ?? [])
     if (holds.length > 0) this.units.set(request.unit, { holds, until })
     return holds
   }
@@ -108,7 +126,7 @@
   }
 
   private take (request: HoldRequest, need: Need): Hold | null {
-    const hold = `${request.unit}#${need.index}`
+    const hold = `${this.context.self}/${this.given++}`
     for (const keeper of this.rank(need)) {
       if (!this.context.room.tryHold(keeper.worker, need.resources, request.class, request.team, hold)) continue
       return { index: need.index, worker: keeper.worker, version: keeper.claim.version, hold }
@@ -125,6 +143,13 @@
       .map(entry => entry.keeper)
   }
 
+  /** Largest part that a need takes of any resource of the largest worker here. */
+  private size (need: Need): number {
+    const names = ['slots', 'cores', 'memory', 'accelerators'] as const
+    const totals = [...this.keepers.values()].flatMap(keeper => keeper.instance?.resources ?? [])
+    return Math.max(...names.map(name => need.resources[name] / Math.max(1, ...totals.map(total => total[name]))))
+  }
+
   /** Sum over the resources of the part that would stay free. */
   private leftover (instance: Instance, need: Need): number {
     const left = subtractResources(this.context.room.free(instance.id), need.resources)
--- a/packages/jobs/src/runtime/Keepers.ts
+++ b/packages/jobs/src/runtime/Keepers.ts
@@ -91,23 +91,26 @@
       else known.instance = instance
     }
     for (const [worker, keeper] of this.keepers) {
-      const isKept = keeper.instance === null ? owned.isGone(worker) : instances.has(worker)
+      const isKept = keeper.instance === null ? this.mayGiveUp(worker) : instances.has(worker)
       if (!isKept) this.lose(worker)
     }
   }
 
   /** Tasks on workers that nobody can own any longer are given up by one node for each worker. */
   private async findGone (): Promise<void> {
-    const { holders, owned, self, table } = this.context
-    const rows = await table.list({ prefix: KEEPER_PREFIX, limit: MAX_KEEPERS })
+    const rows = await this.context.table.list({ prefix: KEEPER_PREFIX, limit: MAX_KEEPERS })
     if (rows.isErr()) return
     for (const row of rows.value) {
       const worker = row.key.slice(KEEPER_PREFIX.length)
-      if (this.keepers.has(worker) || !owned.isGone(worker)) continue
-      if (rendezvous(worker, holders())[0] === self) this.add(worker, null, () => owned.isGone(worker))
+      if (!this.keepers.has(worker) && this.mayGiveUp(worker)) this.add(worker, null, () => this.mayGiveUp(worker))
     }
   }
 
+  private mayGiveUp (worker: string): boolean {
+    const { holders, owned, self } = this.context
+    return owned.isGone(worker) && rendezvous(worker, holders())[0] === self
+  }
+
   private add (worker: string, instance: Instance | null, mayAct: () => boolean): void {
     const events = {
       changed: (jobs: string[]) => { this.post.tellDrivers(jobs) },
--- a/packages/jobs/src/runtime/Placer.ts
+++ b/packages/jobs/src/runtime/Placer.ts
@@ -21,6 +21,8 @@
   whole: boolean
   /** Whether younger jobs are to make way. */
   insists: boolean
+  /** Whether workers that failed a task are passed over. */
+  avoids: boolean
 }
 
 /** What came of placing a unit. */
@@ -65,7 +67,7 @@
     const settlement = await this.writer.write(describe(unit, holds))
     if (settlement.outcome === 'committed') {
       const workers = holds.map(hold => hold.worker)
-      for (const owner of asked) this.post.send(owner, 'committed', { unit: name, workers })
+      for (const owner of asked) this.post.send(owner, 'committed', { unit: name, workers, holds: holds.map(hold => hold.hold) })
       return { held: holds.length, placed: holds.map(({ index, worker }) => ({ index, worker })) }
     }
     if (settlement.outcome !== 'undecided') this.release(name, asked)
@@ -106,11 +108,7 @@
 
   private describeNeeds (unit: Unit, tasks: Array<Versioned<TaskRow>>, name: string): HoldRequest {
     const { id, submitted, team } = unit.job.content
-    const cell = this.context.owned.cellWorkers()
-    const needs = tasks.map(({ content }) => {
-      const hasOthers = cell.some(worker => worker.state === 'live' && !content.avoid.includes(worker.id))
-      return { index: content.index, resources: content.resources, avoid: hasOthers ? content.avoid : [] }
-    })
+    const needs = tasks.map(({ content }) => ({ index: content.index, resources: content.resources, avoid: unit.avoids ? content.avoid : [] }))
     return { unit: name, job: id, submitted, class: unit.job.content.class, team, insists: unit.insists, needs }
   }
 
--- a/packages/jobs/src/runtime/TableWriter.ts
+++ b/packages/jobs/src/runtime/TableWriter.ts
@@ -43,25 +43,31 @@
   }
 
   private run (): void {
-    this.writing = true
-    this.drain().then(() => { this.writing = false }, (error: unknown) => {
-      this.writing = false
+    this.drain().catch((error: unknown) => {
       this.context.log.write(EVENTS.fault, { step: 'write', error: String(error) })
     })
   }
 
   private async drain (): Promise<void> {
-    const { clock, tuning } = this.context
-    while (this.waiting.length > 0) {
-      const pause = this.lastWrite + SECOND_MS / tuning.writesPerSecond - clock.now()
-      if (pause > 0) await clock.sleep(pause)
-      const group = this.takeGroup()
-      const settlement = await this.commit(group.map(entry => entry.change))
-      if (settlement.outcome === 'conflict' && group.length > 1) await this.writeApart(group)
-      else for (const entry of group) entry.resolve(settlement)
+    this.writing = true
+    try {
+      while (this.waiting.length > 0) await this.writeGroup()
+    } finally {
+      // In the same turn as the last look at the queue, so that no change is left waiting.
+      this.writing = false
     }
   }
 
+  private async writeGroup (): Promise<void> {
+    const { clock, tuning } = this.context
+    const pause = this.lastWrite + SECOND_MS / tuning.writesPerSecond - clock.now()
+    if (pause > 0) await clock.sleep(pause)
+    const group = this.takeGroup()
+    const settlement = await this.commit(group.map(entry => entry.change))
+    if (settlement.outcome === 'conflict' && group.length > 1) return await this.writeApart(group)
+    for (const entry of group) entry.resolve(settlement)
+  }
+
   private async writeApart (group: Waiting[]): Promise<void> {
     for (const entry of group) entry.resolve(await this.commit([entry.change]))
   }
--- a/packages/jobs/src/runtime/planJob.ts
+++ b/packages/jobs/src/runtime/planJob.ts
@@ -19,7 +19,7 @@
   /** Workers whose placements the steps change. */
   stirred: string[]
   /** Tasks to place now. */
-  units: Array<Omit<Unit, 'insists'>>
+  units: Array<Omit<Unit, 'insists' | 'avoids'>>
   /** Whether younger jobs are to make way. */
   insists: boolean
   /** Milliseconds since the job was accepted. */
--- a/packages/jobs/src/types/events.ts
+++ b/packages/jobs/src/types/events.ts
@@ -13,7 +13,7 @@
   silent: { number: 4008, name: 'worker-silent', level: 'warn', message: 'a worker does not report', fields: { worker: 'the worker', reason: 'why' } },
   parked: { number: 4009, name: 'task-parked', level: 'warn', message: 'tasks can not run at the cell\'s present size', fields: { job: 'the job', reason: 'why' } },
   jobEnded: { number: 4010, name: 'job-ended', level: 'info', message: 'a job ended', fields: { job: 'the job', state: 'how' } },
-  cancelled: { number: 4011, name: 'jobs-cancelled', level: 'info', message: 'jobs were marked as cancelled', fields: { jobs: 'number of jobs' } },
+  cancelled: { number: 4011, name: 'job-cancelled', level: 'info', message: 'a job was marked as cancelled', fields: { job: 'the job' } },
   badRow: { number: 4012, name: 'job-row-unreadable', level: 'error', message: 'a row of the table has an unexpected shape and is left alone', fields: { key: 'key of the row', problem: 'what is wrong' } },
   badMessage: { number: 4013, name: 'job-message-unreadable', level: 'warn', message: 'a message about jobs has an unexpected shape and is dropped', fields: { from: 'the sender', operation: 'name of the operation' } },
   tableFault: { number: 4014, name: 'job-table-fault', level: 'warn', message: 'the table did not answer as asked', fields: { action: 'what was tried', outcome: 'what is known', reason: 'why' } },
--- a/packages/jobs/src/types/messages.ts
+++ b/packages/jobs/src/types/messages.ts
@@ -39,8 +39,8 @@
 /** Gives holds back: the placement did not take effect and never will. */
 export const RELEASE = z.object({ unit: z.string().min(1) })
 
-/** Says that placements were written. */
-export const COMMITTED = z.object({ unit: z.string().min(1), workers: z.array(z.string()).max(MAX_ITEMS) })
+/** Says that placements were written under the holds named; other holds of the unit were not used. */
+export const COMMITTED = z.object({ unit: z.string().min(1), workers: z.array(z.string()).max(MAX_ITEMS), holds: z.array(z.string()).max(MAX_ITEMS) })
 
 /** Tells the driver of jobs that something has happened to them. */
 export const CHANGED = z.object({ jobs: z.array(z.string()).max(MAX_ITEMS) })
--- a/packages/jobs/test/runtime/Cell.ts
+++ b/packages/jobs/test/runtime/Cell.ts
@@ -89,6 +89,8 @@
   readonly table = new MemoryTable({ clock: this.clock })
   readonly workers = new MemoryWorkers({ clock: this.clock, objects: this.objects })
   readonly instances = new Map<string, Instance>()
+  /** What every worker that ever was there holds. */
+  readonly sizes = new Map<string, Resources>()
   readonly owners = new Map<string, Incarnation | null>()
   readonly members = new Map<Incarnation, Member>()
   /** Part of the messages between nodes that is lost. */
@@ -112,6 +114,7 @@
   }
 
   addWorker (id: string, resources: Resources): void {
+    this.sizes.set(id, resources)
     this.instances.set(id, { id, role: 'worker', state: 'live', dataCentre: 'a', rack: 'r1', address: { host: '127.0.0.1', port: 1 }, resources, connections: 60 })
   }
 
@@ -167,6 +170,23 @@
     this.spread()
   }
 
+  /** Takes a worker off the list; it may still run for a while, unseen. */
+  removeWorker (id: string): void {
+    const owner = this.owners.get(id)
+    this.instances.delete(id)
+    this.owners.delete(id)
+    if (owner != null) this.members.get(owner)?.owned.lost(id)
+  }
+
+  /** Moves a worker to another node. */
+  move (worker: string, to: Incarnation, options: { tell: boolean }): void {
+    const owner = this.owners.get(worker)
+    if (owner === to || !this.instances.has(worker)) return
+    this.owners.set(worker, to)
+    if (options.tell && owner != null) this.members.get(owner)?.owned.lost(worker)
+    this.members.get(to)!.gate.run(() => { this.members.get(to)?.owned.gained(this.instances.get(worker)!) })
+  }
+
   /** Ends a node for good; a new one takes its place. */
   async kill (id: Incarnation): Promise<void> {
     const member = this.members.get(id)!
--- /dev/null
+++ b/packages/jobs/test/runtime/chaos.test.ts
@@ -0,0 +1,22 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { runChaos } from './chaos.js'
+
+/** Set to one seed to replay it alone. */
+const SEED = Number(process.env.JOBS_SEED ?? NaN)
+const CASES = Number(process.env.JOBS_CASES ?? 300)
+const GROUP = 50
+
+const seeds = Number.isNaN(SEED) ? Array.from({ length: CASES }, (_, number) => number + 1) : [SEED]
+
+for (let from = 0; from < seeds.length; from += GROUP) {
+  const group = seeds.slice(from, from + GROUP)
+  test(`tasks are kept under random faults, seeds ${group[0]} to ${group.at(-1)}`, async () => {
+    const failures: string[] = []
+    for (const seed of group) {
+      const report = await runChaos(seed)
+      for (const problem of [...report.breaches, ...report.unfinished]) failures.push(`JOBS_SEED=${seed}: ${problem}`)
+    }
+    expect(failures).toEqual([])
+  })
+}
--- /dev/null
+++ b/packages/jobs/test/runtime/chaos.ts
@@ -0,0 +1,126 @@
+import { noFaults } from '@rattanstep/stand-ins'
+import type { JobKind } from '../../src/index.js'
+import { Cell } from './Cell.js'
+import { findBreaches, readTasks } from './invariants.js'
+
+/**
+ * One seeded run of a cell under random faults, for tests.
+ */
+
+export interface ChaosReport {
+  seed: number
+  breaches: string[]
+  /** Tasks that had not ended long after the last fault. */
+  unfinished: string[]
+  actions: Record<string, number>
+  runs: number
+  /** Runs of tasks beyond the first. */
+  repeats: number
+}
+
+type Action = (cell: Cell) => Promise<void> | void
+
+const STEPS = 25
+const MAX_STEP_MS = 400
+const HEAL_MS = 60_000
+
+const ACTIONS: Record<string, Action> = {
+  nothing: () => {},
+  'table down': cell => { cell.table.faults.down = true },
+  'table slow': cell => { cell.table.faults.slow = cell.random.integer(100) },
+  'table loses answers': cell => { cell.table.faults.loseAnswers = true },
+  'table writes late': cell => { cell.table.faults.lateWrites = 1 + cell.random.integer(1500) },
+  'table up': cell => { Object.assign(cell.table.faults, noFaults()) },
+  'node paused': async cell => { await cell.pause(cell.random.pick(cell.nodes).id, cell.random.integer(3000)) },
+  'node dies': async cell => { await cell.kill(cell.random.pick(cell.nodes).id) },
+  'worker moves': cell => { cell.move(pickWorker(cell), cell.random.pick(cell.nodes).id, { tell: cell.random.next() < 0.5 }) },
+  'worker unreachable': cell => { faultsOf(cell).unreachable = true },
+  'worker loses answers': cell => { faultsOf(cell).loseAnswers = true },
+  'worker late': cell => { faultsOf(cell).late = 1 + cell.random.integer(1500) },
+  'worker slow': cell => { faultsOf(cell).slow = cell.random.integer(150) },
+  'worker hangs': cell => { faultsOf(cell).hung = true },
+  'worker killed': cell => { cell.workers.kill(cell.instances.get(pickWorker(cell))!) },
+  'workers well': cell => { healWorkers(cell) },
+  'worker gone': cell => { if (cell.instances.size > 2) cell.removeWorker(pickWorker(cell)) },
+  'reports lag': cell => { cell.workers.reportLag = cell.random.integer(300) },
+  'messages lost': cell => { cell.loss = 0.3 },
+  'messages doubled': cell => { cell.doubles = 0.5 },
+  'messages well': cell => {
+    cell.loss = 0
+    cell.doubles = 0
+  },
+  cancelled: cell => { cell.random.pick(cell.nodes).jobs.cancel(`j${cell.random.integer(6)}`).catch(() => {}) },
+  vacated: cell => {
+    const worker = cell.instances.get(pickWorker(cell))!
+    for (const node of cell.nodes) node.jobs.vacate(worker).catch(() => {})
+  }
+}
+
+function pickWorker (cell: Cell): string {
+  return cell.random.pick([...cell.instances.keys()])
+}
+
+function faultsOf (cell: Cell): ReturnType<Cell['workers']['faults']> {
+  return cell.workers.faults(cell.instances.get(pickWorker(cell))!)
+}
+
+function healWorkers (cell: Cell): void {
+  for (const worker of cell.instances.values()) {
+    Object.assign(cell.workers.faults(worker), { unreachable: false, loseAnswers: false, late: 0, slow: 0 })
+    cell.workers.resume(worker)
+  }
+}
+
+function submitAll (cell: Cell): void {
+  const kinds: Array<[JobKind, string]> = [['batch', 'audio'], ['gang', 'ledger'], ['batch', 'audio'], ['gang', 'ledger'], ['service', 'desk'], ['batch', 'audio']]
+  for (const [number, [kind, name]] of kinds.entries()) {
+    const count = 1 + cell.random.integer(kind === 'gang' ? 5 : 4)
+    const tasks = Array.from({ length: count }, () => ({
+      command: kind === 'service' ? 'serve' : cell.random.next() < 0.15 ? `fail ${cell.random.integer(100)}` : `run ${cell.random.integer(1500)}`,
+      resources: { slots: 1, cores: 1 + cell.random.integer(3) }
+    }))
+    cell.clock.schedule(cell.random.integer(3000), () => { submitUntilKnown(cell, { id: `j${number}`, kind, class: name, tasks }) })
+  }
+}
+
+/** A user repeats the same job until it is told how it stands. */
+function submitUntilKnown (cell: Cell, job: unknown): void {
+  const again = (): void => { cell.clock.schedule(200, () => { submitUntilKnown(cell, job) }) }
+  cell.random.pick(cell.nodes).jobs.submit(job).then(result => { if (result.isErr()) again() }, again)
+}
+
+export async function runChaos (seed: number, tuning: ConstructorParameters<typeof Cell>[0] = {}): Promise<ChaosReport> {
+  const cell = new Cell({ seed, nodes: 3, workers: 4, ...tuning })
+  const actions: Record<string, number> = {}
+  const breaches = new Set<string>()
+  submitAll(cell)
+  for (let step = 0; step < STEPS; step++) {
+    const name = cell.random.pick(Object.keys(ACTIONS))
+    actions[name] = (actions[name] ?? 0) + 1
+    await ACTIONS[name]!(cell)
+    await cell.clock.advance(cell.random.integer(MAX_STEP_MS))
+    for (const breach of findBreaches(cell)) breaches.add(breach)
+  }
+  Object.assign(cell.table.faults, noFaults())
+  healWorkers(cell)
+  cell.loss = 0
+  cell.workers.reportLag = 0
+  await settle(cell)
+  for (const breach of findBreaches(cell)) breaches.add(breach)
+  const { runs } = cell.workers
+  const unfinished = readTasks(cell).filter(isOpen).map(task => `${task.job}/${task.index} ${task.state}`)
+  for (const node of cell.nodes) node.gate.kill()
+  return { seed, breaches: [...breaches], unfinished, actions, runs: runs.length, repeats: runs.length - new Set(runs.map(run => run.task)).size }
+}
+
+async function settle (cell: Cell): Promise<void> {
+  for (let waited = 0; waited < HEAL_MS; waited += 1000) {
+    cell.random.pick(cell.nodes).jobs.cancel('j4').catch(() => {})
+    await cell.clock.advance(1000)
+    if (waited > 5000 && readTasks(cell).every(task => !isOpen(task))) return
+  }
+}
+
+function isOpen (task: ReturnType<typeof readTasks>[number]): boolean {
+  return !['done', 'failed', 'cancelled'].includes(task.state)
+}
--- a/packages/jobs/test/runtime/invariants.ts
+++ b/packages/jobs/test/runtime/invariants.ts
@@ -30,11 +30,14 @@
   })
 }
 
+/** Sums what ran together on a worker whenever a run began. */
 function findOverfull (cell: Cell, now: number): string[] {
-  return [...cell.instances.values()].flatMap(worker => {
-    const running = cell.workers.runs.filter(run => run.worker === worker.id && run.from <= now && run.until === null)
-    const used = running.reduce((sum, run) => addResources(sum, run.resources), NO_RESOURCES)
-    return fitsResources(used, worker.resources) ? [] : [`${worker.id} holds more than it has`]
+  const { runs } = cell.workers
+  return runs.flatMap(run => {
+    const together = runs.filter(other => other.worker === run.worker && other.from <= run.from && (other.until ?? now + 1) > run.from)
+    const used = together.reduce((sum, other) => addResources(sum, other.resources), NO_RESOURCES)
+    const total = cell.sizes.get(run.worker)!
+    return fitsResources(used, total) ? [] : [`${run.worker} held more than it has at ${run.from}`]
   })
 }
 
