front: idempotency keys at their homes

Cause: a repeat of a request at any node must not run it a second time, whatever moves, dies or comes late. Weighed: a table row for each key before dispatch (a write a request, and no keyed request while the table is down), and a home in memory with an epoch after an unplanned takeover. Chosen: the home; planned moves hand the keys over, tied to the version of the assignment.

--- a/packages/front/src/runtime/resolveIntake.ts
+++ b/packages/front/src/runtime/resolveIntake.ts
@@ -4,7 +4,7 @@
 import type { Intake } from '../types/intake.js'
 import type { HeaderList } from '../types/run.js'
 import { readFirstSent } from './firstSent.js'
-import { matchRoute } from './matchRoute.js'
+import { matchRoute } from '@rattanstep/rules'
 
 /** A request's head as it arrived. */
 export interface RequestHead {
@@ -43,7 +43,7 @@
   if (fault !== null) return Err(fault)
   const path = originForm(head.url)
   if (path === null) return Err(badTarget(head.url))
-  const route = matchRoute(rules, head.method, path.split('?')[0]!)
+  const route = matchRoute(rules, head.method, path)
   if (route === null) return Err(noRoute(head.method, path))
   const work = rules.classes.find(candidate => candidate.name === route.class)
   if (work === undefined) return Err(noRoute(head.method, path))
@@ -59,12 +59,17 @@
  */
 export function callerOf (headers: HeaderList, remote: string): string {
   const fields = new Map(headers.map(([name, value]) => [name.toLowerCase(), value]))
-  const authorization = fields.get('authorization')
-  if (authorization !== undefined) return `key:${hash64(authorization)}`
+  const credentials = credentialsOf(fields)
+  if (credentials !== '') return `key:${credentials}`
   const named = fields.get('rattanstep-caller')
   return named === undefined ? remote : `name:${named.slice(0, CALLER_BYTES)}`
 }
 
+function credentialsOf (fields: Map<string, string>): string {
+  const authorization = fields.get('authorization')
+  return authorization === undefined ? '' : hash64(authorization)
+}
+
 interface Parts {
   head: RequestHead
   rules: ResolvedRules
@@ -88,6 +93,7 @@
     limits: rules.limits,
     idempotent: SAFE_METHODS.has(head.method) || route.idempotent,
     caller: callerOf(head.headers, head.remote),
+    credentials: credentialsOf(fields),
     team: fields.get('rattanstep-team') ?? '',
     timeout: asked === undefined ? longest : Math.min(longest, Number(asked)),
     key: SAFE_METHODS.has(head.method) ? '' : key,
--- a/packages/front/src/types/events.ts
+++ b/packages/front/src/types/events.ts
@@ -95,6 +95,20 @@
       next: 'who is asked now'
     }
   },
+  keysForgotten: {
+    number: 1010,
+    name: 'keys-forgotten',
+    level: 'warn',
+    message: 'The keys of the home before did not arrive; keys that may have been used before are not run.',
+    fields: { shard: 'number of the range of keys', version: 'version of the assignment', window: 'ms for which that lasts' }
+  },
+  settleLost: {
+    number: 1011,
+    name: 'key-settle-lost',
+    level: 'warn',
+    message: 'No home confirmed how a request with a key ended; repeats of it are answered with unknown.',
+    fields: { claim: 'identifier of the claim', outcome: 'how the request ended' }
+  },
   drained: {
     number: 1007,
     name: 'front-drained',
--- a/packages/front/src/types/intake.ts
+++ b/packages/front/src/types/intake.ts
@@ -15,6 +15,8 @@
   idempotent: boolean
   /** Whoever shares a fair part of the class. */
   caller: string
+  /** Hash of the caller's credentials, or empty; a remembered answer is repeated to the same credentials only. */
+  credentials: string
   /** Team whose quota applies; empty when there is none. */
   team: string
   /** Milliseconds from arrival that the caller waits for its whole answer. */
--- /dev/null
+++ b/packages/front/test/runtime/KeyHome.test.ts
@@ -0,0 +1,196 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { EMPTY_ASSIGNMENT, FakeClock, KEY_SHARDS, Network, shardResource } from '@rattanstep/core'
+import type { Assignment, Incarnation, KeyVerdictMessage, Message, StoredAnswer } from '@rattanstep/core'
+import { MemoryLog, Metrics } from '@rattanstep/telemetry'
+import { KeyHome } from '../../src/index.js'
+
+const TIMES = { window: 60_000, tolerance: 1000 }
+const ANSWER: StoredAnswer = { status: 200, headers: [], body: 'x'.repeat(400) }
+
+class Recorder extends Network {
+  readonly sent: Message[] = []
+  peer: KeyHome | null = null
+
+  override introduce (): void {}
+  override receive (): void {}
+
+  override send (to: Incarnation, message: Message): void {
+    this.sent.push(message)
+    if (to === 'other') this.peer?.receive('self', message)
+  }
+}
+
+function assign (version: number, owner: Incarnation | null): Assignment {
+  const shards = Array.from({ length: KEY_SHARDS }, (_, shard) => shardResource(shard))
+  return { ...EMPTY_ASSIGNMENT, version, owners: owner === null ? {} : Object.fromEntries(shards.map(shard => [shard, owner])) }
+}
+
+class Home {
+  readonly clock: FakeClock
+  readonly network = new Recorder()
+  readonly home: KeyHome
+  assignment = EMPTY_ASSIGNMENT
+  holdsLease = true
+
+  constructor (self: Incarnation, clock = new FakeClock(), limits: { keys?: number, answerBytes?: number } = {}) {
+    this.clock = clock
+    this.home = new KeyHome({ self, network: this.network, clock, log: new MemoryLog(), metrics: new Metrics(), times: TIMES, mayAdmit: () => this.holdsLease, ...limits })
+  }
+
+  follow (version: number, owner: Incarnation | null): this {
+    const previous = this.assignment
+    this.assignment = assign(version, owner)
+    this.home.assignmentChanged(this.assignment, previous)
+    return this
+  }
+
+  claim (id: string, key: string, changes: { firstSent?: number, fingerprint?: string } = {}): KeyVerdictMessage['verdict'] | null {
+    const before = this.network.sent.length
+    this.home.receive('front', { kind: 'key-claim', id, shard: 0, key, fingerprint: 'f', firstSent: 0, ...changes })
+    const answer = this.network.sent.slice(before).find(message => message.kind === 'key-verdict')
+    return answer?.kind === 'key-verdict' ? answer.verdict : null
+  }
+
+  settle (claim: string, key: string, outcome: 'run' | 'not-run' | 'unknown', answer: StoredAnswer | null = null): boolean {
+    const before = this.network.sent.length
+    this.home.receive('front', { kind: 'key-settle', shard: 0, key, claim, fingerprint: 'f', outcome, answer })
+    return this.network.sent.slice(before).some(message => message.kind === 'key-ack' && message.id === claim)
+  }
+}
+
+/** A home of a cell whose first row it saw. */
+function firstHome (limits = {}): Home {
+  return new Home('self', new FakeClock(), limits).follow(1, 'self')
+}
+
+/** A home some time after a takeover from a node that is gone. */
+function takenOver (): Home {
+  const home = new Home('self').follow(4, 'gone').follow(5, 'self')
+  home.clock.tick(SINCE_TAKEOVER)
+  return home
+}
+
+const SINCE_TAKEOVER = 3 * TIMES.tolerance
+
+test('a key runs once and its repeats learn how that ended', () => {
+  const home = firstHome()
+  expect(home.claim('c1', 'k')).toEqual('first')
+  expect(home.claim('c1', 'k')).toEqual('first')
+  expect(home.claim('c2', 'k')).toEqual('running')
+  expect(home.claim('c3', 'k', { fingerprint: 'other' })).toEqual('clash')
+  expect(home.settle('c1', 'k', 'run', ANSWER)).toEqual(true)
+  expect(home.claim('c4', 'k')).toEqual('settled')
+  expect(home.network.sent.at(-1)).toEqual({ kind: 'key-verdict', id: 'c4', verdict: 'settled', outcome: 'run', answer: ANSWER })
+})
+
+test('only the claim that holds a key frees it, and a late copy of a freed claim takes nothing', () => {
+  const home = firstHome()
+  home.claim('c1', 'k')
+  home.settle('c1', 'k', 'not-run')
+  expect(home.claim('c1', 'k')).toEqual(null)
+  expect(home.claim('c2', 'k')).toEqual('first')
+  home.settle('c1', 'k', 'not-run')
+  expect(home.claim('c3', 'k')).toEqual('running')
+})
+
+test('a settle that arrives before its claim keeps the claim from taking the key', () => {
+  const home = firstHome()
+  expect(home.settle('c1', 'k', 'not-run')).toEqual(true)
+  expect(home.claim('c1', 'k')).toEqual(null)
+  expect(home.claim('c2', 'k')).toEqual('first')
+})
+
+const AGES: Array<{ name: string, home: () => Home, firstSent: (wall: number) => number, verdict: string }> = [
+  { name: 'a key of unknown age in a cell that never had another home', home: firstHome, firstSent: () => 0, verdict: 'first' },
+  { name: 'a key that is too old to be repeated', home: firstHome, firstSent: wall => wall - TIMES.window - 1, verdict: 'forgotten' },
+  { name: 'a key at the end of the window', home: firstHome, firstSent: wall => wall - TIMES.window, verdict: 'first' },
+  { name: 'a key from the future beyond the tolerance', home: firstHome, firstSent: wall => wall + TIMES.tolerance + 1, verdict: 'forgotten' },
+  { name: 'a key of unknown age after a takeover', home: takenOver, firstSent: () => 0, verdict: 'forgotten' },
+  { name: 'a key first sent within two tolerances after a takeover', home: takenOver, firstSent: wall => wall - SINCE_TAKEOVER + 2 * TIMES.tolerance, verdict: 'forgotten' },
+  { name: 'a key first sent later than two tolerances after a takeover', home: takenOver, firstSent: wall => wall - SINCE_TAKEOVER + 2 * TIMES.tolerance + 1, verdict: 'first' }
+]
+
+for (const { name, home, firstSent, verdict } of AGES) {
+  test(`${name} gets ${verdict}`, () => {
+    const it = home()
+    expect(it.claim('c1', 'k', { firstSent: firstSent(it.clock.wall()) })).toEqual(verdict as never)
+  })
+}
+
+test('all keys run again once the window since a takeover has passed', () => {
+  const home = takenOver()
+  home.clock.tick(TIMES.window)
+  expect(home.claim('c1', 'k')).toEqual('first')
+})
+
+test('a node that skipped versions does not trust that it was the home all the while', () => {
+  const home = firstHome()
+  home.claim('c1', 'k1')
+  home.follow(3, 'self')
+  home.clock.tick(600)
+  expect(home.claim('c2', 'k2')).toEqual('forgotten')
+  expect(home.claim('c3', 'k1')).toEqual('running')
+})
+
+test('a home without its lease gives no verdict', () => {
+  const home = firstHome()
+  home.holdsLease = false
+  expect(home.claim('c1', 'k')).toEqual('not-home')
+})
+
+function transfer (version: number): Message {
+  return { kind: 'key-transfer', shard: 0, version, epoch: 0, part: 0, parts: 1, entries: [] }
+}
+
+const TRANSFERS = [
+  { name: 'of this move', version: 5, verdict: 'first' },
+  { name: 'of an earlier move', version: 3, verdict: 'forgotten' },
+  { name: 'that never comes', version: null, verdict: 'forgotten' }
+]
+
+for (const { name, version, verdict } of TRANSFERS) {
+  test(`after a move, with a transfer ${name}, claims wait and then a new key gets ${verdict}`, () => {
+    const home = new Home('self').follow(2, 'other').follow(3, 'self').follow(4, 'other').follow(5, 'self')
+    expect(home.claim('c1', 'k')).toEqual(null)
+    if (version !== null) home.home.receive('other', transfer(version))
+    home.clock.tick(600)
+    expect(home.claim('c1', 'k')).toEqual(verdict as never)
+  })
+}
+
+test('a planned move hands every key over and forgets none, in parts and through lost messages', () => {
+  const clock = new FakeClock()
+  const from = new Home('self', clock).follow(1, 'self')
+  const to = new Home('other', clock).follow(1, 'self')
+  for (let number = 0; number < 3000; number++) from.claim(`c${number}`, `k${number}`)
+  from.settle('c7', 'k7', 'run', ANSWER)
+  from.follow(2, 'other')
+  expect(from.home.isHandedOver).toEqual(false)
+  to.follow(2, 'other')
+  from.network.peer = to.home
+  clock.tick(150)
+  expect(from.network.sent.filter(message => message.kind === 'key-transfer').length).toBeGreaterThan(2)
+  expect(to.claim('d7', 'k7')).toEqual('settled')
+  expect(to.claim('d8', 'k8')).toEqual('running')
+  expect(to.claim('d9', 'new')).toEqual('first')
+  for (const message of to.network.sent) from.home.receive('other', message)
+  expect(from.home.isHandedOver).toEqual(true)
+})
+
+test('a full memory takes no key, and answers make room for newer ones while their keys stay', () => {
+  const home = firstHome({ keys: 3, answerBytes: 1000 })
+  for (const number of [1, 2, 3]) {
+    expect(home.claim(`c${number}`, `k${number}`)).toEqual('first')
+    home.settle(`c${number}`, `k${number}`, 'run', { ...ANSWER })
+  }
+  expect(home.claim('c4', 'k4')).toEqual('full')
+  const answers = [1, 2, 3].map(number => {
+    expect(home.claim(`d${number}`, `k${number}`)).toEqual('settled')
+    const last = home.network.sent.at(-1)
+    return last?.kind === 'key-verdict' && last.answer !== null
+  })
+  expect(answers).toEqual([false, true, true])
+  home.clock.tick(TIMES.window + 2 * TIMES.tolerance + 1)
+  expect(home.claim('c5', 'k5')).toEqual('first')
+})
--- /dev/null
+++ b/packages/front/test/runtime/keySimulation.ts
@@ -0,0 +1,258 @@
+import { Clock, EMPTY_ASSIGNMENT, FakeClock, KEY_SHARDS, Network, SeededRandom, shardResource } from '@rattanstep/core'
+import type { Assignment, Incarnation, Message, Timer } from '@rattanstep/core'
+import { Metrics, SilentLog } from '@rattanstep/telemetry'
+import { HomeKeys, KeyHome } from '../../src/index.js'
+import type { KeyClaim } from '../../src/index.js'
+
+/** Times short enough that windows pass within one case. */
+export const TIMES = { window: 8000, tolerance: 300 }
+
+const LEASE_MS = 1000
+const NODES: Incarnation[] = ['A', 'B', 'C']
+
+/** Faults of one case, each from 0 to 1. */
+export interface SimulationOptions {
+  seed: number
+  /** Milliseconds of the case. */
+  length: number
+  loss: number
+  repeats: number
+  late: number
+  takeovers: boolean
+  moves: boolean
+}
+
+/** What one case has shown. */
+export interface SimulationResult {
+  /** Runs of each key. */
+  runs: Map<string, number>
+  verdicts: Map<string, number>
+  takeovers: number
+  moves: number
+  claims: number
+}
+
+/** A node's own clock: its wall clock is off, and nothing happens once the node is dead. */
+class NodeClock extends Clock {
+  alive = true
+
+  constructor (private readonly base: FakeClock, private readonly offset: number) {
+    super()
+  }
+
+  override now (): number {
+    return this.base.now()
+  }
+
+  override wall (): number {
+    return this.base.wall() + this.offset
+  }
+
+  override schedule (delay: number, callback: () => void): Timer {
+    return this.base.schedule(delay, () => { if (this.alive) callback() })
+  }
+}
+
+class Node {
+  assignment = EMPTY_ASSIGNMENT
+  leaseUntil = 0
+  cut = false
+  readonly released = new Set<string>()
+  readonly clock: NodeClock
+  readonly home: KeyHome
+  readonly keys: HomeKeys
+
+  constructor (readonly name: Incarnation, base: FakeClock, offset: number, send: (from: Node, to: Incarnation, message: Message) => void) {
+    this.clock = new NodeClock(base, offset)
+    const network = new NodeNetwork((to, message) => { send(this, to, message) })
+    const shared = { self: name, network, clock: this.clock, log: new SilentLog(), metrics: new Metrics() }
+    this.home = new KeyHome({ ...shared, times: TIMES, mayAdmit: resource => this.mayAdmit(resource) })
+    this.keys = new HomeKeys({ ...shared, ownerOf: resource => this.assignment.owners[resource] ?? null })
+    this.home.start()
+  }
+
+  receive (from: Incarnation, message: Message): void {
+    if (!this.clock.alive) return
+    if (!this.home.receive(from, message)) this.keys.receive(from, message)
+  }
+
+  learn (assignment: Assignment): void {
+    if (!this.clock.alive || assignment.version <= this.assignment.version) return
+    const previous = this.assignment
+    this.assignment = assignment
+    this.released.clear()
+    this.home.assignmentChanged(assignment, previous)
+  }
+
+  private mayAdmit (resource: string): boolean {
+    return this.assignment.owners[resource] === this.name && !this.released.has(resource) && this.leaseUntil > this.clock.now()
+  }
+}
+
+class NodeNetwork extends Network {
+  constructor (private readonly forward: (to: Incarnation, message: Message) => void) {
+    super()
+  }
+
+  override introduce (): void {}
+  override receive (): void {}
+
+  override send (to: Incarnation, message: Message): void {
+    this.forward(to, message)
+  }
+}
+
+/**
+ * Three nodes that are homes and fronts at once, while shards move as planned and by takeover, messages are lost,
+ * repeated and late, callers repeat their requests anywhere, and wall clocks differ.
+ */
+export class KeySimulation {
+  private readonly base = new FakeClock()
+  private readonly random: SeededRandom
+  private readonly nodes: Node[]
+  private row: Assignment = EMPTY_ASSIGNMENT
+  private busy = false
+  private readonly result: SimulationResult = { runs: new Map(), verdicts: new Map(), takeovers: 0, moves: 0, claims: 0 }
+
+  constructor (private readonly options: SimulationOptions) {
+    this.random = new SeededRandom(options.seed)
+    this.nodes = NODES.map(name => new Node(name, this.base, (this.random.next() - 0.5) * TIMES.tolerance, (from, to, message) => { this.send(from, to, message) }))
+  }
+
+  async run (): Promise<SimulationResult> {
+    this.write(this.owners(() => 'A'), 0)
+    this.base.repeat(LEASE_MS / 4, () => { this.renew() })
+    this.renew()
+    this.base.repeat(1500, () => { this.change() })
+    for (let number = 0; number < 6; number++) this.caller(`key-${number}`)
+    await this.base.advance(this.options.length)
+    for (const node of this.nodes) node.clock.alive = false
+    return this.result
+  }
+
+  private caller (key: string): void {
+    const { length } = this.options
+    const start = this.random.integer(length / 2)
+    const known = this.random.next() < 0.6
+    const skew = this.random.next() < 0.2 ? (this.random.next() - 0.5) * 8000 : (this.random.next() - 0.5) * TIMES.tolerance
+    const firstSent = known ? Math.round(this.base.wall() + start + skew) : 0
+    const latest = known ? length : Math.min(length, start + TIMES.window - 2000)
+    const claim = { key, fingerprint: 'f', firstSent }
+    this.base.schedule(start, () => { this.request(claim) })
+    for (let repeat = 0; repeat < 5; repeat++) {
+      this.base.schedule(start + this.random.integer(latest - start), () => { this.request(claim) })
+    }
+  }
+
+  private request (claim: KeyClaim): void {
+    const node = this.random.pick(this.nodes)
+    if (!node.clock.alive) return
+    this.result.claims++
+    const gone = new AbortController()
+    if (this.random.next() < 0.1) node.clock.schedule(this.random.integer(200), () => { gone.abort() })
+    node.keys.claim(claim, gone.signal).then(result => {
+      const verdict = result.isErr() ? result.error : result.value.verdict
+      this.result.verdicts.set(verdict, (this.result.verdicts.get(verdict) ?? 0) + 1)
+      if (result.isErr() || result.value.verdict !== 'first') return
+      const held = result.value
+      const unsent = this.random.next() < 0.2
+      node.clock.schedule(this.random.integer(1200), () => {
+        if (unsent) {
+          node.keys.settle(claim, held, 'not-run', null)
+          return
+        }
+        this.result.runs.set(claim.key, (this.result.runs.get(claim.key) ?? 0) + 1)
+        node.clock.schedule(this.random.integer(600), () => { node.keys.settle(claim, held, 'run', null) })
+      })
+    }, () => {})
+  }
+
+  private send (from: Node, to: Incarnation, message: Message): void {
+    const node = this.nodes.find(candidate => candidate.name === to)
+    if (node === undefined || !from.clock.alive) return
+    const copies = from === node ? 1 : this.copies()
+    for (let copy = 0; copy < copies; copy++) {
+      const delay = from === node ? 0 : this.delay()
+      this.base.schedule(delay, () => {
+        if (from !== node && (from.cut || node.cut)) return
+        node.receive(from.name, structuredClone(message))
+      })
+    }
+  }
+
+  private copies (): number {
+    if (this.random.next() < this.options.loss) return 0
+    return this.random.next() < this.options.repeats ? 2 : 1
+  }
+
+  private delay (): number {
+    return this.random.next() < this.options.late ? this.random.integer(4000) : this.random.integer(20)
+  }
+
+  private renew (): void {
+    for (const node of this.nodes) {
+      const isHolder = this.row.holders.some(holder => holder.incarnation === node.name)
+      if (!node.cut && isHolder && node.assignment.version === this.row.version) node.leaseUntil = this.base.now() + LEASE_MS
+    }
+  }
+
+  private change (): void {
+    if (this.busy) return
+    const choice = this.random.next()
+    if (choice < 0.3 && this.options.takeovers) this.takeOver()
+    else if (choice < 0.8 && this.options.moves) this.move()
+  }
+
+  /** A planned move: the owner stops admitting, then the row is written. */
+  private move (): void {
+    const from = this.random.pick(this.nodes.filter(node => !node.cut && node.clock.alive))
+    const others = this.nodes.filter(node => node !== from && !node.cut && node.clock.alive)
+    if (others.length === 0 || from.assignment.version !== this.row.version) return
+    const to = this.random.pick(others)
+    const moved = Object.keys(this.row.owners).filter(resource => this.row.owners[resource] === from.name)
+    for (const resource of moved) from.released.add(resource)
+    this.busy = true
+    this.base.schedule(this.random.integer(300), () => {
+      const owners = { ...this.row.owners }
+      for (const resource of moved) owners[resource] = to.name
+      this.result.moves++
+      this.write(owners, 400)
+    })
+  }
+
+  /** An unplanned takeover: the owner is cut off, its lease lapses, then the row is written; it may come back. */
+  private takeOver (): void {
+    const lost = this.random.pick(this.nodes.filter(node => !node.cut && node.clock.alive))
+    const others = this.nodes.filter(node => node !== lost && !node.cut && node.clock.alive)
+    if (others.length < 2) return
+    this.busy = true
+    lost.cut = true
+    this.base.schedule(LEASE_MS + this.random.integer(500), () => {
+      this.result.takeovers++
+      const owners = { ...this.row.owners }
+      for (const [resource, owner] of Object.entries(owners)) if (owner === lost.name) owners[resource] = this.random.pick(others).name
+      this.write(owners, 400, lost)
+      this.base.schedule(this.random.integer(2500), () => {
+        lost.cut = false
+        this.write(this.row.owners, 400)
+      })
+    })
+  }
+
+  private write (owners: Assignment['owners'], lag: number, without?: Node): void {
+    const holders = this.nodes.filter(node => node !== without).map(({ name }) => ({ incarnation: name, dataCentre: 'd', peer: { host: '', port: 0 }, draining: false }))
+    this.row = { ...EMPTY_ASSIGNMENT, version: this.row.version + 1, holders, owners }
+    const row = this.row
+    this.busy = false
+    for (const node of this.nodes) this.base.schedule(lag === 0 ? 0 : this.random.integer(lag), () => { this.tell(node, row) })
+  }
+
+  private tell (node: Node, row: Assignment): void {
+    if (!node.cut) node.learn(row)
+    else this.base.schedule(300, () => { this.tell(node, row) })
+  }
+
+  private owners (owner: (shard: number) => Incarnation): Assignment['owners'] {
+    return Object.fromEntries(Array.from({ length: KEY_SHARDS }, (_, shard) => [shardResource(shard), owner(shard)]))
+  }
+}
