Jobs joined to the node; tasks and requests share one set of books

Cause: jobs stood apart from the node, and room for tasks was not counted beside requests after a takeover. Change: TaskRoom and OwnedWorkers adapt admission and ownership for jobs; a worker taken over stays closed until tasks are counted, nodes have told their permits and a late enough report has come; requests nobody claims are counted until the longest bound has passed; loads of peers reach the policy; the control interface serves jobs. Ruled out: freeing unclaimed room by each report's number of requests (a busy worker would hide the leak for ever).

--- a/packages/admission/src/runtime/AdmissionService.ts
+++ b/packages/admission/src/runtime/AdmissionService.ts
@@ -1,7 +1,7 @@
-import { workerResource } from '@rattanstep/core'
+import { addResources, NO_RESOURCES, PERMIT_VALIDITY_MS, workerResource } from '@rattanstep/core'
 import type { Ask, Assignment, Clock, Grant, Incarnation, Instance, Load, Message, Network, Random, Refusal, RefusalReason, Resources, Timer, WorkerReport } from '@rattanstep/core'
 import { Admission } from '@rattanstep/policy'
-import type { Decision, GrantDecision, RefuseDecision } from '@rattanstep/policy'
+import type { AdmissionStatus, Decision, GrantDecision, PeerLoad, RefuseDecision, WorkerUsage } from '@rattanstep/policy'
 import type { ResolvedRules } from '@rattanstep/rules'
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import { EVENTS } from '../types/events.js'
@@ -31,10 +31,29 @@
   mayAdmit: (resource: string) => boolean
   /** Milliseconds that the node's lease still lasts. */
   leaseLeft: () => number
+  /** Newest loads of the other owners. */
+  peers: () => PeerLoad[]
   /** Newest entry of the platform's list for a worker, if there is one. */
   instance: (worker: string) => Instance | undefined
 }
 
+/** Room for one task. */
+export interface RoomHold {
+  worker: string
+  resources: Resources
+  class: string
+  team: string
+  /** Identifies the hold; repeating it has no further effect. */
+  id: string
+}
+
+/** Room that a former owner gave away and that no node claims. */
+interface Remnant {
+  worker: string
+  /** Monotonic ms after which nothing of it can still run. */
+  endsAt: number
+}
+
 /**
  * The owner's side of permits. Messages come in, the policy decides, decisions go out as messages, and what a new owner
  * cannot know counts as used until every node has told its permits or a worker's report shows them.
@@ -45,6 +64,8 @@
   private readonly owned = new Map<string, Instance>()
   private readonly takeovers = new Map<string, Takeover>()
   private readonly timers: Timer[] = []
+  private remnants: Remnant[] = []
+  private longestBound = 0
   private lapsedAt: number | null = null
   private draining = false
   private configured = false
@@ -82,6 +103,7 @@
     this.checkLease()
     this.configured = true
     const { classes, teams } = rules
+    this.longestBound = Math.max(0, ...classes.filter(entry => entry.kind === 'request').map(entry => entry.bound))
     this.publish(this.admission.configure(classes, teams, this.now))
   }
 
@@ -152,10 +174,12 @@
   reported (report: WorkerReport): void {
     this.checkLease()
     const takeover = this.takeovers.get(report.worker)
-    if (takeover === undefined) return
-    if (!takeover.trusts(this.now - report.lag)) return
-    if (takeover.silent().length > 0) return
-    this.confirm(takeover, report.requests)
+    if (takeover === undefined) {
+      this.publish(this.admission.reported(report.worker, readUsage(report), this.now))
+      this.outbox.flush()
+      return
+    }
+    if (takeover.complete && takeover.trusts(this.now - report.lag)) this.confirm(takeover, report.requests)
   }
 
   /** @returns the load for heartbeats */
@@ -174,11 +198,26 @@
    * @param options - which room for whom
    * @returns whether the room is held
    */
-  hold (options: { worker: string, resources: Resources, class: string, team: string, id: string }): boolean {
+  hold (options: RoomHold): boolean {
     if (!this.options.mayAdmit(workerResource(options.worker))) return false
     return this.admission.hold(options.worker, options.resources, options.class, options.team, options.id, this.now)
   }
 
+  /**
+   * Counts a task that runs on a worker already.
+   *
+   * @param options - which task holds what
+   */
+  occupy (options: RoomHold): void {
+    this.admission.occupy(options.worker, options.resources, options.class, options.team, options.id, this.now)
+  }
+
+  /** @param worker - a worker on which every task has been counted */
+  tasksCounted (worker: string): void {
+    const takeover = this.takeovers.get(worker)
+    if (takeover !== undefined) takeover.tasksCounted = true
+  }
+
   /** @param id - hold to give back */
   releaseHold (id: string): void {
     this.checkLease()
@@ -195,13 +234,14 @@
   }
 
   /** @returns figures for operators */
-  status (): { workers: Array<{ worker: string, free: Resources, confirmed: boolean }>, load: Load, lapsedFor: number } {
+  status (): { workers: Array<{ worker: string, free: Resources, confirmed: boolean }>, load: Load, lapsedFor: number, books: AdmissionStatus } {
     const workers = [...this.owned.keys()].map(worker => ({
       worker,
       free: this.admission.free(worker),
       confirmed: !this.takeovers.has(worker)
     }))
-    return { workers, load: this.load(), lapsedFor: this.lapsedAt === null ? 0 : this.now - this.lapsedAt }
+    const lapsedFor = this.lapsedAt === null ? 0 : this.now - this.lapsedAt
+    return { workers, load: this.load(), lapsedFor, books: this.admission.explain(this.now) }
   }
 
   private get now (): number {
@@ -226,10 +266,18 @@
 
   private tick (): void {
     this.checkLease()
-    this.publish(this.admission.tick(this.now))
+    this.forgetRemnants()
+    this.publish(this.admission.tick(this.now, this.options.peers()))
     this.outbox.flush()
   }
 
+  private forgetRemnants (): void {
+    const ended = this.remnants.filter(remnant => remnant.endsAt <= this.now)
+    if (ended.length === 0) return
+    this.remnants = this.remnants.filter(remnant => remnant.endsAt > this.now)
+    for (const { worker } of ended) this.publish(this.admission.confirm(worker, this.now))
+  }
+
   private publish (decisions: Decision[]): void {
     for (const decision of decisions) {
       if (decision.kind === 'grant') this.grant(decision)
@@ -293,6 +341,7 @@
   private letGo (worker: string, version: number): void {
     this.owned.delete(worker)
     this.takeovers.delete(worker)
+    this.remnants = this.remnants.filter(remnant => remnant.worker !== worker)
     this.options.log.write(EVENTS.workerLost, { worker, version })
     this.publish(this.admission.removeWorker(worker, this.now))
   }
@@ -312,7 +361,8 @@
     const { worker, since } = takeover.options
     const permits = this.admission.permitsOf(worker)
     const unknown = Math.max(0, requests - permits)
-    if (unknown === 0) this.takeovers.delete(worker)
+    this.takeovers.delete(worker)
+    if (unknown > 0) this.remnants.push({ worker, endsAt: this.now + this.longestBound + PERMIT_VALIDITY_MS })
     this.options.log.write(EVENTS.workerConfirmed, { worker, after: this.now - since, permits, unknown })
     this.publish(this.admission.confirm(worker, this.now, unknown))
     this.outbox.flush()
@@ -338,3 +388,9 @@
     this.options.log.write(EVENTS.leaseRenewed, { version: this.options.assignment().version, paused })
   }
 }
+
+function readUsage (report: WorkerReport): WorkerUsage {
+  const running = report.tasks.filter(task => task.state === 'running')
+  const tasks = running.reduce((sum, task) => addResources(sum, task.usage), NO_RESOURCES)
+  return { requests: report.requests, lag: report.lag, tasks }
+}
--- a/packages/admission/src/runtime/Takeover.ts
+++ b/packages/admission/src/runtime/Takeover.ts
@@ -9,6 +9,8 @@
  * every request that the former owner admitted and that still runs.
  */
 export class Takeover {
+  /** Whether every task found on the worker has been counted. */
+  tasksCounted = false
   private readonly awaiting: Set<Incarnation>
 
   /**
@@ -37,6 +39,11 @@
     this.awaiting.delete(front)
   }
 
+  /** @returns whether every node has told its permits and every task has been counted */
+  get complete (): boolean {
+    return this.tasksCounted && this.awaiting.size === 0
+  }
+
   /**
    * @param takenAt - monotonic ms at which the figures of a report were taken
    * @returns whether the report shows all that the former owner admitted
--- a/packages/node/src/node/Node.ts
+++ b/packages/node/src/node/Node.ts
@@ -154,7 +154,7 @@
       secret: settings.secret,
       log,
       configuration: this.member.configuration,
-      jobs: new JobsApi(),
+      jobs: new JobsApi(this.member.jobs),
       status: () => this.status(),
       metrics: () => this.metrics.render(),
       isAlive: () => this.state !== 'stopped',
--- a/packages/node/src/runtime/LoadBoard.ts
+++ b/packages/node/src/runtime/LoadBoard.ts
@@ -56,6 +56,11 @@
     return owners
   }
 
+  /** @returns the other owners that could give room now */
+  peers (): OwnerLoad[] {
+    return this.owners().filter(owner => owner.incarnation !== this.options.self)
+  }
+
   /** Forgets nodes that are no holders any more. */
   prune (): void {
     const holders = new Set(this.options.assignment().holders.map(holder => holder.incarnation))
--- a/packages/node/src/runtime/Member.ts
+++ b/packages/node/src/runtime/Member.ts
@@ -4,11 +4,14 @@
 import { KEY_SHARDS, shardResource, workerResource } from '@rattanstep/core'
 import type { Address, Assignment, Clock, Incarnation, Message, Network, Random, ResourceKey } from '@rattanstep/core'
 import { OwnerPermits } from '@rattanstep/front'
+import { Jobs } from '@rattanstep/jobs'
 import { Ownership } from '@rattanstep/ownership'
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import type { Platform } from '../types/NodeOptions.js'
 import { Fleet } from './Fleet.js'
 import { LoadBoard } from './LoadBoard.js'
+import { OwnedWorkers } from './OwnedWorkers.js'
+import { TaskRoom } from './TaskRoom.js'
 import { WorkerReports } from './WorkerReports.js'
 
 /** What a member of a cell is made of. */
@@ -29,7 +32,7 @@
 }
 
 /**
- * Everything of a node that acts together with other nodes: ownership, admission, permits and rules, joined by
+ * Everything of a node that acts together with other nodes: ownership, admission, permits, jobs and rules, joined by
  * messages. It opens no socket of its own.
  */
 export class Member {
@@ -40,6 +43,8 @@
   readonly loads: LoadBoard
   readonly reports: WorkerReports
   readonly permits: OwnerPermits
+  readonly jobs: Jobs
+  private readonly owned: OwnedWorkers
   private stopped = false
 
   /** @param options - network, platform and sources of time and randomness */
@@ -52,6 +57,8 @@
     this.loads = new LoadBoard({ self: incarnation, clock, own: () => this.admission.load(), assignment: () => this.assignment })
     this.reports = this.makeReports()
     this.permits = this.makePermits()
+    this.owned = new OwnedWorkers({ self: incarnation, ownership: this.ownership, fleet: this.fleet })
+    this.jobs = this.makeJobs()
     this.connect()
   }
 
@@ -68,6 +75,7 @@
     this.admission.start()
     this.permits.start()
     this.reports.start()
+    this.jobs.start()
   }
 
   /** Stops everything at once. */
@@ -75,6 +83,7 @@
     this.stopped = true
     this.fleet.stop()
     this.configuration.stop()
+    this.jobs.stop()
     this.reports.stop()
     this.permits.stop()
     this.admission.stop()
@@ -137,6 +146,7 @@
       assignment: () => this.assignment,
       mayAdmit: resource => this.ownership.mayAdmit(resource),
       leaseLeft: () => this.ownership.leaseLeft(),
+      peers: () => this.loads.peers(),
       instance: worker => this.fleet.find(worker)
     })
   }
@@ -168,9 +178,28 @@
     })
   }
 
+  private makeJobs (): Jobs {
+    const { platform, network, clock, random, log, incarnation } = this.options
+    return new Jobs({
+      self: incarnation,
+      ...platform,
+      network,
+      clock,
+      random,
+      log,
+      owned: this.owned,
+      room: new TaskRoom(this.admission),
+      holders: () => this.assignment.holders.map(holder => holder.incarnation),
+      classes: () => this.rules?.rules.classes ?? []
+    })
+  }
+
   private connect (): void {
     this.configuration.onChange(({ rules }) => { this.admission.configure(rules) })
-    this.fleet.onRead(() => { this.admission.updateWorkers() })
+    this.fleet.onRead(() => {
+      this.admission.updateWorkers()
+      this.owned.update()
+    })
     this.ownership.onChange((assignment, previous) => { this.followAssignment(assignment, previous) })
     this.ownership.onHeartbeat((from, heartbeat) => {
       this.configuration.heard(from, heartbeat.rules)
@@ -183,6 +212,7 @@
     const present = new Set(assignment.holders.map(holder => holder.incarnation))
     for (const { incarnation, peer } of assignment.holders) network.introduce(incarnation, peer)
     this.admission.assignmentChanged(assignment, previous)
+    this.owned.update()
     this.permits.ownerChanged(assignment, previous)
     this.loads.prune()
     for (const { incarnation } of previous.holders) {
@@ -192,6 +222,10 @@
 
   private receive (from: Incarnation, message: Message): void {
     if (this.stopped) return
+    if (message.kind === 'job') {
+      this.jobs.receive(from, message)
+      return
+    }
     const receivers = [this.ownership, this.admission, this.permits, this.configuration]
     for (const receiver of receivers) {
       if (receiver.receive(from, message)) return
--- /dev/null
+++ b/packages/node/src/runtime/TaskRoom.ts
@@ -0,0 +1,31 @@
+import type { AdmissionService } from '@rattanstep/admission'
+import type { Resources } from '@rattanstep/core'
+import { Room } from '@rattanstep/jobs'
+
+/** Room for tasks out of the same books as room for requests. */
+export class TaskRoom extends Room {
+  /** @param admission - the books */
+  constructor (private readonly admission: AdmissionService) {
+    super()
+  }
+
+  override tryHold (worker: string, resources: Resources, workClass: string, team: string, id: string): boolean {
+    return this.admission.hold({ worker, resources, class: workClass, team, id })
+  }
+
+  override occupy (worker: string, resources: Resources, workClass: string, team: string, id: string): void {
+    this.admission.occupy({ worker, resources, class: workClass, team, id })
+  }
+
+  override settled (worker: string): void {
+    this.admission.tasksCounted(worker)
+  }
+
+  override release (id: string): void {
+    this.admission.releaseHold(id)
+  }
+
+  override free (worker: string): Resources {
+    return this.admission.free(worker)
+  }
+}
--- a/packages/node/src/types/StatusReport.ts
+++ b/packages/node/src/types/StatusReport.ts
@@ -1,5 +1,6 @@
 import type { Incarnation, Load, Resources } from '@rattanstep/core'
 import type { OwnershipStatus } from '@rattanstep/ownership'
+import type { AdmissionStatus } from '@rattanstep/policy'
 import type { Series } from '@rattanstep/telemetry'
 
 /** States of a node. */
@@ -46,6 +47,7 @@
     /** Milliseconds without a lease; 0 while there is one. */
     lapsedFor: number
     workers: Array<{ worker: string, free: Resources, confirmed: boolean }>
+    books: AdmissionStatus
   }
   fleet: { workers: number, leaving: number, listAge: number | null }
   front: { address: string, inFlight: number }
--- a/packages/node/test/node/cell.test.ts
+++ b/packages/node/test/node/cell.test.ts
@@ -67,6 +67,38 @@
   expect(answer.status).toEqual(401)
 })
 
+test('a batch job and a gang are accepted, run and finished', async () => {
+  const shown = await (await control(first, '/v1/rules')).text()
+  const rules = shown.replace('classes:\n', `classes:
+  - { name: renders, kind: batch, priority: 20, patience: 1h, bound: 1m } # test
+  - { name: chorus, kind: gang, priority: 30, patience: 1h, bound: 1m } # test
+`)
+  expect((await control(first, '/v1/rules', { method: 'PUT', body: rules })).status).toEqual(200)
+  await until(async () => await (await control(second, '/v1/rules')).text() === rules)
+  const resources = { slots: 1, cores: 1, memory: 64, accelerators: 0 }
+  const task = { command: 'run 200', resources }
+  const jobs = [
+    { id: 'render-1', kind: 'batch', class: 'renders', tasks: [task, task] },
+    { id: 'chorus-1', kind: 'gang', class: 'chorus', tasks: [task, task, task] }
+  ]
+  for (const job of jobs) {
+    const answer = await control(first, '/v1/jobs', { method: 'POST', body: JSON.stringify(job) })
+    expect([job.id, answer.status, answer.status === 201 ? '' : await answer.text()]).toEqual([job.id, 201, ''])
+  }
+  for (const { id } of jobs) {
+    await until(async () => {
+      const { state } = await (await control(second, `/v1/jobs/${id}`)).json() as { state: string }
+      return state === 'done'
+    })
+  }
+})
+
+test('a job that cannot run is refused with findings', async () => {
+  const job = { id: 'too-large', kind: 'batch', class: 'renders', tasks: [{ command: 'run 1', resources: { slots: 9, cores: 1, memory: 1, accelerators: 0 } }] }
+  const answer = await control(first, '/v1/jobs', { method: 'POST', body: JSON.stringify(job) })
+  expect(answer.status).toEqual(422)
+})
+
 test('SIGTERM ends a node without cutting the request that it serves', async () => {
   const slow = fetch(`${front(second)}/slow?time=1500`, { method: 'POST' })
   await new Promise(resolve => setTimeout(resolve, 200))
--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -281,6 +281,24 @@
     return true
   }
 
+  /**
+   * Counts a task that runs on a worker already, past every limit.
+   *
+   * @param worker - where
+   * @param resources - how much
+   * @param className - class of the task
+   * @param team - team whose quota applies, or empty
+   * @param id - identifies the hold; repeating it has no further effect
+   * @param now - ms
+   */
+  occupy (worker: string, resources: Resources, className: string, team: string, id: string, now: number): void {
+    const book = this.workers.get(worker)
+    if (book === undefined || this.ledger.getHold(id) !== undefined) return
+    const classBook = this.classes.get(className)
+    this.classes.charge(classBook, resources.slots)
+    this.ledger.hold(book, { id, worker, class: className, team, resources, long: this.classes.isLong(classBook), heldAt: now })
+  }
+
   /**
    * @param id - a hold that is no longer needed
    * @param now - ms
