front: table of endpoint faults, cancelled endings, answers kept for their caller

Cause: endings that the caller caused counted against the worker, and the truth of each outcome was not shown. Weighed: 'unsent' for a cancelled run (would say that no byte left); a fourth ending, 'cancelled', which quarantine does not count. A stored answer goes to the same credentials only; binding the key to them instead would let a caller with a renewed token run a request twice.

--- a/packages/core/src/types/request.ts
+++ b/packages/core/src/types/request.ts
@@ -65,7 +65,11 @@
 }
 
 /** How a request that held a permit ended. */
-export type Ending = 'completed' | 'failed' | 'unsent'
+export type Ending =
+  | 'completed'
+  | 'failed'    // the worker gave no whole answer
+  | 'unsent'    // no byte left
+  | 'cancelled' // cut off for the caller's sake; says nothing about the worker
 
 /** Gives a permit back. */
 export interface Release {
--- a/packages/front/src/node/Attempt.ts
+++ b/packages/front/src/node/Attempt.ts
@@ -33,7 +33,7 @@
   constructor (private readonly options: AttemptOptions) {
     const { run, clock } = options
     this.startedAt = clock.now()
-    this.boundTimer = clock.schedule(run.bound, () => { this.abandon('bound') })
+    this.boundTimer = clock.schedule(run.bound, () => { this.abandon(run.boundBy) })
     run.signal.addEventListener('abort', this.leave, { once: true })
   }
 
--- a/packages/front/src/node/Exchange.ts
+++ b/packages/front/src/node/Exchange.ts
@@ -1,13 +1,15 @@
 import { Chart, hash64 } from '@rattanstep/core'
 import type { Clock, Outcome, Random, Refusal } from '@rattanstep/core'
+import type { RetryBudget } from '@rattanstep/policy'
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import file from '../charts/request.json' with { type: 'json' }
 import type { KeyAnswer, KeyClaim, Keys } from '../runtime/Keys.js'
+import { isAheadOfTime, KEY_TIMES } from '../runtime/keyTimes.js'
 import { decideOutcome, refusalOutcome } from '../runtime/outcome.js'
 import type { Decision } from '../runtime/outcome.js'
 import type { Permits, Placement } from '../runtime/Permits.js'
-import { keyProblem, refusalProblem, runProblem } from '../runtime/problems.js'
-import type { RetryTokens } from '../runtime/RetryTokens.js'
+import { aheadOfTimeProblem, keyProblem, refusalProblem, runProblem } from '../runtime/problems.js'
+import { mayRead, openAnswer, sealAnswer } from '../runtime/storedAnswer.js'
 import { FRONT_EVENTS } from '../types/events.js'
 import type { Intake } from '../types/intake.js'
 import type { RequestEvent, RequestState } from '../types/life.js'
@@ -47,7 +49,7 @@
   random: Random
   log: Log
   metrics: Metrics
-  retries: RetryTokens
+  retries: RetryBudget
 }
 
 /** One request on its way from its caller to a worker and back. */
@@ -73,7 +75,7 @@
 
   /** Runs the request and answers its caller. */
   async run (): Promise<void> {
-    this.context.retries.deposit(this.intake.class)
+    this.context.retries.earn(this.intake.class.name, this.intake.class.retries)
     if (this.intake.key !== '' && !(await this.claimKey())) return
     for (;;) {
       const again = await this.attempt()
@@ -95,6 +97,10 @@
 
   private async claimKey (): Promise<boolean> {
     this.step('claim')
+    if (isAheadOfTime(this.intake.firstSent, this.context.clock.wall(), KEY_TIMES)) {
+      this.refuse(aheadOfTimeProblem())
+      return false
+    }
     const claim = { key: this.intake.key, fingerprint: this.fingerprint(), firstSent: this.intake.firstSent }
     const answer = await this.askHome(claim)
     if (answer?.verdict === 'first') {
@@ -102,13 +108,14 @@
       this.held = answer
       return true
     }
-    if (answer?.verdict === 'settled' && answer.outcome === 'run' && answer.answer !== null) {
+    const stored = answer?.verdict === 'settled' ? answer.answer : null
+    if (stored !== null && mayRead(stored, this.intake.credentials)) {
       this.step('replay')
-      this.reply.replay(answer.answer)
+      this.reply.replay(openAnswer(stored))
       this.context.metrics.counter('front_replays', { class: this.intake.class.name }).add()
-      return false
+    } else {
+      this.refuse(keyProblem(answer))
     }
-    this.refuse(keyProblem(answer))
     return false
   }
 
@@ -164,7 +171,8 @@
 
   private async dispatch (placement: Placement): Promise<RunEnd> {
     const { intake, context } = this
-    const bound = Math.max(0, Math.min(intake.class.bound, this.timeLeft))
+    const timeLeft = Math.max(0, this.timeLeft)
+    const bound = Math.min(intake.class.bound, timeLeft)
     this.relay = new AnswerRelay({
       reply: this.reply,
       clock: context.clock,
@@ -183,6 +191,7 @@
       body: this.body.open(),
       fresh: !this.isRepeatable,
       bound,
+      boundBy: timeLeft < intake.class.bound ? 'deadline' : 'bound',
       probe: this.probeTime(bound),
       validUntil: placement.validUntil,
       signal: this.signal
@@ -214,7 +223,7 @@
     }
     const decision = decideOutcome({ step: end.step, fault: end.fault ?? 'reset', repeatable: this.isRepeatable, sentBefore: this.sentBefore })
     this.sentBefore ||= end.step !== 'dispatching'
-    this.context.permits.release(placement, decision.ending, end.serviceTime)
+    this.context.permits.release(placement, decision.ending, decision.ending === 'unsent' ? 0 : end.serviceTime)
     this.report(placement, end, wait, decision.outcome)
     if (decision.action === 'retry' && await this.mayRetry(placement, end)) return true
     this.settle(decision.outcome)
@@ -225,7 +234,7 @@
   private async mayRetry (placement: Placement, end: RunEnd): Promise<boolean> {
     const { clock, random, retries } = this.context
     if (this.attempts >= MOST_ATTEMPTS || !this.body.isUnread) return false
-    if (!retries.take(this.intake.class)) return false
+    if (this.intake.class.retries === 0 || !retries.spend(this.intake.class.name)) return false
     if (end.fault !== 'stale-permit') this.avoid.push(placement.worker)
     const delay = random.jitter(BACKOFF_MS * 2 ** (this.attempts - 1))
     if (delay >= this.timeLeft) return false
@@ -263,7 +272,8 @@
 
   private settle (outcome: Outcome): void {
     if (this.claim === null || this.held === null) return
-    this.context.keys.settle(this.claim, this.held, outcome, outcome === 'run' ? this.relay?.stored() ?? null : null)
+    const answer = outcome === 'run' ? this.relay?.stored() ?? null : null
+    this.context.keys.settle(this.claim, this.held, outcome, answer === null ? null : sealAnswer(answer, this.intake.credentials))
     this.claim = null
   }
 
--- a/packages/front/src/node/Front.ts
+++ b/packages/front/src/node/Front.ts
@@ -1,12 +1,12 @@
 import type { Address, Clock, Random } from '@rattanstep/core'
-import type { Log, Metrics } from '@rattanstep/telemetry'
+import { RetryBudget } from '@rattanstep/policy'
 import type { ResolvedRules } from '@rattanstep/rules'
+import type { Log, Metrics } from '@rattanstep/telemetry'
 import { CallerLimits } from '../runtime/CallerLimits.js'
 import type { CallerLimit } from '../runtime/CallerLimits.js'
 import type { Keys } from '../runtime/Keys.js'
 import type { Permits } from '../runtime/Permits.js'
 import { callerOf, resolveIntake } from '../runtime/resolveIntake.js'
-import { RetryTokens } from '../runtime/RetryTokens.js'
 import { FRONT_EVENTS } from '../types/events.js'
 import type { Intake } from '../types/intake.js'
 import type { Problem } from '../types/problem.js'
@@ -52,7 +52,7 @@
 export class Front {
   private readonly server: CallerServer
   private readonly callers = new CallerLimits()
-  private readonly retries = new RetryTokens()
+  private readonly retries = new RetryBudget()
   private sequence = 0
   private listening = false
   private draining = false
--- a/packages/front/src/runtime/outcome.ts
+++ b/packages/front/src/runtime/outcome.ts
@@ -42,16 +42,33 @@
   garbage: { status: 503, action: 'retry', ending: 'failed' },
   silent: { status: 503, action: 'retry', ending: 'failed' },
   bound: { status: 503, action: 'answer', ending: 'unsent' },
+  deadline: { status: 503, action: 'answer', ending: 'unsent' },
   body: { status: 400, action: 'answer', ending: 'unsent' },
   'caller-gone': { status: 503, action: 'drop', ending: 'unsent' },
   'caller-slow': { status: 408, action: 'answer', ending: 'unsent' }
 }
 
+/** What the worker is blamed for once bytes may have left. */
+const SENT: Record<RunFault, Ending> = {
+  refused: 'failed',
+  'no-connection': 'failed',
+  'stale-permit': 'failed',
+  unsendable: 'cancelled',
+  reset: 'failed',
+  garbage: 'failed',
+  silent: 'failed',
+  bound: 'failed',
+  deadline: 'cancelled',
+  body: 'cancelled',
+  'caller-gone': 'cancelled',
+  'caller-slow': 'cancelled'
+}
+
 const BAD_GATEWAY = 502
 const GATEWAY_TIMEOUT = 504
 
 /** Faults after which a second attempt cannot help this caller. */
-const FINAL_FAULTS: ReadonlySet<RunFault> = new Set(['bound', 'body', 'unsendable', 'caller-slow'])
+const FINAL_FAULTS: ReadonlySet<RunFault> = new Set(['bound', 'deadline', 'body', 'unsendable', 'caller-slow'])
 
 /**
  * Decides what a failed attempt means.
@@ -61,14 +78,15 @@
  */
 export function decideOutcome (failure: Failure): Decision {
   if (failure.step === 'dispatching') return decideUnsent(failure)
-  if (failure.fault === 'caller-gone') return { outcome: 'unknown', status: BAD_GATEWAY, action: 'drop', ending: 'failed' }
-  if (failure.step === 'answering') return { outcome: 'run', status: BAD_GATEWAY, action: 'cut', ending: 'failed' }
+  const ending = SENT[failure.fault]
+  if (failure.step === 'answering') return { outcome: 'run', status: BAD_GATEWAY, action: 'cut', ending }
+  if (failure.fault === 'caller-gone') return { outcome: 'unknown', status: BAD_GATEWAY, action: 'drop', ending }
   const retry = failure.repeatable && !FINAL_FAULTS.has(failure.fault)
   return {
     outcome: 'unknown',
     status: isTimeout(failure.fault) ? GATEWAY_TIMEOUT : BAD_GATEWAY,
     action: retry ? 'retry' : 'answer',
-    ending: 'failed'
+    ending
   }
 }
 
@@ -89,5 +107,5 @@
 }
 
 function isTimeout (fault: RunFault): boolean {
-  return fault === 'silent' || fault === 'bound'
+  return fault === 'silent' || fault === 'bound' || fault === 'deadline'
 }
--- a/packages/front/src/runtime/problems.ts
+++ b/packages/front/src/runtime/problems.ts
@@ -54,7 +54,8 @@
   reset: 'the connection to the worker ended before the answer',
   garbage: "the worker's answer is not valid HTTP",
   silent: 'the worker gave no byte for too long',
-  bound: 'the time for it passed',
+  bound: 'it ran longer than its class allows',
+  deadline: 'the time that the caller gave it passed',
   body: 'its body broke off, was too large or came too slowly',
   'caller-gone': 'the caller closed its connection',
   'caller-slow': 'the caller stopped reading'
@@ -75,6 +76,11 @@
   return { status: decision.status, outcome: decision.outcome, code: fault, detail, retryAfter: LEAST_RETRY_MS }
 }
 
+/** @returns what a caller is told whose first sending lies in the future */
+export function aheadOfTimeProblem (): Problem {
+  return problem(400, 'not-run', 'first-sent-ahead', 'The request was not run: the time of its first sending lies in the future; set the clock of the caller.', 0)
+}
+
 /**
  * @param answer - what the key's home said, or `null` when it said nothing
  * @returns what the caller is told when the request may not run and no answer can be repeated
@@ -96,7 +102,7 @@
     return problem(502, 'unknown', 'key-forgotten', 'It is not known whether a request with this Idempotency-Key was run before, and it was not run now; find out whether it took effect before sending it with a new key.', 0)
   }
   if (answer.outcome === 'run') {
-    return problem(409, 'run', 'key-settled', 'The request with this Idempotency-Key was run; its answer was too large to be kept or was cut short. Do not send it again with a new key.', 0)
+    return problem(409, 'run', 'key-settled', 'The request with this Idempotency-Key was run; its answer is not kept for this caller: it was too large, was cut short, or went to other credentials. Do not send it again with a new key.', 0)
   }
   return problem(502, 'unknown', 'key-unknown', 'It is not known whether the request with this Idempotency-Key was run; it was not run again. Find out whether it took effect.', 0)
 }
--- a/packages/front/src/types/run.ts
+++ b/packages/front/src/types/run.ts
@@ -22,7 +22,8 @@
   | 'reset'          // the connection ended before the whole answer
   | 'garbage'        // the endpoint's bytes are no answer
   | 'silent'         // no byte for the probe time
-  | 'bound'          // the class's bound or the caller's deadline passed
+  | 'bound'          // the class's bound passed
+  | 'deadline'       // the caller's own deadline passed
   | 'body'           // the caller's body broke off, was too large or too slow
   | 'caller-gone'    // the caller closed its connection
   | 'caller-slow'    // the caller stopped reading the answer
@@ -40,6 +41,8 @@
   fresh: boolean
   /** Milliseconds that the run may take. */
   bound: number
+  /** What sets the bound. */
+  boundBy: 'bound' | 'deadline'
   /** Milliseconds without a byte from the endpoint after which the connection is abandoned. */
   probe: number
   /** Monotonic ms after which the permit may not be used. */
--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -343,7 +343,7 @@
       this.observeTime(entry.class, entry.worker, release.serviceTime)
     }
     const untried = release.ending === 'unsent' && release.serviceTime === 0
-    if (untried) return
+    if (untried || release.ending === 'cancelled') return
     if (this.quarantine.observe(entry.worker, release.ending === 'completed', now)) this.followTrust(entry.worker)
   }
 
