Idempotency keys joined to the node

Cause: keyed requests were refused, no home of keys ran in a node. Change: HomeKeys and KeyHome in Member; a planned stop waits until the keys are handed over; a node that left is answered for a minute more (its acknowledgements and grants were dropped at once before), and a node that left by a planned stop keeps its permits and its place in the queues.

--- a/packages/admission/src/runtime/AdmissionService.ts
+++ b/packages/admission/src/runtime/AdmissionService.ts
@@ -116,8 +116,9 @@
   assignmentChanged (assignment: Assignment, previous: Assignment): void {
     this.updateWorkers()
     const present = new Set(assignment.holders.map(holder => holder.incarnation))
-    for (const { incarnation } of previous.holders) {
-      if (present.has(incarnation)) continue
+    for (const { incarnation, draining } of previous.holders) {
+      // A node that left by a planned stop still finishes what it has in flight.
+      if (present.has(incarnation) || draining) continue
       this.admission.frontLost(incarnation, this.now)
       for (const takeover of this.takeovers.values()) takeover.gone(incarnation)
     }
--- a/packages/node/src/node/Node.ts
+++ b/packages/node/src/node/Node.ts
@@ -13,7 +13,6 @@
 import type { NodeState, StatusReport } from '../types/StatusReport.js'
 import { ControlApi } from './ControlApi.js'
 import { JobsApi } from './JobsApi.js'
-import { NoKeys } from './NoKeys.js'
 
 /** Milliseconds between looks at whether the node can serve. */
 const LOOK_MS = 100
@@ -137,7 +136,7 @@
       address: settings.front,
       rules: () => member.configuration.value.rules,
       permits: member.permits,
-      keys: new NoKeys(),
+      keys: member.keys,
       dispatcher: new Dispatcher({ clock, log, metrics, connectionsFor }),
       clock,
       random,
--- a/packages/node/src/runtime/Member.ts
+++ b/packages/node/src/runtime/Member.ts
@@ -3,7 +3,7 @@
 import type { RulesVersion } from '@rattanstep/configuration'
 import { KEY_SHARDS, shardResource, workerResource } from '@rattanstep/core'
 import type { Address, Assignment, Clock, Incarnation, Message, Network, Random, ResourceKey } from '@rattanstep/core'
-import { OwnerPermits } from '@rattanstep/front'
+import { HomeKeys, KeyHome, OwnerPermits } from '@rattanstep/front'
 import { Jobs } from '@rattanstep/jobs'
 import { Ownership } from '@rattanstep/ownership'
 import type { Log, Metrics } from '@rattanstep/telemetry'
@@ -14,6 +14,12 @@
 import { TaskRoom } from './TaskRoom.js'
 import { WorkerReports } from './WorkerReports.js'
 
+/** Milliseconds between looks at whether all keys have been handed over. */
+const HAND_OVER_LOOK_MS = 25
+
+/** Milliseconds for which a node that left the assignment can still be answered. */
+const FORGET_DELAY_MS = 60_000
+
 /** What a member of a cell is made of. */
 export interface MemberOptions {
   incarnation: Incarnation
@@ -44,6 +50,8 @@
   readonly reports: WorkerReports
   readonly permits: OwnerPermits
   readonly jobs: Jobs
+  readonly keys: HomeKeys
+  private readonly keyHome: KeyHome
   private readonly owned: OwnedWorkers
   private stopped = false
 
@@ -59,6 +67,8 @@
     this.permits = this.makePermits()
     this.owned = new OwnedWorkers({ self: incarnation, ownership: this.ownership, fleet: this.fleet })
     this.jobs = this.makeJobs()
+    this.keys = this.makeKeys()
+    this.keyHome = this.makeKeyHome()
     this.connect()
   }
 
@@ -74,6 +84,7 @@
     await this.ownership.start()
     this.admission.start()
     this.permits.start()
+    this.keyHome.start()
     this.reports.start()
     this.jobs.start()
   }
@@ -86,6 +97,7 @@
     this.jobs.stop()
     this.reports.stop()
     this.permits.stop()
+    this.keyHome.stop()
     this.admission.stop()
     this.ownership.stop()
   }
@@ -100,10 +112,11 @@
     if (!this.configuration.ready) this.configuration.fetch(peer)
   }
 
-  /** Hands over what this member owns; it gives no more room. */
+  /** Hands over what this member owns, the keys that it remembers included; it gives no more room. */
   async handOver (): Promise<void> {
     this.admission.drain()
     await this.ownership.drain()
+    while (!this.keyHome.isHandedOver && !this.stopped) await this.options.clock.sleep(HAND_OVER_LOOK_MS)
   }
 
   /** @returns the rules in force, or `null` before the first */
@@ -194,6 +207,18 @@
     })
   }
 
+  private makeKeys (): HomeKeys {
+    const { network, clock, log, metrics, incarnation } = this.options
+    const ownerOf = (resource: ResourceKey): Incarnation | null => this.ownership.ownerOf(resource)
+    return new HomeKeys({ self: incarnation, network, clock, log, metrics, ownerOf })
+  }
+
+  private makeKeyHome (): KeyHome {
+    const { network, clock, log, metrics, incarnation } = this.options
+    const mayAdmit = (resource: ResourceKey): boolean => this.ownership.mayAdmit(resource)
+    return new KeyHome({ self: incarnation, network, clock, log, metrics, mayAdmit })
+  }
+
   private connect (): void {
     this.configuration.onChange(({ rules }) => { this.admission.configure(rules) })
     this.fleet.onRead(() => {
@@ -214,19 +239,28 @@
     this.admission.assignmentChanged(assignment, previous)
     this.owned.update()
     this.permits.ownerChanged(assignment, previous)
+    this.keyHome.assignmentChanged(assignment, previous)
     this.loads.prune()
     for (const { incarnation } of previous.holders) {
-      if (!present.has(incarnation)) network.forget(incarnation)
+      if (!present.has(incarnation)) this.forgetLater(incarnation)
     }
   }
 
+  private forgetLater (incarnation: Incarnation): void {
+    const { clock, network } = this.options
+    clock.schedule(FORGET_DELAY_MS, () => {
+      const isBack = this.assignment.holders.some(holder => holder.incarnation === incarnation)
+      if (!isBack) network.forget(incarnation)
+    })
+  }
+
   private receive (from: Incarnation, message: Message): void {
     if (this.stopped) return
     if (message.kind === 'job') {
       this.jobs.receive(from, message)
       return
     }
-    const receivers = [this.ownership, this.admission, this.permits, this.configuration]
+    const receivers = [this.ownership, this.admission, this.permits, this.keys, this.keyHome, this.configuration]
     for (const receiver of receivers) {
       if (receiver.receive(from, message)) return
     }
--- a/packages/node/test/node/cell.test.ts
+++ b/packages/node/test/node/cell.test.ts
@@ -34,6 +34,14 @@
   return { status: answer.status, outcome: answer.headers.get('rattanstep-outcome'), body: await answer.text() }
 }
 
+async function countRuns (): Promise<number> {
+  const counts = await Promise.all(cell.workers.map(async worker => {
+    const { requests } = await (await fetch(`${worker.url}/rattanstep/log`, { method: 'POST', body: '{}' })).json() as { requests: Record<string, number> }
+    return Object.values(requests).reduce((sum, count) => sum + count, 0)
+  }))
+  return counts.reduce((sum, count) => sum + count, 0)
+}
+
 test('a request at any node is answered whole by one worker', async () => {
   for (const node of [first, second]) {
     await until(async () => (await send(node, 'probe')).status === 200)
@@ -62,6 +70,19 @@
   expect(answers.sort((a, b) => a - b)).toEqual([200, 409])
 })
 
+test('a repeat with the same key at another node gets the first answer and does not run again', async () => {
+  const headers = { 'idempotency-key': 'guess-17' }
+  const request = { method: 'POST', headers, body: 'a guess' }
+  const before = await countRuns()
+  const answers = []
+  for (const node of [first, second, first]) {
+    const answer = await fetch(`${front(node)}/submissions`, request)
+    answers.push([answer.status, answer.headers.get('rattanstep-outcome'), await answer.text()])
+  }
+  expect(answers).toEqual([[200, 'run', 'a guess'], [200, 'run', 'a guess'], [200, 'run', 'a guess']])
+  expect(await countRuns() - before).toEqual(1)
+})
+
 test('a stranger is refused at the control interface', async () => {
   const answer = await fetch(`http://127.0.0.1:${first.addresses.control.port}/v1/status`)
   expect(answer.status).toEqual(401)
