Preempt long tasks at the crest, lend reserves to short work, choose by unanswered asks

Tried and dropped: sending long asks on to peers with free slots; these had no room for long work either, and asks ended refused after three moves. Change: Admission.pressure names the slots of tasks to free for waiting work; long requests leave the room of the last peak; chooseOwner reads outstanding as asks that an owner has not answered; rates of grants are measured over 10 s.

--- /dev/null
+++ b/packages/bench/src/runtime/Scheduler.ts
@@ -0,0 +1,34 @@
+import type { FakeClock } from '@rattanstep/core'
+import type { Work } from '../types/work.js'
+import type { Cell } from './Cell.js'
+import type { Recorder } from './Recorder.js'
+
+/** What every scheduler works with. */
+export interface SchedulerOptions {
+  clock: FakeClock
+  cell: Cell
+  recorder: Recorder
+}
+
+/** Milliseconds that a message takes one way. */
+export const HOP = 1
+
+/** Decides where and when work runs. */
+export abstract class Scheduler {
+  protected readonly clock: FakeClock
+  protected readonly cell: Cell
+  protected readonly recorder: Recorder
+
+  /** @param options - time, workers and where to record */
+  constructor (options: SchedulerOptions) {
+    this.clock = options.clock
+    this.cell = options.cell
+    this.recorder = options.recorder
+  }
+
+  /** @param work - an item that arrives now */
+  abstract submit (work: Work): void
+
+  /** @param work - an item whose caller withdraws it while it waits */
+  abstract withdraw (work: Work): void
+}
--- /dev/null
+++ b/packages/bench/src/runtime/simulate.ts
@@ -0,0 +1,89 @@
+import { FakeClock, SeededRandom } from '@rattanstep/core'
+import type { AdmissionOptions } from '@rattanstep/policy'
+import type { RunPlan } from '../types/work.js'
+import { Cell } from './Cell.js'
+import { CentralScheduler } from './CentralScheduler.js'
+import { DirectScheduler } from './DirectScheduler.js'
+import type { Pick } from './DirectScheduler.js'
+import { generateWork } from './generateWork.js'
+import { filterAndWeightedSum, leastConnections, pickRandom, roundRobin, shortestExpectedDelay } from './picks.js'
+import { PolicyScheduler } from './PolicyScheduler.js'
+import { Recorder } from './Recorder.js'
+import type { Scheduler, SchedulerOptions } from './Scheduler.js'
+
+/** Milliseconds simulated at a time after the last arrival. */
+const DRAIN_STEP = 1000
+
+/** Schedulers that are compared. */
+export type SchedulerName =
+  | 'round-robin'
+  | 'random'
+  | 'least-connections'
+  | 'shortest-delay'
+  | 'weighted-sum'
+  | 'first-version'
+  | 'rattanstep'
+  | 'bound'
+
+/** Settings of the decision code that a sweep varies. */
+export interface Settings {
+  heartbeat?: number
+  admission?: Partial<AdmissionOptions>
+}
+
+/** Mechanisms that the first version of the decision code did not have. */
+const FIRST_VERSION: Partial<AdmissionOptions> = { redirectAfter: Infinity, longLeast: 0.5, lend: 0 }
+
+const PICKS: Partial<Record<SchedulerName, () => Pick>> = {
+  'round-robin': roundRobin,
+  random: () => pickRandom,
+  'least-connections': () => leastConnections,
+  'shortest-delay': () => shortestExpectedDelay,
+  'weighted-sum': () => filterAndWeightedSum
+}
+
+/**
+ * Simulates one run.
+ *
+ * @param plan - what happens
+ * @param name - who schedules
+ * @param settings - settings of the decision code
+ * @returns what was recorded
+ */
+export function simulate (plan: RunPlan, name: SchedulerName, settings: Settings = {}): Recorder {
+  const clock = new FakeClock()
+  const { workers, slots } = plan.desk
+  const recorder = new Recorder({ slots: workers * slots, until: plan.duration })
+  const cell = new Cell({ clock, recorder, workers, slots })
+  const scheduler = createScheduler(plan, name, settings, { clock, cell, recorder })
+  const works = generateWork(plan)
+  for (let index = 0; index < plan.failing; index++) {
+    clock.schedule(plan.duration / 4, () => { cell.machines[index * 7]!.failing = true })
+  }
+  for (const work of works) {
+    clock.tick(work.arrival - clock.now())
+    recorder.arrive(work, work.arrival)
+    scheduler.submit(work)
+    if (work.withdrawn === Infinity) continue
+    clock.schedule(work.withdrawn - work.arrival, () => { if (work.state === 'waiting') scheduler.withdraw(work) })
+  }
+  clock.tick(plan.duration - clock.now())
+  while (recorder.open > 0) clock.tick(DRAIN_STEP)
+  return recorder
+}
+
+function createScheduler (plan: RunPlan, name: SchedulerName, settings: Settings, options: SchedulerOptions): Scheduler {
+  const classes = plan.desk.classes.map(kind => kind.rule)
+  if (name === 'bound') {
+    const order = [...classes].sort((a, b) => b.priority - a.priority).map(rule => rule.name)
+    return new CentralScheduler({ ...options, order })
+  }
+  const createPick = PICKS[name]
+  if (createPick !== undefined) {
+    const declared = new Map(classes.map(rule => [rule.name, rule.expected]))
+    return new DirectScheduler({ ...options, declared, pick: createPick(), random: new SeededRandom(plan.seed + 2) })
+  }
+  const admission = name === 'first-version' ? FIRST_VERSION : settings.admission ?? {}
+  const tasks = new Set(plan.desk.classes.filter(kind => kind.task && name === 'rattanstep').map(kind => kind.rule.name))
+  return new PolicyScheduler({ ...options, classes, seed: plan.seed, ...settings, admission, tasks })
+}
--- /dev/null
+++ b/packages/bench/src/types/work.ts
@@ -0,0 +1,65 @@
+import type { ResolvedClass } from '@rattanstep/rules'
+
+/** One piece of work of a simulated run. */
+export interface Work {
+  id: number
+  class: string
+  caller: string
+  /** When it arrives, in ms. */
+  arrival: number
+  /** True run time in ms. */
+  size: number
+  /** Milliseconds that its caller waits. */
+  patience: number
+  /** When its caller withdraws it, in ms; `Infinity` when it does not. */
+  withdrawn: number
+  state: 'new' | 'waiting' | 'running' | 'done' | 'failed' | 'refused' | 'withdrawn'
+  /** When it started on a worker, in ms. */
+  started: number
+  attempts: number
+  /** Run time in ms that is left after the last checkpoint. */
+  left: number
+}
+
+/** One kind of work of a workload. */
+export interface WorkClass {
+  rule: ResolvedClass
+  /** Part of all work items. */
+  count: number
+  /** Draws a run time in ms from a number of 0 to 1 and a second one. */
+  size: (a: number, b: number) => number
+  /** Mean run time in ms. */
+  mean: number
+  /** Number of callers; the first sends as much as all others together. */
+  callers: number
+  /** Whether demand swings. */
+  swings: boolean
+  /** Whether it runs as tasks of jobs, which can be preempted. */
+  task: boolean
+  /** Role in the report. */
+  role: 'urgent' | 'quick' | 'batch' | 'long'
+}
+
+/** The work of one desk. */
+export interface Desk {
+  name: string
+  classes: WorkClass[]
+  workers: number
+  slots: number
+}
+
+/** What happens in one run. */
+export interface RunPlan {
+  desk: Desk
+  /** Offered work as a part of all slots' time. */
+  load: number
+  seed: number
+  /** Milliseconds during which work arrives. */
+  duration: number
+  /** Crest of demand relative to its mean; 1 for steady demand. */
+  crest: number
+  /** Workers that fail everything from a quarter of the run on. */
+  failing: number
+  /** Milliseconds between waves of cancellations; 0 for none. */
+  waves: number
+}
--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -7,6 +7,8 @@
 import { Dispatcher } from './Dispatcher.js'
 import { explainBooks } from './explainBooks.js'
 import { Ledger } from './Ledger.js'
+import { findPressure } from './findPressure.js'
+import type { Pressure } from './findPressure.js'
 import { LongRuns } from './LongRuns.js'
 import { Peers } from './Peers.js'
 import type { PermitEntry } from './PermitBook.js'
@@ -24,8 +26,12 @@
   teams?: ResolvedTeam[]
   now: number
   random: Random
-  /** Part of the owner's slots that long work may use, from 0 to 1. */
-  longPart?: number
+  /** Part of the owner's slots that long work may use whatever short work needs, from 0 to 1. */
+  longLeast?: number
+  /** Part of reserves that other short work may use, from 0 to 1. */
+  lend?: number
+  /** Milliseconds for which a peak of short work keeps preemptible work out. */
+  recent?: number
   /** Part of each worker's slots that long work may use, from 0 to 1. */
   longPartOfWorker?: number
   /** Most asks that wait in one class. */
@@ -51,8 +57,8 @@
   constructor (options: AdmissionOptions) {
     const { runTimes, quarantine } = this
     const { name, random } = options
-    const workers = new WorkerBooks({ longPart: options.longPartOfWorker ?? 0.75 })
-    const classes = new ClassBooks({ runTimes, longPart: options.longPart ?? 0.5 })
+    const workers = new WorkerBooks({ longPart: options.longPartOfWorker ?? 1 })
+    const classes = new ClassBooks({ runTimes, longLeast: options.longLeast ?? 0.25, lend: options.lend ?? 1, recent: options.recent ?? 100 })
     const ledger = new Ledger({ workers, classes })
     const projection = new Projection({ workers, classes })
     const longRuns = new LongRuns({ ledger, runTimes })
@@ -252,6 +258,7 @@
   tick (now: number, peers: PeerLoad[] = []): Decision[] {
     this.peers.update(peers, now)
     this.keeper.expire(now)
+    this.classes.notePeak(now)
     this.longRuns.sweep(this.classes.longThreshold(), now)
     for (const worker of this.quarantine.tick(now)) this.followTrust(worker)
     return [...this.dispatcher.dispatch(now), ...this.dispatcher.expire(now)]
@@ -274,7 +281,8 @@
     if (book === undefined || !this.ledger.fits(book, resources)) return false
     const classBook = this.classes.get(className)
     const room = { slots: this.workers.slots, free: this.workers.freeSlots }
-    if (this.classes.limit(classBook, { team, resources }, room) !== null) return false
+    const limit = this.classes.limit(classBook, { team, resources }, room, classBook.rule.kind === 'batch')
+    if (limit !== null) return false
     this.classes.charge(classBook, resources.slots)
     const long = this.classes.isLong(classBook)
     this.ledger.hold(book, { id, worker, class: className, team, resources, long, heldAt: now })
@@ -312,6 +320,15 @@
     return this.dispatcher.dispatch(now)
   }
 
+  /**
+   * Tells what room waiting work lacks that may preempt tasks of lower priority.
+   *
+   * @returns the need of the highest such class, or `null`
+   */
+  pressure (): Pressure | null {
+    return findPressure(this.classes, this.workers)
+  }
+
   /**
    * @param worker - a worker
    * @returns what is free there; nothing for a worker that takes no new work
--- a/packages/policy/src/runtime/ClassBook.ts
+++ b/packages/policy/src/runtime/ClassBook.ts
@@ -3,7 +3,7 @@
 import { FlowQueue } from './FlowQueue.js'
 
 /** Milliseconds over which the rate of grants is measured. */
-const DRAIN_MEMORY = 1000
+const DRAIN_MEMORY = 10_000
 
 /** The book of one class: its rule, its queue and what it uses. */
 export class ClassBook {
--- a/packages/policy/src/runtime/ClassBooks.ts
+++ b/packages/policy/src/runtime/ClassBooks.ts
@@ -2,6 +2,7 @@
 import type { ResolvedClass, ResolvedTeam } from '@rattanstep/rules'
 import { ClassBook, UNNAMED_CLASS } from './ClassBook.js'
 import type { RunTimes } from './RunTimes.js'
+import { Peak } from '../utils/Peak.js'
 
 /** Name under which the run times of all classes together are kept. */
 export const ALL_CLASSES = ''
@@ -9,6 +10,12 @@
 /** Work of a class is long when its mean exceeds the median of all runs this many times. */
 const LONG_RATIO = 10
 
+/** Reserves are lent to classes whose mean is at most the median of all runs this many times. */
+const LENT_RATIO = 3
+
+/** Milliseconds for which a peak of short work is remembered. */
+const PEAK_MEMORY = 30_000
+
 /** Why work may not start although a worker may have room. */
 export type Limit = 'most' | 'reserve' | 'team' | 'long'
 
@@ -29,12 +36,20 @@
   private readonly teamUse = new Map<string, number>()
   private top = 0
   private readonly runTimes: RunTimes
-  private readonly longPart: number
+  private readonly longLeast: number
+  private readonly lend: number
+  private readonly peak = new Peak(PEAK_MEMORY)
+  private readonly recentPeak: Peak
 
-  /** @param options - `runTimes`: learned run times; `longPart`: part of all slots that long work may use */
-  constructor (options: { runTimes: RunTimes, longPart: number }) {
+  /**
+   * @param options - `runTimes`: learned run times; `longLeast`: part of all slots that long work may use whatever short
+   * work needs; `lend`: part of reserves that other short work may use
+   */
+  constructor (options: { runTimes: RunTimes, longLeast: number, lend: number, recent: number }) {
     this.runTimes = options.runTimes
-    this.longPart = options.longPart
+    this.longLeast = options.longLeast
+    this.lend = options.lend
+    this.recentPeak = new Peak(options.recent)
   }
 
   /**
@@ -133,18 +148,61 @@
    * @param book - class of the work
    * @param ask - what is asked for
    * @param room - slots of the owner in all and free
+   * @param preemptible - whether the work can be preempted
    * @returns the limit, or `null` when the work may start
    */
-  limit (book: ClassBook, ask: Pick<Ask, 'team' | 'resources'>, room: { slots: number, free: number }): Limit | null {
+  limit (book: ClassBook, ask: Pick<Ask, 'team' | 'resources'>, room: { slots: number, free: number }, preemptible = false): Limit | null {
     const need = ask.resources.slots
     if (book.inUse + need > mostSlots(book.rule.most, room.slots)) return 'most'
     if (this.isOverQuota(ask.team, need, room.slots)) return 'team'
-    if (this.isLong(book) && this.long + need > mostSlots(this.longPart, room.slots)) return 'long'
+    if (this.isLong(book) && this.long + need > this.longMost(room.slots, preemptible)) return 'long'
     if (book.inUse + need <= this.reserve(book, room.slots)) return null
-    if (room.free - need < this.keptForOthers(book, room.slots)) return 'reserve'
+    if (room.free - need < Math.floor(this.keptForOthers(book, room.slots) * this.keptPart(book))) return 'reserve'
     return null
   }
 
+  /**
+   * Notes how many slots short work uses and waits for, so that room for its next peak is kept from long work.
+   *
+   * @param now - ms
+   */
+  notePeak (now: number): void {
+    let wanted = 0
+    for (const book of this.books.values()) {
+      if (!this.isLong(book) && book.rule.kind !== 'service') wanted += book.inUse - book.long + book.queue.size
+    }
+    this.peak.add(wanted, now)
+    this.recentPeak.add(wanted, now)
+  }
+
+  /**
+   * @param slots - slots of the owner in all
+   * @param preemptible - whether the work can be preempted when short work needs the room
+   * @returns slots that long work may use
+   */
+  longMost (slots: number, preemptible = false): number {
+    const peak = preemptible ? this.recentPeak.value : this.peak.value
+    return Math.max(this.longFloor(slots), slots - Math.ceil(peak))
+  }
+
+  /**
+   * @param slots - slots of the owner in all
+   * @returns slots that long work may use whatever short work needs
+   */
+  longFloor (slots: number): number {
+    return mostSlots(this.longLeast, slots)
+  }
+
+  /**
+   * @param book - a class
+   * @param slots - slots of the owner in all
+   * @returns slots that the class can count on when lower work does not come before it
+   */
+  slotsFor (book: ClassBook, slots: number): number {
+    const most = mostSlots(book.rule.most, slots)
+    return Math.min(most, this.isLong(book) ? this.longMost(slots) : slots - this.long)
+  }
+
   /** @param share - work that starts */
   take (share: Share): void {
     this.count(share, 1)
@@ -203,6 +261,10 @@
     return kept
   }
 
+  private keptPart (book: ClassBook): number {
+    return this.meanTime(book) > LENT_RATIO * this.shortTime() ? 1 : 1 - this.lend
+  }
+
   private leastExpected (): number {
     let least = Infinity
     for (const book of this.books.values()) least = Math.min(least, book.rule.expected)
--- a/packages/policy/src/runtime/Dispatcher.ts
+++ b/packages/policy/src/runtime/Dispatcher.ts
@@ -124,7 +124,8 @@
   }
 
   /**
-   * Refuses asks whose patience has run out, and sends asks on to peers with room.
+   * Refuses asks whose patience has run out, and sends asks on to peers with room. An ask that comes from another owner
+   * stays, and long work stays too, since a peer's free slots may not be free for it.
    *
    * @param now - ms
    * @returns the refusals
@@ -140,8 +141,10 @@
 
   private sendOn (book: ClassBook, now: number): Decision[] {
     const decisions: Decision[] = []
-    for (let item = book.queue.oldest(); item !== null; item = book.queue.oldest()) {
+    if (this.options.classes.isLong(book)) return decisions
+    for (const item of book.queue) {
       if (now - item.queuedAt < this.options.redirectAfter) break
+      if (item.ask.waited > this.options.redirectAfter) continue
       const peer = this.options.peers.take(now)
       if (peer === '') break
       decisions.push(this.refuse(item, 'queue-full', now, peer))
--- a/packages/policy/src/runtime/Projection.ts
+++ b/packages/policy/src/runtime/Projection.ts
@@ -3,8 +3,11 @@
 import type { ClassBooks } from './ClassBooks.js'
 import type { WorkerBooks } from './WorkerBooks.js'
 
+/** Recent grants from which a rate is trusted. */
+const ENOUGH_GRANTS = 5
+
 /** A measured rate of grants counts once asks have waited this many ms without a break. */
-const MEASURED_AFTER = 1000
+const MEASURED_AFTER = 5000
 
 /** Projects how long work will wait. */
 export class Projection {
@@ -52,8 +55,8 @@
 
   private measuredWait (book: ClassBook, ahead: number, now: number): number | null {
     if (book.waitingSince === null || now - book.waitingSince < MEASURED_AFTER) return null
-    const rate = book.grants.perMillisecond(now)
-    return rate > 0 ? (ahead + 1) / rate : null
+    if (book.grants.recent(now) < ENOUGH_GRANTS) return null
+    return (ahead + 1) / book.grants.perMillisecond(now)
   }
 
   private fluidWait (book: ClassBook, ahead: number): number {
@@ -62,7 +65,6 @@
       if (other === book || other.rule.priority < book.rule.priority) continue
       work += other.queue.size * this.classes.meanTime(other)
     }
-    const most = book.rule.most * this.workers.slots
-    return work / Math.max(1, most)
+    return work / Math.max(1, this.classes.slotsFor(book, this.workers.slots))
   }
 }
--- a/packages/policy/src/runtime/chooseOwner.ts
+++ b/packages/policy/src/runtime/chooseOwner.ts
@@ -16,7 +16,9 @@
   priority: number
   /** Data centre of the front. */
   dataCentre?: string
-  /** Asks sent to each owner since its load was made, less those released. */
+  /** The front's own node, whose load is known without delay. */
+  self?: Incarnation
+  /** Asks sent to each owner that it has not answered yet. */
   outstanding?: Map<Incarnation, number>
   random: Random
   /** Owners that are not to be chosen again. */
@@ -33,9 +35,13 @@
 /** Service time in ms assumed of an owner that has learned none. */
 const UNKNOWN_SERVICE = 10
 
+/** Part of its slots that every owner keeps as weight, since a slot that is busy in an old load may be free by now. */
+const TURNOVER = 0.3
+
 /**
- * Chooses the owner to ask. Owners with free slots are drawn at random in proportion to these, so that fronts that
- * see the same old load do not all choose the same owner; when none has, the shorter wait of two random owners counts.
+ * Chooses the owner to ask. Two owners are drawn at random, in proportion to the slots that are free or may have become
+ * free since their load was made, so that fronts that see the same old load do not all choose the same owner. Of the two
+ * the one with the shorter expected wait is chosen; asks that an owner has not answered are the newest sign of its queue.
  *
  * @param options - what is known about owners
  * @returns the choice, or `null` when no owner has a worker
@@ -43,38 +49,18 @@
 export function chooseOwner (options: OwnerOptions): OwnerChoice | null {
   const owners = options.owners.filter(owner => owner.load.slots > 0 && options.exclude?.has(owner.incarnation) !== true)
   if (owners.length === 0) return null
-  const free = owners.map(owner => freeSlots(owner, options))
-  const total = free.reduce((sum, slots) => sum + slots, 0)
-  if (total > 0) {
-    const owner = draw(owners, free, total, options.random)
-    return { owner: owner.incarnation, reason: 'free-slots', candidates: owners.length }
-  }
-  const slots = owners.map(owner => owner.load.slots)
-  const sum = slots.reduce((a, b) => a + b, 0)
-  const first = draw(owners, slots, sum, options.random)
-  const second = draw(owners, slots, sum, options.random)
+  const weights = owners.map(owner => Math.max(0, owner.load.free) + TURNOVER * owner.load.slots)
+  const total = weights.reduce((sum, weight) => sum + weight, 0)
+  const first = draw(owners, weights, total, options.random)
+  const second = draw(owners, weights, total, options.random)
   const owner = expectedWait(first, options) <= expectedWait(second, options) ? first : second
-  return { owner: owner.incarnation, reason: 'shorter-wait', candidates: owners.length }
-}
-
-function freeSlots (owner: OwnerView, options: OwnerOptions): number {
-  const outstanding = options.outstanding?.get(owner.incarnation) ?? 0
-  return Math.max(0, owner.load.free - waitingBefore(owner.load, options.priority) - outstanding)
+  return { owner: owner.incarnation, reason: owner === first ? 'drawn' : 'shorter-wait', candidates: owners.length }
 }
 
 function expectedWait (owner: OwnerView, options: OwnerOptions): number {
-  const outstanding = options.outstanding?.get(owner.incarnation) ?? 0
+  const unanswered = options.outstanding?.get(owner.incarnation) ?? 0
   const service = owner.load.service > 0 ? owner.load.service : UNKNOWN_SERVICE
-  const ahead = waitingBefore(owner.load, options.priority) + outstanding - owner.load.free
-  return ahead * service / owner.load.slots
-}
-
-function waitingBefore (load: Load, priority: number): number {
-  let count = 0
-  for (const level of load.waiting) {
-    if (level.priority >= priority) count += level.count
-  }
-  return count
+  return unanswered * service / owner.load.slots
 }
 
 function draw (owners: OwnerView[], weights: number[], total: number, random: Random): OwnerView {
--- a/packages/policy/src/utils/Rate.ts
+++ b/packages/policy/src/utils/Rate.ts
@@ -27,6 +27,15 @@
     return this.amount / this.memory
   }
 
+  /**
+   * @param now - ms
+   * @returns recent amount
+   */
+  recent (now: number): number {
+    this.fade(now)
+    return this.amount
+  }
+
   private fade (now: number): void {
     if (now <= this.at) return
     this.amount *= Math.exp((this.at - now) / this.memory)
