--- /dev/null
+++ b/packages/cli/src/cli/DaemonCommand.ts
@@ -0,0 +1,35 @@
+import { parseRules } from '@rattanstep/rules'
+import { readText } from '../node/readText.js'
+import { EXIT_REFUSED } from '../types/exitCode.js'
+import { BaseCommand } from './BaseCommand.js'
+
+/** Commands that run a node in this process. */
+export abstract class DaemonCommand extends BaseCommand {
+  /** @returns the exit code of a start that failed */
+  abstract start (): Promise<number>
+
+  override async perform (): Promise<number> {
+    try {
+      return await this.start()
+    } catch (error) {
+      const { code, address, port } = error as NodeJS.ErrnoException & { address?: string, port?: number }
+      if (code === undefined) throw error
+      this.warn(`the node can not start: ${code}${port === undefined ? '' : ` at ${address}:${port}`}; choose an address and port of this machine that nothing listens on`)
+      return EXIT_REFUSED
+    }
+  }
+
+  /**
+   * Reads rules and prints what is wrong with them.
+   *
+   * @param file - path of the rules
+   * @returns the text, or `null` when it has findings
+   */
+  protected async readRules (file: string): Promise<string | null> {
+    const text = await readText(file)
+    const rules = text.isErr() ? text : parseRules(text.value, { file })
+    if (text.isOk() && rules.isOk()) return text.value
+    if (rules.isErr()) this.refuse(rules.error)
+    return null
+  }
+}
--- /dev/null
+++ b/packages/cli/src/cli/LocalCommand.ts
@@ -0,0 +1,58 @@
+import { Command, Option } from 'clipanion'
+import { JsonLog } from '@rattanstep/telemetry'
+import type { Log, LogLevel } from '@rattanstep/telemetry'
+import { sampleRules } from '../node/sampleRules.js'
+import type { LocalCell } from '../node/startLocal.js'
+import { EXIT_FINE, EXIT_REFUSED } from '../types/exitCode.js'
+import { Misuse } from '../types/Misuse.js'
+import { parsePort } from '../utils/parsePort.js'
+import { DaemonCommand } from './DaemonCommand.js'
+
+const LEVELS: readonly string[] = ['debug', 'info', 'warn', 'error']
+const DEFAULT_PORT = '8080'
+
+/** Runs a whole cell in this process. */
+export class LocalCommand extends DaemonCommand {
+  static override paths = [['local']]
+  static override usage = Command.Usage({
+    description: 'run one node with stand-ins for platform and workers in this process',
+    details: 'Prints the URL for callers on one line once it serves. Where operators reach it goes to standard error. Nothing is kept after the end.',
+    examples: [['Run on a port of the system\'s choice', '$0 local --port 0'], ['Log every decision', '$0 local --log info']]
+  })
+
+  port = Option.String('--port', DEFAULT_PORT, { description: `port for callers (default ${DEFAULT_PORT}); 0 lets the system choose` })
+  controlPort = Option.String('--control-port', '0', { description: 'port for operators (default 0, which lets the system choose)' })
+  rules = Option.String('--rules', { description: 'file of rules (default: the sample of the hunt desk)' })
+  log = Option.String('--log', { description: 'least severity logged to standard error: debug, info, warn or error (default: no log)' })
+
+  override async start (): Promise<number> {
+    const port = parsePort('--port', this.port)
+    const controlPort = parsePort('--control-port', this.controlPort)
+    const log = this.openLog()
+    const rules = this.rules === undefined ? await sampleRules() : await this.readRules(this.rules)
+    if (rules === null) return EXIT_REFUSED
+    const secret = this.context.env.RATTANSTEP_SECRET
+    // Loaded here, as other commands need no node.
+    const { startLocal } = await import('../node/startLocal.js')
+    const cell = await startLocal({ port, controlPort, rules, secret, log })
+    this.announce(cell)
+    const stop = (): void => { cell.drain().catch(() => { process.exitCode = EXIT_REFUSED }) }
+    process.once('SIGTERM', stop)
+    process.once('SIGINT', stop)
+    await cell.ended
+    return EXIT_FINE
+  }
+
+  private announce ({ front, control, secret }: LocalCell): void {
+    const url = `http://${front.host}:${front.port}`
+    this.warn(`operators: RATTANSTEP_NODE=${control.host}:${control.port} RATTANSTEP_SECRET=${secret}`)
+    if (this.json) this.print(JSON.stringify({ url, control: `${control.host}:${control.port}`, secret }))
+    else this.print(url)
+  }
+
+  private openLog (): Log | undefined {
+    if (this.log === undefined) return undefined
+    if (!LEVELS.includes(this.log)) throw new Misuse(`--log ${this.log} was given, expected one of ${LEVELS.join(', ')}`)
+    return new JsonLog({ node: 'local', level: this.log as LogLevel, destination: this.context.stderr })
+  }
+}
--- /dev/null
+++ b/packages/cli/src/cli/NodeCommand.ts
@@ -0,0 +1,31 @@
+import { Command, Option } from 'clipanion'
+import { parseSettings } from '@rattanstep/rules'
+import { readText } from '../node/readText.js'
+import { EXIT_FINE, EXIT_REFUSED } from '../types/exitCode.js'
+import { DaemonCommand } from './DaemonCommand.js'
+
+/** Runs one node of a cell. */
+export class NodeCommand extends DaemonCommand {
+  static override paths = [['node']]
+  static override usage = Command.Usage({
+    description: 'run one node of a cell',
+    details: 'The log goes to standard output. SIGTERM starts a planned stop: what is in flight ends first. A second SIGTERM ends at once.',
+    examples: [['Run the first node of the sample cell', '$0 node --settings examples/node.yaml']]
+  })
+
+  settings = Option.String('--settings', { required: true, description: 'file of the node\'s settings' })
+  rules = Option.String('--rules', { description: 'file of rules in force while operators have applied none (default: everything in one class)' })
+
+  override async start (): Promise<number> {
+    const text = await readText(this.settings)
+    if (text.isErr()) return this.refuse(text.error)
+    const settings = parseSettings(text.value, { file: this.settings, secret: this.context.env.RATTANSTEP_SECRET })
+    if (settings.isErr()) return this.refuse(settings.error)
+    const rules = this.rules === undefined ? undefined : await this.readRules(this.rules)
+    if (rules === null) return EXIT_REFUSED
+    // Loaded here, as other commands need no node.
+    const { runDaemon } = await import('@rattanstep/node')
+    await runDaemon({ settings: settings.value, rules })
+    return EXIT_FINE
+  }
+}
--- a/packages/cli/src/cli/StatusCommand.ts
+++ b/packages/cli/src/cli/StatusCommand.ts
@@ -13,6 +13,6 @@
   })
 
   override async speak (client: ControlClient): Promise<number> {
-    return this.report(await client.status(), status => renderStatus(status))
+    return this.report(await client.status(), status => renderStatus(status, Date.now()))
   }
 }
--- a/packages/cli/src/cli/SubmitCommand.ts
+++ b/packages/cli/src/cli/SubmitCommand.ts
@@ -2,6 +2,7 @@
 import { parseJob } from '@rattanstep/rules'
 import type { ControlClient } from '../node/ControlClient.js'
 import { readText } from '../node/readText.js'
+import { expandJob } from '../runtime/expandJob.js'
 import { RemoteCommand } from './RemoteCommand.js'
 
 /** Submits a job. */
@@ -20,6 +21,6 @@
     if (text.isErr()) return this.refuse(text.error)
     const job = parseJob(text.value, { file: this.file })
     if (job.isErr()) return this.refuse(job.error)
-    return this.report(await client.submit(job.value), () => `job ${job.value.id} is accepted; see jobs ${job.value.id}`)
+    return this.report(await client.submit(expandJob(job.value)), () => `job ${job.value.id} is accepted; see jobs ${job.value.id}`)
   }
 }
--- a/packages/cli/src/cli/runProgram.ts
+++ b/packages/cli/src/cli/runProgram.ts
@@ -5,7 +5,10 @@
 import { CancelCommand } from './CancelCommand.js'
 import { CheckCommand } from './CheckCommand.js'
 import { DrainCommand } from './DrainCommand.js'
+import { ExplainCommand } from './ExplainCommand.js'
 import { JobsCommand } from './JobsCommand.js'
+import { LocalCommand } from './LocalCommand.js'
+import { NodeCommand } from './NodeCommand.js'
 import { ShowCommand } from './ShowCommand.js'
 import { StatusCommand } from './StatusCommand.js'
 import { SubmitCommand } from './SubmitCommand.js'
@@ -19,7 +22,10 @@
   CancelCommand,
   CheckCommand,
   DrainCommand,
+  ExplainCommand,
   JobsCommand,
+  LocalCommand,
+  NodeCommand,
   ShowCommand,
   StatusCommand,
   SubmitCommand
--- a/packages/cli/src/node/ControlClient.ts
+++ b/packages/cli/src/node/ControlClient.ts
@@ -153,8 +153,9 @@
     const json = parse(body)
     const fault = FAULTS[status] ?? 'unexpected'
     const findings = isRecord(json) && Array.isArray(json.findings) ? json.findings as Finding[] : []
-    const told = messageOf(json) ?? body.slice(0, 200)
-    return { fault, message: `${call.method} ${call.path} at ${this.origin} was refused with ${status}: ${told}; ${ADVICE[fault]}`, findings, version: numberOf(json, 'version') }
+    const told = messageOf(json)
+    const what = `${call.method} ${call.path} at ${this.origin} was refused with ${status}${told === null ? '' : ` (${told})`}`
+    return { fault, message: `${what}; ${ADVICE[fault]}`, findings, version: numberOf(json, 'version') }
   }
 
   private misunderstood (call: Call): ControlError {
@@ -176,7 +177,7 @@
   conflict: 'another operator was first; look at what is there and decide again',
   findings: 'mend the findings and repeat',
   'not-found': 'check the name',
-  unavailable: 'the node can not do it now, perhaps as the table is down; status tells more',
+  unavailable: 'the node can not do it now; status tells what is wrong',
   unexpected: 'check that the address is a control address'
 }
 
--- /dev/null
+++ b/packages/cli/src/node/startLocal.ts
@@ -0,0 +1,92 @@
+import { randomBytes } from 'node:crypto'
+import { NO_RESOURCES, SystemClock } from '@rattanstep/core'
+import type { Address, InstanceList } from '@rattanstep/core'
+import { startNode } from '@rattanstep/node'
+import type { Node } from '@rattanstep/node'
+import type { ResolvedSettings } from '@rattanstep/rules'
+import { embeddedPlatform, MemoryInstanceList } from '@rattanstep/stand-ins'
+import { SilentLog } from '@rattanstep/telemetry'
+import type { Log } from '@rattanstep/telemetry'
+
+const HOST = '127.0.0.1'
+const SECRET_BYTES = 16
+const DRAIN_MS = 10_000
+/** Milliseconds between looks at whether the node has ended. */
+const LOOK_MS = 100
+
+/** Options of {@link startLocal}. */
+export interface LocalOptions {
+  /** Port for callers; 0 lets the system choose. */
+  port: number
+  /** Port for operators (default 0, which lets the system choose). */
+  controlPort?: number
+  /** Text of the rules. */
+  rules: string
+  /** Default: a random one. */
+  secret?: string
+  /** Default: nothing is logged. */
+  log?: Log
+}
+
+/** A cell of one node inside this process. */
+export interface LocalCell {
+  front: Address
+  control: Address
+  secret: string
+  /** Planned stop of the node, then the end of the stand-ins. */
+  drain: () => Promise<void>
+  /** Resolves once the node has ended, also when operators drained it. */
+  ended: Promise<void>
+}
+
+/**
+ * Starts a node with stand-ins for the platform and the workers in this process.
+ *
+ * @param options - ports, rules and log
+ * @returns the cell, once it serves callers
+ */
+export async function startLocal (options: LocalOptions): Promise<LocalCell> {
+  const settings = makeSettings(options)
+  const platform = await embeddedPlatform()
+  try {
+    enlist(platform.instances, settings)
+    const node = await startNode({ settings, platform, rules: options.rules, log: options.log ?? new SilentLog() })
+    await node.whenServing()
+    const ended = whenEnded(node).then(async () => { await platform.close() })
+    const drain = async (): Promise<void> => {
+      await node.drain()
+      await ended
+    }
+    return { front: node.addresses.front, control: node.addresses.control, secret: settings.secret, drain, ended }
+  } catch (error) {
+    await platform.close()
+    throw error
+  }
+}
+
+/** Puts the node on the platform's list, as only listed nodes are given workers. */
+function enlist (instances: InstanceList, { id, dataCentre, peer }: ResolvedSettings): void {
+  if (!(instances instanceof MemoryInstanceList)) return
+  instances.add({ id, role: 'entry', state: 'live', dataCentre, rack: 'entry', address: peer, resources: NO_RESOURCES, connections: 0 })
+}
+
+function makeSettings (options: LocalOptions): ResolvedSettings {
+  return {
+    id: 'local',
+    cell: 'local',
+    dataCentre: 'local',
+    front: { host: HOST, port: options.port },
+    peer: { host: HOST, port: 0 },
+    control: { host: HOST, port: options.controlPort ?? 0 },
+    platform: { host: HOST, port: 0 },
+    seeds: [],
+    secret: options.secret ?? randomBytes(SECRET_BYTES).toString('hex'),
+    log: 'info',
+    drain: DRAIN_MS
+  }
+}
+
+async function whenEnded (node: Node): Promise<void> {
+  const clock = new SystemClock()
+  while (node.state !== 'stopped') await clock.sleep(LOOK_MS)
+}
--- /dev/null
+++ b/packages/cli/src/node/writeLogDocs.ts
@@ -0,0 +1,9 @@
+import { writeFile } from 'node:fs/promises'
+import { readCatalogue } from '../runtime/catalogue.js'
+import { renderCatalogue } from '../runtime/renderCatalogue.js'
+
+/**
+ * Writes the log catalogue of the docs from the code.
+ */
+
+await writeFile(new URL('../../../../../docs/logs.md', import.meta.url), renderCatalogue(readCatalogue()))
--- /dev/null
+++ b/packages/cli/src/runtime/catalogue.ts
@@ -0,0 +1,56 @@
+import * as admission from '@rattanstep/admission'
+import * as configuration from '@rattanstep/configuration'
+import * as front from '@rattanstep/front'
+import * as jobs from '@rattanstep/jobs'
+import * as node from '@rattanstep/node'
+import * as ownership from '@rattanstep/ownership'
+import * as peer from '@rattanstep/peer'
+import * as platform from '@rattanstep/platform'
+import type { LogEvent } from '@rattanstep/telemetry'
+
+/**
+ * Every kind of log line that the packages write.
+ */
+
+/** The events of packages, with the range that their numbers stand in. */
+export interface CatalogueSection {
+  name: string
+  /** First number of the range. */
+  first: number
+  /** Last number of the range. */
+  last: number
+  /** In the order of their numbers. */
+  events: LogEvent[]
+}
+
+const RANGE_SIZE = 1000
+
+const MODULES: Array<[string, number, object[]]> = [
+  ['front', 1000, [front]],
+  ['admission', 2000, [admission]],
+  ['ownership', 3000, [ownership]],
+  ['jobs', 4000, [jobs]],
+  ['node and configuration', 5000, [node, configuration]],
+  ['peer', 6000, [peer]],
+  ['platform', 7000, [platform]]
+]
+
+/** @returns the events of every package, found by exports whose names end in `EVENTS` */
+export function readCatalogue (): CatalogueSection[] {
+  return MODULES.map(([name, first, modules]) => ({ name, first, last: first + RANGE_SIZE - 1, events: readEvents(modules) }))
+}
+
+/**
+ * @param number - number of an event
+ * @returns the event, or `null` when no package writes it
+ */
+export function findEvent (number: number): LogEvent | null {
+  return readCatalogue().flatMap(section => section.events).find(event => event.number === number) ?? null
+}
+
+function readEvents (modules: object[]): LogEvent[] {
+  return modules.flatMap(module => Object.entries(module))
+    .filter(([name]) => name.endsWith('EVENTS'))
+    .flatMap(([, events]) => Object.values(events as Record<string, LogEvent>))
+    .sort((a, b) => a.number - b.number)
+}
--- a/packages/cli/src/runtime/renderJobs.ts
+++ b/packages/cli/src/runtime/renderJobs.ts
@@ -9,8 +9,8 @@
 export function renderJobs (answer: unknown): string {
   const jobs = Array.isArray(answer) ? objectsOf(answer) : objectsOf(objectOf(answer).jobs)
   if (jobs.length === 0) return 'no jobs'
-  const rows = jobs.map(job => [textOf(job.id), textOf(job.kind), textOf(job.class), textOf(job.state), countStates(job)])
-  return layOut([['ID', 'KIND', 'CLASS', 'STATE', 'TASKS'], ...rows]).join('\n')
+  const rows = jobs.map(job => [textOf(job.id), textOf(job.kind), textOf(job.class), textOf(job.team, '-'), textOf(job.state), textOf(job.reason)])
+  return layOut([['ID', 'KIND', 'CLASS', 'TEAM', 'STATE', 'REASON'], ...rows]).join('\n')
 }
 
 /**
@@ -19,19 +19,13 @@
  */
 export function renderJob (answer: unknown): string {
   const job = objectOf(answer)
-  const rows = objectsOf(job.tasks).map(task => [textOf(task.id ?? task.task), textOf(task.state), textOf(task.worker, '-'), textOf(task.reason ?? task.message)])
-  const lines = layOut([['TASK', 'STATE', 'WORKER', 'REASON'], ...rows])
-  const reason = textOf(job.reason ?? job.message)
-  const head = `job ${textOf(job.id)}: ${textOf(job.kind)} of class ${textOf(job.class)}, ${textOf(job.state)}${reason === '' ? '' : ` (${reason})`}`
-  return [head, ...lines].join('\n')
+  const rows = objectsOf(job.tasks).map(task => [textOf(task.index), textOf(task.state), textOf(task.worker) || '-', textOf(task.attempts), textOf(task.reason)])
+  const lines = layOut([['TASK', 'STATE', 'WORKER', 'FAILED RUNS', 'REASON'], ...rows])
+  return [describe(job), ...lines].join('\n')
 }
 
-function countStates (job: JsonObject): string {
-  const counts = new Map<string, number>()
-  for (const task of objectsOf(job.tasks)) {
-    const state = textOf(task.state)
-    counts.set(state, (counts.get(state) ?? 0) + 1)
-  }
-  if (counts.size === 0) return typeof job.tasks === 'object' ? Object.entries(objectOf(job.tasks)).map(([state, count]) => `${textOf(count)} ${state}`).join(', ') : textOf(job.tasks)
-  return [...counts].map(([state, count]) => `${count} ${state}`).join(', ')
+function describe (job: JsonObject): string {
+  const reason = textOf(job.reason)
+  const head = `job ${textOf(job.id)}: ${textOf(job.kind)} of class ${textOf(job.class)}, ${textOf(job.state)}`
+  return reason === '' ? head : `${head} (${reason})`
 }
--- a/packages/cli/src/runtime/renderStatus.ts
+++ b/packages/cli/src/runtime/renderStatus.ts
@@ -1,3 +1,4 @@
+import { formatDuration } from '../utils/duration.js'
 import { objectOf, objectsOf, textOf } from '../utils/json.js'
 import type { JsonObject } from '../utils/json.js'
 import { layOut } from '../utils/table.js'
@@ -6,38 +7,51 @@
  * Renders a node's status for people: what is wrong first, then how the node stands.
  *
  * @param answer - what the node tells
+ * @param now - wall-clock time in ms since 1970
  * @returns lines of text
  */
-export function renderStatus (answer: unknown): string {
+export function renderStatus (answer: unknown, now: number): string {
   const status = objectOf(answer)
-  return [...renderProblems(status), '', ...renderNode(status), ...renderClasses(status)].join('\n')
+  return [...renderProblems(status, now), '', ...renderNode(status), ...renderClasses(status)].join('\n')
 }
 
-function renderProblems (status: JsonObject): string[] {
+function renderProblems (status: JsonObject, now: number): string[] {
   const problems = objectsOf(status.problems)
   if (problems.length === 0) return ['nothing is wrong that this node knows of']
-  return [`${problems.length} wrong:`, ...problems.flatMap(problem => renderProblem(problem))]
+  return [`WRONG (${problems.length}, worst first):`, ...problems.flatMap(problem => renderProblem(problem, now))]
 }
 
-function renderProblem (problem: JsonObject): string[] {
-  const since = textOf(problem.since)
-  const line = `  ${textOf(problem.code)}${since === '' ? '' : ` since ${since}`}: ${textOf(problem.message)}`
+function renderProblem (problem: JsonObject, now: number): string[] {
+  const lines = [`  ${textOf(problem.code)}: ${textOf(problem.what)}${renderSince(problem.since, now)}`]
   const rule = objectOf(problem.rule)
-  if (rule.name === undefined) return [line]
-  return [line, `    rule ${textOf(rule.name)} on line ${textOf(rule.line)}, asked for by ${textOf(rule.askedBy)}`]
+  if (rule.name !== undefined) lines.push(`    rule ${textOf(rule.name)} on line ${textOf(rule.line)}, asked for by ${textOf(rule.askedBy)}`)
+  if (textOf(problem.advice) !== '') lines.push(`    ${textOf(problem.advice)}`)
+  return lines
+}
+
+function renderSince (since: unknown, now: number): string {
+  if (typeof since !== 'number') return ''
+  return `, for ${formatDuration(since)}, since ${new Date(now - since).toISOString().slice(0, 19)}Z`
 }
 
 function renderNode (status: JsonObject): string[] {
-  const rows = Object.entries(status)
-    .filter(([, value]) => typeof value !== 'object')
-    .map(([key, value]) => [key, textOf(value)])
-  return layOut(rows)
+  const fleet = objectOf(status.fleet)
+  const load = objectOf(objectOf(status.admission).load)
+  const front = objectOf(status.front)
+  const uptime = typeof status.uptime === 'number' ? formatDuration(status.uptime) : 'unknown'
+  return layOut([
+    ['node', `${textOf(status.node)}, ${textOf(status.state)}, up ${uptime}`],
+    ['cell', `${textOf(status.cell)}, data centre ${textOf(status.dataCentre)}`],
+    ['rules', `version ${textOf(objectOf(status.rules).version, '?')}`],
+    ['callers', `${textOf(front.inFlight, '?')} requests in flight at ${textOf(front.address)}`],
+    ['workers', `${textOf(fleet.workers, '?')} listed, ${textOf(fleet.leaving, '?')} leaving`],
+    ['owned room', `${textOf(load.free, '?')} of ${textOf(load.slots, '?')} slots free`]
+  ])
 }
 
 function renderClasses (status: JsonObject): string[] {
   const classes = objectsOf(status.classes)
   if (classes.length === 0) return []
-  const columns = Object.keys(classes[0]!).filter(column => typeof classes[0]![column] !== 'object')
-  const rows = classes.map(entry => columns.map(column => textOf(entry[column])))
-  return ['', ...layOut([columns.map(column => column.toUpperCase()), ...rows])]
+  const rows = classes.map(entry => [textOf(entry.name), textOf(entry.priority), textOf(entry.waiting), `line ${textOf(entry.line)}: ${textOf(entry.askedBy)}`])
+  return ['', ...layOut([['CLASS', 'PRIORITY', 'WAITING', 'ASKED FOR BY'], ...rows])]
 }
--- /dev/null
+++ b/packages/cli/src/utils/parsePort.ts
@@ -0,0 +1,15 @@
+import { Misuse } from '../types/Misuse.js'
+
+const MAX_PORT = 65_535
+
+/**
+ * @param option - name of the option, for the message
+ * @param text - what was given
+ * @returns the port
+ * @throws Misuse when the text is no port
+ */
+export function parsePort (option: string, text: string): number {
+  const port = /^\d{1,5}$/.test(text) ? Number(text) : MAX_PORT + 1
+  if (port <= MAX_PORT) return port
+  throw new Misuse(`${option} ${JSON.stringify(text)} was given, expected a port from 0 to ${MAX_PORT}; 0 lets the system choose`)
+}
--- /dev/null
+++ b/packages/cli/test/runtime/renderStatus.test.ts
@@ -0,0 +1,58 @@
+import { describe, test } from 'node:test'
+import { expect } from 'earl'
+import { renderStatus } from '../../src/runtime/renderStatus.js'
+import { formatDuration } from '../../src/utils/duration.js'
+
+const NOW = Date.parse('2026-12-04T02:15:00Z')
+
+const STATUS = {
+  node: 'node-1',
+  cell: 'winter',
+  dataCentre: 'jm-south-1',
+  state: 'serving',
+  uptime: 7_500_000,
+  problems: [
+    { code: 'table-down', what: 'the table does not answer', since: 300_000, advice: 'requests are served on' },
+    { code: 'waits-long', what: 'quick-check waits', since: null, advice: '', rule: { name: 'quick-check', line: 7, askedBy: 'solvers\' panel' } }
+  ],
+  rules: { version: 3 },
+  classes: [{ name: 'quick-check', priority: 75, askedBy: 'solvers\' panel', line: 7, waiting: 12 }],
+  admission: { load: { slots: 24, free: 3 } },
+  fleet: { workers: 3, leaving: 1 },
+  front: { address: '127.0.0.1:8080', inFlight: 21 }
+}
+
+describe('renderStatus', () => {
+  test('tells what is wrong first, since when, which rule and who asked', () => {
+    expect(renderStatus(STATUS, NOW).split('\n')).toEqual([
+      'WRONG (2, worst first):',
+      '  table-down: the table does not answer, for 5 min, since 2026-12-04T02:10:00Z',
+      '    requests are served on',
+      '  waits-long: quick-check waits',
+      '    rule quick-check on line 7, asked for by solvers\' panel',
+      '',
+      'node        node-1, serving, up 2 h 5 min',
+      'cell        winter, data centre jm-south-1',
+      'rules       version 3',
+      'callers     21 requests in flight at 127.0.0.1:8080',
+      'workers     3 listed, 1 leaving',
+      'owned room  3 of 24 slots free',
+      '',
+      'CLASS        PRIORITY  WAITING  ASKED FOR BY',
+      'quick-check  75        12       line 7: solvers\' panel'
+    ])
+  })
+
+  test('renders an answer of another shape without failing', () => {
+    for (const answer of [null, [], {}, { problems: [3], classes: {}, admission: null }]) {
+      expect(renderStatus(answer, NOW)).toEqual(expect.includes('node'))
+    }
+  })
+
+  const durations: Array<[number, string]> = [[0, '0 ms'], [999, '999 ms'], [1000, '1 s'], [61_000, '1 min 1 s'], [3_600_000, '1 h'], [90_000_000, '1 d 1 h']]
+  for (const [milliseconds, text] of durations) {
+    test(`shows ${milliseconds} ms as ${text}`, () => {
+      expect(formatDuration(milliseconds)).toEqual(text)
+    })
+  }
+})
--- a/packages/node/src/node/Node.ts
+++ b/packages/node/src/node/Node.ts
@@ -194,14 +194,21 @@
     })
   }
 
+  /** @returns whether everything was handed over before the limit in ms */
+  private async handOver (limit: number): Promise<boolean> {
+    const { clock } = this.parts
+    return await new Promise<boolean>((resolve, reject) => {
+      // A timer that is left running would keep the process alive.
+      const timer = clock.schedule(limit, () => { resolve(false) })
+      this.member.handOver().then(() => { resolve(true) }, reject).finally(() => { timer.cancel() })
+    })
+  }
+
   private async drainOnce (): Promise<void> {
     if (!this.lifecycle.step('drain')) return
     const { clock, settings, log } = this.parts
     const startedAt = clock.now()
-    const handedOver = await Promise.race([
-      this.member.handOver().then(() => true),
-      clock.sleep(settings.drain).then(() => false)
-    ])
+    const handedOver = await this.handOver(settings.drain)
     await clock.sleep(NOTICE_MS)
     await this.front?.drain(Math.max(NOTICE_MS, settings.drain - (clock.now() - startedAt)))
     log.write(EVENTS.drained, { after: Math.round(clock.now() - startedAt), handedOver })
--- a/packages/node/src/runtime/Member.ts
+++ b/packages/node/src/runtime/Member.ts
@@ -115,7 +115,10 @@
   /** Hands over what this member owns, the keys that it remembers included; it gives no more room. */
   async handOver (): Promise<void> {
     this.admission.drain()
-    await this.ownership.drain()
+    const left = this.ownership.drain()
+    // A lone node stays the only voter; nobody could take over from it.
+    if (this.ownership.peers().length === 0) return
+    await left
     while (!this.keyHome.isHandedOver && !this.stopped) await this.options.clock.sleep(HAND_OVER_LOOK_MS)
   }
 
--- a/packages/rules/src/runtime/parseJob.ts
+++ b/packages/rules/src/runtime/parseJob.ts
@@ -2,14 +2,14 @@
 import type { Finding, Result } from '@rattanstep/core'
 import { isMap, isSeq } from 'yaml'
 import type { Document, Node, Pair, YAMLMap } from 'yaml'
-import type { ResolvedJob, ResolvedTaskGroup } from '../types/job.js'
+import type { ResolvedJobFile, ResolvedTaskGroup } from '../types/jobFile.js'
 import { readDocument } from './readDocument.js'
 import { offsetOf, readFields } from './readFields.js'
 import { JOB_SCHEMA, TASK_SCHEMA } from './schema.js'
 import { Source } from './Source.js'
 
 const MAX_GROUPS = 1000
-const MAX_TASKS = 10_000
+const MAX_TASKS = 1000
 
 /**
  * Reads a job file.
@@ -18,7 +18,7 @@
  * @param options - `file`: name of the text in findings
  * @returns the job with every default filled in, or every finding in the order of the text
  */
-export function parseJob (text: string, options: { file: string }): Result<ResolvedJob, Finding[]> {
+export function parseJob (text: string, options: { file: string }): Result<ResolvedJobFile, Finding[]> {
   const source = new Source(text, options.file)
   const document = readDocument(source)
   if (document === null || source.findings.length > 0) return Err(source.sorted())
@@ -26,7 +26,7 @@
   return job === null || source.findings.length > 0 ? Err(source.sorted()) : Ok(job)
 }
 
-function read (source: Source, document: Document): ResolvedJob | null {
+function read (source: Source, document: Document): ResolvedJobFile | null {
   const { contents } = document
   if (contents === null || !isMap(contents)) {
     source.report('not-a-map', offsetOf(contents as Node | null), `expected a map with the keys ${Object.keys(JOB_SCHEMA).join(', ')}, tasks`)
@@ -37,7 +37,7 @@
   const fields = readFields(source, map, JOB_SCHEMA)
   const groups = readGroups(source, tasks, contents)
   if (!fields.complete || groups === null) return null
-  return { ...fields.values, tasks: groups } as ResolvedJob
+  return { ...fields.values, tasks: groups } as ResolvedJobFile
 }
 
 /** Takes `tasks` out of the map, as it holds more than one value. */
--- a/packages/rules/src/runtime/schema.ts
+++ b/packages/rules/src/runtime/schema.ts
@@ -1,5 +1,5 @@
 import type { Schema } from '../types/Field.js'
-import type { ResolvedJob, ResolvedTaskGroup } from '../types/job.js'
+import type { ResolvedJobFile, ResolvedTaskGroup } from '../types/jobFile.js'
 import type { ResolvedClass, ResolvedLimits, ResolvedRoute, ResolvedTeam, WorkKind } from '../types/rules.js'
 import type { ResolvedSettings } from '../types/settings.js'
 import { address, addresses, choice, decimal, duration, flag, integer, memory, part, size, text } from './fields.js'
@@ -66,7 +66,7 @@
 }
 
 /** Keys of a job file, but for `tasks`. */
-export const JOB_SCHEMA: Schema<Omit<ResolvedJob, 'tasks'>> = {
+export const JOB_SCHEMA: Schema<Omit<ResolvedJobFile, 'tasks'>> = {
   id: text(NAME, NAME_FORM, { meaning: 'Name of the job; unique in the cell.', example: 'scene-4' }),
   kind: choice(['batch', 'gang', 'service'], { meaning: 'Kind of the job; a gang starts all its tasks at once, a service is kept running.', example: 'batch', fallback: 'batch' }),
   class: text(NAME, NAME_FORM, { meaning: 'Class of the same kind in the rules in force.', example: 'audio-render' }),
@@ -76,7 +76,7 @@
 /** Keys of an entry of `tasks`. */
 export const TASK_SCHEMA: Schema<ResolvedTaskGroup> = {
   command: text(COMMAND, COMMAND_FORM, { meaning: 'What the worker runs.', example: 'render scene-4' }),
-  count: integer({ meaning: 'How many such tasks the job has.', example: '3', fallback: '1', least: '1', most: '10000' }),
+  count: integer({ meaning: 'How many such tasks the job has.', example: '3', fallback: '1', least: '1', most: '1000' }),
   cores: decimal({ meaning: 'Processor cores that one task needs.', example: '2', fallback: '1', least: '0', most: '1024' }),
   memory: memory({ meaning: 'Memory that one task needs.', example: '2GiB', fallback: '256MiB', least: '0MiB', most: '16384GiB' }),
   accelerators: integer({ meaning: 'Accelerators that one task needs.', example: '1', fallback: '0', least: '0', most: '64' }),
--- a/packages/rules/src/types/job.ts
+++ b/packages/rules/src/types/jobFile.ts
@@ -16,7 +16,7 @@
 }
 
 /** A job as submitted, after the resolve step. */
-export interface ResolvedJob {
+export interface ResolvedJobFile {
   /** Unique in the cell; a repeated submission with the same id has no further effect. */
   id: string
   kind: Exclude<WorkKind, 'request'>
