front: callers, connections, drain and keyed requests under fault

Cause: misdelivery, silent connections, malformed bytes and planned stops had no proof, and the tests found faults. Found and mended: flushHeaders writes the head as UTF-8 and so changed bytes above 127; a bad chunk of a body on its way cut the connection without saying that the outcome is unknown; many pipelined requests raised a listener warning.

--- a/packages/front/src/node/CallerServer.ts
+++ b/packages/front/src/node/CallerServer.ts
@@ -54,6 +54,8 @@
   private readonly server: Server
   private readonly inFlight = new WeakMap<Duplex, number>()
   private readonly doomed = new WeakMap<Duplex, () => void>()
+  /** The request that arrived last on each connection. */
+  private readonly newest = new WeakMap<Duplex, IncomingMessage>()
   private sequence = 0
 
   constructor (private readonly options: CallerServerOptions) {
@@ -68,6 +70,8 @@
       noDelay: true
     })
     this.server.maxConnections = limits.callers * CONNECTIONS_PER_REQUEST
+    // Each request that waits on a connection listens for its end.
+    this.server.on('connection', socket => { socket.setMaxListeners(0) })
     this.server.on('request', (message, response) => { this.arrive({ message, response, expectsContinue: false }) })
     this.server.on('checkContinue', (message, response) => { this.arrive({ message, response, expectsContinue: true }) })
     this.server.on('checkExpectation', (message, response) => { this.reject(message.socket, 'expectation', 417); response.destroy() })
@@ -106,6 +110,7 @@
     const socket = message.socket
     this.server.headersTimeout = this.options.limits().headerTimeout
     this.inFlight.set(socket, (this.inFlight.get(socket) ?? 0) + 1)
+    this.newest.set(socket, message)
     whenOver(message, response, () => { this.depart(message, socket) })
     response.on('error', () => {})
     message.on('error', () => {})
@@ -133,10 +138,18 @@
       this.reject(socket, code, status)
       return
     }
-    // The bytes may belong to the body of a request in flight, whose answer must stay its own.
-    this.doomed.set(socket, () => { this.reject(socket, code, status) })
-    const message = (socket as Duplex & { _httpMessage?: { req?: IncomingMessage } })._httpMessage?.req
-    if (message?.complete !== true) socket.destroy()
+    this.refuseAfter(code, status, socket)
+  }
+
+  /** Requests in flight on the connection are answered first, so that no answer is taken for another's. */
+  private refuseAfter (code: string, status: number, socket: Duplex): void {
+    const last = this.newest.get(socket)
+    const isBody = last?.complete === false
+    this.doomed.set(socket, () => {
+      if (isBody) socket.end()
+      else this.reject(socket, code, status)
+    })
+    if (isBody) last!.emit('error', new Error(code))
   }
 
   private reject (socket: Duplex, code: string, status: number): void {
--- a/packages/front/src/node/Reply.ts
+++ b/packages/front/src/node/Reply.ts
@@ -8,6 +8,8 @@
 
 const MS_PER_SECOND = 1000
 
+const NOTHING = Buffer.alloc(0)
+
 /** The answer to one caller. Whatever comes after its end is dropped. */
 export class Reply {
   constructor (
@@ -57,7 +59,8 @@
       this.response.shouldKeepAlive = false
     }
     this.write(head.status, head.message, head.headers, 'run')
-    this.response.flushHeaders()
+    // An empty buffer sends the head byte for byte; `flushHeaders` would encode it as UTF-8.
+    this.response.write(NOTHING)
   }
 
   /**
--- /dev/null
+++ b/packages/front/test/node/connections.test.ts
@@ -0,0 +1,201 @@
+import { createHash } from 'node:crypto'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { request } from 'undici'
+import type { Address } from '@rattanstep/core'
+import { FakeWorker, RawWorker, sampleRules, startFront } from './rig.js'
+
+const WHOLE = 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(5)
+}
+
+/** Sends bytes and collects what comes until the connection ends. */
+async function talk (address: Address, bytes: string): Promise<{ text: string, error: string }> {
+  const socket = connect(address)
+  let text = ''
+  let error = ''
+  socket.on('data', chunk => { text += chunk.toString('latin1') })
+  socket.on('error', (failure: Error & { code?: string }) => { error = failure.code ?? '' })
+  socket.write(bytes)
+  await new Promise<void>(resolve => { socket.on('close', () => { resolve() }) })
+  return { text, error }
+}
+
+test('the share of connections to a worker is kept, and requests wait for one of them', async () => {
+  let open = 0
+  let most = 0
+  const worker = await FakeWorker.start((_, response) => { setTimeout(() => { response.end('ok') }, 20) })
+  worker.onConnection(socket => {
+    most = Math.max(most, ++open)
+    socket.on('close', () => { open-- })
+  })
+  const rig = await startFront([worker.address], { connections: { connectionsFor: () => 3, connectionPatience: 3000 } })
+  const answers = await Promise.all(Array.from({ length: 20 }, async () => await request(`${rig.url}/once`, { method: 'POST', body: 'x' })))
+  expect(answers.map(answer => answer.statusCode)).toEqual(Array.from({ length: 20 }, () => 200))
+  expect(most).toEqual(3)
+  await rig.close()
+  worker.close()
+})
+
+test('a request that gets no connection in time was not run', async () => {
+  const worker = await FakeWorker.start(() => {})
+  const rig = await startFront([worker.address], { rules: () => sampleRules({}, 600), connections: { connectionsFor: () => 1, connectionPatience: 50 } })
+  const first = request(`${rig.url}/hangs`, { method: 'POST' })
+  await until(() => worker.runs.size === 1)
+  const second = await request(`${rig.url}/second`, { method: 'POST' })
+  expect([second.statusCode, second.headers['rattanstep-outcome']]).toEqual([503, 'not-run'])
+  expect((await first).statusCode).toEqual(504)
+  expect([...worker.runs.keys()]).toEqual(['/hangs'])
+  await rig.close()
+  worker.close()
+})
+
+test('a connection without a recent sign of life is not used for a request that may run once only', async () => {
+  const used: Socket[] = []
+  const worker = await RawWorker.start((socket, run) => {
+    used.push(socket)
+    // Something between the two ends loses track of the first connection after its first answer.
+    if (run === 0 || socket !== used[0]) socket.write(WHOLE)
+  })
+  const rig = await startFront([worker.address], { connections: { freshness: 50 } })
+  await request(`${rig.url}/once`, { method: 'POST', body: 'x' })
+  await sleep(120)
+  const answer = await request(`${rig.url}/once`, { method: 'POST', body: 'x' })
+  expect([answer.statusCode, answer.headers['rattanstep-outcome']]).toEqual([200, 'run'])
+  expect(used[1]).not.toEqual(used[0])
+  await rig.close()
+  worker.close()
+})
+
+test('when one connection falls silent the others that are idle without a sign of life are closed too', async () => {
+  let silent = false
+  const sockets = new Set<Socket>()
+  const worker = await RawWorker.start(socket => {
+    sockets.add(socket)
+    if (!silent) setTimeout(() => { socket.write(WHOLE) }, 20)
+  })
+  const rig = await startFront([worker.address], { rules: () => sampleRules({}, 1500) })
+  await Promise.all([1, 2, 3].map(async () => await (await request(`${rig.url}/get`)).body.text()))
+  await until(() => rig.dispatcher.connectionsTo('w0') === 3)
+  silent = true
+  const answer = await request(`${rig.url}/get`)
+  expect([answer.statusCode, answer.headers['rattanstep-outcome']]).toEqual([502, 'unknown'])
+  await until(() => rig.dispatcher.connectionsTo('w0') === 0)
+  expect(rig.log.lines.filter(line => line.event.name === 'connection-silent').length).toBeGreaterThan(0)
+  await rig.close()
+  worker.close()
+})
+
+test('while one connection is silent others to the same worker go on', async () => {
+  const worker = await RawWorker.start((socket, run) => { if (run > 0) socket.write(WHOLE) })
+  const rig = await startFront([worker.address], { rules: () => sampleRules({}, 1000) })
+  const silent = request(`${rig.url}/once`, { method: 'POST', body: 'x' })
+  await until(() => worker.runs === 1)
+  for (let call = 0; call < 20; call++) expect((await request(`${rig.url}/once`, { method: 'POST', body: 'x' })).statusCode).toEqual(200)
+  expect((await silent).statusCode).toEqual(504)
+  await rig.close()
+  worker.close()
+})
+
+test('an answer that ends with its connection ends the caller\'s connection too, and a reset within it is passed on', async () => {
+  const worker = await RawWorker.start((socket, run) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nbody', () => {
+      if (run === 0) socket.end()
+      else setTimeout(() => { socket.resetAndDestroy() }, 50)
+    })
+  })
+  const rig = await startFront([worker.address])
+  const whole = await talk(rig.address, 'GET /get HTTP/1.1\r\nhost: a\r\n\r\n')
+  expect([whole.error, whole.text.endsWith('\r\n\r\nbody'), /content-length|transfer-encoding/i.test(whole.text)]).toEqual(['', true, false])
+  const cut = await talk(rig.address, 'GET /get HTTP/1.1\r\nhost: a\r\n\r\n')
+  expect(cut.error).toEqual('ECONNRESET')
+  await rig.close()
+  worker.close()
+})
+
+const PASSED = [
+  { name: 'a HEAD answer keeps its length and has no body', bytes: 'HEAD /x HTTP/1.1\r\n', answer: 'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n', expected: /content-length: 9\r\n(.*\r\n)*\r\n$/ },
+  { name: 'a 304 has no body', bytes: 'GET /x HTTP/1.1\r\n', answer: 'HTTP/1.1 304 Not Modified\r\netag: "a"\r\n\r\n', expected: /^HTTP\/1.1 304 Not Modified\r\netag: "a"\r\n/ },
+  { name: 'trailers are passed on', bytes: 'GET /x HTTP/1.1\r\n', answer: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nx-sum: 7\r\n\r\n', expected: /2\r\nhi\r\n0\r\nx-sum: 7\r\n\r\n$/ },
+  { name: 'an early hint does not stand for the answer', bytes: 'GET /x HTTP/1.1\r\n', answer: 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi', expected: /^HTTP\/1.1 200 OK\r\n(.*\r\n)*\r\nhi$/ },
+  { name: 'an upgrade is not passed on', bytes: 'GET /x HTTP/1.1\r\nupgrade: websocket\r\nconnection: upgrade\r\n', answer: WHOLE, expected: /^HTTP\/1.1 200 OK\r\n(.*\r\n)*\r\nwhole$/ },
+  { name: 'bytes above 127 in header fields stay as they are', bytes: 'GET /x HTTP/1.1\r\n', answer: Buffer.from('HTTP/1.1 200 OK\r\nx-bytes: \xe4\xff\r\ncontent-length: 0\r\n\r\n', 'latin1'), expected: /x-bytes: \xe4\xff\r\n/ }
+]
+
+for (const { name, bytes, answer, expected } of PASSED) {
+  test(name, async () => {
+    const worker = await RawWorker.start(socket => { socket.write(answer) })
+    const rig = await startFront([worker.address])
+    const got = await talk(rig.address, `${bytes}host: a\r\nconnection: close\r\n\r\n`.replace('connection: upgrade\r\nhost: a\r\nconnection: close', 'connection: upgrade, close\r\nhost: a'))
+    expect(got.text).toMatchRegex(expected)
+    expect(got.text).toMatchRegex(/rattanstep-outcome: run\r\n/)
+    await rig.close()
+    worker.close()
+  })
+}
+
+test('a caller that waits for 100 Continue gets it, and none when the request is refused by its head', async () => {
+  const worker = await FakeWorker.start((incoming, response) => { incoming.pipe(response) })
+  const rig = await startFront([worker.address], { rules: () => sampleRules({ body: 100 }) })
+  const head = 'POST /x HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\nconnection: close\r\ncontent-length:'
+  expect((await talk(rig.address, `${head} 2\r\n\r\nhi`)).text).toMatchRegex(/^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 OK\r\n(.|\r\n)*hi/)
+  expect((await talk(rig.address, `${head} 200\r\n\r\n`)).text).toMatchRegex(/^HTTP\/1.1 413 /)
+  await rig.close()
+  worker.close()
+})
+
+test('requests sent ahead on one connection are answered in their order', async () => {
+  const worker = await FakeWorker.start((incoming, response) => { setTimeout(() => { response.end(`<${incoming.url!}>`) }, incoming.url === '/1' ? 60 : 0) })
+  const rig = await startFront([worker.address])
+  const calls = [1, 2, 3].map(number => `GET /${number} HTTP/1.1\r\nhost: a\r\n${number === 3 ? 'connection: close\r\n' : ''}\r\n`)
+  expect((await talk(rig.address, calls.join(''))).text.match(/<.*?>/g)).toEqual(['</1>', '</2>', '</3>'])
+  await rig.close()
+  worker.close()
+})
+
+test('an answer that comes before the body has been sent reaches its caller whole', async () => {
+  const worker = await FakeWorker.start((_, response) => { response.writeHead(403, { 'content-length': '6' }).end('no way') })
+  const rig = await startFront([worker.address])
+  const body = (async function * () { for (let part = 0; part < 20; part++) { yield Buffer.alloc(1000); await sleep(2) } })()
+  const answer = await request(`${rig.url}/x`, { method: 'POST', body: body as never })
+  expect([answer.statusCode, await answer.body.text()]).toEqual([403, 'no way'])
+  await rig.close()
+  worker.close()
+})
+
+test('a planned stop refuses new requests, is not ready and cuts off none of those in flight', async () => {
+  const large = Buffer.alloc(3_000_000, 'a')
+  const worker = await FakeWorker.start((_, response) => { setTimeout(() => { response.end(large) }, 150) })
+  const ready: boolean[] = []
+  const rig = await startFront([worker.address], { onReady: state => { ready.push(state) } })
+  const inFlight = [1, 2, 3].map(async number => {
+    const answer = await request(`${rig.url}/${number}`)
+    return createHash('sha256').update(Buffer.from(await answer.body.arrayBuffer())).digest('hex')
+  })
+  await until(() => worker.runs.size === 3)
+  const drained = rig.front.drain(5000)
+  expect([ready, rig.front.ready]).toEqual([[true, false], false])
+  const late = await request(`${rig.url}/late`)
+  expect([late.statusCode, late.headers['rattanstep-outcome'], late.headers['connection']]).toEqual([503, 'not-run', 'close'])
+  const expected = createHash('sha256').update(large).digest('hex')
+  expect(await Promise.all(inFlight)).toEqual([expected, expected, expected])
+  await drained
+  expect(worker.runs.size).toEqual(3)
+  worker.close()
+})
+
+test('a planned stop is bounded by its timeout', async () => {
+  const worker = await FakeWorker.start(() => {})
+  const rig = await startFront([worker.address])
+  const hanging = request(`${rig.url}/x`).catch(() => 'cut')
+  await until(() => worker.runs.size === 1)
+  await rig.front.drain(50)
+  expect(await hanging).toEqual('cut')
+  expect(rig.log.lines.at(-1)?.fields).toEqual({ cut: 1 })
+  worker.close()
+})
--- a/packages/front/test/node/rig.ts
+++ b/packages/front/test/node/rig.ts
@@ -133,6 +133,10 @@
     return worker
   }
 
+  onConnection (callback: (socket: Socket) => void): void {
+    this.server.on('connection', callback)
+  }
+
   close (): void {
     this.server.close()
     this.server.closeAllConnections()
