--- a/packages/cli/src/node/ControlClient.ts
+++ b/packages/cli/src/node/ControlClient.ts
@@ -151,7 +151,7 @@
 
   private refusal (call: Call, { status, body }: Answer): ControlError {
     const json = parse(body)
-    const fault = FAULTS[status] ?? 'unexpected'
+    const fault = isUndecided(json) ? 'unknown' : FAULTS[status] ?? 'unexpected'
     const findings = isRecord(json) && Array.isArray(json.findings) ? json.findings as Finding[] : []
     const told = messageOf(json)
     const what = `${call.method} ${call.path} at ${this.origin} was refused with ${status}${told === null ? '' : ` (${told})`}`
@@ -185,6 +185,11 @@
   return typeof value === 'object' && value !== null
 }
 
+/** Whether the node itself does not know if its write to the table took effect. */
+function isUndecided (json: unknown): boolean {
+  return isRecord(json) && (json.fault === 'unknown' || json.fault === 'undecided')
+}
+
 function parse (body: string): unknown {
   try {
     return JSON.parse(body)
--- a/packages/cli/test/cli/commands.test.ts
+++ b/packages/cli/test/cli/commands.test.ts
@@ -139,6 +139,7 @@
     ['another operator was first', { status: 409, body: '{"version":9}' }, 'version 9 is in force'],
     ['the node has findings', { status: 422, body: '{"findings":[{"code":"no-asker","message":"m","place":{"file":"f","line":1,"column":1}}]}' }, 'no-asker m'],
     ['the table is down', { status: 503, body: '{"detail":"table is down"}' }, 'table is down'],
+    ['the table lost its answer', { status: 503, body: '{"fault":"unknown","error":"no answer"}' }, '(no answer); it may have taken effect'],
     ['the secret is wrong', { status: 401, body: '' }, 'RATTANSTEP_SECRET'],
     ['the address is another server', { status: 200, body: 'hello' }, 'was not understood'],
     ['the connection breaks', undefined, 'it may have taken effect']
@@ -167,13 +168,13 @@
 
   test('cancel, drain and jobs ask for what their names say', async () => {
     node.answers = {
-      'DELETE /v1/jobs/a%2Fb': { status: 200, body: '{}' },
+      'DELETE /v1/jobs/a%2Fb': { status: 200, body: '{"state":"cancelling"}' },
       'POST /v1/drain': { status: 202, body: '{}' },
       'GET /v1/jobs': { status: 200, body: '{"jobs":[{"id":"j","kind":"gang","class":"c","team":"t","state":"open","reason":""}]}' },
       'GET /v1/jobs/j': { status: 200, body: '{"id":"j","kind":"gang","class":"c","state":"failed","reason":"r","tasks":[{"index":0,"state":"failed","worker":"","attempts":3,"reason":"exit 1"}]}' },
       'GET /v1/jobs/k': { status: 404, body: '{"detail":"no job k"}' }
     }
-    expect((await run(['cancel', 'a/b'], env)).code).toEqual(0)
+    expect((await run(['cancel', 'a/b'], env)).out).toEqual('job a/b is cancelling; see jobs a/b\n')
     expect((await run(['drain'], env)).code).toEqual(0)
     expect((await run(['jobs'], env)).out).toEqual('ID  KIND  CLASS  TEAM  STATE  REASON\nj   gang  c      t     open\n')
     expect((await run(['jobs', 'j'], env)).out).toEqual('job j: gang of class c, failed (r)\nTASK  STATE   WORKER  FAILED RUNS  REASON\n0     failed  -       3            exit 1\n')
