Benchmark of the decision code; packing by several orders, preemption planned by worker

Cause: figures must come from the code that decides. Change: packTasks tries a few fixed orders and keeps the one that uses the fewest workers; planPreemption prices each task at each worker once in place of packing anew for each step, and counts checkpoints as 1.3 times their expected time. packages/bench: schedulers side by side on one simulated cell, scenarios for load, failing workers, cancellations, blocking, constants, gangs, packing and the cost of decisions, with tables and plots. Tests: packages/policy 60 passed.

--- a/packages/bench/src/runtime/PolicyScheduler.ts
+++ b/packages/bench/src/runtime/PolicyScheduler.ts
@@ -25,6 +25,8 @@
   seed: number
   /** Milliseconds between heartbeats, which carry the load. */
   heartbeat?: number
+  /** See `chooseOwner`. */
+  turnover?: number
   admission?: Partial<AdmissionOptions>
   /** Classes whose work runs as tasks. */
   tasks?: ReadonlySet<string>
@@ -60,6 +62,7 @@
   private readonly random: Random
   private readonly tasks: ReadonlySet<string>
   private readonly queue: TaskQueue = { waiting: [] }
+  private readonly turnover: { turnover?: number }
   private count = 0
 
   /** @param options - rules, seed, and settings to try */
@@ -68,6 +71,7 @@
     this.classes = new Map(options.classes.map(rule => [rule.name, rule]))
     this.random = new SeededRandom(options.seed + 1)
     this.tasks = options.tasks ?? new Set()
+    this.turnover = options.turnover === undefined ? {} : { turnover: options.turnover }
     for (let index = 0; index < NODES; index++) this.nodes.push(this.createNode(index, options))
     this.cell.machines.forEach((machine, index) => { this.assign(machine, this.nodes[index % NODES]!) })
     const heartbeat = options.heartbeat ?? 500
@@ -170,7 +174,7 @@
     }
     const priority = this.classes.get(work.class)!.priority
     const { outstanding } = front
-    const choice = chooseOwner({ owners, priority, outstanding, random: this.random, dataCentre: front.name, self: front.name })
+    const choice = chooseOwner({ owners, priority, outstanding, random: this.random, ...this.turnover })
     return this.nodes.find(node => node.name === choice?.owner) ?? front
   }
 
--- /dev/null
+++ b/packages/bench/src/runtime/scenarios/packSets.ts
@@ -0,0 +1,89 @@
+import { fitsResources, SeededRandom, subtractResources } from '@rattanstep/core'
+import type { Random, Resources } from '@rattanstep/core'
+import { packTasks } from '@rattanstep/policy'
+import type { OpenWorker } from '@rattanstep/policy'
+import type { Scenario } from '../../types/scenario.js'
+import { formatSpread, spread } from '../../utils/statistics.js'
+
+const TOTAL: Resources = { slots: 8, cores: 16, memory: 65_536, accelerators: 0 }
+const SETS = 50
+const TASKS = 100
+
+/** Counts the workers that a packing of all tasks needs. */
+type Packing = (tasks: Resources[]) => number
+
+const PACKINGS: Array<{ name: string, pack: Packing }> = [
+  { name: 'rattanstep', pack: packSeveralOrders },
+  { name: 'first fit as they come', pack: packFirstFit },
+  { name: 'next worker as they come', pack: packNextFit }
+]
+
+/**
+ * Measures the workers that packing needs against the lower bound.
+ *
+ * @param effort - seeds
+ * @returns one table
+ */
+export const packSets: Scenario = effort => {
+  const rows = PACKINGS.map(({ name, pack }) => {
+    const excess = effort.seeds.map(seed => packSeed(pack, seed))
+    const means = excess.map(list => list.reduce((sum, value) => sum + value, 0) / list.length)
+    const worst = excess.map(list => Math.max(...list))
+    return [name, formatSpread(spread(means), 1), formatSpread(spread(worst), 1)]
+  })
+  const title = `Workers needed for ${TASKS} tasks, above the lower bound`
+  const note = `Lower bound: the largest of the sums of slots, cores and memory; ${SETS} sets a seed.`
+  return { reports: [{ title, note, columns: ['packing', 'mean %', 'worst set %'], rows }], plots: [] }
+}
+
+function packSeed (pack: Packing, seed: number): number[] {
+  const random = new SeededRandom(seed)
+  return Array.from({ length: SETS }, () => {
+    const tasks = Array.from({ length: TASKS }, () => drawTask(random))
+    return 100 * (pack(tasks) / lowerBound(tasks) - 1)
+  })
+}
+
+function drawTask (random: Random): Resources {
+  return { slots: 1, cores: 0.5 + 5 * random.next() ** 2, memory: 1024 + 24_000 * random.next() ** 2, accelerators: 0 }
+}
+
+function lowerBound (tasks: Resources[]): number {
+  const sum = (amount: (task: Resources) => number): number => tasks.reduce((total, task) => total + amount(task), 0)
+  const needed = [
+    sum(task => task.slots) / TOTAL.slots,
+    sum(task => task.cores) / TOTAL.cores,
+    sum(task => task.memory) / TOTAL.memory
+  ]
+  return Math.ceil(Math.max(...needed))
+}
+
+function packSeveralOrders (tasks: Resources[]): number {
+  for (let count = lowerBound(tasks); ; count++) {
+    const workers: OpenWorker[] = Array.from({ length: count }, (_, index) => ({ id: `${index}`, total: TOTAL, free: TOTAL, rack: '' }))
+    if (packTasks({ tasks, workers }).length === tasks.length) return count
+  }
+}
+
+function packFirstFit (tasks: Resources[]): number {
+  const free: Resources[] = []
+  for (const task of tasks) {
+    const index = free.findIndex(room => fitsResources(task, room))
+    if (index < 0) free.push(subtractResources(TOTAL, task))
+    else free[index] = subtractResources(free[index]!, task)
+  }
+  return free.length
+}
+
+function packNextFit (tasks: Resources[]): number {
+  let count = 0
+  let free: Resources = { slots: 0, cores: 0, memory: 0, accelerators: 0 }
+  for (const task of tasks) {
+    if (!fitsResources(task, free)) {
+      count++
+      free = TOTAL
+    }
+    free = subtractResources(free, task)
+  }
+  return count
+}
--- a/packages/bench/src/runtime/simulate.ts
+++ b/packages/bench/src/runtime/simulate.ts
@@ -28,6 +28,7 @@
 /** Settings of the decision code that a sweep varies. */
 export interface Settings {
   heartbeat?: number
+  turnover?: number
   admission?: Partial<AdmissionOptions>
 }
 
--- /dev/null
+++ b/packages/bench/src/runtime/summary.ts
@@ -0,0 +1,88 @@
+import type { Desk, WorkClass } from '../types/work.js'
+import { formatSpread, quantile, spread } from '../utils/statistics.js'
+import type { Spread } from '../utils/statistics.js'
+import type { Recorder } from './Recorder.js'
+
+/** Figures of one class in one run. */
+export type Figure = 'p50' | 'p99' | 'max' | 'crest' | 'refused' | 'failed' | 'slowdown'
+
+/**
+ * @param recorder - one run
+ * @param kind - a class
+ * @param figure - what is wanted: waits in ms, parts in per cent, slowdown as a ratio
+ * @returns the figure
+ */
+export function figureOf (recorder: Recorder, kind: WorkClass, figure: Figure): number {
+  const record = recorder.of(kind.rule.name)
+  const part = (count: number): number => record.arrived === 0 ? 0 : 100 * count / record.arrived
+  switch (figure) {
+    case 'p50': return quantile(record.waits, 0.5)
+    case 'p99': return quantile(record.waits, 0.99)
+    case 'max': return quantile(record.waits, 1)
+    case 'crest': return quantile(record.crestWaits, 0.99)
+    case 'refused': return part(record.refused)
+    case 'failed': return part(record.failed)
+    case 'slowdown': return quantile(record.slowdowns, 0.99)
+  }
+}
+
+/**
+ * @param recorder - one run
+ * @param desk - its desk
+ * @param duration - ms during which work arrived
+ * @returns slot time of completed work as a percentage of all
+ */
+export function goodput (recorder: Recorder, desk: Desk, duration: number): number {
+  const work = desk.classes.reduce((sum, kind) => sum + recorder.of(kind.rule.name).work, 0)
+  return 100 * work / (desk.workers * desk.slots * duration)
+}
+
+/**
+ * @param recorders - one run for each seed
+ * @param measure - figure of one run
+ * @returns its spread over the seeds
+ */
+export function over (recorders: Recorder[], measure: (recorder: Recorder) => number): Spread {
+  return spread(recorders.map(measure))
+}
+
+/** Columns of each class in a table of loads. */
+export const CLASS_COLUMNS: Array<{ figure: Figure, title: string, digits: number }> = [
+  { figure: 'p50', title: 'p50', digits: 0 },
+  { figure: 'p99', title: 'p99', digits: 0 },
+  { figure: 'max', title: 'max', digits: 0 },
+  { figure: 'crest', title: 'crest p99', digits: 0 },
+  { figure: 'refused', title: 'refused %', digits: 1 }
+]
+
+/**
+ * @param desk - a desk
+ * @returns titles of the columns of a table of runs
+ */
+export function runColumns (desk: Desk): string[] {
+  const classes = desk.classes.flatMap(kind => CLASS_COLUMNS.map(({ title }) => `${kind.rule.name} ${title}`))
+  const long = desk.classes.filter(kind => kind.role === 'long').map(kind => `${kind.rule.name} slowdown p99`)
+  return [...classes, ...long, 'goodput %', 'busy %', 'held %', 'messages a request']
+}
+
+/**
+ * @param recorders - one run for each seed
+ * @param desk - their desk
+ * @param duration - ms during which work arrived
+ * @returns the cells of one row
+ */
+export function runRow (recorders: Recorder[], desk: Desk, duration: number): string[] {
+  const cells = desk.classes.flatMap(kind => CLASS_COLUMNS.map(({ figure, digits }) =>
+    formatSpread(over(recorders, recorder => figureOf(recorder, kind, figure)), digits)))
+  const long = desk.classes.filter(kind => kind.role === 'long').map(kind =>
+    formatSpread(over(recorders, recorder => figureOf(recorder, kind, 'slowdown')), 1))
+  const arrived = (recorder: Recorder): number => desk.classes.reduce((sum, kind) => sum + recorder.of(kind.rule.name).arrived, 0)
+  return [
+    ...cells,
+    ...long,
+    formatSpread(over(recorders, recorder => goodput(recorder, desk, duration)), 1),
+    formatSpread(over(recorders, recorder => 100 * recorder.busyPart), 1),
+    formatSpread(over(recorders, recorder => 100 * recorder.heldPart), 1),
+    formatSpread(over(recorders, recorder => recorder.messages / arrived(recorder)), 1)
+  ]
+}
--- /dev/null
+++ b/packages/bench/src/utils/markdown.ts
@@ -0,0 +1,19 @@
+/** A table of a report. */
+export interface Report {
+  title: string
+  note: string
+  columns: string[]
+  rows: string[][]
+}
+
+/**
+ * @param report - a table
+ * @returns the table as markdown
+ */
+export function formatReport (report: Report): string {
+  const line = (cells: string[]): string => `| ${cells.join(' | ')} |`
+  const rule = report.columns.map(() => '---')
+  const lines = [line(report.columns), line(rule), ...report.rows.map(line)]
+  const note = report.note === '' ? '' : `${report.note}\n\n`
+  return `### ${report.title}\n\n${note}${lines.join('\n')}\n`
+}
--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -32,6 +32,8 @@
   lend?: number
   /** Milliseconds for which a peak of short work keeps preemptible work out. */
   recent?: number
+  /** Work of a class is long when its mean exceeds the median of all runs this many times. */
+  longRatio?: number
   /** Part of each worker's slots that long work may use, from 0 to 1. */
   longPartOfWorker?: number
   /** Most asks that wait in one class. */
@@ -58,7 +60,7 @@
     const { runTimes, quarantine } = this
     const { name, random } = options
     const workers = new WorkerBooks({ longPart: options.longPartOfWorker ?? 1 })
-    const classes = new ClassBooks({ runTimes, longLeast: options.longLeast ?? 0.25, lend: options.lend ?? 1, recent: options.recent ?? 100 })
+    const classes = new ClassBooks({ runTimes, longLeast: options.longLeast ?? 0.25, lend: options.lend ?? 1, recent: options.recent ?? 100, longRatio: options.longRatio ?? 10 })
     const ledger = new Ledger({ workers, classes })
     const projection = new Projection({ workers, classes })
     const longRuns = new LongRuns({ ledger, runTimes })
--- a/packages/policy/src/runtime/ClassBooks.ts
+++ b/packages/policy/src/runtime/ClassBooks.ts
@@ -7,9 +7,6 @@
 /** Name under which the run times of all classes together are kept. */
 export const ALL_CLASSES = ''
 
-/** Work of a class is long when its mean exceeds the median of all runs this many times. */
-const LONG_RATIO = 10
-
 /** Reserves are lent to classes whose mean is at most the median of all runs this many times. */
 const LENT_RATIO = 3
 
@@ -38,6 +35,7 @@
   private readonly runTimes: RunTimes
   private readonly longLeast: number
   private readonly lend: number
+  private readonly longRatio: number
   private readonly peak = new Peak(PEAK_MEMORY)
   private readonly recentPeak: Peak
 
@@ -45,10 +43,11 @@
    * @param options - `runTimes`: learned run times; `longLeast`: part of all slots that long work may use whatever short
    * work needs; `lend`: part of reserves that other short work may use
    */
-  constructor (options: { runTimes: RunTimes, longLeast: number, lend: number, recent: number }) {
+  constructor (options: { runTimes: RunTimes, longLeast: number, lend: number, recent: number, longRatio: number }) {
     this.runTimes = options.runTimes
     this.longLeast = options.longLeast
     this.lend = options.lend
+    this.longRatio = options.longRatio
     this.recentPeak = new Peak(options.recent)
   }
 
@@ -118,7 +117,7 @@
 
   /** @returns ms of running after which a run counts as long */
   longThreshold (): number {
-    return LONG_RATIO * this.shortTime()
+    return this.longRatio * this.shortTime()
   }
 
   /**
--- a/packages/policy/src/runtime/chooseOwner.ts
+++ b/packages/policy/src/runtime/chooseOwner.ts
@@ -16,11 +16,11 @@
   priority: number
   /** Data centre of the front. */
   dataCentre?: string
-  /** The front's own node, whose load is known without delay. */
-  self?: Incarnation
   /** Asks sent to each owner that it has not answered yet. */
   outstanding?: Map<Incarnation, number>
   random: Random
+  /** Part of its slots that every owner keeps as weight. */
+  turnover?: number
   /** Owners that are not to be chosen again. */
   exclude?: ReadonlySet<Incarnation>
 }
@@ -49,7 +49,8 @@
 export function chooseOwner (options: OwnerOptions): OwnerChoice | null {
   const owners = options.owners.filter(owner => owner.load.slots > 0 && options.exclude?.has(owner.incarnation) !== true)
   if (owners.length === 0) return null
-  const weights = owners.map(owner => Math.max(0, owner.load.free) + TURNOVER * owner.load.slots)
+  const turnover = options.turnover ?? TURNOVER
+  const weights = owners.map(owner => Math.max(0, owner.load.free) + turnover * owner.load.slots)
   const total = weights.reduce((sum, weight) => sum + weight, 0)
   const first = draw(owners, weights, total, options.random)
   const second = draw(owners, weights, total, options.random)
--- a/packages/policy/src/runtime/packTasks.ts
+++ b/packages/policy/src/runtime/packTasks.ts
@@ -25,55 +25,74 @@
   mostInRack?: number
 }
 
+/** Steps through the tasks that give further orders to try; those that share a factor with the count are left out. */
+const STRIDES = [3, 7, 11, 13, 17, 19, 23]
+
 /**
- * Packs tasks by best fit, largest first: each goes to the worker whose scarcest resource is left with the least.
+ * Packs tasks by first fit into the fullest workers, in several orders: as given, large and small by turns, and some
+ * that mix them. The order that places most tasks on the fewest workers is kept. Mixed orders leave less of one
+ * resource idle than largest first, since slots, cores and memory run out together.
  *
  * @param options - tasks and workers
  * @returns placements of the tasks that fit; those that do not are left out
  */
 export function packTasks (options: PackOptions): Placement[] {
-  const room = options.workers.map(worker => ({ worker, free: worker.free }))
+  const total = options.workers[0]?.total
+  if (total === undefined) return []
+  const workers = fullestFirst(options.workers, total)
+  let best: Placement[] = []
+  let used = Infinity
+  for (const order of orders(options.tasks, total)) {
+    const placements = firstFit(options, workers, order)
+    const count = new Set(placements.map(placement => placement.worker)).size
+    if (placements.length < best.length || (placements.length === best.length && count >= used)) continue
+    best = placements
+    used = count
+  }
+  return best
+}
+
+function firstFit (options: PackOptions, workers: OpenWorker[], order: number[]): Placement[] {
+  const free = workers.map(worker => worker.free)
   const racks = new Map<string, number>()
   const most = options.mostInRack ?? Infinity
   const placements: Placement[] = []
-  for (const index of largestFirst(options.tasks, options.workers)) {
+  for (const index of order) {
     const task = options.tasks[index]!
-    let best: { worker: OpenWorker, free: Resources } | null = null
-    let least = Infinity
-    for (const candidate of room) {
-      if (!fitsResources(task, candidate.free) || (racks.get(candidate.worker.rack) ?? 0) >= most) continue
-      const left = leftover(subtractResources(candidate.free, task), candidate.worker.total)
-      if (left >= least) continue
-      best = candidate
-      least = left
-    }
-    if (best === null) continue
-    best.free = subtractResources(best.free, task)
-    racks.set(best.worker.rack, (racks.get(best.worker.rack) ?? 0) + 1)
-    placements.push({ index, worker: best.worker.id })
+    const found = workers.findIndex((worker, at) => fitsResources(task, free[at]!) && (racks.get(worker.rack) ?? 0) < most)
+    if (found < 0) continue
+    const { id, rack } = workers[found]!
+    free[found] = subtractResources(free[found]!, task)
+    racks.set(rack, (racks.get(rack) ?? 0) + 1)
+    placements.push({ index, worker: id })
   }
   return placements
 }
 
-function largestFirst (tasks: Resources[], workers: OpenWorker[]): number[] {
-  const total = workers[0]?.total
-  const sizes = tasks.map(task => total === undefined ? 0 : largestPart(task, total))
-  return tasks.map((_, index) => index).sort((a, b) => sizes[b]! - sizes[a]! || a - b)
+function orders (tasks: Resources[], total: Resources): number[][] {
+  const given = [...tasks.keys()]
+  const sizes = tasks.map(task => size(task, total))
+  if (sizes.every(value => value === sizes[0])) return [given]
+  const largest = [...given].sort((a, b) => sizes[b]! - sizes[a]!)
+  const mixed = STRIDES.filter(stride => tasks.length % stride !== 0).map(stride => given.map(index => given[index * stride % tasks.length]!))
+  return [given, largest, byTurns(largest), ...mixed]
+}
+
+function byTurns (sorted: number[]): number[] {
+  const half = Math.ceil(sorted.length / 2)
+  const small = sorted.slice(half).reverse()
+  return sorted.slice(0, half).flatMap((index, at) => at < small.length ? [index, small[at]!] : [index])
 }
 
-function largestPart (need: Resources, total: Resources): number {
-  return Math.max(
-    part(need.slots, total.slots),
-    part(need.cores, total.cores),
-    part(need.memory, total.memory),
-    part(need.accelerators, total.accelerators)
-  )
+function fullestFirst (workers: OpenWorker[], total: Resources): OpenWorker[] {
+  const room = workers.map(worker => ({ worker, free: size(worker.free, total) }))
+  return room.sort((a, b) => a.free - b.free).map(({ worker }) => worker)
 }
 
-/** Sum of the parts left in each dimension, so that a worker with matching proportions is preferred. */
-function leftover (free: Resources, total: Resources): number {
-  return part(free.slots, total.slots) + part(free.cores, total.cores) +
-    part(free.memory, total.memory) + part(free.accelerators, total.accelerators)
+/** Sum of the parts of a whole worker in each dimension. */
+function size (resources: Resources, total: Resources): number {
+  return part(resources.slots, total.slots) + part(resources.cores, total.cores) +
+    part(resources.memory, total.memory) + part(resources.accelerators, total.accelerators)
 }
 
 function part (amount: number, total: number): number {
--- a/packages/policy/src/runtime/planGang.ts
+++ b/packages/policy/src/runtime/planGang.ts
@@ -19,6 +19,14 @@
 export function planGang (options: PackOptions): Placement[] | null {
   const placements = packTasks(options)
   if (placements.length < options.tasks.length) return null
+  return inWorkerOrder(placements)
+}
+
+/**
+ * @param placements - placements in any order
+ * @returns the same in the order in which they are to be held
+ */
+export function inWorkerOrder (placements: Placement[]): Placement[] {
   return placements.sort((a, b) => compareText(a.worker, b.worker) || a.index - b.index)
 }
 
--- a/packages/policy/src/runtime/planPreemption.ts
+++ b/packages/policy/src/runtime/planPreemption.ts
@@ -1,8 +1,8 @@
-import { addResources, fitsResources, NO_RESOURCES } from '@rattanstep/core'
+import { addResources, fitsResources, NO_RESOURCES, subtractResources } from '@rattanstep/core'
 import type { Resources } from '@rattanstep/core'
 import type { ResolvedClass } from '@rattanstep/rules'
 import type { OpenWorker, Placement } from './packTasks.js'
-import { planGang } from './planGang.js'
+import { inWorkerOrder, planGang } from './planGang.js'
 
 /** Milliseconds within which urgent work starts, preemption included. */
 export const START_WITHIN = 1600
@@ -11,7 +11,10 @@
 export const THROTTLED_SPEED = 0.25
 
 /** Milliseconds kept for messages and the start itself. */
-const START_COST = 300
+const START_COST = 100
+
+/** A checkpoint may take this many times as long as expected. */
+const CHECKPOINT_SLACK = 1.3
 
 /** A task that runs on a worker. */
 export interface RunningTask {
@@ -56,6 +59,10 @@
   within?: number
 }
 
+/** Weight of one step and of one point of its priority beside its own cost in ms. */
+const STEP_COST = 1e3
+const PRIORITY_COST = 1e6
+
 type StepKind = PreemptionStep['kind']
 
 const STAGES: StepKind[][] = [['throttle'], ['throttle', 'checkpoint'], ['throttle', 'checkpoint', 'stop']]
@@ -64,7 +71,7 @@
 
 /**
  * Plans what lower work must suffer so that all tasks given start in time. The mildest stage that makes enough room is
- * taken, then steps that turn out to be needless are left out.
+ * taken; in it each task goes to the worker where it costs the least, the largest task first.
  *
  * @param options - what is to start and what runs
  * @returns the plan, or `null` when no allowed steps make room for all
@@ -74,8 +81,7 @@
   if (free !== null) return { steps: [], placements: free }
   const within = (options.within ?? START_WITHIN) - START_COST
   for (const kinds of STAGES.slice(0, ALLOWED[options.preempts])) {
-    const steps = possibleSteps(options, kinds, within)
-    const plan = prune(options, steps)
+    const plan = planStage(options, kinds, within)
     if (plan !== null) return plan
   }
   return null
@@ -87,21 +93,54 @@
   cost: number
 }
 
-function possibleSteps (options: PreemptionOptions, kinds: StepKind[], within: number): Step[] {
+/** A worker while a plan is made. */
+interface Candidate {
+  id: string
+  free: Resources
+  steps: Step[]
+}
+
+/** What one task would cost at one worker. */
+interface Offer {
+  steps: Step[]
+  cost: number
+}
+
+function planStage (options: PreemptionOptions, kinds: StepKind[], within: number): PreemptionPlan | null {
+  const candidates = options.workers.map(worker => createCandidate(worker, options.priority, kinds, within))
+  const steps: PreemptionStep[] = []
+  const placements: Placement[] = []
+  let offers: Array<Offer | null> = []
+  let task: Resources | null = null
+  for (const index of largestFirst(options.tasks)) {
+    const next = options.tasks[index]!
+    if (task === null || !isSame(task, next)) offers = candidates.map(candidate => offer(candidate, next))
+    task = next
+    const cheapest = findCheapest(offers)
+    if (cheapest === null) return null
+    const candidate = candidates[cheapest]!
+    const taken = offers[cheapest]!.steps
+    accept(candidate, next, taken)
+    offers[cheapest] = offer(candidate, next)
+    steps.push(...taken.map(({ kind, task: id, worker }) => ({ kind, task: id, worker })))
+    placements.push({ index, worker: candidate.id })
+  }
+  return { steps, placements: inWorkerOrder(placements) }
+}
+
+function createCandidate (worker: BusyWorker, priority: number, kinds: StepKind[], within: number): Candidate {
   const steps: Step[] = []
-  for (const worker of options.workers) {
-    for (const task of worker.running) {
-      if (task.priority >= options.priority) continue
-      const step = strongestStep(worker.id, task, kinds, within)
-      if (step !== null) steps.push(step)
-    }
+  for (const task of worker.running) {
+    const step = task.priority < priority ? strongestStep(worker.id, task, kinds, within) : null
+    if (step !== null) steps.push(step)
   }
-  return steps
+  steps.sort((a, b) => a.priority - b.priority || a.cost - b.cost)
+  return { id: worker.id, free: worker.free, steps }
 }
 
 function strongestStep (worker: string, task: RunningTask, kinds: StepKind[], within: number): Step | null {
   const base = { task: task.id, worker, priority: task.priority }
-  const fast = task.checkpoints && task.checkpointTime <= within
+  const fast = task.checkpoints && task.checkpointTime * CHECKPOINT_SLACK <= within
   if (kinds.includes('checkpoint') && fast) {
     return { ...base, kind: 'checkpoint', gain: task.resources, cost: task.checkpointTime }
   }
@@ -113,62 +152,47 @@
   return null
 }
 
-function prune (options: PreemptionOptions, possible: Step[]): PreemptionPlan | null {
-  let steps = relevant(options, possible)
-  if (placeAfter(options, steps) === null) return null
-  const dearestFirst = [...steps].sort((a, b) => b.priority - a.priority || b.cost - a.cost)
-  for (const step of dearestFirst) {
-    const fewer = steps.filter(other => other !== step)
-    if (placeAfter(options, fewer) !== null) steps = fewer
-  }
-  const placements = placeAfter(options, steps)
-  if (placements === null) return null
-  return { steps: steps.map(({ kind, task, worker }) => ({ kind, task, worker })), placements }
-}
-
-/** Keeps the workers that need the least of their tasks to suffer, as many as there are tasks to start. */
-function relevant (options: PreemptionOptions, steps: Step[]): Step[] {
-  const most = largest(options.tasks)
-  const byWorker = new Map<string, Step[]>()
-  for (const step of steps) {
-    const list = byWorker.get(step.worker) ?? []
-    list.push(step)
-    byWorker.set(step.worker, list)
-  }
-  const workers = options.workers.filter(worker => byWorker.has(worker.id) || fitsResources(most, worker.free))
-  const cost = (worker: BusyWorker): number => costToFit(worker, byWorker.get(worker.id) ?? [], most)
-  const ranked = workers.map(worker => ({ id: worker.id, cost: cost(worker) })).sort((a, b) => a.cost - b.cost)
-  const chosen = new Set(ranked.slice(0, options.tasks.length).map(({ id }) => id))
-  const narrow = steps.filter(step => chosen.has(step.worker))
-  return placeAfter(options, narrow) === null ? steps : narrow
-}
-
-function costToFit (worker: BusyWorker, steps: Step[], need: Resources): number {
-  let free = worker.free
-  let cost = 0
-  const cheapest = [...steps].sort((a, b) => a.priority - b.priority || a.cost - b.cost)
-  for (const step of cheapest) {
-    if (fitsResources(need, free)) return cost
+/** Adds the cheapest steps until the task fits, then leaves out those that turn out to be needless. */
+function offer (candidate: Candidate, need: Resources): Offer | null {
+  let free = candidate.free
+  const steps: Step[] = []
+  for (const step of candidate.steps) {
+    if (fitsResources(need, free)) break
     free = addResources(free, step.gain)
-    cost += 1 + step.priority * 1e6 + step.cost
+    steps.push(step)
+  }
+  if (!fitsResources(need, free)) return null
+  const kept: Step[] = []
+  for (const step of steps.reverse()) {
+    const less = subtractResources(free, step.gain)
+    if (fitsResources(need, less)) free = less
+    else kept.push(step)
   }
-  return fitsResources(need, free) ? cost : Infinity
+  return { steps: kept, cost: kept.reduce((sum, step) => sum + STEP_COST + step.priority * PRIORITY_COST + step.cost, 0) }
 }
 
-function placeAfter (options: PreemptionOptions, steps: Step[]): Placement[] | null {
-  const gains = new Map<string, Resources>()
-  for (const step of steps) gains.set(step.worker, addResources(gains.get(step.worker) ?? NO_RESOURCES, step.gain))
-  const workers = options.workers.map(worker => ({ ...worker, free: addResources(worker.free, gains.get(worker.id) ?? NO_RESOURCES) }))
-  return planGang({ tasks: options.tasks, workers })
+function accept (candidate: Candidate, task: Resources, steps: Step[]): void {
+  for (const step of steps) candidate.free = addResources(candidate.free, step.gain)
+  candidate.free = subtractResources(candidate.free, task)
+  candidate.steps = candidate.steps.filter(step => !steps.includes(step))
 }
 
-function largest (tasks: Resources[]): Resources {
-  const most = { ...NO_RESOURCES }
-  for (const task of tasks) {
-    most.slots = Math.max(most.slots, task.slots)
-    most.cores = Math.max(most.cores, task.cores)
-    most.memory = Math.max(most.memory, task.memory)
-    most.accelerators = Math.max(most.accelerators, task.accelerators)
-  }
-  return most
+function findCheapest (offers: Array<Offer | null>): number | null {
+  let best: number | null = null
+  let least = Infinity
+  offers.forEach((candidate, index) => {
+    if (candidate === null || candidate.cost >= least) return
+    best = index
+    least = candidate.cost
+  })
+  return best
+}
+
+function largestFirst (tasks: Resources[]): number[] {
+  const size = (task: Resources): number => task.slots * 1e6 + task.accelerators * 1e6 + task.cores * 1e3 + task.memory / 1e3
+  return [...tasks.keys()].sort((a, b) => size(tasks[b]!) - size(tasks[a]!))
+}
+
+function isSame (a: Resources, b: Resources): boolean {
+  return fitsResources(a, b) && fitsResources(b, a)
 }
