Jobs: every fault at every step of a task's path

Cause: the fault matrix names death, pause, a lost answer and a late effect at each step; random runs alone do not show that each cell was reached.

Pauses and deaths in the random runs may now overlap.

--- a/packages/jobs/test/runtime/Cell.ts
+++ b/packages/jobs/test/runtime/Cell.ts
@@ -127,9 +127,9 @@
     const room = new SimpleRoom({ total: worker => this.instances.get(worker)?.resources ?? { slots: 0, cores: 0, memory: 0, accelerators: 0 } })
     const jobs = new Jobs({
       self: id,
-      table: new GatedTable(this.table, gate),
+      table: new GatedTable(this.table, gate, this.clock),
       objects: this.objects,
-      workers: new GatedWorkers(this.workers, gate),
+      workers: new GatedWorkers(this.workers, gate, this.clock),
       network,
       clock,
       random: new SeededRandom(this.random.integer(2 ** 31)),
@@ -184,27 +184,32 @@
     if (owner === to || !this.instances.has(worker)) return
     this.owners.set(worker, to)
     if (options.tell && owner != null) this.members.get(owner)?.owned.lost(worker)
-    this.members.get(to)!.gate.run(() => { this.members.get(to)?.owned.gained(this.instances.get(worker)!) })
+    const member = this.members.get(to)!
+    member.gate.run(() => {
+      const instance = this.instances.get(worker)
+      if (instance !== undefined && this.owners.get(worker) === to) member.owned.gained(instance)
+    })
   }
 
-  /** Ends a node for good; a new one takes its place. */
-  async kill (id: Incarnation): Promise<void> {
-    const member = this.members.get(id)!
-    member.gate.kill()
-    await this.clock.advance(OWNERSHIP_LEASE_MS)
-    this.members.delete(id)
-    this.addNode()
-    this.depose(id)
+  /** Ends a node for good; a new one takes its place and its workers go to others once its ownership has lapsed. */
+  kill (id: Incarnation): void {
+    this.members.get(id)!.gate.kill()
+    this.clock.schedule(OWNERSHIP_LEASE_MS, () => {
+      if (!this.members.delete(id)) return
+      this.addNode()
+      this.depose(id)
+    })
   }
 
-  /** Stops a node for a while, longer than its ownership lasts. */
-  async pause (id: Incarnation, duration: number): Promise<void> {
+  /** Stops a node for a while; when its ownership lapses meanwhile, its workers go to others and it is not told. */
+  pause (id: Incarnation, duration: number): void {
     const { gate } = this.members.get(id)!
     gate.shut()
-    await this.clock.advance(Math.min(duration, OWNERSHIP_LEASE_MS))
-    if (duration > OWNERSHIP_LEASE_MS) this.depose(id)
-    await this.clock.advance(Math.max(0, duration - OWNERSHIP_LEASE_MS))
-    gate.open()
+    if (duration > OWNERSHIP_LEASE_MS) this.clock.schedule(OWNERSHIP_LEASE_MS, () => { this.depose(id) })
+    this.clock.schedule(duration, () => {
+      gate.open()
+      this.spread()
+    })
   }
 
   deliver (from: Incarnation, to: Incarnation, message: Message): void {
--- a/packages/jobs/test/runtime/Gate.ts
+++ b/packages/jobs/test/runtime/Gate.ts
@@ -1,6 +1,14 @@
-import { Clock, Table, Workers } from '@rattanstep/core'
+import { Clock, Err, Table, Workers } from '@rattanstep/core'
 import type { Instance, Range, Result, Row, TableError, TaskLease, TaskStart, Timer, Transaction, WorkerError, WorkerReport } from '@rattanstep/core'
 
+/** A fault put into one call. `lost`: it takes effect and its answer is lost; `late`: the same, a while later. */
+export type CallFault = 'lost' | 'late' | null
+
+/** Decides about faults, and may shut or kill the gate, before and after each call. */
+export type Injector = (step: string, moment: 'before' | 'after') => CallFault
+
+const LATE_MS = 800
+
 /** Holds back everything that a node does while it is paused, and drops it once the node is dead. */
 export class Gate {
   private dead = false
@@ -35,15 +43,38 @@
     await new Promise<void>(resolve => { this.run(resolve) })
   }
 
+  inject: Injector = () => null
+
   /** A call that may be held before it is sent and before its answer is seen. */
-  async call<T> (action: () => Promise<T>): Promise<T> {
+  async call<T, E> (clock: Clock, step: string, action: () => Promise<Result<T, E>>, lost: E): Promise<Result<T, E>> {
     await this.pass()
+    const before = this.inject(step, 'before')
+    await this.pass()
+    if (before === 'late') {
+      clock.schedule(LATE_MS, () => { action().catch(() => {}) })
+      return Err(lost)
+    }
     const result = await action()
+    const after = this.inject(step, 'after')
     await this.pass()
-    return result
+    return after === 'lost' || before === 'lost' ? Err(lost) : result
   }
 }
 
+const LOST_READ: TableError = { fault: 'unavailable', message: 'the answer was lost' }
+const LOST_WRITE: TableError = { fault: 'unknown', message: 'the answer was lost' }
+const LOST_COMMAND: WorkerError = { fault: 'unknown', message: 'the answer was lost' }
+
+/** Names what a transaction is for. */
+export function nameTransaction (transaction: Transaction): string {
+  const texts = transaction.writes.map(write => write.value ?? '')
+  if (transaction.writes.some(write => write.key.startsWith('keeper/'))) return 'claim'
+  if (transaction.writes.some(write => write.key.startsWith('open/'))) return texts.includes('') ? 'close' : 'submit'
+  if (transaction.writes.some(write => write.key.startsWith('job/'))) return 'cancel job'
+  const states = ['failed', 'placed', 'done', 'cancelling', 'cancelled', 'vacating', 'parked', 'pending']
+  return states.find(state => texts.some(text => text.includes(`"state":"${state}"`))) ?? 'other'
+}
+
 export class GatedClock extends Clock {
   constructor (readonly inner: Clock, readonly gate: Gate) {
     super()
@@ -70,49 +101,49 @@
 }
 
 export class GatedTable extends Table {
-  constructor (readonly inner: Table, readonly gate: Gate) {
+  constructor (readonly inner: Table, readonly gate: Gate, readonly clock: Clock) {
     super()
   }
 
   override async read (keys: string[]): Promise<Result<Row[], TableError>> {
-    return await this.gate.call(async () => await this.inner.read(keys))
+    return await this.gate.call(this.clock, 'read', async () => await this.inner.read(keys), LOST_READ)
   }
 
   override async list (range: Range): Promise<Result<Row[], TableError>> {
-    return await this.gate.call(async () => await this.inner.list(range))
+    return await this.gate.call(this.clock, 'list', async () => await this.inner.list(range), LOST_READ)
   }
 
   override async commit (transaction: Transaction): Promise<Result<Row[], TableError>> {
-    return await this.gate.call(async () => await this.inner.commit(transaction))
+    return await this.gate.call(this.clock, nameTransaction(transaction), async () => await this.inner.commit(transaction), LOST_WRITE)
   }
 }
 
 export class GatedWorkers extends Workers {
-  constructor (readonly inner: Workers, readonly gate: Gate) {
+  constructor (readonly inner: Workers, readonly gate: Gate, readonly clock: Clock) {
     super()
   }
 
   override async start (worker: Instance, start: TaskStart): Promise<Result<void, WorkerError>> {
-    return await this.gate.call(async () => await this.inner.start(worker, start))
+    return await this.gate.call(this.clock, 'start', async () => await this.inner.start(worker, start), LOST_COMMAND)
   }
 
   override async renew (worker: Instance, leases: TaskLease[]): Promise<Result<string[], WorkerError>> {
-    return await this.gate.call(async () => await this.inner.renew(worker, leases))
+    return await this.gate.call(this.clock, 'renew', async () => await this.inner.renew(worker, leases), LOST_COMMAND)
   }
 
   override async stop (worker: Instance, tasks: Array<{ task: string, fence: number }>): Promise<Result<void, WorkerError>> {
-    return await this.gate.call(async () => await this.inner.stop(worker, tasks))
+    return await this.gate.call(this.clock, 'stop', async () => await this.inner.stop(worker, tasks), LOST_COMMAND)
   }
 
   override async checkpoint (worker: Instance, task: { task: string, fence: number }): Promise<Result<string, WorkerError>> {
-    return await this.gate.call(async () => await this.inner.checkpoint(worker, task))
+    return await this.gate.call(this.clock, 'checkpoint', async () => await this.inner.checkpoint(worker, task), LOST_COMMAND)
   }
 
   override async throttle (worker: Instance, task: { task: string, fence: number }, speed: number): Promise<Result<void, WorkerError>> {
-    return await this.gate.call(async () => await this.inner.throttle(worker, task, speed))
+    return await this.gate.call(this.clock, 'throttle', async () => await this.inner.throttle(worker, task, speed), LOST_COMMAND)
   }
 
   override async report (worker: Instance): Promise<Result<WorkerReport, WorkerError>> {
-    return await this.gate.call(async () => await this.inner.report(worker))
+    return await this.gate.call(this.clock, 'report', async () => await this.inner.report(worker), LOST_COMMAND)
   }
 }
--- a/packages/jobs/test/runtime/chaos.ts
+++ b/packages/jobs/test/runtime/chaos.ts
@@ -18,7 +18,7 @@
   repeats: number
 }
 
-type Action = (cell: Cell) => Promise<void> | void
+type Action = (cell: Cell) => void
 
 const STEPS = 25
 const MAX_STEP_MS = 400
@@ -31,8 +31,8 @@
   'table loses answers': cell => { cell.table.faults.loseAnswers = true },
   'table writes late': cell => { cell.table.faults.lateWrites = 1 + cell.random.integer(1500) },
   'table up': cell => { Object.assign(cell.table.faults, noFaults()) },
-  'node paused': async cell => { await cell.pause(cell.random.pick(cell.nodes).id, cell.random.integer(3000)) },
-  'node dies': async cell => { await cell.kill(cell.random.pick(cell.nodes).id) },
+  'node paused': cell => { cell.pause(cell.random.pick(cell.nodes).id, cell.random.integer(3000)) },
+  'node dies': cell => { cell.kill(cell.random.pick(cell.nodes).id) },
   'worker moves': cell => { cell.move(pickWorker(cell), cell.random.pick(cell.nodes).id, { tell: cell.random.next() < 0.5 }) },
   'worker unreachable': cell => { faultsOf(cell).unreachable = true },
   'worker loses answers': cell => { faultsOf(cell).loseAnswers = true },
@@ -97,7 +97,7 @@
   for (let step = 0; step < STEPS; step++) {
     const name = cell.random.pick(Object.keys(ACTIONS))
     actions[name] = (actions[name] ?? 0) + 1
-    await ACTIONS[name]!(cell)
+    ACTIONS[name]!(cell)
     await cell.clock.advance(cell.random.integer(MAX_STEP_MS))
     for (const breach of findBreaches(cell)) breaches.add(breach)
   }
