--- /dev/null
+++ b/packages/cli/src/runtime/referenceTables.ts
@@ -0,0 +1,55 @@
+import { CLASS_SCHEMA, JOB_SCHEMA, LIMITS_SCHEMA, ROUTE_SCHEMA, SETTINGS_SCHEMA, TASK_SCHEMA, TEAM_SCHEMA } from '@rattanstep/rules'
+import type { Field } from '@rattanstep/rules'
+
+/**
+ * Tables of keys in the reference, made from the schemas.
+ */
+
+const SCHEMAS: Record<string, Record<string, Field<unknown>>> = {
+  classes: CLASS_SCHEMA,
+  routes: ROUTE_SCHEMA,
+  teams: TEAM_SCHEMA,
+  limits: LIMITS_SCHEMA,
+  settings: SETTINGS_SCHEMA,
+  job: JOB_SCHEMA,
+  tasks: TASK_SCHEMA
+}
+
+const MARKED = /<!-- keys: (\w+) -->\n[\s\S]*?<!-- end of keys -->/g
+
+/**
+ * Fills in the tables of a page. A table stands between `<!-- keys: NAME -->` and `<!-- end of keys -->`.
+ *
+ * @param page - text of the page
+ * @returns the page with every table as the schemas have it
+ */
+export function fillTables (page: string): string {
+  return page.replace(MARKED, (whole, name: string) => {
+    const schema = SCHEMAS[name]
+    return schema === undefined ? whole : `<!-- keys: ${name} -->\n${renderTable(schema)}\n<!-- end of keys -->`
+  })
+}
+
+/**
+ * @param page - text of a page
+ * @returns names of the tables that it holds
+ */
+export function tablesOf (page: string): string[] {
+  return [...page.matchAll(MARKED)].map(match => match[1]!)
+}
+
+/** @returns names of all tables that there are */
+export function tableNames (): string[] {
+  return Object.keys(SCHEMAS)
+}
+
+function renderTable (schema: Record<string, Field<unknown>>): string {
+  const rows = Object.entries(schema).map(([key, field]) => renderRow(key, field))
+  return ['| Key | Unit | Default | Bounds | Example | Meaning |', '|---|---|---|---|---|---|', ...rows].join('\n')
+}
+
+function renderRow (key: string, field: Field<unknown>): string {
+  const fallback = field.fallback === undefined ? 'required' : `\`${field.fallbackText === '' ? '""' : field.fallbackText}\``
+  const cells = [`\`${key}\``, field.unit, fallback, field.bounds, `\`${field.example}\``, field.meaning]
+  return `| ${cells.map(cell => cell.replaceAll('|', '\\|')).join(' | ')} |`
+}
