Ownership: smaller driver, faults of table and voters, cost at rest

Cause: the driver's file had grown; majority loss, damaged rows, a row put back from a copy and the shares had no focused tests; a hand-over waited for its node's turn although nobody else can write it.

Tests for lost voters, table faults and membership.

--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,5 +1,5 @@
 export { Ownership } from './runtime/Ownership.js'
-export type { HeartbeatListener } from './runtime/Ownership.js'
+export type { HeartbeatListener } from './runtime/Dispatcher.js'
 export type { AssignmentListener } from './runtime/Follower.js'
 export { EVENTS as OWNERSHIP_EVENTS } from './types/events.js'
 export type { OwnershipOptions } from './types/OwnershipOptions.js'
--- a/packages/ownership/src/runtime/AssignmentRow.ts
+++ b/packages/ownership/src/runtime/AssignmentRow.ts
@@ -1,6 +1,6 @@
 import { EMPTY_ASSIGNMENT, Err, Ok } from '@rattanstep/core'
 import type { Assignment, Clock, Result, Row, Table, TableError } from '@rattanstep/core'
-import { parseAssignment } from '../utils/parseAssignment.js'
+import { parseAssignmentText } from '../utils/parseAssignmentText.js'
 
 /**
  * Why the row could not be read or written.
@@ -87,7 +87,7 @@
 /** The version inside must be the row's own, or a row put back from a copy could repeat a version. */
 function parseRow (row: Row | undefined): Result<Assignment, RowError> {
   if (row === undefined) return Ok(EMPTY_ASSIGNMENT)
-  const parsed = parseJson(row.value)
+  const parsed = parseAssignmentText(row.value)
   if (parsed.isErr()) return Err({ fault: 'unreadable', message: parsed.error })
   if (parsed.value.version === row.version) return parsed
   return Err({
@@ -95,11 +95,3 @@
     message: `version: the row has version ${row.version}, its value says ${parsed.value.version}; they must be the same`
   })
 }
-
-function parseJson (text: string): Result<Assignment, string> {
-  try {
-    return parseAssignment(JSON.parse(text))
-  } catch (error) {
-    return Err(`not JSON: ${String(error)}`)
-  }
-}
--- a/packages/ownership/src/runtime/Coordinator.ts
+++ b/packages/ownership/src/runtime/Coordinator.ts
@@ -34,6 +34,9 @@
   push: (assignment: Assignment, previous: Assignment) => void
 }
 
+/** How often conflicts double the spread of the next try. */
+const MOST_DOUBLINGS = 4
+
 /** Reads and changes the assignment row, one thing at a time, and only when something is to be changed. */
 export class Coordinator {
   private readonly options: CoordinatorOptions
@@ -103,13 +106,17 @@
     return planner.plan(follower.assignment, facts())
   }
 
-  /** Nodes that may write the same change take turns; a conflict spreads them further. */
+  /**
+   * Nodes that may write the same change take turns; a conflict spreads them further. What was released is
+   * admitted for by nobody, so that it is handed over without delay.
+   */
   private delay (): number {
     const { random, timing, follower, facts } = this.options
-    const { self, lost } = facts()
+    const { self, lost, released, heard } = facts()
     const { assignment } = follower
-    const spread = random.next() * timing.stagger * 2 ** Math.min(this.conflicts, 4)
-    const voters = lost.voters || lost.nextVoters ? [...facts().heard] : namedVoters(assignment)
+    if (released.length > 0 && this.conflicts === 0) return 0
+    const spread = random.next() * timing.stagger * 2 ** Math.min(this.conflicts, MOST_DOUBLINGS)
+    const voters = lost.voters || lost.nextVoters ? [...heard] : namedVoters(assignment)
     if (!voters.includes(self.incarnation)) return spread
     const weight = (voter: string): number => hash32(`${voter} ${assignment.version}`)
     const rank = voters.filter(voter => weight(voter) < weight(self.incarnation)).length
@@ -118,12 +125,17 @@
 
   private async read (): Promise<boolean> {
     const { row, clock, follower } = this.options
+    const { version } = follower.assignment
     const found = await row.read()
     this.lastRead = clock.now()
     if (found.isErr()) {
       this.fail(found.error)
       return false
     }
+    if (found.value.version < version) {
+      this.fail({ fault: 'unreadable', message: goneBack(found.value.version, version) })
+      return false
+    }
     this.succeed()
     follower.adopt(found.value, 'table')
     return true
@@ -180,3 +192,7 @@
     this.reachable = { is: true, since: clock.now() }
   }
 }
+
+function goneBack (found: number, known: number): string {
+  return `version: the row has version ${found}, but version ${known} was written; a row must never be put back`
+}
--- /dev/null
+++ b/packages/ownership/src/runtime/Dispatcher.ts
@@ -0,0 +1,150 @@
+import type { Assignment, Clock, HeartbeatMessage, Incarnation, Message, MessageKind, Network } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import { EVENTS } from '../types/events.js'
+import { parseAssignment } from '../utils/parseAssignment.js'
+import { namedVoters } from '../utils/quorum.js'
+import type { Ballot } from './Ballot.js'
+import type { Follower } from './Follower.js'
+import type { Heartbeats } from './Heartbeats.js'
+import type { Voter } from './Voter.js'
+
+/** Called with each heartbeat that arrives. */
+export type HeartbeatListener = (from: Incarnation, heartbeat: HeartbeatMessage) => void
+
+/** What the dispatcher needs of the node. */
+export interface DispatcherOptions {
+  self: Incarnation
+  network: Network
+  clock: Clock
+  log: Log
+  follower: Follower
+  heartbeats: Heartbeats
+  voter: Voter
+  ballot: Ballot
+  /** Called when something was learned that may allow a change of the assignment. */
+  wake: () => void
+}
+
+const KINDS: readonly MessageKind[] = ['heartbeat', 'promise', 'vote-request', 'vote', 'assignment']
+
+/** Acts on messages of other nodes and tells them about assignments and votes. */
+export class Dispatcher {
+  private readonly options: DispatcherOptions
+  private readonly listeners: HeartbeatListener[] = []
+
+  /** @param options - see the type */
+  constructor (options: DispatcherOptions) {
+    this.options = options
+  }
+
+  /**
+   * @param message - any message
+   * @returns whether it is one of this package
+   */
+  static handles (message: Message): boolean {
+    return message.kind === 'fetch' ? message.what === 'assignment' : KINDS.includes(message.kind)
+  }
+
+  /** @param listener - called with each heartbeat that arrives */
+  onHeartbeat (listener: HeartbeatListener): void {
+    this.listeners.push(listener)
+  }
+
+  /**
+   * @param from - the sender
+   * @param message - any message
+   * @returns whether the message was one of this package
+   */
+  receive (from: Incarnation, message: Message): boolean {
+    switch (message.kind) {
+      case 'heartbeat':
+        this.receiveHeartbeat(from, message)
+        return true
+      case 'promise':
+        this.options.heartbeats.takePromise(from, message)
+        return true
+      case 'vote-request':
+        this.answerVoteRequest(from, message.holder, message.version)
+        return true
+      case 'vote':
+        if (message.granted) this.takeVote(from, message.holder, message.version)
+        return true
+      case 'assignment':
+        this.receiveAssignment(from, message.assignment)
+        return true
+      case 'fetch':
+        return this.answerFetch(from, message.what)
+      default:
+        return false
+    }
+  }
+
+  /**
+   * Tells every holder about an assignment that this node wrote.
+   *
+   * @param assignment - what was written
+   * @param previous - what it replaced
+   */
+  push (assignment: Assignment, previous: Assignment): void {
+    const { network, self } = this.options
+    const holders = [...assignment.holders, ...previous.holders].map(holder => holder.incarnation)
+    for (const holder of new Set(holders)) {
+      if (holder !== self) network.send(holder, { kind: 'assignment', assignment })
+    }
+  }
+
+  /**
+   * Votes for the removal of holders where this voter's own promises lapsed, and asks the other voters to.
+   *
+   * @param holders - holders that seem dead
+   */
+  collectVotes (holders: readonly Incarnation[]): void {
+    const { network, self, voter, clock, ballot, follower } = this.options
+    const { version } = follower.assignment
+    for (const holder of holders) {
+      if (voter.vote(holder, version, clock.now())) ballot.add(holder, self, version)
+      for (const other of namedVoters(follower.assignment)) {
+        if (other !== self) network.send(other, { kind: 'vote-request', holder, version })
+      }
+    }
+  }
+
+  private receiveHeartbeat (from: Incarnation, heartbeat: HeartbeatMessage): void {
+    const { network, heartbeats, follower } = this.options
+    const { assignment } = follower
+    heartbeats.hear(from, heartbeat)
+    if (heartbeat.version < assignment.version) network.send(from, { kind: 'assignment', assignment })
+    if (heartbeat.version > assignment.version) network.send(from, { kind: 'fetch', what: 'assignment' })
+    for (const listener of this.listeners) listener(from, heartbeat)
+  }
+
+  private receiveAssignment (from: Incarnation, value: Assignment): void {
+    const { log, follower, wake } = this.options
+    const parsed = parseAssignment(value)
+    if (parsed.isErr()) {
+      log.write(EVENTS.invalidMessage, { from, kind: 'assignment', findings: parsed.error })
+      return
+    }
+    if (follower.adopt(parsed.value, 'peer')) wake()
+  }
+
+  private answerFetch (from: Incarnation, what: string): boolean {
+    if (what !== 'assignment') return false
+    const { assignment } = this.options.follower
+    if (assignment.version > 0) this.options.network.send(from, { kind: 'assignment', assignment })
+    return true
+  }
+
+  private answerVoteRequest (from: Incarnation, holder: Incarnation, version: number): void {
+    const { clock, log, network, voter, follower } = this.options
+    if (version !== follower.assignment.version) return
+    const granted = voter.vote(holder, version, clock.now())
+    if (granted) log.write(EVENTS.voteGiven, { holder, version, to: from })
+    network.send(from, { kind: 'vote', holder, version, granted })
+  }
+
+  private takeVote (from: Incarnation, holder: Incarnation, version: number): void {
+    this.options.ballot.add(holder, from, version)
+    this.options.wake()
+  }
+}
--- a/packages/ownership/src/types/events.ts
+++ b/packages/ownership/src/types/events.ts
@@ -119,5 +119,12 @@
     level: 'error',
     message: 'A listener threw an error.',
     fields: { error: 'what it threw' }
+  },
+  workFailed: {
+    number: 3062,
+    name: 'ownership-work-failed',
+    level: 'error',
+    message: 'Work on the assignment ended with an unexpected error; it is tried again at the next heartbeat.',
+    fields: { error: 'what was thrown' }
   }
 } as const satisfies Record<string, LogEvent>
--- /dev/null
+++ b/packages/ownership/src/utils/parseAssignmentText.ts
@@ -0,0 +1,15 @@
+import { Err } from '@rattanstep/core'
+import type { Assignment, Result } from '@rattanstep/core'
+import { parseAssignment } from './parseAssignment.js'
+
+/**
+ * @param text - what a row holds
+ * @returns the assignment, or one finding a line with its place
+ */
+export function parseAssignmentText (text: string): Result<Assignment, string> {
+  try {
+    return parseAssignment(JSON.parse(text))
+  } catch (error) {
+    return Err(`not JSON: ${String(error)}`)
+  }
+}
--- /dev/null
+++ b/packages/ownership/test/faults/lostVoters.test.ts
@@ -0,0 +1,48 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { Cell } from '../support/Cell.js'
+
+test('when the list no longer has a majority of the voters, voters are named afresh after one lease', async () => {
+  const cell = new Cell({ nodes: 3 })
+  await cell.run(20_000)
+  for (const id of ['n1', 'n2']) cell.kill(id)
+  await cell.run(20_000)
+  expect(cell.isServed()).toEqual(false)
+  cell.instances = cell.instances!.filter(instance => instance.id === 'n0')
+  expect(await cell.until(() => cell.isServed(), 30_000)).toBeLessThan(6000)
+  expect(cell.node('n0').ownership.assignment.voters).toEqual([cell.node('n0').incarnation])
+  expect(cell.violations).toEqual([])
+})
+
+test('voters that are silent but listed are not replaced by a minority', async () => {
+  const cell = new Cell({ nodes: 3 })
+  await cell.run(20_000)
+  for (const id of ['n1', 'n2']) {
+    for (const cut of [`n0>${id}`, `${id}>n0`]) cell.wire.cuts.add(cut)
+  }
+  await cell.run(30_000)
+  expect(cell.node('n0').ownership.leaseLeft()).toEqual(0)
+  expect(cell.node('n1').ownership.peers()).toEqual([cell.node('n2').incarnation])
+  expect(cell.isServed()).toEqual(true)
+})
+
+test('a cell whose processes all restart at once serves again', async () => {
+  const cell = new Cell({ nodes: 5 })
+  await cell.run(20_000)
+  const ids = [...cell.processes.keys()]
+  for (const id of ids) cell.kill(id)
+  for (const id of ids) cell.start(id)
+  expect(await cell.until(() => cell.isServed(), 60_000)).toBeLessThan(10_000)
+  expect(cell.violations).toEqual([])
+})
+
+test('a cell that is replaced by other instances serves again', async () => {
+  const cell = new Cell({ nodes: 3 })
+  await cell.run(20_000)
+  const old = cell.instances!
+  for (const { id } of old) cell.kill(id)
+  cell.instances = ['n7', 'n8', 'n9'].map(id => ({ ...old[0]!, id }))
+  for (const { id } of cell.instances) cell.start(id)
+  expect(await cell.until(() => cell.isServed(), 60_000)).toBeLessThan(10_000)
+  expect(cell.violations).toEqual([])
+})
--- /dev/null
+++ b/packages/ownership/test/faults/membership.test.ts
@@ -0,0 +1,87 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { Cell } from '../support/Cell.js'
+
+for (const [nodes, voters] of [[1, 1], [2, 1], [3, 3], [4, 3], [5, 5], [9, 5], [16, 7]] as const) {
+  test(`${nodes} nodes have ${voters} voters, spread over data centres`, async () => {
+    const cell = new Cell({ nodes })
+    await cell.run(30_000)
+    const { voters: named, nextVoters, holders } = cell.node('n0').ownership.assignment
+    const counts = new Map<string, number>()
+    for (const { incarnation, dataCentre } of holders) {
+      if (named.includes(incarnation)) counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1)
+    }
+    expect([holders.length, named.length, nextVoters]).toEqual([nodes, voters, null])
+    expect(Math.max(...counts.values())).toEqual(Math.ceil(voters / Math.min(nodes, 4)))
+  })
+}
+
+test('a dead voter is replaced', async () => {
+  const cell = new Cell({ nodes: 7 })
+  await cell.run(30_000)
+  const victim = cell.node('n0').ownership.assignment.voters[0]!
+  const [id] = victim.split('@') as [string]
+  cell.kill(id)
+  await cell.run(15_000)
+  const survivor = [...cell.processes.values()][0]!
+  const { voters, nextVoters } = survivor.ownership.assignment
+  expect([voters.length, voters.includes(victim), nextVoters]).toEqual([5, false, null])
+})
+
+test('a node that joins gets its share', async () => {
+  const cell = new Cell({ nodes: 2, resources: ['worker/a', 'worker/b', 'worker/c', 'worker/d', 'worker/e', 'worker/f'] })
+  await cell.run(20_000)
+  cell.add('n2')
+  await cell.run(20_000)
+  expect(cell.node('n2').ownership.status().owned.length).toEqual(2)
+  expect(cell.isServed()).toEqual(true)
+})
+
+test('an instance that leaves is given nothing new and votes no more', async () => {
+  const cell = new Cell({ nodes: 3 })
+  await cell.run(20_000)
+  cell.instances = cell.instances!.map(instance => instance.id === 'n0' ? { ...instance, state: 'leaving' } : instance)
+  cell.resources.push('worker/new')
+  await cell.run(10_000)
+  const { incarnation, ownership } = cell.node('n0')
+  expect(ownership.ownerOf('worker/new')).not.toEqual(incarnation)
+  expect(ownership.assignment.voters.includes(incarnation)).toEqual(false)
+})
+
+test('a worker that leaves the list for a moment keeps its owner, one that is gone is dropped', async () => {
+  const cell = new Cell({ nodes: 3 })
+  await cell.run(20_000)
+  const { version } = cell.node('n0').ownership.assignment
+  const all = cell.resources
+  cell.resources = all.filter(resource => resource !== 'worker/a')
+  await cell.run(2000)
+  cell.resources = all
+  await cell.run(5000)
+  expect(cell.node('n0').ownership.assignment.version).toEqual(version)
+  cell.resources = all.filter(resource => resource !== 'worker/a')
+  await cell.run(6000)
+  expect(cell.node('n0').ownership.ownerOf('worker/a')).toEqual(null)
+})
+
+test('a node that was paused past its lease admits nothing at the instant it wakes', async () => {
+  const cell = new Cell({ nodes: 3 })
+  await cell.run(20_000)
+  const { clock, ownership } = cell.node('n1')
+  const owned = ownership.status().owned
+  expect(owned.some(resource => ownership.mayAdmit(resource))).toEqual(true)
+  clock.paused = true
+  await cell.run(20_000)
+  expect(owned.some(resource => ownership.mayAdmit(resource))).toEqual(false)
+  clock.resume()
+  await cell.run(20_000)
+  expect(cell.isServed()).toEqual(true)
+  expect(cell.violations).toEqual([])
+})
+
+test('all nodes may stop at the same time', async () => {
+  const cell = new Cell({ nodes: 3 })
+  await cell.run(20_000)
+  let stopped = 0
+  for (const { ownership } of cell.processes.values()) ownership.drain().then(() => { stopped++ }, () => {})
+  expect(await cell.until(() => stopped === 3, 30_000)).toBeLessThan(5000)
+})
--- a/packages/ownership/test/support/Cell.ts
+++ b/packages/ownership/test/support/Cell.ts
@@ -1,9 +1,10 @@
 import { EMPTY_ASSIGNMENT, SeededRandom } from '@rattanstep/core'
-import type { Assignment, Instance, ResourceKey } from '@rattanstep/core'
+import type { Assignment, Instance, Load, ResourceKey } from '@rattanstep/core'
 import { MemoryLog, SilentLog } from '@rattanstep/telemetry'
 import type { Log } from '@rattanstep/telemetry'
 import { Ownership } from '../../src/index.js'
 import type { Timing } from '../../src/index.js'
+import { parseAssignmentText } from '../../src/utils/parseAssignmentText.js'
 import { FakeNetwork, FakeWire } from './FakeNetwork.js'
 import { FakeStore, FakeTable } from './FakeTable.js'
 import { NodeClock } from './NodeClock.js'
@@ -26,6 +27,7 @@
   drift?: number
   timing?: Partial<Timing>
   keepsLog?: boolean
+  load?: Load
 }
 
 /**
@@ -42,16 +44,20 @@
   readonly violations: string[] = []
   resources: ResourceKey[]
   instances: Instance[] | null
+  private readonly load: Load | null
   private readonly drift: number
   private readonly timing: Partial<Timing>
   private lives = 0
+  /** The last row that could be read; a test may put a damaged one in its place. */
   private row: Assignment = EMPTY_ASSIGNMENT
+  private seen = ''
 
   constructor (options: CellOptions = {}) {
     const { seed = 1, nodes = 3 } = options
     this.random = new SeededRandom(seed)
     this.wire = new FakeWire(this.simulation, this.random)
     this.resources = options.resources ?? ['worker/a', 'worker/b', 'worker/c', 'shard/0']
+    this.load = options.load ?? null
     this.drift = options.drift ?? 0
     this.timing = options.timing ?? {}
     this.log = options.keepsLog === true ? new MemoryLog() : new SilentLog()
@@ -74,7 +80,7 @@
       log: this.log,
       instances: () => this.instances,
       resources: () => this.resources,
-      load: () => null,
+      load: () => this.load,
       rules: () => 1,
       timing: this.timing
     })
@@ -85,6 +91,17 @@
     return process
   }
 
+  /** Adds an instance to the list and starts a process on it. */
+  add (id: string): void {
+    this.instances = [...this.instances ?? [], entry(id)]
+    this.start(id)
+  }
+
+  /** @returns how many lines of a kind were written */
+  logged (name: string): number {
+    return this.log instanceof MemoryLog ? this.log.lines.filter(line => line.event.name === name).length : 0
+  }
+
   /** Ends a process without a word. */
   kill (id: string): void {
     const process = this.processes.get(id)
@@ -125,11 +142,17 @@
     return this.resources.every(resource => this.admitters(resource).length === 1)
   }
 
+  private see (value: string): void {
+    this.seen = value
+    const parsed = parseAssignmentText(value)
+    if (parsed.isOk()) this.row = parsed.value
+  }
+
   /** No node may admit for what the table gives to another; nodes that follow the table's version agree with it. */
   private check (): void {
     const row = this.store.rows.get('assignment/main')
     if (row === undefined) return
-    if (row.version !== this.row.version) this.row = { version: row.version, ...JSON.parse(row.value) }
+    if (row.value !== this.seen) this.see(row.value)
     for (const { incarnation, ownership } of this.processes.values()) {
       if (ownership.assignment.version === this.row.version || ownership.leaseLeft() === 0) continue
       for (const resource of this.resources) {
--- a/packages/ownership/test/support/FakeNetwork.ts
+++ b/packages/ownership/test/support/FakeNetwork.ts
@@ -23,11 +23,13 @@
   messages = 0
   bytes = 0
   countsBytes = false
+  readonly sentBy = new Map<Incarnation, number>()
 
   constructor (private readonly simulation: Simulation, private readonly random: Random) {}
 
   send (from: Incarnation, to: Incarnation, message: Message): void {
     this.messages++
+    this.sentBy.set(from, (this.sentBy.get(from) ?? 0) + 1)
     if (this.countsBytes) this.bytes += JSON.stringify(message).length
     if (this.random.next() < this.loss) return
     this.carry(from, to, message)
--- /dev/null
+++ b/packages/ownership/test/support/measure.ts
@@ -0,0 +1,74 @@
+import type { Load } from '@rattanstep/core'
+import { Cell } from './Cell.js'
+
+/** Load of the size that an owner reports with six priorities. */
+const LOAD: Load = {
+  slots: 56,
+  free: 17,
+  waiting: Array.from({ length: 6 }, (_, priority) => ({ priority, count: 12, wait: 35.25 })),
+  service: 41.75
+}
+
+/** Resources of a cell with both desks: 60 workers and 32 key shards. */
+const RESOURCES = [
+  ...Array.from({ length: 60 }, (_, index) => `worker/w${index}`),
+  ...Array.from({ length: 32 }, (_, index) => `shard/${index}`)
+]
+
+const SECONDS = 60
+
+/** Cost of a cell at rest. */
+export interface RestCost {
+  nodes: number
+  messagesPerNodeAndSecond: number
+  /** Of JSON text, before any transport. */
+  bytesPerNodeAndSecond: number
+  /** Of the node that sends most. */
+  mostMessagesPerSecond: number
+  tableCalls: number
+}
+
+/** Counts what a settled cell sends. */
+export async function measureRest (nodes: number): Promise<RestCost> {
+  const cell = new Cell({ nodes, resources: RESOURCES, load: LOAD })
+  await cell.run(60_000)
+  const { wire, store } = cell
+  const before = { messages: wire.messages, calls: store.reads + store.commits }
+  wire.countsBytes = true
+  wire.sentBy.clear()
+  await cell.run(SECONDS * 1000)
+  return {
+    nodes,
+    messagesPerNodeAndSecond: round((wire.messages - before.messages) / nodes / SECONDS),
+    bytesPerNodeAndSecond: round(wire.bytes / nodes / SECONDS),
+    mostMessagesPerSecond: round(Math.max(...wire.sentBy.values()) / SECONDS),
+    tableCalls: store.reads + store.commits - before.calls
+  }
+}
+
+/** Time in ms without an owner that admits, over many seeds. */
+export interface TakeoverTime {
+  what: string
+  nodes: number
+  cases: number
+  median: number
+  worst: number
+}
+
+/** Measures how long some resource is not admitted for after a node ends. */
+export async function measureTakeover (what: 'kill' | 'planned stop', nodes: number, cases: number): Promise<TakeoverTime> {
+  const times: number[] = []
+  for (let seed = 1; seed <= cases; seed++) {
+    const cell = new Cell({ seed, nodes, resources: RESOURCES, load: LOAD })
+    await cell.run(30_000 + seed * 37)
+    if (what === 'kill') cell.kill('n1')
+    else cell.node('n1').ownership.drain().catch(() => {})
+    times.push(await cell.until(() => cell.isServed(), 60_000, 1))
+  }
+  times.sort((a, b) => a - b)
+  return { what, nodes, cases, median: round(times[cases >> 1]!), worst: round(times.at(-1)!) }
+}
+
+function round (value: number): number {
+  return Math.round(value * 10) / 10
+}
