A start that fails ends the program; endless and huge files are read to the bound only

Cause: with the callers' port in use local and node waited for ever without a word, with the control port in use the process stayed alive after its message; check /dev/zero never ended.

--- a/packages/cli/src/cli/DaemonCommand.ts
+++ b/packages/cli/src/cli/DaemonCommand.ts
@@ -1,6 +1,7 @@
 import { parseRules } from '@rattanstep/rules'
 import { readText } from '../node/readText.js'
 import { EXIT_REFUSED } from '../types/exitCode.js'
+import { StartError } from '../types/StartError.js'
 import { BaseCommand } from './BaseCommand.js'
 
 /** Commands that run a node in this process. */
@@ -12,9 +13,9 @@
     try {
       return await this.start()
     } catch (error) {
-      const { code, address, port } = error as NodeJS.ErrnoException & { address?: string, port?: number }
-      if (code === undefined) throw error
-      this.warn(`the node can not start: ${code}${port === undefined ? '' : ` at ${address}:${port}`}; choose an address and port of this machine that nothing listens on`)
+      const reason = describeFailure(error)
+      if (reason === null) throw error
+      this.warn(`the node can not start: ${reason}; choose an address and port of this machine that nothing listens on`)
       return EXIT_REFUSED
     }
   }
@@ -33,3 +34,11 @@
     return null
   }
 }
+
+/** Says why a node did not start; `null` for a fault of the program itself. */
+function describeFailure (error: unknown): string | null {
+  if (error instanceof StartError) return error.message
+  const { code, address, port } = error as NodeJS.ErrnoException & { address?: string, port?: number }
+  if (code === undefined) return null
+  return port === undefined ? code : `${code} at ${address}:${port}`
+}
--- a/packages/cli/src/cli/NodeCommand.ts
+++ b/packages/cli/src/cli/NodeCommand.ts
@@ -25,7 +25,8 @@
     if (rules === null) return EXIT_REFUSED
     // Loaded here, as other commands need no node.
     const { runDaemon } = await import('@rattanstep/node')
-    await runDaemon({ settings: settings.value, rules })
+    const { whenServing } = await import('../node/nodeLife.js')
+    await whenServing(await runDaemon({ settings: settings.value, rules }))
     return EXIT_FINE
   }
 }
--- a/packages/cli/src/node/readText.ts
+++ b/packages/cli/src/node/readText.ts
@@ -1,14 +1,10 @@
-import { readFile, stat } from 'node:fs/promises'
-import { Err } from '@rattanstep/core'
+import { open } from 'node:fs/promises'
 import type { Finding, Result } from '@rattanstep/core'
-import { decodeText } from '@rattanstep/rules'
+import { decodeText, MAX_TEXT_BYTES } from '@rattanstep/rules'
 import { Misuse } from '../types/Misuse.js'
 
-/** Larger files are not read at all. */
-const MAX_FILE_BYTES = 16 * 1024 ** 2
-
 /**
- * Reads a file of operators' text.
+ * Reads a file of operators' text, or as much of it as shows that it is too large.
  *
  * @param file - path of the file
  * @returns the text, or findings when it is none
@@ -16,14 +12,26 @@
  */
 export async function readText (file: string): Promise<Result<string, Finding[]>> {
   try {
-    const { size } = await stat(file)
-    if (size > MAX_FILE_BYTES) {
-      const message = `the file has ${size} bytes, at most ${MAX_FILE_BYTES} are read; check that this is the right file`
-      return Err([{ code: 'too-large', place: { file, line: 1, column: 1 }, message }])
-    }
-    return decodeText(await readFile(file), { file })
+    return decodeText(await readStart(file, MAX_TEXT_BYTES + 1), { file })
   } catch (error) {
     const code = (error as NodeJS.ErrnoException).code ?? 'no code'
     throw new Misuse(`${file} can not be read (${code}); give the path of a readable file`)
   }
 }
+
+/** Devices and pipes have no size and may never end. */
+async function readStart (file: string, most: number): Promise<Uint8Array> {
+  const handle = await open(file)
+  try {
+    const buffer = Buffer.alloc(most)
+    let length = 0
+    while (length < most) {
+      const { bytesRead } = await handle.read(buffer, length, most - length, null)
+      if (bytesRead === 0) break
+      length += bytesRead
+    }
+    return buffer.subarray(0, length)
+  } finally {
+    await handle.close()
+  }
+}
--- a/packages/cli/src/node/startLocal.ts
+++ b/packages/cli/src/node/startLocal.ts
@@ -1,18 +1,16 @@
 import { randomBytes } from 'node:crypto'
-import { NO_RESOURCES, SystemClock } from '@rattanstep/core'
+import { NO_RESOURCES } from '@rattanstep/core'
 import type { Address, InstanceList } from '@rattanstep/core'
 import { startNode } from '@rattanstep/node'
-import type { Node } from '@rattanstep/node'
 import type { ResolvedSettings } from '@rattanstep/rules'
 import { embeddedPlatform, MemoryInstanceList } from '@rattanstep/stand-ins'
 import { SilentLog } from '@rattanstep/telemetry'
 import type { Log } from '@rattanstep/telemetry'
+import { whenEnded, whenServing } from './nodeLife.js'
 
 const HOST = '127.0.0.1'
 const SECRET_BYTES = 16
 const DRAIN_MS = 10_000
-/** Milliseconds between looks at whether the node has ended. */
-const LOOK_MS = 100
 
 /** Options of {@link startLocal}. */
 export interface LocalOptions {
@@ -51,7 +49,7 @@
   try {
     enlist(platform.instances, settings)
     const node = await startNode({ settings, platform, rules: options.rules, log: options.log ?? new SilentLog() })
-    await node.whenServing()
+    await whenServing(node)
     const ended = whenEnded(node).then(async () => { await platform.close() })
     const drain = async (): Promise<void> => {
       await node.drain()
@@ -85,8 +83,3 @@
     drain: DRAIN_MS
   }
 }
-
-async function whenEnded (node: Node): Promise<void> {
-  const clock = new SystemClock()
-  while (node.state !== 'stopped') await clock.sleep(LOOK_MS)
-}
--- /dev/null
+++ b/packages/cli/src/types/StartError.ts
@@ -0,0 +1,4 @@
+/** A node ended before it served. */
+export class StartError extends Error {
+  override readonly name = 'StartError'
+}
--- a/packages/cli/test/cli/commands.test.ts
+++ b/packages/cli/test/cli/commands.test.ts
@@ -74,6 +74,7 @@
     ['check prints findings with their place', ['check', '--kind', 'settings', example('render-job')], 1, `${example('render-job')}:2:1: missing-key cell is missing`],
     ['check prints findings as JSON', ['check', '--json', '--kind', 'job', example('node')], 1, '"code": "unknown-key"'],
     ['check refuses a file that is no text', ['check', process.execPath], 1, 'too-large'],
+    ['check refuses a device that never ends', ['check', '/dev/zero'], 1, 'too-large'],
     ['check refuses a missing file', ['check', 'missing.yaml'], 2, 'missing.yaml can not be read (ENOENT)'],
     ['check refuses a directory', ['check', '.'], 2, '. can not be read (EISDIR)'],
     ['check refuses an unknown kind', ['check', '--kind', 'x', example('node')], 2, 'expected one of rules, settings, job'],
--- a/packages/cli/test/node/local.test.ts
+++ b/packages/cli/test/node/local.test.ts
@@ -5,12 +5,13 @@
 import { createInterface } from 'node:readline'
 import { after, before, describe, test } from 'node:test'
 import { fileURLToPath } from 'node:url'
-import { parseRules } from '@rattanstep/rules'
+import { DEFAULT_RULES, parseRules } from '@rattanstep/rules'
 import { expect } from 'earl'
 import { request } from 'undici'
 import { ControlClient } from '../../src/index.js'
 import { startLocal } from '../../src/node/startLocal.js'
 import type { LocalCell } from '../../src/node/startLocal.js'
+import { StartError } from '../../src/types/StartError.js'
 
 const MAIN = fileURLToPath(new URL('../../src/node/main.js', import.meta.url))
 
@@ -32,11 +33,13 @@
   })
   after(() => { child.kill('SIGKILL') })
 
-  test('prints one line with the URL for callers, serves there, and ends after SIGTERM', async () => {
+  test('prints one line with the URL for callers, serves there, keeps its port to itself, and ends after SIGTERM', async () => {
     expect(lines[0] ?? '').toEqual(expect.regex(/^http:\/\/127\.0\.0\.1:\d+$/))
     const answer = await request(`${lines[0]}/hunts/1/final/checks`, { method: 'POST', body: 'mango' })
     expect(answer.headers['rattanstep-outcome']).toEqual('run')
     expect(await answer.body.text()).toEqual('mango')
+    await expect(startLocal({ port: Number(new URL(lines[0]!).port), rules: DEFAULT_RULES })).toBeRejectedWith(StartError)
+    await expect(startLocal({ port: 0, controlPort: Number(new URL(lines[0]!).port), rules: DEFAULT_RULES })).toBeRejectedWith('EADDRINUSE')
     child.kill('SIGTERM')
     expect(await exited).toEqual([0, null])
     expect(lines.length).toEqual(1)
--- a/packages/node/src/node/startNode.ts
+++ b/packages/node/src/node/startNode.ts
@@ -25,6 +25,11 @@
   const network = new GrpcNetwork({ self: incarnation, address: settings.peer, secret: settings.secret, log, clock, random })
   const peer = await network.listen()
   const node = new Node({ settings, platform, incarnation, network, peer, clock, random, log, rules: options.rules ?? DEFAULT_RULES })
-  await node.start()
+  try {
+    await node.start()
+  } catch (error) {
+    network.close()
+    throw error
+  }
   return node
 }
--- a/packages/rules/src/runtime/decodeText.ts
+++ b/packages/rules/src/runtime/decodeText.ts
@@ -12,7 +12,7 @@
 export function decodeText (bytes: Uint8Array, options: { file: string }): Result<string, Finding[]> {
   const place = { file: options.file, line: 1, column: 1 }
   if (bytes.length > MAX_TEXT_BYTES) {
-    return Err([{ code: 'too-large', place, message: `the file has ${bytes.length} bytes, at most ${MAX_TEXT_BYTES} are allowed; remove what is not needed` }])
+    return Err([{ code: 'too-large', place, message: `the file has more than ${MAX_TEXT_BYTES} bytes; check that this is the right file, and remove what is not needed` }])
   }
   try {
     return Ok(new TextDecoder('utf-8', { fatal: true, ignoreBOM: true }).decode(bytes))
