Jobs: takeovers case by case, and nothing new for silent workers

Cause: the random runs did not fail without the owner's check before each command, nor without the keeper check of a late placement: their faults made a worker unreachable for every node alike.

Change: the way from one node to one worker can be cut; a resumed node goes on where it was before its timers run; one test for each mechanism. Found by the second test: a worker that does not report was given the same task again and again; it is now given nothing until it reports.

--- a/packages/jobs/src/runtime/WorkerKeeper.ts
+++ b/packages/jobs/src/runtime/WorkerKeeper.ts
@@ -38,7 +38,10 @@
   private looking = false
   private again = false
   private dropped = false
-  private silent = false
+  /** Whether the last report failed, or none has come yet. */
+  private silent = true
+  /** Whether the present silence was logged. */
+  private told = false
 
   /** @param options - `mayAct`: whether this node may act for the worker now */
   constructor (options: { context: Context, writer: TableWriter, transitions: Transitions, events: KeeperEvents, worker: string, instance: Instance | null, mayAct: () => boolean }) {
@@ -54,7 +57,7 @@
 
   /** Whether new tasks may be placed here. */
   get isOpen (): boolean {
-    return this.claim.state === 'keeping' && this.instance?.state === 'live' && this.mayAct()
+    return !this.silent && this.claim.state === 'keeping' && this.instance?.state === 'live' && this.mayAct()
   }
 
   /** Number of tasks that the table places here. */
@@ -120,6 +123,7 @@
       return
     }
     this.silent = false
+    this.told = false
     await this.act(report.value, receivedAt, isCurrent)
     if (this.instance?.state === 'leaving' && isCurrent) await this.vacate(() => true)
   }
@@ -237,8 +241,9 @@
   }
 
   private noteSilence (reason: string): void {
-    if (this.silent) return
     this.silent = true
+    if (this.told) return
+    this.told = true
     this.context.log.write(EVENTS.silent, { worker: this.worker, reason })
   }
 }
--- a/packages/jobs/test/runtime/Cell.ts
+++ b/packages/jobs/test/runtime/Cell.ts
@@ -20,6 +20,8 @@
   id: Incarnation
   jobs: Jobs
   gate: Gate
+  /** Workers that the node can not reach. */
+  cut: Set<string>
   owned: CellOwned
   receiver: Receiver
 }
@@ -125,11 +127,12 @@
     const owned = new CellOwned(this, id)
     const network = new CellNetwork(this, id)
     const room = new SimpleRoom({ total: worker => this.instances.get(worker)?.resources ?? { slots: 0, cores: 0, memory: 0, accelerators: 0 } })
+    const workers = new GatedWorkers(this.workers, gate, this.clock)
     const jobs = new Jobs({
       self: id,
       table: new GatedTable(this.table, gate, this.clock),
       objects: this.objects,
-      workers: new GatedWorkers(this.workers, gate, this.clock),
+      workers,
       network,
       clock,
       random: new SeededRandom(this.random.integer(2 ** 31)),
@@ -141,7 +144,7 @@
       quarantine: worker => { this.quarantined.push(worker) },
       tuning: this.tuning
     })
-    const member: Member = { id, jobs, gate, owned, receiver: (from, message) => { if (message.kind === 'job') jobs.receive(from, message) } }
+    const member: Member = { id, jobs, gate, cut: workers.cut, owned, receiver: (from, message) => { if (message.kind === 'job') jobs.receive(from, message) } }
     this.members.set(id, member)
     this.spread()
     jobs.start()
--- a/packages/jobs/test/runtime/Gate.ts
+++ b/packages/jobs/test/runtime/Gate.ts
@@ -8,6 +8,8 @@
 export type Injector = (step: string, moment: 'before' | 'after') => CallFault
 
 const LATE_MS = 800
+/** Turns of the microtask queue between two actions held back. */
+const TURNS = 200
 
 /** Holds back everything that a node does while it is paused, and drops it once the node is dead. */
 export class Gate {
@@ -25,7 +27,15 @@
 
   open (): void {
     this.closed = false
-    for (const action of this.waiting.splice(0)) action()
+    this.drain(this.waiting.splice(0)).catch(() => {})
+  }
+
+  /** Lets what follows from each action go on before the next, as a resumed process may. */
+  private async drain (actions: Array<() => void>): Promise<void> {
+    for (const action of actions) {
+      this.run(action)
+      for (let turn = 0; turn < TURNS; turn++) await Promise.resolve()
+    }
   }
 
   kill (): void {
@@ -119,31 +129,41 @@
 }
 
 export class GatedWorkers extends Workers {
+  /** Workers that this node can not reach, though others may. */
+  readonly cut = new Set<string>()
+
   constructor (readonly inner: Workers, readonly gate: Gate, readonly clock: Clock) {
     super()
   }
 
   override async start (worker: Instance, start: TaskStart): Promise<Result<void, WorkerError>> {
-    return await this.gate.call(this.clock, 'start', async () => await this.inner.start(worker, start), LOST_COMMAND)
+    return await this.call(worker, 'start', async () => await this.inner.start(worker, start))
   }
 
   override async renew (worker: Instance, leases: TaskLease[]): Promise<Result<string[], WorkerError>> {
-    return await this.gate.call(this.clock, 'renew', async () => await this.inner.renew(worker, leases), LOST_COMMAND)
+    return await this.call(worker, 'renew', async () => await this.inner.renew(worker, leases))
   }
 
   override async stop (worker: Instance, tasks: Array<{ task: string, fence: number }>): Promise<Result<void, WorkerError>> {
-    return await this.gate.call(this.clock, 'stop', async () => await this.inner.stop(worker, tasks), LOST_COMMAND)
+    return await this.call(worker, 'stop', async () => await this.inner.stop(worker, tasks))
   }
 
   override async checkpoint (worker: Instance, task: { task: string, fence: number }): Promise<Result<string, WorkerError>> {
-    return await this.gate.call(this.clock, 'checkpoint', async () => await this.inner.checkpoint(worker, task), LOST_COMMAND)
+    return await this.call(worker, 'checkpoint', async () => await this.inner.checkpoint(worker, task))
   }
 
   override async throttle (worker: Instance, task: { task: string, fence: number }, speed: number): Promise<Result<void, WorkerError>> {
-    return await this.gate.call(this.clock, 'throttle', async () => await this.inner.throttle(worker, task, speed), LOST_COMMAND)
+    return await this.call(worker, 'throttle', async () => await this.inner.throttle(worker, task, speed))
   }
 
   override async report (worker: Instance): Promise<Result<WorkerReport, WorkerError>> {
-    return await this.gate.call(this.clock, 'report', async () => await this.inner.report(worker), LOST_COMMAND)
+    return await this.call(worker, 'report', async () => await this.inner.report(worker))
+  }
+
+  private async call<T> (worker: Instance, step: string, action: () => Promise<Result<T, WorkerError>>): Promise<Result<T, WorkerError>> {
+    return await this.gate.call(this.clock, step, async () => {
+      if (this.cut.has(worker.id)) return Err({ fault: 'unreachable', message: 'the way to the worker is cut' })
+      return await action()
+    }, LOST_COMMAND)
   }
 }
--- a/packages/jobs/test/runtime/chaos.ts
+++ b/packages/jobs/test/runtime/chaos.ts
@@ -40,6 +40,7 @@
   'worker slow': cell => { faultsOf(cell).slow = cell.random.integer(150) },
   'worker hangs': cell => { faultsOf(cell).hung = true },
   'worker killed': cell => { cell.workers.kill(cell.instances.get(pickWorker(cell))!) },
+  'way to a worker cut': cell => { cell.random.pick(cell.nodes).cut.add(pickWorker(cell)) },
   'workers well': cell => { healWorkers(cell) },
   'worker gone': cell => { if (cell.instances.size > 2) cell.removeWorker(pickWorker(cell)) },
   'reports lag': cell => { cell.workers.reportLag = cell.random.integer(300) },
@@ -65,6 +66,7 @@
 }
 
 function healWorkers (cell: Cell): void {
+  for (const node of cell.nodes) node.cut.clear()
   for (const worker of cell.instances.values()) {
     Object.assign(cell.workers.faults(worker), { unreachable: false, loseAnswers: false, late: 0, slow: 0 })
     cell.workers.resume(worker)
