Prefer the own node while it has room, keep long work its least part, judge tasks' workers

Change: chooseOwner takes self; Admission.noteWaitingTasks keeps the least part of long work from short work while long work waits; releaseHold takes the ending of the task, which the quarantine and run times learn from.

--- a/packages/bench/src/runtime/CentralScheduler.ts
+++ b/packages/bench/src/runtime/CentralScheduler.ts
@@ -1,5 +1,6 @@
 import type { Work } from '../types/work.js'
 import type { Machine } from './Cell.js'
+import { Deadlines } from './Deadlines.js'
 import { HOP, Scheduler } from './Scheduler.js'
 import type { SchedulerOptions } from './Scheduler.js'
 
@@ -8,7 +9,9 @@
  * while work waits, no messages but the one that starts the work. No real scheduler can be told as much.
  */
 export class CentralScheduler extends Scheduler {
+  /** Waiting items of each class, the shortest last; some may have been given up. */
   private readonly queues: Work[][]
+  private readonly deadlines: Deadlines
   private readonly order: Map<string, number>
   private readonly free: Machine[] = []
 
@@ -16,6 +19,7 @@
   constructor (options: SchedulerOptions & { order: string[] }) {
     super(options)
     this.order = new Map(options.order.map((name, index) => [name, index]))
+    this.deadlines = new Deadlines({ clock: this.clock, giveUp: work => { this.recorder.refuse(work, this.clock.now()) } })
     this.queues = options.order.map(() => [])
     for (const machine of this.cell.machines) {
       for (let slot = 0; slot < machine.slots; slot++) this.free.push(machine)
@@ -23,25 +27,18 @@
   }
 
   override submit (work: Work): void {
+    this.deadlines.add(work)
     this.clock.schedule(HOP, () => {
       if (work.state !== 'waiting') return
       this.insert(work)
       this.startNext()
-      this.clock.schedule(work.arrival + work.patience - this.clock.now(), () => { this.giveUp(work) })
     })
   }
 
   override withdraw (work: Work): void {
-    this.drop(work)
     this.recorder.withdraw(work, this.clock.now())
   }
 
-  private giveUp (work: Work): void {
-    if (work.state !== 'waiting') return
-    this.drop(work)
-    this.recorder.refuse(work, this.clock.now())
-  }
-
   private queueOf (work: Work): Work[] {
     return this.queues[this.order.get(work.class)!]!
   }
@@ -52,24 +49,27 @@
     let high = queue.length
     while (low < high) {
       const middle = (low + high) >>> 1
-      if (queue[middle]!.size <= work.size) low = middle + 1
+      if (queue[middle]!.size > work.size) low = middle + 1
       else high = middle
     }
     queue.splice(low, 0, work)
   }
 
-  private drop (work: Work): void {
-    const queue = this.queueOf(work)
-    const index = queue.indexOf(work)
-    if (index >= 0) queue.splice(index, 1)
+  private takeNext (): Work | null {
+    for (const queue of this.queues) {
+      for (let work = queue.pop(); work !== undefined; work = queue.pop()) {
+        if (work.state === 'waiting') return work
+      }
+    }
+    return null
   }
 
   private startNext (): void {
     while (this.free.length > 0) {
-      const queue = this.queues.find(candidate => candidate.length > 0)
-      if (queue === undefined) return
+      const work = this.takeNext()
+      if (work === null) return
       const machine = this.free.pop()!
-      this.cell.run(queue.shift()!, machine, () => {
+      this.cell.run(work, machine, () => {
         this.free.push(machine)
         this.startNext()
       })
--- /dev/null
+++ b/packages/bench/src/runtime/Deadlines.ts
@@ -0,0 +1,33 @@
+import type { FakeClock } from '@rattanstep/core'
+import type { Work } from '../types/work.js'
+
+/** Milliseconds between two looks at the deadlines. */
+const PERIOD = 10
+
+/** Gives up work whose patience has run out. Within a class deadlines are in order of arrival. */
+export class Deadlines {
+  private readonly queues = new Map<string, { works: Work[], first: number }>()
+
+  /** @param options - time, and what to do with work that still waits at its deadline */
+  constructor (options: { clock: FakeClock, giveUp: (work: Work) => void }) {
+    const { clock, giveUp } = options
+    clock.repeat(PERIOD, () => { this.sweep(clock.now(), giveUp) })
+  }
+
+  /** @param work - work that waits from now on */
+  add (work: Work): void {
+    const queue = this.queues.get(work.class) ?? { works: [], first: 0 }
+    queue.works.push(work)
+    this.queues.set(work.class, queue)
+  }
+
+  private sweep (now: number, giveUp: (work: Work) => void): void {
+    for (const queue of this.queues.values()) {
+      for (; queue.first < queue.works.length; queue.first++) {
+        const work = queue.works[queue.first]!
+        if (work.state === 'waiting' && work.arrival + work.patience > now) break
+        if (work.state === 'waiting') giveUp(work)
+      }
+    }
+  }
+}
--- a/packages/bench/src/runtime/DirectScheduler.ts
+++ b/packages/bench/src/runtime/DirectScheduler.ts
@@ -1,6 +1,7 @@
 import type { Random } from '@rattanstep/core'
 import type { Work } from '../types/work.js'
 import type { Machine } from './Cell.js'
+import { Deadlines } from './Deadlines.js'
 import { HOP, Scheduler } from './Scheduler.js'
 import type { SchedulerOptions } from './Scheduler.js'
 
@@ -11,7 +12,10 @@
   active: number
   /** Expected run times of these items, in ms. */
   expected: number
+  /** Items sent, of which some may have been given up. */
   queue: Work[]
+  /** Items before this index are gone. */
+  first: number
   /** Part of recent runs that failed. */
   failing: number
 }
@@ -30,6 +34,8 @@
   private readonly targets: Target[]
   private readonly pick: Pick
   private readonly random: Random
+  private readonly sentTo = new Map<Work, Target>()
+  private readonly deadlines: Deadlines
   private readonly declared: ReadonlyMap<string, number>
 
   /** @param options - `pick`: how to pick a worker; `declared`: declared run time in ms of each class */
@@ -38,52 +44,50 @@
     this.pick = options.pick
     this.random = options.random
     this.declared = options.declared
-    this.targets = this.cell.machines.map(machine => ({ machine, active: 0, expected: 0, queue: [], failing: 0 }))
+    this.targets = this.cell.machines.map(machine => ({ machine, active: 0, expected: 0, queue: [], first: 0, failing: 0 }))
+    this.deadlines = new Deadlines({ clock: this.clock, giveUp: work => { this.giveUp(work) } })
   }
 
   override submit (work: Work): void {
     const target = this.pick(this.targets, work, this.random)
     target.active++
     target.expected += this.declaredTime(work)
+    this.sentTo.set(work, target)
+    this.deadlines.add(work)
     this.clock.schedule(HOP, () => {
       if (work.state !== 'waiting') return
       target.queue.push(work)
       this.startNext(target)
-      this.clock.schedule(work.arrival + work.patience - this.clock.now(), () => { this.giveUp(target, work) })
     })
   }
 
   override withdraw (work: Work): void {
-    for (const target of this.targets) this.drop(target, work)
+    this.settle(work)
     this.recorder.withdraw(work, this.clock.now())
   }
 
-  private giveUp (target: Target, work: Work): void {
-    if (work.state !== 'waiting') return
-    this.drop(target, work)
+  private giveUp (work: Work): void {
+    this.settle(work)
     this.recorder.refuse(work, this.clock.now())
   }
 
-  private drop (target: Target, work: Work): void {
-    const index = target.queue.indexOf(work)
-    if (index < 0) return
-    target.queue.splice(index, 1)
-    this.settle(target, work)
-  }
-
   private startNext (target: Target): void {
-    while (target.machine.busy < target.machine.slots) {
-      const work = target.queue.shift()
-      if (work === undefined) return
-      this.cell.run(work, target.machine, succeeded => {
+    const { queue, machine } = target
+    while (machine.busy < machine.slots && target.first < queue.length) {
+      const work = queue[target.first++]!
+      if (work.state !== 'waiting') continue
+      this.cell.run(work, machine, succeeded => {
         target.failing += ((succeeded ? 0 : 1) - target.failing) * NEWEST
-        this.settle(target, work)
+        this.settle(work)
         this.startNext(target)
       })
     }
   }
 
-  private settle (target: Target, work: Work): void {
+  private settle (work: Work): void {
+    const target = this.sentTo.get(work)
+    if (target === undefined) return
+    this.sentTo.delete(work)
     target.active--
     target.expected -= this.declaredTime(work)
   }
--- a/packages/bench/src/runtime/PolicyScheduler.ts
+++ b/packages/bench/src/runtime/PolicyScheduler.ts
@@ -28,6 +28,8 @@
   /** See `chooseOwner`. */
   turnover?: number
   admission?: Partial<AdmissionOptions>
+  /** Whether a front prefers its own node. */
+  local?: boolean
   /** Classes whose work runs as tasks. */
   tasks?: ReadonlySet<string>
 }
@@ -62,7 +64,8 @@
   private readonly random: Random
   private readonly tasks: ReadonlySet<string>
   private readonly queue: TaskQueue = { waiting: [] }
-  private readonly turnover: { turnover?: number }
+  private readonly routing: { turnover?: number }
+  private readonly local: boolean
   private count = 0
 
   /** @param options - rules, seed, and settings to try */
@@ -71,7 +74,8 @@
     this.classes = new Map(options.classes.map(rule => [rule.name, rule]))
     this.random = new SeededRandom(options.seed + 1)
     this.tasks = options.tasks ?? new Set()
-    this.turnover = options.turnover === undefined ? {} : { turnover: options.turnover }
+    this.local = options.local ?? true
+    this.routing = options.turnover === undefined ? {} : { turnover: options.turnover }
     for (let index = 0; index < NODES; index++) this.nodes.push(this.createNode(index, options))
     this.cell.machines.forEach((machine, index) => { this.assign(machine, this.nodes[index % NODES]!) })
     const heartbeat = options.heartbeat ?? 500
@@ -104,8 +108,8 @@
     const settings = { name, classes: options.classes, now: 0, random, ...options.admission }
     const admission = new Admission(settings)
     const machines: Machine[] = []
-    const { clock, cell, recorder, queue, classes } = this
-    const feeder = this.tasks.size === 0 ? null : new TaskFeeder({ clock, cell, recorder, admission, machines, queue, classes })
+    const { clock, cell, recorder, queue, classes, tasks } = this
+    const feeder = this.tasks.size === 0 ? null : new TaskFeeder({ clock, cell, recorder, admission, machines, queue, classes, tasks })
     return { name, admission, views: new Map(), machines, feeder, outstanding: new Map() }
   }
 
@@ -135,7 +139,7 @@
       if (incarnation !== node.name) peers.push({ incarnation, load, age: now - madeAt })
     }
     this.carryOut(node, node.admission.tick(now, peers))
-    node.feeder?.tick(id => { this.carryOut(node, node.admission.releaseHold(id, this.clock.now(), true)) })
+    node.feeder?.tick((id, ending) => { this.carryOut(node, node.admission.releaseHold(id, this.clock.now(), ending)) })
   }
 
   private deliver (from: Node, to: Node, act: () => void): void {
@@ -174,7 +178,7 @@
     }
     const priority = this.classes.get(work.class)!.priority
     const { outstanding } = front
-    const choice = chooseOwner({ owners, priority, outstanding, random: this.random, ...this.turnover })
+    const choice = chooseOwner({ owners, priority, outstanding, random: this.random, ...this.routing, ...(this.local ? { self: front.name } : {}) })
     return this.nodes.find(node => node.name === choice?.owner) ?? front
   }
 
--- a/packages/bench/src/runtime/TaskFeeder.ts
+++ b/packages/bench/src/runtime/TaskFeeder.ts
@@ -14,6 +14,9 @@
   waiting: Work[]
 }
 
+/** Called once room was freed. */
+export type Freed = (id: string, ending: 'completed' | 'failed' | 'stopped') => void
+
 interface Running {
   work: Work
   id: string
@@ -31,6 +34,8 @@
   machines: Machine[]
   queue: TaskQueue
   classes: Map<string, ResolvedClass>
+  /** Classes whose work runs as tasks. */
+  tasks: ReadonlySet<string>
 }
 
 /** Places waiting tasks on the workers of one owner, and stops them when higher work needs the room. */
@@ -50,12 +55,19 @@
    *
    * @param freed - called once room was freed
    */
-  tick (freed: (id: string) => void): void {
+  tick (freed: Freed): void {
+    this.noteWaiting()
     this.preempt(freed)
     this.fill(freed)
   }
 
-  private preempt (freed: (id: string) => void): void {
+  private noteWaiting (): void {
+    const counts = new Map<string, number>()
+    for (const work of this.options.queue.waiting) counts.set(work.class, (counts.get(work.class) ?? 0) + 1)
+    for (const name of this.options.tasks) this.options.admission.noteWaitingTasks(name, counts.get(name) ?? 0)
+  }
+
+  private preempt (freed: Freed): void {
     const pressure = this.options.admission.pressure()
     if (pressure === null || pressure.preempts !== 'stop') return
     const lower = [...this.running].filter(({ work }) => this.options.classes.get(work.class)!.priority < pressure.priority)
@@ -63,7 +75,7 @@
     for (const task of lower.slice(0, Math.max(0, pressure.slots - this.stopping))) this.stop(task, freed)
   }
 
-  private stop (task: Running, freed: (id: string) => void): void {
+  private stop (task: Running, freed: Freed): void {
     this.running.delete(task)
     this.stopping++
     this.options.clock.schedule(STOP_TIME, () => {
@@ -71,11 +83,11 @@
       if (task.work.state !== 'running') return
       task.stop()
       this.options.queue.waiting.unshift(task.work)
-      freed(task.id)
+      freed(task.id, 'stopped')
     })
   }
 
-  private fill (freed: (id: string) => void): void {
+  private fill (freed: Freed): void {
     const { queue, machines, admission } = this.options
     for (const machine of machines) {
       while (queue.waiting.length > 0 && admission.free(machine.id).slots > 0) {
@@ -84,7 +96,7 @@
     }
   }
 
-  private place (machine: Machine, freed: (id: string) => void): boolean {
+  private place (machine: Machine, freed: Freed): boolean {
     const { queue, admission, clock, recorder, cell } = this.options
     const work = queue.waiting[0]!
     const id = `t${this.count++}`
@@ -95,7 +107,7 @@
     clock.schedule(HOP, () => {
       recorder.hold(-1, clock.now())
       if (work.state !== 'waiting') {
-        freed(id)
+        freed(id, 'stopped')
         return
       }
       this.start({ work, id, machine, cell }, freed)
@@ -103,11 +115,16 @@
     return true
   }
 
-  private start (task: { work: Work, id: string, machine: Machine, cell: Cell }, freed: (id: string) => void): void {
+  private start (task: { work: Work, id: string, machine: Machine, cell: Cell }, freed: Freed): void {
     const { work, id, machine, cell } = task
-    const { stop } = cell.run(work, machine, () => {
+    const { clock, recorder, queue } = this.options
+    const { stop } = cell.run(work, machine, succeeded => {
       this.running.delete(running)
-      this.options.clock.schedule(HOP, () => { freed(id) })
+      if (!succeeded) {
+        recorder.retry(work, clock.now())
+        queue.waiting.push(work)
+      }
+      clock.schedule(HOP, () => { freed(id, succeeded ? 'completed' : 'failed') })
     })
     const running: Running = { work, id, machine, startedAt: this.options.clock.now(), stop }
     this.running.add(running)
--- a/packages/bench/src/runtime/scenarios/compareLoads.ts
+++ b/packages/bench/src/runtime/scenarios/compareLoads.ts
@@ -9,7 +9,7 @@
 import { figureOf, over, runColumns, runRow } from '../summary.js'
 
 /** Offered work as a part of capacity. */
-export const LOADS = [0.6, 0.9, 1.1, 2]
+export const LOADS = [0.6, 0.9, 1, 1.1, 2]
 
 /** Demand at the crest relative to its mean. */
 export const CREST = 2.5
@@ -46,7 +46,7 @@
         title: `${name} desk, ${Math.round(100 * load)} % of capacity`,
         note: 'Waits in ms; median over seeds, with the range.',
         columns: ['scheduler', ...runColumns(desk)],
-        rows: SCHEDULERS.map(scheduler => [scheduler, ...runRow(runs.get(`${load} ${scheduler}`)!, desk, effort.duration)])
+        rows: SCHEDULERS.map(scheduler => [scheduler, ...runRow(runs.get(`${load} ${scheduler}`)!, { desk, load, duration: effort.duration })])
       })
     }
     findings.plots.push(...plotDesk(desk, runs))
--- a/packages/bench/src/runtime/scenarios/sweepConstants.ts
+++ b/packages/bench/src/runtime/scenarios/sweepConstants.ts
@@ -10,11 +10,12 @@
 
 const SWEEPS: Array<{ name: string, values: number[], settings: (value: number) => Settings }> = [
   { name: 'longLeast', values: [0.1, 0.25, 0.4, 0.6], settings: longLeast => ({ admission: { longLeast } }) },
-  { name: 'recent', values: [25, 100, 400, 1000], settings: recent => ({ admission: { recent } }) },
+  { name: 'recent', values: [25, 50, 100, 400, 1000], settings: recent => ({ admission: { recent } }) },
   { name: 'lend', values: [0, 0.5, 1], settings: lend => ({ admission: { lend } }) },
   { name: 'longRatio', values: [3, 10, 30], settings: longRatio => ({ admission: { longRatio } }) },
   { name: 'redirectAfter', values: [5, 20, 100, Infinity], settings: redirectAfter => ({ admission: { redirectAfter } }) },
   { name: 'turnover', values: [0.03, 0.1, 0.3, 1, 3], settings: turnover => ({ turnover }) },
+  { name: 'local', values: [0, 1], settings: local => ({ local: local === 1 }) },
   { name: 'heartbeat', values: [100, 250, 500, 1000], settings: heartbeat => ({ heartbeat }) }
 ]
 
@@ -35,7 +36,7 @@
     effort.progress(`sweep ${name} ${load} ${sweep.name} ${value}`)
     const plan = { desk, load, duration: effort.duration, crest: CREST, failing: 0, waves: 0 }
     const recorders = effort.seeds.map(seed => simulate({ ...plan, seed }, 'rattanstep', sweep.settings(value)))
-    return [`${sweep.name} ${value}`, ...runRow(recorders, desk, effort.duration)]
+    return [`${sweep.name} ${value}`, ...runRow(recorders, { desk, load, duration: effort.duration })]
   }))
   return { title: `${name} desk, ${Math.round(100 * load)} % of capacity: constants`, note: 'Waits in ms.', columns: ['setting', ...runColumns(desk)], rows }
 }
--- a/packages/bench/src/runtime/scenarios/trouble.ts
+++ b/packages/bench/src/runtime/scenarios/trouble.ts
@@ -39,7 +39,7 @@
     const rows = SCHEDULERS.map(scheduler => {
       effort.progress(`waves ${name} ${scheduler}`)
       const recorders = effort.seeds.map(seed => simulate({ ...plan(desk, seed, effort), waves: WAVES }, scheduler))
-      return [scheduler, ...runRow(recorders, desk, effort.duration)]
+      return [scheduler, ...runRow(recorders, { desk, load: LOAD, duration: effort.duration })]
     })
     return { title: `${name} desk, waves of cancellations, 90 % of capacity`, note: '', columns: ['scheduler', ...runColumns(desk)], rows }
   })
--- a/packages/bench/src/runtime/simulate.ts
+++ b/packages/bench/src/runtime/simulate.ts
@@ -29,6 +29,7 @@
 export interface Settings {
   heartbeat?: number
   turnover?: number
+  local?: boolean
   admission?: Partial<AdmissionOptions>
 }
 
@@ -84,7 +85,8 @@
     const declared = new Map(classes.map(rule => [rule.name, rule.expected]))
     return new DirectScheduler({ ...options, declared, pick: createPick(), random: new SeededRandom(plan.seed + 2) })
   }
-  const admission = name === 'first-version' ? FIRST_VERSION : settings.admission ?? {}
-  const tasks = new Set(plan.desk.classes.filter(kind => kind.task && name === 'rattanstep').map(kind => kind.rule.name))
+  if (name === 'first-version') return new PolicyScheduler({ ...options, classes, seed: plan.seed, local: false, admission: FIRST_VERSION })
+  const admission = settings.admission ?? {}
+  const tasks = new Set(plan.desk.classes.filter(kind => kind.task).map(kind => kind.rule.name))
   return new PolicyScheduler({ ...options, classes, seed: plan.seed, ...settings, admission, tasks })
 }
--- a/packages/bench/src/runtime/summary.ts
+++ b/packages/bench/src/runtime/summary.ts
@@ -46,6 +46,22 @@
   return spread(recorders.map(measure))
 }
 
+/**
+ * Tells how far a class falls short of its share: the capacity that it would get in proportion to what it offers, or all
+ * that it offers where that is less, over what it got while work arrived.
+ *
+ * @param recorder - one run
+ * @param plan - its desk, load and duration
+ * @param kind - a class
+ * @returns the ratio; 1 when the class got its share
+ */
+export function shortOfShare (recorder: Recorder, plan: { desk: Desk, load: number, duration: number }, kind: WorkClass): number {
+  const { desk, load, duration } = plan
+  const total = desk.classes.reduce((sum, other) => sum + other.count * other.mean, 0)
+  const share = kind.count * kind.mean / total * Math.min(1, load)
+  return share * desk.workers * desk.slots * duration / Math.max(1, recorder.of(kind.rule.name).work)
+}
+
 /** Columns of each class in a table of loads. */
 export const CLASS_COLUMNS: Array<{ figure: Figure, title: string, digits: number }> = [
   { figure: 'p50', title: 'p50', digits: 0 },
@@ -61,21 +77,23 @@
  */
 export function runColumns (desk: Desk): string[] {
   const classes = desk.classes.flatMap(kind => CLASS_COLUMNS.map(({ title }) => `${kind.rule.name} ${title}`))
-  const long = desk.classes.filter(kind => kind.role === 'long').map(kind => `${kind.rule.name} slowdown p99`)
+  const long = desk.classes.filter(kind => kind.role === 'long').flatMap(kind => [`${kind.rule.name} slowdown p99`, `${kind.rule.name} short of share`])
   return [...classes, ...long, 'goodput %', 'busy %', 'held %', 'messages a request']
 }
 
 /**
  * @param recorders - one run for each seed
- * @param desk - their desk
- * @param duration - ms during which work arrived
+ * @param plan - their desk, load and ms during which work arrived
  * @returns the cells of one row
  */
-export function runRow (recorders: Recorder[], desk: Desk, duration: number): string[] {
+export function runRow (recorders: Recorder[], plan: { desk: Desk, load: number, duration: number }): string[] {
+  const { desk, duration } = plan
   const cells = desk.classes.flatMap(kind => CLASS_COLUMNS.map(({ figure, digits }) =>
     formatSpread(over(recorders, recorder => figureOf(recorder, kind, figure)), digits)))
-  const long = desk.classes.filter(kind => kind.role === 'long').map(kind =>
-    formatSpread(over(recorders, recorder => figureOf(recorder, kind, 'slowdown')), 1))
+  const long = desk.classes.filter(kind => kind.role === 'long').flatMap(kind => [
+    formatSpread(over(recorders, recorder => figureOf(recorder, kind, 'slowdown')), 1),
+    formatSpread(over(recorders, recorder => shortOfShare(recorder, plan, kind)), 2)
+  ])
   const arrived = (recorder: Recorder): number => desk.classes.reduce((sum, kind) => sum + recorder.of(kind.rule.name).arrived, 0)
   return [
     ...cells,
--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -1,5 +1,5 @@
 import { NO_RESOURCES } from '@rattanstep/core'
-import type { Ask, Incarnation, Load, Permit, Random, Release, Resources } from '@rattanstep/core'
+import type { Ask, Ending, Incarnation, Load, Permit, Random, Release, Resources } from '@rattanstep/core'
 import type { ResolvedClass, ResolvedTeam } from '@rattanstep/rules'
 import type { Decision, PeerLoad, WorkerRoom, WorkerUsage } from '../types/decision.js'
 import type { AdmissionStatus } from '../types/status.js'
@@ -60,7 +60,7 @@
     const { runTimes, quarantine } = this
     const { name, random } = options
     const workers = new WorkerBooks({ longPart: options.longPartOfWorker ?? 1 })
-    const classes = new ClassBooks({ runTimes, longLeast: options.longLeast ?? 0.25, lend: options.lend ?? 1, recent: options.recent ?? 100, longRatio: options.longRatio ?? 10 })
+    const classes = new ClassBooks({ runTimes, longLeast: options.longLeast ?? 0.25, lend: options.lend ?? 1, recent: options.recent ?? 50, longRatio: options.longRatio ?? 10 })
     const ledger = new Ledger({ workers, classes })
     const projection = new Projection({ workers, classes })
     const longRuns = new LongRuns({ ledger, runTimes })
@@ -322,16 +322,27 @@
   /**
    * @param id - a hold that is no longer needed
    * @param now - ms
-   * @param ended - whether its task ran to its end, so that its run time is learned from
+   * @param ending - how the task ended; only `completed` and `failed` tell of its run time and of the worker
    * @returns what starts in the room
    */
-  releaseHold (id: string, now: number, ended = false): Decision[] {
+  releaseHold (id: string, now: number, ending: Ending | 'stopped' = 'stopped'): Decision[] {
     const hold = this.ledger.releaseHold(id, now)
     if (hold === undefined) return []
-    if (ended) this.observeTime(hold.class, hold.worker, now - hold.heldAt)
+    if (ending === 'completed') this.observeTime(hold.class, hold.worker, now - hold.heldAt)
+    if (ending === 'completed' || ending === 'failed') this.judge(hold.worker, ending === 'completed', now)
     return this.dispatcher.dispatch(now)
   }
 
+  /**
+   * Notes how many tasks of jobs wait for room anywhere, so that short work leaves long work its least part.
+   *
+   * @param className - class of the tasks
+   * @param count - tasks that wait
+   */
+  noteWaitingTasks (className: string, count: number): void {
+    this.classes.get(className).waitingTasks = count
+  }
+
   /**
    * Tells what room waiting work lacks that may preempt tasks of lower priority.
    *
@@ -373,7 +384,11 @@
     }
     const untried = release.ending === 'unsent' && release.serviceTime === 0
     if (untried || release.ending === 'cancelled') return
-    if (this.quarantine.observe(entry.worker, release.ending === 'completed', now)) this.followTrust(entry.worker)
+    this.judge(entry.worker, release.ending === 'completed', now)
+  }
+
+  private judge (worker: string, succeeded: boolean, now: number): void {
+    if (this.quarantine.observe(worker, succeeded, now)) this.followTrust(worker)
   }
 
   private observeTime (className: string, worker: string, time: number): void {
--- a/packages/policy/src/runtime/ClassBook.ts
+++ b/packages/policy/src/runtime/ClassBook.ts
@@ -13,6 +13,8 @@
   inUse = 0
   /** Slots in use that count as long work. */
   long = 0
+  /** Tasks of jobs that wait for room. */
+  waitingTasks = 0
   /** Work done so far, divided by the weight. */
   virtualTime = 0
   /** Grants a millisecond. */
--- a/packages/policy/src/runtime/ClassBooks.ts
+++ b/packages/policy/src/runtime/ClassBooks.ts
@@ -156,7 +156,8 @@
     if (this.isOverQuota(ask.team, need, room.slots)) return 'team'
     if (this.isLong(book) && this.long + need > this.longMost(room.slots, preemptible)) return 'long'
     if (book.inUse + need <= this.reserve(book, room.slots)) return null
-    if (room.free - need < Math.floor(this.keptForOthers(book, room.slots) * this.keptPart(book))) return 'reserve'
+    const lentReserves = Math.floor(this.keptForOthers(book, room.slots) * this.keptPart(book))
+    if (room.free - need < lentReserves + this.keptForLong(book, room.slots)) return 'reserve'
     return null
   }
 
@@ -264,6 +265,18 @@
     return this.meanTime(book) > LENT_RATIO * this.shortTime() ? 1 : 1 - this.lend
   }
 
+  /** While long work waits, its least part is kept from short work, which would take each slot before it. */
+  private keptForLong (book: ClassBook, slots: number): number {
+    const missing = this.longFloor(slots) - this.long
+    if (missing <= 0 || this.isLong(book)) return 0
+    let wanted = 0
+    for (const other of this.books.values()) {
+      const count = other.queue.size + other.waitingTasks
+      if (count > 0 && this.isLong(other)) wanted += count
+    }
+    return Math.min(wanted, missing)
+  }
+
   private leastExpected (): number {
     let least = Infinity
     for (const book of this.books.values()) least = Math.min(least, book.rule.expected)
--- a/packages/policy/src/runtime/chooseOwner.ts
+++ b/packages/policy/src/runtime/chooseOwner.ts
@@ -16,6 +16,8 @@
   priority: number
   /** Data centre of the front. */
   dataCentre?: string
+  /** The front's own node, whose load among `owners` is of now. It is preferred while it has free slots. */
+  self?: Incarnation
   /** Asks sent to each owner that it has not answered yet. */
   outstanding?: Map<Incarnation, number>
   random: Random
@@ -35,6 +37,9 @@
 /** Service time in ms assumed of an owner that has learned none. */
 const UNKNOWN_SERVICE = 10
 
+/** Part of its own slots that must be free for a node to prefer itself; the rest is left to other fronts. */
+const KEPT_FREE = 0.04
+
 /** Part of its slots that every owner keeps as weight, since a slot that is busy in an old load may be free by now. */
 const TURNOVER = 0.3
 
@@ -49,6 +54,8 @@
 export function chooseOwner (options: OwnerOptions): OwnerChoice | null {
   const owners = options.owners.filter(owner => owner.load.slots > 0 && options.exclude?.has(owner.incarnation) !== true)
   if (owners.length === 0) return null
+  const own = owners.find(owner => owner.incarnation === options.self)
+  if (own !== undefined && hasRoom(own, options)) return { owner: own.incarnation, reason: 'own', candidates: owners.length }
   const turnover = options.turnover ?? TURNOVER
   const weights = owners.map(owner => Math.max(0, owner.load.free) + turnover * owner.load.slots)
   const total = weights.reduce((sum, weight) => sum + weight, 0)
@@ -58,6 +65,11 @@
   return { owner: owner.incarnation, reason: owner === first ? 'drawn' : 'shorter-wait', candidates: owners.length }
 }
 
+function hasRoom (own: OwnerView, options: OwnerOptions): boolean {
+  const unanswered = options.outstanding?.get(own.incarnation) ?? 0
+  return own.load.waiting.length === 0 && own.load.free - unanswered > KEPT_FREE * own.load.slots
+}
+
 function expectedWait (owner: OwnerView, options: OwnerOptions): number {
   const unanswered = options.outstanding?.get(owner.incarnation) ?? 0
   const service = owner.load.service > 0 ? owner.load.service : UNKNOWN_SERVICE
--- a/packages/policy/test/runtime/limits.test.ts
+++ b/packages/policy/test/runtime/limits.test.ts
@@ -131,3 +131,11 @@
   const refused = node.tick(100, [peer]).map(decision => [decision.ask.id, decision.kind === 'refuse' && decision.redirect])
   expect(refused).toEqual([['here', 'n2']])
 })
+
+test('short work leaves long work its least part while long work waits', () => {
+  const node = admission([rule('quick'), rule('render', { kind: 'batch', priority: 10, expected: 5000 })], { longLeast: 0.25 })
+  node.addWorker(worker('w1'), 0)
+  node.noteWaitingTasks('render', 5)
+  const decisions = [0, 1, 2, 3, 4, 5, 6, 7].flatMap(index => node.ask(ask(`q${index}`), 'f1', 0))
+  expect(decisions.filter(decision => decision.kind === 'grant').length).toEqual(6)
+})
