status names classes that wait and workers in quarantine, with the rule and who asked

Cause: in a trial with 80 requests of 2.5 s on 24 slots, status showed nothing wrong while 21 waited and a worker was in quarantine. Change: both are found from the node's books and listed with the rule, its line and who asked for it; the table of classes shows run times and slots in use. The samples' class for other traffic expects 1 s: with 100 ms, a GET that took over 1 s counted as a silent connection.

--- a/packages/cli/src/runtime/renderStatus.ts
+++ b/packages/cli/src/runtime/renderStatus.ts
@@ -2,6 +2,7 @@
 import { objectOf, objectsOf, textOf } from '../utils/json.js'
 import type { JsonObject } from '../utils/json.js'
 import { layOut } from '../utils/table.js'
+import { findConcerns } from './findConcerns.js'
 
 /**
  * Renders a node's status for people: what is wrong first, then how the node stands.
@@ -16,7 +17,7 @@
 }
 
 function renderProblems (status: JsonObject, now: number): string[] {
-  const problems = objectsOf(status.problems)
+  const problems = [...objectsOf(status.problems), ...findConcerns(status).map(concern => objectOf(concern))]
   if (problems.length === 0) return ['nothing is wrong that this node knows of']
   return [`WRONG (${problems.length}, worst first):`, ...problems.flatMap(problem => renderProblem(problem, now))]
 }
@@ -52,6 +53,20 @@
 function renderClasses (status: JsonObject): string[] {
   const classes = objectsOf(status.classes)
   if (classes.length === 0) return []
-  const rows = classes.map(entry => [textOf(entry.name), textOf(entry.priority), textOf(entry.waiting), `line ${textOf(entry.line)}: ${textOf(entry.askedBy)}`])
-  return ['', ...layOut([['CLASS', 'PRIORITY', 'WAITING', 'ASKED FOR BY'], ...rows])]
+  const books = new Map(objectsOf(objectOf(objectOf(status.admission).books).classes).map(entry => [textOf(entry.name), entry]))
+  const rows = classes.map(entry => renderClass(entry, books.get(textOf(entry.name)) ?? {}))
+  return ['', ...layOut([['CLASS', 'PRIORITY', 'WAITING', 'IN USE', 'MEAN', 'P99', 'ASKED FOR BY'], ...rows])]
+}
+
+function renderClass (entry: JsonObject, book: JsonObject): string[] {
+  const time = (value: unknown): string => typeof value === 'number' ? formatDuration(value) : '-'
+  return [
+    textOf(entry.name),
+    textOf(entry.priority),
+    textOf(book.waiting, textOf(entry.waiting)),
+    textOf(book.inUse, '-'),
+    time(book.meanTime),
+    time(book.p99Time),
+    `line ${textOf(entry.line)}: ${textOf(entry.askedBy)}`
+  ]
 }
--- a/packages/rules/src/runtime/defaultRules.ts
+++ b/packages/rules/src/runtime/defaultRules.ts
@@ -1,7 +1,7 @@
 /** Rules of a cell whose operators have not written any yet. */
 export const DEFAULT_RULES = `# Rules in force until operators apply their own.
 classes:
-  - { name: everything, kind: request, priority: 50, patience: 2s, bound: 30s } # default
+  - { name: everything, kind: request, priority: 50, patience: 5s, bound: 60s, expected: 1s } # default
 routes:
   - { path: "/**", class: everything } # default
 `
--- a/packages/rules/src/runtime/schema.ts
+++ b/packages/rules/src/runtime/schema.ts
@@ -33,7 +33,7 @@
   bound: duration({ meaning: 'How long one run may take before it is cut off.', example: '30s', fallback: '30s', least: '1ms', most: '720h' }),
   weight: decimal({ meaning: 'Share of the room among classes of the same priority.', example: '2', fallback: '1', least: '0.1', most: '1000' }),
   ageing: duration({ meaning: 'Waiting time that raises the priority by one point; 0ms turns ageing off.', example: '500ms', fallback: '1s', least: '0ms', most: '24h' }),
-  expected: duration({ meaning: 'Run time assumed until run times have been learned.', example: '40ms', fallback: '100ms', least: '1ms', most: '720h' }),
+  expected: duration({ meaning: 'Run time assumed until run times have been learned; also tells when a silent connection is given up, see below.', example: '40ms', fallback: '100ms', least: '1ms', most: '720h' }),
   retries: part({ meaning: 'Part of the requests of the class that may be repeated after a failure.', example: '10%', fallback: '10%', least: '0%', most: '100%' }),
   preempts: choice(['nothing', 'throttle', 'checkpoint', 'stop'], { meaning: 'What lower work may suffer so that this class starts.', example: 'throttle', fallback: 'nothing' })
 }
