--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -1,80 +1,55 @@
 import { NO_RESOURCES } from '@rattanstep/core'
-import type { Ask, Ending, Incarnation, Load, Permit, Random, Release, Resources } from '@rattanstep/core'
+import type { Ask, Ending, Incarnation, Load, Permit, Release, Resources } from '@rattanstep/core'
 import type { ResolvedClass, ResolvedTeam } from '@rattanstep/rules'
 import type { Decision, PeerLoad, WorkerRoom, WorkerUsage } from '../types/decision.js'
+import type { AdmissionOptions } from '../types/options.js'
 import type { AdmissionStatus } from '../types/status.js'
-import { ALL_CLASSES, ClassBooks } from './ClassBooks.js'
-import { Dispatcher } from './Dispatcher.js'
+import { ALL_CLASSES } from './ClassBooks.js'
+import type { ClassBooks } from './ClassBooks.js'
+import { createParts } from './createParts.js'
+import type { Dispatcher } from './Dispatcher.js'
 import { explainBooks } from './explainBooks.js'
-import { Ledger } from './Ledger.js'
+import type { Ledger } from './Ledger.js'
 import { findPressure } from './findPressure.js'
 import type { Pressure } from './findPressure.js'
-import { LongRuns } from './LongRuns.js'
-import { Peers } from './Peers.js'
+import type { LongRuns } from './LongRuns.js'
+import type { Peers } from './Peers.js'
 import type { PermitEntry } from './PermitBook.js'
-import { PermitKeeper } from './PermitKeeper.js'
-import { Projection } from './Projection.js'
-import { Quarantine } from './Quarantine.js'
-import { RunTimes } from './RunTimes.js'
-import { WorkerBooks } from './WorkerBooks.js'
-
-/** What an `Admission` is made of. */
-export interface AdmissionOptions {
-  /** Unique in the cell and over restarts: the node's incarnation. */
-  name: string
-  classes: ResolvedClass[]
-  teams?: ResolvedTeam[]
-  now: number
-  random: Random
-  /** Part of the owner's slots that long work may use whatever short work needs, from 0 to 1. */
-  longLeast?: number
-  /** Part of reserves that other short work may use, from 0 to 1. */
-  lend?: number
-  /** Milliseconds for which a peak of short work keeps preemptible work out. */
-  recent?: number
-  /** Work of a class is long when its mean exceeds the median of all runs this many times. */
-  longRatio?: number
-  /** Part of each worker's slots that long work may use, from 0 to 1. */
-  longPartOfWorker?: number
-  /** Most asks that wait in one class. */
-  queueMost?: number
-  /** Milliseconds that an ask waits before it is sent on to a peer with room. */
-  redirectAfter?: number
-}
+import type { PermitKeeper } from './PermitKeeper.js'
+import type { Projection } from './Projection.js'
+import type { Quarantine } from './Quarantine.js'
+import type { RoomLimits } from './RoomLimits.js'
+import type { RunTimes } from './RunTimes.js'
+import type { WorkerBooks } from './WorkerBooks.js'
 
 /** Admits work to the workers of one owner: the books of these workers, and the queue before them. */
 export class Admission {
-  readonly runTimes = new RunTimes()
+  readonly runTimes: RunTimes
   private readonly workers: WorkerBooks
   private readonly classes: ClassBooks
+  private readonly limits: RoomLimits
   private readonly ledger: Ledger
   private readonly projection: Projection
   private readonly keeper: PermitKeeper
   private readonly dispatcher: Dispatcher
-  private readonly quarantine = new Quarantine()
+  private readonly quarantine: Quarantine
   private readonly longRuns: LongRuns
   private readonly peers: Peers
 
   /** @param options - rules, sources of time and randomness, and limits */
   constructor (options: AdmissionOptions) {
-    const { runTimes, quarantine } = this
-    const { name, random } = options
-    const workers = new WorkerBooks({ longPart: options.longPartOfWorker ?? 1 })
-    const classes = new ClassBooks({ runTimes, longLeast: options.longLeast ?? 0.25, lend: options.lend ?? 1, recent: options.recent ?? 50, longRatio: options.longRatio ?? 10 })
-    const ledger = new Ledger({ workers, classes })
-    const projection = new Projection({ workers, classes })
-    const longRuns = new LongRuns({ ledger, runTimes })
-    const peers = new Peers({ random })
-    const limits = { queueMost: options.queueMost ?? 10_000, redirectAfter: options.redirectAfter ?? 20 }
-    const books = { workers, classes, ledger, projection, quarantine, longRuns, peers }
-    this.workers = workers
-    this.classes = classes
-    this.ledger = ledger
-    this.projection = projection
-    this.longRuns = longRuns
-    this.peers = peers
-    this.keeper = new PermitKeeper({ workers, classes, ledger })
-    this.dispatcher = new Dispatcher({ name, random, ...limits, ...books })
+    const parts = createParts(options)
+    this.runTimes = parts.runTimes
+    this.workers = parts.workers
+    this.classes = parts.classes
+    this.limits = parts.limits
+    this.ledger = parts.ledger
+    this.projection = parts.projection
+    this.quarantine = parts.quarantine
+    this.longRuns = parts.longRuns
+    this.peers = parts.peers
+    this.keeper = parts.keeper
+    this.dispatcher = parts.dispatcher
     this.classes.configure(options.classes, options.teams ?? [])
   }
 
@@ -270,7 +245,7 @@
   tick (now: number, peers: PeerLoad[] = []): Decision[] {
     this.peers.update(peers, now)
     this.keeper.expire(now)
-    this.classes.notePeak(now)
+    this.limits.notePeak(now)
     this.longRuns.sweep(this.classes.longThreshold(), now)
     for (const worker of this.quarantine.tick(now)) this.followTrust(worker)
     return [...this.dispatcher.dispatch(now), ...this.dispatcher.expire(now)]
@@ -293,7 +268,7 @@
     if (book === undefined || !this.ledger.fits(book, resources)) return false
     const classBook = this.classes.get(className)
     const room = { slots: this.workers.slots, free: this.workers.freeSlots }
-    const limit = this.classes.limit(classBook, { team, resources }, room, classBook.rule.kind === 'batch')
+    const limit = this.limits.limit(classBook, { team, resources }, room, classBook.rule.kind === 'batch')
     if (limit !== null) return false
     this.classes.charge(classBook, resources.slots)
     const long = this.classes.isLong(classBook)
@@ -349,7 +324,7 @@
    * @returns the need of the highest such class, or `null`
    */
   pressure (): Pressure | null {
-    return findPressure(this.classes, this.workers)
+    return findPressure(this.classes, this.limits, this.workers)
   }
 
   /**
@@ -374,8 +349,8 @@
    * @returns how classes and workers stand, for operators
    */
   explain (now: number): AdmissionStatus {
-    const { workers, classes, quarantine, runTimes } = this
-    return explainBooks({ workers, classes, quarantine, runTimes }, now)
+    const { workers, classes, limits, quarantine, runTimes } = this
+    return explainBooks({ workers, classes, limits, quarantine, runTimes }, now)
   }
 
   private learn (entry: PermitEntry, release: Release, now: number): void {
--- a/packages/policy/src/runtime/Dispatcher.ts
+++ b/packages/policy/src/runtime/Dispatcher.ts
@@ -11,6 +11,7 @@
 import type { PermitEntry } from './PermitBook.js'
 import type { Projection } from './Projection.js'
 import type { Quarantine } from './Quarantine.js'
+import type { RoomLimits } from './RoomLimits.js'
 import type { WorkerBook } from './WorkerBook.js'
 import type { Choice, WorkerBooks } from './WorkerBooks.js'
 
@@ -34,6 +35,7 @@
   redirectAfter: number
   workers: WorkerBooks
   classes: ClassBooks
+  limits: RoomLimits
   ledger: Ledger
   projection: Projection
   quarantine: Quarantine
@@ -178,9 +180,9 @@
   }
 
   private choose (book: ClassBook, ask: Ask): Choice | null {
-    const { classes, workers, quarantine } = this.options
+    const { classes, limits, workers, quarantine } = this.options
     const room = { slots: workers.slots, free: workers.freeSlots }
-    if (room.free < ask.resources.slots || classes.limit(book, ask, room) !== null) return null
+    if (room.free < ask.resources.slots || limits.limit(book, ask, room) !== null) return null
     const long = classes.isLong(book) ? ask.resources.slots : 0
     const mayProbe = book.rule.retries > 0
     const accept = (worker: WorkerBook): boolean => mayProbe || quarantine.trust(worker.room.id) !== 'probing'
--- a/packages/policy/src/runtime/Projection.ts
+++ b/packages/policy/src/runtime/Projection.ts
@@ -1,6 +1,7 @@
 import type { Ask, Load } from '@rattanstep/core'
 import type { ClassBook } from './ClassBook.js'
 import type { ClassBooks } from './ClassBooks.js'
+import type { RoomLimits } from './RoomLimits.js'
 import type { WorkerBooks } from './WorkerBooks.js'
 
 /** Recent grants from which a rate is trusted. */
@@ -13,11 +14,13 @@
 export class Projection {
   private readonly workers: WorkerBooks
   private readonly classes: ClassBooks
+  private readonly limits: RoomLimits
 
   /** @param options - the books */
-  constructor (options: { workers: WorkerBooks, classes: ClassBooks }) {
+  constructor (options: { workers: WorkerBooks, classes: ClassBooks, limits: RoomLimits }) {
     this.workers = options.workers
     this.classes = options.classes
+    this.limits = options.limits
   }
 
   /**
@@ -65,6 +68,6 @@
       if (other === book || other.rule.priority < book.rule.priority) continue
       work += other.queue.size * this.classes.meanTime(other)
     }
-    return work / Math.max(1, this.classes.slotsFor(book, this.workers.slots))
+    return work / Math.max(1, this.limits.slotsFor(book, this.workers.slots))
   }
 }
--- a/packages/policy/src/runtime/explainBooks.ts
+++ b/packages/policy/src/runtime/explainBooks.ts
@@ -2,6 +2,7 @@
 import type { ClassBook } from './ClassBook.js'
 import type { ClassBooks } from './ClassBooks.js'
 import type { Quarantine } from './Quarantine.js'
+import type { RoomLimits } from './RoomLimits.js'
 import type { RunTimes } from './RunTimes.js'
 import type { WorkerBook } from './WorkerBook.js'
 import type { WorkerBooks } from './WorkerBooks.js'
@@ -10,6 +11,7 @@
 export interface Books {
   workers: WorkerBooks
   classes: ClassBooks
+  limits: RoomLimits
   quarantine: Quarantine
   runTimes: RunTimes
 }
@@ -36,7 +38,7 @@
     waiting: queue.size,
     oldest: oldest === null ? 0 : now - oldest.queuedAt,
     inUse: book.inUse,
-    reserve: books.classes.reserve(book, books.workers.slots),
+    reserve: books.limits.reserve(book, books.workers.slots),
     meanTime: books.classes.meanTime(book),
     p99Time: books.runTimes.quantile(rule.name, 0.99, rule.expected),
     long: books.classes.isLong(book)
--- a/packages/policy/src/runtime/findPressure.ts
+++ b/packages/policy/src/runtime/findPressure.ts
@@ -1,6 +1,7 @@
 import type { ResolvedClass } from '@rattanstep/rules'
 import type { ClassBook } from './ClassBook.js'
 import type { ClassBooks } from './ClassBooks.js'
+import type { RoomLimits } from './RoomLimits.js'
 import type { WorkerBooks } from './WorkerBooks.js'
 
 /** Room that waiting work lacks and that tasks of lower priority may be preempted for. */
@@ -21,10 +22,11 @@
  * of a short service time, and never so many that long work is left with less than its least part.
  *
  * @param classes - books of all classes
+ * @param limits - limits of their room
  * @param workers - books of all workers
  * @returns the pressure, or `null` when nothing is to be preempted
  */
-export function findPressure (classes: ClassBooks, workers: WorkerBooks): Pressure | null {
+export function findPressure (classes: ClassBooks, limits: RoomLimits, workers: WorkerBooks): Pressure | null {
   let waiting = 0
   let highest: ClassBook | null = null
   for (const book of classes.all()) {
@@ -34,7 +36,7 @@
   }
   if (highest === null) return null
   const absorbed = Math.floor((workers.slots - classes.long) * ABSORBED)
-  const spare = classes.long - classes.longFloor(workers.slots)
+  const spare = classes.long - limits.longFloor(workers.slots)
   const slots = Math.min(waiting - absorbed, spare)
   if (slots <= 0) return null
   return { priority: highest.rule.priority, preempts: highest.rule.preempts, slots }
--- a/packages/policy/test/runtime/recovery.test.ts
+++ b/packages/policy/test/runtime/recovery.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { SeededRandom } from '@rattanstep/core'
+import { admission, rule, worker } from './fixtures.js'
 import { Backoff, Quarantine, RetryBudget, RunTimes, SizeEstimates } from '../../src/index.js'
 
 function watched (): Quarantine {
@@ -47,6 +48,16 @@
   })
 }
 
+test('tasks that fail count against their worker', () => {
+  const node = admission([rule('render', { kind: 'batch' })])
+  for (const id of ['w1', 'w2', 'w3']) node.addWorker(worker(id), 0)
+  for (let index = 0; index < 5; index++) {
+    node.hold('w1', { slots: 1, cores: 1, memory: 1, accelerators: 0 }, 'render', '', `t${index}`, index)
+    node.releaseHold(`t${index}`, index, 'failed')
+  }
+  expect(node.explain(10).workers.map(({ state }) => state)).toEqual(['quarantined', 'usable', 'usable'])
+})
+
 test('retries stay within their part of first attempts', () => {
   const budget = new RetryBudget()
   let retries = 0
