--- a/packages/front/src/node/Front.ts
+++ b/packages/front/src/node/Front.ts
@@ -48,6 +48,9 @@
 /** Time between looks at the requests in flight while draining, in ms. */
 const DRAIN_PERIOD_MS = 20
 
+/** Longest wait of a planned stop for the homes of keys to confirm how requests ended, in ms. */
+const SETTLE_WAIT_MS = 2000
+
 /** Callers' HTTP of one node. */
 export class Front {
   private readonly server: CallerServer
@@ -103,6 +106,8 @@
     log.write(FRONT_EVENTS.draining, { inFlight: this.inFlight, timeout })
     const end = clock.now() + timeout
     while (this.inFlight > 0 && clock.now() < end) await clock.sleep(DRAIN_PERIOD_MS)
+    const settled = Math.min(end, clock.now() + SETTLE_WAIT_MS)
+    while (!this.options.keys.isSettled && clock.now() < settled) await clock.sleep(DRAIN_PERIOD_MS)
     log.write(FRONT_EVENTS.drained, { cut: this.inFlight })
     await this.close()
   }
--- a/packages/front/src/runtime/HomeKeys.ts
+++ b/packages/front/src/runtime/HomeKeys.ts
@@ -89,8 +89,7 @@
     return this.settles.delete(message.id)
   }
 
-  /** Whether every home has confirmed how requests with keys ended; a planned stop waits for it. */
-  get isSettled (): boolean {
+  override get isSettled (): boolean {
     return this.settles.size === 0
   }
 
--- a/packages/front/src/runtime/Keys.ts
+++ b/packages/front/src/runtime/Keys.ts
@@ -23,6 +23,11 @@
 
 /** Memory of the requests that callers may repeat. */
 export abstract class Keys {
+  /** Whether nothing that was settled waits to be confirmed; a planned stop waits for it. */
+  get isSettled (): boolean {
+    return true
+  }
+
   /**
    * Asks whether a request with a key may run.
    *
--- a/packages/front/src/runtime/OwnerPermits.ts
+++ b/packages/front/src/runtime/OwnerPermits.ts
@@ -4,8 +4,6 @@
 import type { OwnerChoice } from '@rattanstep/policy'
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import { FRONT_EVENTS } from '../types/events.js'
-import { Outstanding } from './Outstanding.js'
-import type { OutstandingAsk } from './Outstanding.js'
 import { PermitList } from './PermitList.js'
 import { PermitOutbox } from './PermitOutbox.js'
 import { Permits } from './Permits.js'
@@ -58,7 +56,6 @@
   reason: string
   /** Monotonic ms of the first sending to this owner. */
   sentAt: number
-  outstanding: OutstandingAsk
   exclude: Set<Incarnation>
   moves: number
   resend: Timer
@@ -68,7 +65,8 @@
 /** Asks the owners of workers for room, over messages that may be lost, late, repeated or out of order. */
 export class OwnerPermits extends Permits {
   private readonly pending = new Map<string, Pending>()
-  private readonly outstanding = new Outstanding()
+  /** Asks that each owner has not answered yet. */
+  private readonly unanswered = new Map<Incarnation, number>()
   private readonly outbox: PermitOutbox
   private readonly list: PermitList
   /** For each worker, the version at which its permits were told to a new owner; older grants came too late to be counted. */
@@ -115,7 +113,6 @@
   override release (grant: Grant, ending: Ending, serviceTime: number): void {
     const held = this.list.remove(grant.permit)
     if (held === undefined) return
-    this.outstanding.settle(held.outstanding)
     this.outbox.release(this.list.ownerOf(held), { permit: grant.permit, worker: grant.worker, ending, serviceTime })
   }
 
@@ -167,13 +164,12 @@
   }
 
   private choose (ask: Ask, exclude: ReadonlySet<Incarnation>): OwnerChoice | null {
-    const { random, priorityOf, clock, dataCentre } = this.options
-    const owners = this.options.owners()
-    const made = new Map(owners.map(owner => [owner.incarnation, clock.now() - owner.age]))
+    const { self, random, priorityOf, dataCentre } = this.options
     return chooseOwner({
-      owners,
+      owners: this.options.owners(),
+      self,
       priority: priorityOf(ask.class),
-      outstanding: this.outstanding.count(made),
+      outstanding: this.unanswered,
       random,
       exclude,
       ...(dataCentre === undefined ? {} : { dataCentre })
@@ -188,10 +184,10 @@
       owner,
       reason,
       sentAt: now,
-      outstanding: this.outstanding.add(owner, now),
       resend: clock.repeat(RESEND_MS, () => { this.sendAgain(pending) })
     }
     this.pending.set(base.ask.id, pending)
+    this.unanswered.set(owner, (this.unanswered.get(owner) ?? 0) + 1)
     this.outbox.ask(owner, this.current(pending))
   }
 
@@ -218,9 +214,9 @@
       return
     }
     this.drop(pending)
-    const { ask, sentAt, owner, outstanding, reason } = pending
+    const { ask, sentAt, owner, reason } = pending
     const grantedAt = sentAt + grant.waited
-    this.list.add({ grant, ask, owner, grantedAt, outstanding })
+    this.list.add({ grant, ask, owner, grantedAt })
     const candidates = this.options.owners().map(known => `${known.incarnation} ${known.load.free}/${known.load.slots}`)
     pending.settle(Ok({ ...grant, owner, reason, candidates, validUntil: grantedAt + PERMIT_VALIDITY_MS }))
   }
@@ -242,7 +238,6 @@
 
   private move (pending: Pending, refused: Refusal): void {
     this.drop(pending)
-    this.outstanding.settle(pending.outstanding)
     pending.exclude.add(pending.owner)
     const choice = nextStep(refused, pending, () => this.choose(pending.ask, pending.exclude))
     if (choice === null) {
@@ -258,7 +253,6 @@
     const pending = this.pending.get(ask.id)
     if (pending === undefined) return
     this.drop(pending)
-    this.outstanding.settle(pending.outstanding)
     this.outbox.cancel(pending.owner, ask.id)
     pending.settle(Err(refusal(ask, reason)))
   }
@@ -266,6 +260,9 @@
   private drop (pending: Pending): void {
     pending.resend.cancel()
     this.pending.delete(pending.ask.id)
+    const left = (this.unanswered.get(pending.owner) ?? 1) - 1
+    if (left > 0) this.unanswered.set(pending.owner, left)
+    else this.unanswered.delete(pending.owner)
   }
 
   private tell (owner: Incarnation, version: number, workers: string[]): void {
--- a/packages/front/src/runtime/PermitList.ts
+++ b/packages/front/src/runtime/PermitList.ts
@@ -1,6 +1,5 @@
 import { workerResource } from '@rattanstep/core'
 import type { Ask, Assignment, Clock, Grant, Incarnation, Permit } from '@rattanstep/core'
-import type { OutstandingAsk } from './Outstanding.js'
 
 /** A permit in use. */
 export interface HeldPermit {
@@ -9,7 +8,6 @@
   owner: Incarnation
   /** Monotonic ms before which the permit cannot have been granted. */
   grantedAt: number
-  outstanding: OutstandingAsk
 }
 
 /** The permits that this front uses. */
--- a/packages/front/src/runtime/refusals.ts
+++ b/packages/front/src/runtime/refusals.ts
@@ -4,18 +4,19 @@
 /** Most owners that are asked after the first for one request. */
 const MOST_MOVES = 3
 
-/** What each refusal says about the other owners. */
-const ELSEWHERE: Record<RefusalReason, 'any' | 'with-room' | 'none'> = {
-  'not-owner': 'any',
-  draining: 'any',
-  'no-worker': 'any',
-  'never-fits': 'any',
-  cancelled: 'any',
-  patience: 'with-room',
-  'queue-full': 'with-room',
-  'caller-limit': 'none',
-  'no-owner': 'none',
-  quota: 'none'
+/** Whether a refusal leaves hope at an owner that it does not name. */
+const MAY_FIT_ELSEWHERE: Record<RefusalReason, boolean> = {
+  'not-owner': true,
+  draining: true,
+  'no-worker': true,
+  'never-fits': true,
+  cancelled: true,
+  // An owner that knows of room elsewhere names the owner.
+  patience: false,
+  'queue-full': false,
+  'caller-limit': false,
+  'no-owner': false,
+  quota: false
 }
 
 /**
@@ -31,8 +32,5 @@
   if (refused.redirect !== '' && !asked.exclude.has(refused.redirect)) {
     return { owner: refused.redirect, reason: 'redirect', candidates: 1 }
   }
-  const elsewhere = ELSEWHERE[refused.reason]
-  if (elsewhere === 'none') return null
-  const choice = choose()
-  return elsewhere === 'any' || choice?.reason === 'free-slots' ? choice : null
+  return MAY_FIT_ELSEWHERE[refused.reason] ? choose() : null
 }
