--- a/packages/cli/test/runtime/catalogue.test.ts
+++ b/packages/cli/test/runtime/catalogue.test.ts
@@ -25,6 +25,16 @@
     })
   }
 
+  test('has every number that the page of faults names, and the page every code of status', () => {
+    const page = readFileSync(new URL('../../../../../docs/guide/faults.md', import.meta.url), 'utf8')
+    const numbers = [...page.matchAll(/\b([1-7]\d{3})\b/g)].map(match => Number(match[1]))
+    expect(numbers.filter(number => !events.some(event => event.number === number))).toEqual([])
+    const codes = ['../../../../node/src/runtime/findProblems.ts', '../../../src/runtime/findConcerns.ts']
+      .flatMap(file => [...readFileSync(new URL(file, import.meta.url), 'utf8').matchAll(/code: '([a-z-]+)'/g)].map(match => match[1]!))
+    expect(codes.length).toBeGreaterThan(5)
+    expect(codes.filter(code => !page.includes(`\`${code}\``))).toEqual([])
+  })
+
   test('stands in the docs as in the code; npm run docs:logs writes it', () => {
     const page = readFileSync(new URL('../../../../../docs/logs.md', import.meta.url), 'utf8')
     expect(page).toEqual(renderCatalogue(sections))
