--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -2,6 +2,7 @@
 import { parseArgs } from 'node:util'
 import { DESKS } from '../runtime/desks.js'
 import { compareLoads } from '../runtime/scenarios/compareLoads.js'
+import { honestHints } from '../runtime/scenarios/honestHints.js'
 import { packSets } from '../runtime/scenarios/packSets.js'
 import { startGangs } from '../runtime/scenarios/startGangs.js'
 import { sweepConstants } from '../runtime/scenarios/sweepConstants.js'
@@ -16,6 +17,7 @@
   failing: failingWorkers,
   waves: cancellationWaves,
   blocking: headOfLine,
+  hints: honestHints,
   sweep: sweepConstants,
   gangs: startGangs,
   packing: packSets,
--- a/packages/bench/src/runtime/PolicyScheduler.ts
+++ b/packages/bench/src/runtime/PolicyScheduler.ts
@@ -19,6 +19,12 @@
 /** Owners that one item is sent on to at most. */
 const MOST_HOPS = 3
 
+/** Milliseconds after which callers come back who do not look at the hint. */
+const SOON = 100
+
+/** When callers come back after a refusal. */
+export type ComeBack = 'never' | 'hint' | 'soon'
+
 /** What the decision code is tried with. */
 export interface PolicyOptions extends SchedulerOptions {
   classes: ResolvedClass[]
@@ -28,6 +34,8 @@
   /** See `chooseOwner`. */
   turnover?: number
   admission?: Partial<AdmissionOptions>
+  /** When callers come back after a refusal: not at all, after the hint, or after a fixed short time. */
+  comeBack?: ComeBack
   /** Whether a front prefers its own node. */
   local?: boolean
   /** Classes whose work runs as tasks. */
@@ -66,6 +74,7 @@
   private readonly queue: TaskQueue = { waiting: [] }
   private readonly routing: { turnover?: number }
   private readonly local: boolean
+  private readonly comeBack: ComeBack
   private count = 0
 
   /** @param options - rules, seed, and settings to try */
@@ -75,6 +84,7 @@
     this.random = new SeededRandom(options.seed + 1)
     this.tasks = options.tasks ?? new Set()
     this.local = options.local ?? true
+    this.comeBack = options.comeBack ?? 'never'
     this.routing = options.turnover === undefined ? {} : { turnover: options.turnover }
     for (let index = 0; index < NODES; index++) this.nodes.push(this.createNode(index, options))
     this.cell.machines.forEach((machine, index) => { this.assign(machine, this.nodes[index % NODES]!) })
@@ -252,6 +262,12 @@
       return
     }
     this.recorder.refuse(work, this.clock.now())
+    if (this.comeBack === 'never' || work.returned) return
+    const delay = this.comeBack === 'hint' ? refusal.retryAfter : SOON
+    this.clock.schedule(delay, () => {
+      this.recorder.return(work, this.clock.now())
+      this.submit(work)
+    })
   }
 
   private cancel (attempt: Attempt): void {
--- a/packages/bench/src/runtime/generateWork.ts
+++ b/packages/bench/src/runtime/generateWork.ts
@@ -69,7 +69,8 @@
     withdrawn: Infinity,
     state: 'new',
     started: NaN,
-    attempts: 0
+    attempts: 0,
+    returned: false
   }
 }
 
--- a/packages/bench/src/runtime/simulate.ts
+++ b/packages/bench/src/runtime/simulate.ts
@@ -8,6 +8,7 @@
 import { generateWork } from './generateWork.js'
 import { filterAndWeightedSum, leastConnections, pickRandom, roundRobin, shortestExpectedDelay } from './picks.js'
 import { PolicyScheduler } from './PolicyScheduler.js'
+import type { ComeBack } from './PolicyScheduler.js'
 import { Recorder } from './Recorder.js'
 import type { Scheduler, SchedulerOptions } from './Scheduler.js'
 
@@ -30,6 +31,7 @@
   heartbeat?: number
   turnover?: number
   local?: boolean
+  comeBack?: ComeBack
   admission?: Partial<AdmissionOptions>
 }
 
--- a/packages/bench/src/types/work.ts
+++ b/packages/bench/src/types/work.ts
@@ -17,6 +17,8 @@
   /** When it started on a worker, in ms. */
   started: number
   attempts: number
+  /** Whether its caller came back after a refusal. */
+  returned: boolean
   /** Run time in ms that is left after the last checkpoint. */
   left: number
 }
