Jobs: preemption, bounds, patience, ageing and quarantine

Weighed: preemption that stops tasks of one worker for one need at a time takes a round for each member of a gang; needs are met together now. Insistence of a gang was forgotten between two of its requests when its backoff had grown; a job that insists asks again within half a hold, and room is kept for it for two holds.

--- a/packages/jobs/src/runtime/Driver.ts
+++ b/packages/jobs/src/runtime/Driver.ts
@@ -4,11 +4,11 @@
 import type { Context } from '../types/context.js'
 import { EVENTS } from '../types/events.js'
 import type { JobEvent, JobState } from '../types/job.js'
-import { JOB_ROW, jobKey, openKey, TASK_ROW } from '../types/rows.js'
+import { JOB_ROW, jobKey, OPEN_ROW, openKey, TASK_ROW } from '../types/rows.js'
 import type { JobRow, TaskRow } from '../types/rows.js'
 import { parseRow } from '../utils/parseRow.js'
 import type { Placer, Versioned } from './Placer.js'
-import { planJob } from './planJob.js'
+import { agedPriority, planJob } from './planJob.js'
 import type { Plan } from './planJob.js'
 import { driverOf } from './Post.js'
 import type { Post } from './Post.js'
@@ -39,6 +39,8 @@
   private readonly placer: Placer
   private readonly post: Post
   private readonly busy = new Set<string>()
+  /** Jobs that changed while they were being looked at. */
+  private readonly again = new Set<string>()
   private readonly attempts = new Map<string, Attempt>()
   private next = 0
 
@@ -56,12 +58,20 @@
     const { table, tuning } = this.context
     const rows = await table.list({ prefix: OPEN_PREFIX, limit: tuning.openJobs })
     if (rows.isErr()) return
-    const jobs = rows.value.map(row => row.key.slice(OPEN_PREFIX.length)).filter(job => this.isMine(job))
-    this.forget(new Set(jobs))
+    const jobs = rows.value.filter(row => this.isMine(nameOf(row)))
+    this.forget(new Set(jobs.map(nameOf)))
     const count = Math.min(jobs.length, tuning.jobsPerDrive)
     const turn = Array.from({ length: count }, (_, offset) => jobs[(this.next + offset) % jobs.length]!)
     this.next = jobs.length === 0 ? 0 : (this.next + count) % jobs.length
-    await Promise.all(turn.map(async job => { await this.drive(job) }))
+    const ranked = turn.map(row => ({ name: nameOf(row), priority: this.rank(row) })).sort((a, b) => b.priority - a.priority)
+    await Promise.all(ranked.map(async job => { await this.drive(job.name) }))
+  }
+
+  private rank (row: Row): number {
+    const content = parseRow(row, OPEN_ROW)
+    if (content.isErr()) return 0
+    const rule = this.context.classes().find(entry => entry.name === content.value.class)
+    return rule === undefined ? 0 : agedPriority(rule, this.context.clock.wall() - content.value.submitted)
   }
 
   /**
@@ -70,11 +80,18 @@
    * @param job - identifier of the job
    */
   async drive (job: string): Promise<void> {
-    if (this.busy.has(job) || !this.isMine(job)) return
+    if (!this.isMine(job)) return
+    if (this.busy.has(job)) {
+      this.again.add(job)
+      return
+    }
     this.busy.add(job)
     try {
-      const plan = await this.plan(job)
-      if (plan !== null) await this.follow(plan)
+      do {
+        this.again.delete(job)
+        const plan = await this.plan(job)
+        if (plan !== null) await this.follow(plan)
+      } while (this.again.has(job))
     } finally {
       this.busy.delete(job)
     }
@@ -119,11 +136,13 @@
     const { id } = plan.job.content
     const now = this.context.clock.now()
     if (plan.units.length === 0 || (this.attempts.get(id)?.at ?? now) > now) return
-    const avoids = (this.attempts.get(id)?.tries ?? 0) < AVOIDING_TRIES
+    const tries = this.attempts.get(id)?.tries ?? 0
+    const { insists, priority } = plan
+    const manner = { insists, priority, avoids: tries < AVOIDING_TRIES, preemptsBelow: tries > 0 ? plan.preemptsBelow : null }
     let wanted = 0
     let held = 0
     for (const unit of plan.units) {
-      const outcome = await this.placer.place({ ...unit, insists: plan.insists, avoids })
+      const outcome = await this.placer.place({ ...unit, ...manner })
       wanted += unit.tasks.length
       held += outcome.held
       if (outcome.placed.length > 0) this.context.log.write(EVENTS.placed, { job: id, placements: outcome.placed, age: plan.age })
@@ -142,7 +161,9 @@
     }
     const tries = (this.attempts.get(id)?.tries ?? 0) + 1
     const growing = Math.min(tuning.backoff * 2 ** Math.min(tries, MAX_DOUBLINGS), MAX_PLACE_DELAY_MS)
-    const delay = random.jitter(growing / (1 + plan.age / tuning.gangPatience))
+    const wished = random.jitter(growing / (1 + plan.age / tuning.gangPatience))
+    // An owner forgets the insistence of a job that does not ask again in time.
+    const delay = plan.insists ? Math.min(wished, tuning.hold / 2) : wished
     this.attempts.set(id, { tries, at: clock.now() + delay })
     log.write(EVENTS.unplaced, { job: id, wanted, held, delay: Math.round(delay) })
   }
@@ -164,3 +185,7 @@
     }
   }
 }
+
+function nameOf (row: Row): string {
+  return row.key.slice(OPEN_PREFIX.length)
+}
--- a/packages/jobs/src/runtime/FailureWatch.ts
+++ b/packages/jobs/src/runtime/FailureWatch.ts
@@ -1,3 +1,5 @@
+import type { Clock } from '@rattanstep/core'
+
 /** Runs of one worker that are remembered. */
 const WINDOW_RUNS = 20
 /** Runs after which a worker is judged. */
@@ -9,8 +11,17 @@
 
 /** Compares workers by how many of their runs fail. */
 export class FailureWatch {
+  private readonly clock: Clock
+  private readonly quarantine: number
   private readonly runs = new Map<string, boolean[]>()
-  private readonly bad = new Set<string>()
+  /** Until when each bad worker is given nothing. */
+  private readonly bad = new Map<string, number>()
+
+  /** @param options - `quarantine`: ms for which a bad worker is given nothing */
+  constructor (options: { clock: Clock, quarantine: number }) {
+    this.clock = options.clock
+    this.quarantine = options.quarantine
+  }
 
   /**
    * @param worker - where a run ended
@@ -20,10 +31,10 @@
   note (worker: string, ok: boolean): { failures: number, runs: number } | null {
     const runs = [...this.runs.get(worker) ?? [], ok].slice(-WINDOW_RUNS)
     this.runs.set(worker, runs)
-    if (this.bad.has(worker)) return null
+    if (this.isBad(worker)) return null
     const failures = countFailures(runs)
     if (runs.length < MIN_RUNS || failures / runs.length < BAD_PART || !this.arePeersBetter(worker)) return null
-    this.bad.add(worker)
+    this.bad.set(worker, this.clock.now() + this.quarantine)
     return { failures, runs: runs.length }
   }
 
@@ -32,7 +43,11 @@
    * @returns whether it is given nothing new
    */
   isBad (worker: string): boolean {
-    return this.bad.has(worker)
+    const until = this.bad.get(worker)
+    if (until === undefined) return false
+    if (until > this.clock.now()) return true
+    this.forgive(worker)
+    return false
   }
 
   /** @param worker - a worker to be tried again */
--- a/packages/jobs/src/runtime/HoldBook.ts
+++ b/packages/jobs/src/runtime/HoldBook.ts
@@ -1,7 +1,10 @@
 import type { Incarnation, Instance } from '@rattanstep/core'
 import { subtractResources } from '@rattanstep/core'
 import type { Context } from '../types/context.js'
+import { EVENTS } from '../types/events.js'
 import type { Body, Hold, HoldRequest } from '../types/messages.js'
+import { chooseVictims } from './chooseVictims.js'
+import type { VictimChoice } from './chooseVictims.js'
 import type { Post } from './Post.js'
 import type { WorkerKeeper } from './WorkerKeeper.js'
 
@@ -11,8 +14,9 @@
   until: number
 }
 
-/** A gang that younger jobs make way for. */
+/** A job that jobs of lower priority, and younger ones, make way for. */
 interface Insistence {
+  priority: number
   submitted: number
   until: number
 }
@@ -20,6 +24,9 @@
 /** Lengths of a hold for which closed units are remembered. */
 const REMEMBER_HOLDS = 10
 
+/** Lengths of a hold for which room is kept for a job between two of its requests. */
+const KEPT_HOLDS = 2
+
 type Need = HoldRequest['needs'][number]
 
 /** Gives room on the workers kept here to the drivers of jobs, for a short time each. */
@@ -32,6 +39,8 @@
   private readonly insistences = new Map<string, Insistence>()
   /** Units that were released or written, so that a late repeat of their request is given nothing. */
   private readonly closed = new Map<string, number>()
+  /** Until when no further tasks are moved off for a job. */
+  private readonly preempting = new Map<string, number>()
   private given = 0
 
   /** @param options - `keepers`: workers kept here; `isQuarantined`: workers that are given nothing new */
@@ -77,8 +86,10 @@
     for (const [job, insistence] of this.insistences) {
       if (insistence.until <= now) this.insistences.delete(job)
     }
-    for (const [name, until] of this.closed) {
-      if (until <= now) this.closed.delete(name)
+    for (const ends of [this.closed, this.preempting]) {
+      for (const [name, until] of ends) {
+        if (until <= now) ends.delete(name)
+      }
     }
   }
 
@@ -108,20 +119,50 @@
   }
 
   private give (request: HoldRequest): Hold[] {
-    const until = this.context.clock.now() + this.context.tuning.hold
-    if (request.insists) this.insistences.set(request.job, { submitted: request.submitted, until })
+    const now = this.context.clock.now()
+    const until = now + this.context.tuning.hold
+    if (request.insists) this.insist(request, now + KEPT_HOLDS * this.context.tuning.hold)
     if (this.mustMakeWay(request)) return []
     const largestFirst = [...request.needs].sort((a, b) => this.size(b) - this.size(a) || a.index - b.index)
     const holds = largestFirst.flatMap(need => this.take(request, need) ?? [])
     if (holds.length > 0) this.units.set(request.unit, { holds, until })
+    if (holds.length < request.needs.length && request.preemptsBelow !== null) this.preempt(request, holds, request.preemptsBelow)
     return holds
   }
 
+  private insist (request: HoldRequest, until: number): void {
+    const { job, priority, submitted } = request
+    this.insistences.set(job, { priority, submitted, until })
+  }
+
+  /** Moves tasks off, one round at a time for each job; their room is kept for it until it asks again. */
+  private preempt (request: HoldRequest, holds: Hold[], below: number): void {
+    const now = this.context.clock.now()
+    if ((this.preempting.get(request.job) ?? 0) > now) return
+    const held = new Set(holds.map(hold => hold.index))
+    const needs = request.needs.filter(need => !held.has(need.index)).map(need => need.resources)
+    const open = [...this.keepers.values()].filter(keeper => keeper.isOpen)
+    const choices = chooseVictims(open, needs, below, this.context)
+    if (choices.length === 0) return
+    const until = now + KEPT_HOLDS * this.context.tuning.hold
+    this.preempting.set(request.job, until)
+    this.insist(request, until)
+    for (const choice of choices) this.moveOff(choice, request.job)
+  }
+
+  private moveOff (choice: VictimChoice, job: string): void {
+    const { keeper, victims } = choice
+    this.context.log.write(EVENTS.preempted, { job, worker: keeper.worker, tasks: victims.size })
+    keeper.vacate(placement => victims.has(placement)).catch((error: unknown) => {
+      this.context.log.write(EVENTS.fault, { step: 'preempt', error: String(error) })
+    })
+  }
+
   private mustMakeWay (request: HoldRequest): boolean {
     const now = this.context.clock.now()
-    return [...this.insistences].some(([job, { submitted, until }]) => {
-      if (job === request.job || until <= now) return false
-      return submitted < request.submitted || (submitted === request.submitted && job < request.job)
+    return [...this.insistences].some(([job, { priority, submitted, until }]) => {
+      if (job === request.job || until <= now || priority < request.priority) return false
+      return priority > request.priority || submitted < request.submitted || (submitted === request.submitted && job < request.job)
     })
   }
 
--- a/packages/jobs/src/runtime/Keepers.ts
+++ b/packages/jobs/src/runtime/Keepers.ts
@@ -17,7 +17,7 @@
 /** The keepers of the workers that this node owns. */
 export class Keepers {
   readonly holds: HoldBook
-  readonly failures = new FailureWatch()
+  readonly failures: FailureWatch
   private readonly context: Context
   private readonly writer: TableWriter
   private readonly transitions: Transitions
@@ -31,6 +31,7 @@
     this.writer = options.writer
     this.transitions = options.transitions
     this.post = options.post
+    this.failures = new FailureWatch({ clock: options.context.clock, quarantine: options.context.tuning.quarantine })
     this.holds = new HoldBook({ ...options, keepers: this.keepers, isQuarantined: worker => this.failures.isBad(worker) })
   }
 
--- a/packages/jobs/src/runtime/Placer.ts
+++ b/packages/jobs/src/runtime/Placer.ts
@@ -23,6 +23,10 @@
   insists: boolean
   /** Whether workers that failed a task are passed over. */
   avoids: boolean
+  /** Priority of the class, raised by ageing. */
+  priority: number
+  /** Tasks of classes below this priority may be moved off; `null` for none. */
+  preemptsBelow: number | null
 }
 
 /** What came of placing a unit. */
@@ -108,8 +112,9 @@
 
   private describeNeeds (unit: Unit, tasks: Array<Versioned<TaskRow>>, name: string): HoldRequest {
     const { id, submitted, team } = unit.job.content
+    const { insists, preemptsBelow, priority } = unit
     const needs = tasks.map(({ content }) => ({ index: content.index, resources: content.resources, avoid: unit.avoids ? content.avoid : [] }))
-    return { unit: name, job: id, submitted, class: unit.job.content.class, team, insists: unit.insists, needs }
+    return { unit: name, job: id, submitted, class: unit.job.content.class, team, priority, insists, preemptsBelow, needs }
   }
 
   private async ask (owner: Incarnation, request: HoldRequest): Promise<Hold[]> {
--- a/packages/jobs/src/runtime/Submitter.ts
+++ b/packages/jobs/src/runtime/Submitter.ts
@@ -84,7 +84,7 @@
     const row: JobRow = { id, kind, class: job.class, team, count: job.tasks.length, submitted: this.context.clock.wall(), fingerprint, state: 'open', reason: '' }
     const writes = [
       { key: jobKey(id), value: JSON.stringify(row) },
-      { key: openKey(id), value: '{}' },
+      { key: openKey(id), value: JSON.stringify({ class: job.class, submitted: row.submitted }) },
       ...job.tasks.map((_, index) => ({ key: taskKey(id, index), value: JSON.stringify(makeTask(job, index)) }))
     ]
     return { checks: writes.map(({ key }) => ({ key, version: 0 })), writes }
--- a/packages/jobs/src/runtime/TableWriter.ts
+++ b/packages/jobs/src/runtime/TableWriter.ts
@@ -50,6 +50,8 @@
 
   private async drain (): Promise<void> {
     this.writing = true
+    // Changes made in the same turn join the first group.
+    await Promise.resolve()
     try {
       while (this.waiting.length > 0) await this.writeGroup()
     } finally {
--- a/packages/jobs/src/runtime/WorkerKeeper.ts
+++ b/packages/jobs/src/runtime/WorkerKeeper.ts
@@ -1,18 +1,15 @@
 import type { Instance, TaskReport, WorkerReport } from '@rattanstep/core'
 import type { Context } from '../types/context.js'
 import { EVENTS } from '../types/events.js'
-import type { TaskEvent } from '../types/job.js'
 import { KeeperClaim } from './KeeperClaim.js'
 import type { Placement } from './Placement.js'
 import { PlacementBook } from './PlacementBook.js'
+import { conclude, sortPlacements } from './sortPlacements.js'
 import { TaskCommands } from './TaskCommands.js'
 import type { PlacementRow } from '../types/rows.js'
 import type { TableWriter } from './TableWriter.js'
 import type { Step, StepOutcome, Transitions } from './Transitions.js'
 
-/** Starts that a worker may refuse before the task is placed elsewhere. */
-const MAX_REFUSALS = 3
-
 /** What the keeper of a worker tells the rest of the job subsystem. */
 export interface KeeperEvents {
   /** Tasks of these jobs have changed. */
@@ -65,6 +62,11 @@
     return this.book.all().length
   }
 
+  /** @returns placements that are to go on running */
+  rows (): PlacementRow[] {
+    return this.book.all().filter(placement => placement.intent === 'run' && placement.ending === null).map(placement => placement.row)
+  }
+
   /** Ends the keeping; nothing is sent any longer. */
   drop (): void {
     this.dropped = true
@@ -153,44 +155,14 @@
   private async act (report: WorkerReport, receivedAt: number, isCurrent: boolean): Promise<void> {
     if (this.claim.since === null || this.instance === null) return
     const commands = new TaskCommands({ context: this.context, worker: this.instance, report, receivedAt, mayAct: this.mayAct })
-    const reports = new Map(report.tasks.map(task => [task.task, task]))
-    const renewals: Placement[] = []
-    const starts: Placement[] = []
-    const stops: Placement[] = []
-    const ended: Placement[] = []
-    for (const placement of this.book.all()) {
-      const found = reports.get(placement.name)
-      const here = found?.fence === placement.row.fence ? found : undefined
-      if (here !== undefined) this.note(placement, here)
-      if (placement.ending !== null) ended.push(placement)
-      else if (placement.intent !== 'run') stops.push(placement)
-      else if (here !== undefined) renewals.push(placement)
-      else if (this.hasVanished(placement, receivedAt - report.lag)) stops.push(placement)
-      else if (isCurrent) starts.push(placement)
-    }
+    const { ended, renewals, starts, stops } = sortPlacements(this.book.all(), report, receivedAt, this.context)
     await commands.renew(renewals)
-    await Promise.all(starts.map(async placement => { await commands.start(placement) }))
-    if (await commands.stop(stops)) ended.push(...stops.map(placement => this.conclude(placement)))
+    if (isCurrent) await Promise.all(starts.map(async placement => { await commands.start(placement) }))
+    if (await commands.stop(stops)) ended.push(...stops.map(placement => conclude(placement, this.context)))
     await this.end(ended)
     if (isCurrent) await this.stopStrangers(commands, report.tasks)
   }
 
-  private note (placement: Placement, report: TaskReport): void {
-    if (report.checkpoint !== '') placement.checkpoint = report.checkpoint
-    if (report.state === 'running') placement.confirmedAt ??= this.context.clock.now()
-    else placement.ending ??= endingOf(report, placement)
-  }
-
-  private hasVanished (placement: Placement, takenAt: number): boolean {
-    if (placement.refusals >= MAX_REFUSALS) return true
-    return placement.confirmedAt !== null && placement.confirmedAt < takenAt
-  }
-
-  private conclude (placement: Placement): Placement {
-    placement.ending ??= placement.intent === 'run' ? 'lose' : 'stopped'
-    return placement
-  }
-
   /** Finds tasks of a silent worker whose leases have certainly run out. */
   private findOverdue (): Placement[] {
     const { since } = this.claim
@@ -247,9 +219,3 @@
     this.context.log.write(EVENTS.silent, { worker: this.worker, reason })
   }
 }
-
-function endingOf (report: TaskReport, placement: Placement): TaskEvent {
-  if (report.state === 'done') return 'finish'
-  if (report.state === 'failed') return 'retry'
-  return placement.intent === 'run' ? 'lose' : 'stopped'
-}
--- a/packages/jobs/src/runtime/planJob.ts
+++ b/packages/jobs/src/runtime/planJob.ts
@@ -1,3 +1,4 @@
+import type { ResolvedClass } from '@rattanstep/rules'
 import type { Context } from '../types/context.js'
 import type { JobEvent, TaskLife } from '../types/job.js'
 import type { JobRow, TaskRow } from '../types/rows.js'
@@ -19,9 +20,13 @@
   /** Workers whose placements the steps change. */
   stirred: string[]
   /** Tasks to place now. */
-  units: Array<Omit<Unit, 'insists' | 'avoids'>>
+  units: Array<Pick<Unit, 'job' | 'tasks' | 'whole'>>
   /** Whether younger jobs are to make way. */
   insists: boolean
+  /** Priority of the class, raised by ageing. */
+  priority: number
+  /** Tasks of classes below this priority may be moved off; `null` for none. */
+  preemptsBelow: number | null
   /** Milliseconds since the job was accepted. */
   age: number
   /** Why tasks are being parked, or empty. */
@@ -41,7 +46,7 @@
  */
 export function planJob (job: Versioned<JobRow>, tasks: Task[], context: PlanContext): Plan {
   const age = Math.max(0, context.clock.wall() - job.content.submitted)
-  const plan: Plan = { job, ending: null, steps: [], stirred: [], units: [], insists: false, age, parkReason: '' }
+  const plan: Plan = { job, ending: null, steps: [], stirred: [], units: [], insists: false, priority: 0, preemptsBelow: null, age, parkReason: '' }
   if (tasks.every(task => FINAL.has(task.content.state))) {
     plan.ending = tasks.some(task => task.content.state === 'failed') ? 'fail' : 'complete'
     return plan
@@ -77,6 +82,12 @@
 
 function planWaiting (plan: Plan, waiting: Task[], context: PlanContext): void {
   if (waiting.length === 0) return
+  const rule = context.classes().find(entry => entry.name === plan.job.content.class)
+  const expired = rule === undefined ? [] : waiting.filter(task => task.content.fence === 0 && plan.age > rule.patience)
+  if (expired.length > 0) {
+    plan.steps = stepAll(expired, 'expire', `no room was found within the patience of class ${rule!.name}; it was not run`)
+    return
+  }
   const misfit = findProblem(plan.job.content, waiting, context)
   const [event, state] = misfit === null ? ['unpark', 'parked'] as const : ['park', 'pending'] as const
   plan.steps = stepAll(waiting.filter(task => task.content.state === state), event, misfit ?? '')
@@ -88,6 +99,18 @@
   const due = waiting.filter(task => task.content.notBefore <= context.clock.wall())
   plan.units = divide(plan.job, waiting, due)
   plan.insists = mayInsist(plan, context)
+  if (rule === undefined) return
+  plan.priority = agedPriority(rule, plan.age)
+  plan.preemptsBelow = rule.preempts === 'checkpoint' || rule.preempts === 'stop' ? rule.priority : null
+}
+
+/**
+ * @param rule - class of a job
+ * @param age - ms since the job was accepted
+ * @returns the priority of the class, raised by the time waited
+ */
+export function agedPriority (rule: ResolvedClass, age: number): number {
+  return rule.priority + (rule.ageing > 0 ? age / rule.ageing : 0)
 }
 
 function findProblem (job: JobRow, waiting: Task[], context: PlanContext): string | null {
--- a/packages/jobs/src/types/events.ts
+++ b/packages/jobs/src/types/events.ts
@@ -18,5 +18,6 @@
   badMessage: { number: 4013, name: 'job-message-unreadable', level: 'warn', message: 'a message about jobs has an unexpected shape and is dropped', fields: { from: 'the sender', operation: 'name of the operation' } },
   tableFault: { number: 4014, name: 'job-table-fault', level: 'warn', message: 'the table did not answer as asked', fields: { action: 'what was tried', outcome: 'what is known', reason: 'why' } },
   quarantined: { number: 4015, name: 'worker-quarantined', level: 'warn', message: 'a worker fails far more tasks than its peers', fields: { worker: 'the worker', failures: 'failed runs', runs: 'all runs' } },
+  preempted: { number: 4017, name: 'tasks-preempted', level: 'info', message: 'tasks are moved off a worker to make room for a job', fields: { job: 'the job that needs room', worker: 'the worker', tasks: 'number of tasks moved off' } },
   fault: { number: 4016, name: 'job-loop-fault', level: 'error', message: 'a step of the job subsystem failed and is repeated', fields: { step: 'which', error: 'what was thrown' } }
 } as const satisfies Record<string, LogEvent>
--- a/packages/jobs/src/types/job.ts
+++ b/packages/jobs/src/types/job.ts
@@ -13,7 +13,7 @@
 export type TaskLife = 'pending' | 'parked' | 'placed' | 'vacating' | 'cancelling' | 'done' | 'failed' | 'cancelled'
 
 /** What happens to a task. */
-export type TaskEvent = 'place' | 'park' | 'unpark' | 'finish' | 'retry' | 'exhaust' | 'lose' | 'vacate' | 'stopped' | 'cancel'
+export type TaskEvent = 'place' | 'park' | 'unpark' | 'expire' | 'finish' | 'retry' | 'exhaust' | 'lose' | 'vacate' | 'stopped' | 'cancel'
 
 /** One task as the user gives it. */
 export interface TaskSpec {
--- a/packages/jobs/src/types/messages.ts
+++ b/packages/jobs/src/types/messages.ts
@@ -15,8 +15,12 @@
   submitted: z.number(),
   class: z.string(),
   team: z.string(),
-  /** Whether younger jobs are to be kept from the room that this one waits for. */
+  /** Priority of the class, raised by ageing. */
+  priority: z.number(),
+  /** Whether jobs of lower priority, and younger ones of the same, are to be kept from the room that this one waits for. */
   insists: z.boolean(),
+  /** Tasks of classes below this priority may be moved off to make room; `null` for none. */
+  preemptsBelow: z.number().nullable(),
   needs: z.array(z.object({
     index: count,
     resources: z.object({ slots: amount, cores: amount, memory: amount, accelerators: amount }),
--- a/packages/jobs/src/types/rows.ts
+++ b/packages/jobs/src/types/rows.ts
@@ -24,6 +24,9 @@
   reason: z.string()
 })
 
+/** `open/ID`: there while the job has not ended. */
+export const OPEN_ROW = z.object({ class: z.string(), submitted: z.number() })
+
 /** `task/JOB/N`: one task. */
 export const TASK_ROW = z.object({
   job: z.string(),
--- a/packages/jobs/src/types/tuning.ts
+++ b/packages/jobs/src/types/tuning.ts
@@ -38,6 +38,8 @@
   tasksPerGang: number
   /** Most open jobs listed. */
   openJobs: number
+  /** How long a worker that failed everything is given nothing. */
+  quarantine: number
 }
 
 /** Values used where nothing else is given. */
@@ -46,7 +48,7 @@
   commandWindow: 2000,
   drift: 0.02,
   keepPeriod: 1000,
-  drivePeriod: 500,
+  drivePeriod: 1000,
   hold: 2000,
   askTimeout: 500,
   backoff: 200,
@@ -57,8 +59,9 @@
   losses: 10,
   writesPerSecond: 40,
   rowsPerWrite: 64,
-  jobsPerDrive: 50,
+  jobsPerDrive: 25,
   tasksPerJob: 1000,
   tasksPerGang: 256,
-  openJobs: 2000
+  openJobs: 2000,
+  quarantine: 60_000
 }
--- a/packages/jobs/test/runtime/chaos.ts
+++ b/packages/jobs/test/runtime/chaos.ts
@@ -1,6 +1,6 @@
 import { noFaults } from '@rattanstep/stand-ins'
 import type { JobKind } from '../../src/index.js'
-import { Cell } from './Cell.js'
+import { Cell, makeClass } from './Cell.js'
 import { findBreaches, readTasks } from './invariants.js'
 
 /**
@@ -57,6 +57,13 @@
   }
 }
 
+/** Every other run has classes of which one moves the others' tasks off. */
+const RANKED_CLASSES = [
+  { ...makeClass('audio', 'batch'), priority: 10, ageing: 1000 },
+  { ...makeClass('ledger', 'gang'), priority: 50, preempts: 'checkpoint' as const },
+  { ...makeClass('desk', 'service'), priority: 30 }
+]
+
 function pickWorker (cell: Cell): string {
   return cell.random.pick([...cell.instances.keys()])
 }
@@ -95,6 +102,7 @@
   const cell = new Cell({ seed, nodes: 3, workers: 4, ...tuning })
   const actions: Record<string, number> = {}
   const breaches = new Set<string>()
+  if (seed % 2 === 0) cell.classes = RANKED_CLASSES
   submitAll(cell)
   for (let step = 0; step < STEPS; step++) {
     const name = cell.random.pick(Object.keys(ACTIONS))
