--- a/packages/jobs/src/types/tuning.ts
+++ b/packages/jobs/src/types/tuning.ts
@@ -46,7 +46,7 @@
 export const DEFAULT_TUNING: Tuning = {
   lease: 10_000,
   commandWindow: 2000,
-  drift: 0.02,
+  drift: 0.05,
   keepPeriod: 1000,
   drivePeriod: 1000,
   hold: 2000,
