--- /dev/null
+++ b/packages/bench/test/runtime/simulate.test.ts
@@ -0,0 +1,32 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { DESKS } from '../../src/runtime/desks.js'
+import { generateWork } from '../../src/runtime/generateWork.js'
+import { SCHEDULERS } from '../../src/runtime/scenarios/compareLoads.js'
+import { simulate } from '../../src/runtime/simulate.js'
+import type { RunPlan } from '../../src/types/work.js'
+
+function plan (changes: Partial<RunPlan> = {}): RunPlan {
+  return { desk: DESKS['hunt']!, load: 1.1, seed: 3, duration: 3000, crest: 2.5, failing: 2, waves: 1000, ...changes }
+}
+
+test('the same seed draws the same work, another seed other work', () => {
+  const first = generateWork(plan())
+  expect(generateWork(plan())).toEqual(first)
+  expect(generateWork(plan({ seed: 4 })).length === first.length).toEqual(false)
+})
+
+test('work offered is near the load asked for', () => {
+  const works = generateWork(plan({ load: 0.9, duration: 200_000, waves: 0 }))
+  const offered = works.reduce((sum, work) => sum + work.size, 0) / (240 * 200_000)
+  expect(Math.abs(offered - 0.9) < 0.05).toEqual(true)
+})
+
+for (const scheduler of SCHEDULERS) {
+  test(`${scheduler} settles every item and overfills no worker`, () => {
+    const recorder = simulate(plan(), scheduler)
+    for (const { arrived, done, failed, refused, withdrawn } of recorder.classes.values()) {
+      expect(done + failed + refused + withdrawn).toEqual(arrived)
+    }
+  })
+}
--- /dev/null
+++ b/packages/bench/test/runtime/statistics.test.ts
@@ -0,0 +1,20 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { formatSpread, quantile, spread } from '../../src/utils/statistics.js'
+
+const CASES: Array<{ title: string, part: number, value: number }> = [
+  { title: 'the median', part: 0.5, value: 3 },
+  { title: 'the largest value', part: 1, value: 5 },
+  { title: 'the least value', part: 0, value: 1 }
+]
+
+for (const { title, part, value } of CASES) {
+  test(`${title} is found in values in any order`, () => {
+    expect(quantile([5, 1, 4, 2, 3], part)).toEqual(value)
+  })
+}
+
+test('a spread is shown with its range only where seeds differ', () => {
+  expect(formatSpread(spread([2, 1, 3]), 1)).toEqual('2.0 (1.0–3.0)')
+  expect(formatSpread(spread([2, 2]))).toEqual('2')
+})
--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -22,6 +22,9 @@
 import type { RunTimes } from './RunTimes.js'
 import type { WorkerBooks } from './WorkerBooks.js'
 
+/** A worker is slow when its runs take this many times as long as those of its classes. */
+const SLOW_FACTOR = 1.5
+
 /** Admits work to the workers of one owner: the books of these workers, and the queue before them. */
 export class Admission {
   readonly runTimes: RunTimes
@@ -369,6 +372,8 @@
   private observeTime (className: string, worker: string, time: number): void {
     this.runTimes.observe({ className, worker, time })
     this.runTimes.observe({ className: ALL_CLASSES, worker: '', time })
+    const book = this.workers.get(worker)
+    if (book !== undefined) book.slow = this.runTimes.factor(worker) > SLOW_FACTOR
   }
 
   private followTrust (worker: string): void {
--- a/packages/policy/src/runtime/WorkerBook.ts
+++ b/packages/policy/src/runtime/WorkerBook.ts
@@ -29,6 +29,8 @@
   draining = false
   removed = false
   quarantined = false
+  /** Whether its runs take much longer than those of its peers. */
+  slow = false
 
   /**
    * @param options - `room`: the worker; `position`: its place in the index; `unknown`: room counted as used; `now`: ms
--- a/packages/policy/src/runtime/WorkerBooks.ts
+++ b/packages/policy/src/runtime/WorkerBooks.ts
@@ -8,6 +8,9 @@
 /** Workers weighed for one placement. */
 const CANDIDATES = 8
 
+/** Makes a slow worker the last choice among those weighed. */
+const SLOW_COST = 1e6
+
 /** A worker found for some work. */
 export interface Choice {
   worker: WorkerBook
@@ -130,7 +133,8 @@
   }
 
   /**
-   * Finds a worker with room: of the first few that fit, the one that is left with the least.
+   * Finds a worker with room: of the first few that fit, the one that is left with the least,
+   * slow ones last.
    *
    * @param resources - what is needed
    * @param options - `avoid`: workers not to use; `long`: slots that count as long work; `accept`: a further condition
@@ -181,9 +185,13 @@
 }
 
 function leftover (book: WorkerBook): number {
-  return book.room.resources.slots - book.used.slots
+  return book.room.resources.slots - book.used.slots + slowCost(book)
 }
 
 function longCost (book: WorkerBook): number {
-  return book.long
+  return book.long + slowCost(book)
+}
+
+function slowCost (book: WorkerBook): number {
+  return book.slow ? SLOW_COST : 0
 }
--- a/packages/policy/test/runtime/recovery.test.ts
+++ b/packages/policy/test/runtime/recovery.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { SeededRandom } from '@rattanstep/core'
-import { admission, rule, worker } from './fixtures.js'
+import { admission, ask, rule, worker } from './fixtures.js'
 import { Backoff, Quarantine, RetryBudget, RunTimes, SizeEstimates } from '../../src/index.js'
 
 function watched (): Quarantine {
@@ -97,6 +97,21 @@
   expect(times.factor('slow') > 1.8).toEqual(true)
 })
 
+test('a slow worker is the last choice', () => {
+  const node = admission([rule('quick')])
+  for (const id of ['w1', 'w2']) node.addWorker(worker(id), 0)
+  for (let run = 0; run < 60; run++) {
+    const decisions = [0, 1].flatMap(index => node.ask(ask(`a${run}-${index}`, { avoid: [`w${2 - index}`] }), 'f1', run))
+    for (const decision of decisions) {
+      if (decision.kind !== 'grant') continue
+      const { permit, worker: id } = decision
+      node.release({ permit, worker: id, ending: 'completed', serviceTime: id === 'w1' ? 200 : 50 }, 'f1', run)
+    }
+  }
+  const [decision] = node.ask(ask('last'), 'f1', 100)
+  expect(decision?.kind === 'grant' && decision.worker).toEqual('w2')
+})
+
 test('declared sizes are corrected by use, within bounds', () => {
   const sizes = new SizeEstimates()
   const declared = { slots: 1, cores: 4, memory: 1000, accelerators: 1 }
