Ownership: even shares, paused voters accuse nobody

A voter that woke from a pause voted against holders that were well, whose leases the vote then barred until a row made it void.

Change: a holder hands over while another owns at least two fewer of a kind; a voter that was paused, or hears no majority of the voters, accuses nobody.

--- a/packages/ownership/src/runtime/Ownership.ts
+++ b/packages/ownership/src/runtime/Ownership.ts
@@ -225,6 +225,7 @@
 
   private beat (): void {
     if (this.timer === null) return
+    this.watch.look()
     this.heartbeats.beat()
     this.knowledge.look()
     this.noteLease()
--- a/packages/ownership/src/runtime/Surplus.ts
+++ b/packages/ownership/src/runtime/Surplus.ts
@@ -36,20 +36,24 @@
   find ({ assignment, candidates }: SurplusFacts): ResourceKey[] {
     if (this.clock.now() - this.last < this.pause) return []
     if (!candidates.includes(this.self) || candidates.length < 2) return []
-    const shares = new Shares(new Draft(assignment), candidates)
-    const owned = new Draft(assignment).ownedBy(this.self).sort()
+    const draft = new Draft(assignment)
+    const shares = new Shares(draft, candidates.filter(candidate => candidate !== this.self))
+    const owned = draft.ownedBy(this.self).sort()
     const kinds = new Set(owned.map(kindOf))
-    return [...kinds].flatMap(kind => this.excess(kind, owned, shares, candidates))
+    return [...kinds].flatMap(kind => excess(owned.filter(resource => kindOf(resource) === kind), shares))
   }
+}
 
-  private excess (
-    kind: string,
-    owned: readonly ResourceKey[],
-    shares: Shares,
-    candidates: readonly Incarnation[]
-  ): ResourceKey[] {
-    const total = candidates.reduce((sum, candidate) => sum + shares.count(kind, candidate), 0)
-    const share = Math.ceil(total / candidates.length)
-    return owned.filter(resource => kindOf(resource) === kind).slice(share)
+/** One after another goes to the holder that owns least, as long as that makes the two more even. */
+function excess (owned: readonly ResourceKey[], shares: Shares): ResourceKey[] {
+  const given: ResourceKey[] = []
+  for (const resource of owned) {
+    const least = shares.least(resource)
+    if (least === null) break
+    const left = owned.length - given.length
+    if (left - shares.count(kindOf(resource), least) < 2) break
+    given.push(resource)
+    shares.add(resource, least)
   }
+  return given
 }
--- a/packages/ownership/src/runtime/Watch.ts
+++ b/packages/ownership/src/runtime/Watch.ts
@@ -1,7 +1,8 @@
+import { EMPTY_ASSIGNMENT } from '@rattanstep/core'
 import type { Assignment, Clock, Incarnation } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import { EVENTS } from '../types/events.js'
-import { namedVoters } from '../utils/quorum.js'
+import { isMajority, namedVoters } from '../utils/quorum.js'
 import type { Heartbeats } from './Heartbeats.js'
 import type { Voter } from './Voter.js'
 
@@ -15,17 +16,32 @@
   voter: Voter
 }
 
-/** Finds holders that were silent towards this voter for a whole lease. */
+/**
+ * Finds holders that were silent towards this voter for a whole lease. A voter that was itself paused, or that
+ * hears too few other voters for a removal, accuses nobody: its vote would only bar holders that are well.
+ */
 export class Watch {
   private readonly options: WatchOptions
-  private assignment: Assignment | null = null
+  private assignment: Assignment = EMPTY_ASSIGNMENT
   /** Since when each holder should be heard here. */
   private readonly since = new Map<Incarnation, number>()
   private readonly suspected = new Set<Incarnation>()
+  private lastLook: number
 
   /** @param options - see the type */
   constructor (options: WatchOptions) {
     this.options = options
+    this.lastLook = options.clock.now()
+  }
+
+  /** To be called at each heartbeat; a long time between two calls tells that the process was paused. */
+  look (): void {
+    const { clock, lease } = this.options
+    const now = clock.now()
+    if (now - this.lastLook >= lease / 2) {
+      for (const holder of this.since.keys()) this.since.set(holder, now)
+    }
+    this.lastLook = now
   }
 
   /** @param assignment - the assignment followed from now on */
@@ -45,7 +61,7 @@
   /** @returns holders whose promise by this voter lapsed and who were not heard for a whole lease */
   suspects (): Incarnation[] {
     const now = this.options.clock.now()
-    const silent = [...this.since.keys()].filter(holder => this.isSilent(holder, now))
+    const silent = this.canRemove() ? [...this.since.keys()].filter(holder => this.isSilent(holder, now)) : []
     this.report(silent)
     return silent
   }
@@ -56,12 +72,19 @@
    */
   hasWronged (within: number): boolean {
     const { clock, heartbeats, voter } = this.options
-    const { version } = this.assignment ?? { version: 0 }
+    const { version } = this.assignment
     const now = clock.now()
     return [...this.since.keys()].some(holder =>
       voter.hasVoted(holder, version) && now - heartbeats.lastHeard(holder) < within)
   }
 
+  private canRemove (): boolean {
+    const { heartbeats, lease } = this.options
+    const heard = heartbeats.heard(lease)
+    const { voters, nextVoters } = this.assignment
+    return isMajority(voters, heard) && (nextVoters === null || isMajority(nextVoters, heard))
+  }
+
   private isSilent (holder: Incarnation, now: number): boolean {
     const { heartbeats, lease, voter } = this.options
     const last = Math.max(this.since.get(holder)!, heartbeats.lastHeard(holder))
@@ -75,7 +98,7 @@
     for (const holder of silent) {
       if (this.suspected.has(holder)) continue
       this.suspected.add(holder)
-      this.options.log.write(EVENTS.holderSuspected, { holder, version: this.assignment?.version ?? 0 })
+      this.options.log.write(EVENTS.holderSuspected, { holder, version: this.assignment.version })
     }
   }
 }
--- a/packages/ownership/test/faults/membership.test.ts
+++ b/packages/ownership/test/faults/membership.test.ts
@@ -85,3 +85,36 @@
   for (const { ownership } of cell.processes.values()) ownership.drain().then(() => { stopped++ }, () => {})
   expect(await cell.until(() => stopped === 3, 30_000)).toBeLessThan(5000)
 })
+
+test('shares of each kind come to differ by at most one', async () => {
+  const workers = Array.from({ length: 60 }, (_, index) => `worker/${index}`)
+  const shards = Array.from({ length: 32 }, (_, index) => `shard/${index}`)
+  const cell = new Cell({ seed: 2, nodes: 9, resources: [...workers, ...shards] })
+  await cell.run(30_000)
+  for (const kind of ['worker/', 'shard/']) {
+    const counts = [...cell.processes.values()].map(({ ownership }) =>
+      ownership.status().owned.filter(resource => resource.startsWith(kind)).length)
+    expect(Math.max(...counts) - Math.min(...counts)).toBeLessThanOrEqual(1)
+  }
+})
+
+test('a voter that was paused, and lost what was said meanwhile, accuses nobody when it wakes', async () => {
+  for (const pause of [2300, 2500, 2700]) {
+    const cell = new Cell({ nodes: 1, keepsLog: true })
+    for (const id of ['n1', 'n2', 'n3', 'n4']) {
+      await cell.run(97)
+      cell.add(id)
+    }
+    await cell.run(20_000)
+    const { voters, version } = cell.node('n0').ownership.assignment
+    const { id, clock } = [...cell.processes.values()].find(process => process.incarnation === voters[0])!
+    clock.paused = true
+    for (const other of cell.processes.keys()) cell.wire.cuts.add(`${other}>${id}`)
+    await cell.run(pause)
+    clock.resume()
+    cell.wire.cuts.clear()
+    await cell.run(10_000)
+    expect(cell.logged('holder-suspected')).toEqual(0)
+    expect(cell.node('n0').ownership.assignment.version).toEqual(version)
+  }
+})
