Matrix: a node that stopped as planned leaves the platform's list

The stopped process stayed listed as live for ever, so its former life, a voter, never counted as gone while another voter was dead too. Ruled out: the vote (it needs two of three and only one lived), the table.

--- a/packages/node/test/support/Process.ts
+++ b/packages/node/test/support/Process.ts
@@ -103,6 +103,7 @@
     if (this.requests.size > 0) this.options.surroundings.witness.breach(`the planned stop of ${this.incarnation} cut ${this.requests.size} requests`)
     this.member.stop()
     this.leftGracefully = true
+    this.options.surroundings.platform.instances.remove(this.options.id)
     this.kill()
   }
 }
