--- a/packages/front/src/node/Dispatcher.ts
+++ b/packages/front/src/node/Dispatcher.ts
@@ -3,6 +3,7 @@
 import { FRONT_EVENTS } from '../types/events.js'
 import type { AnswerSink, Run, RunEnd } from '../types/run.js'
 import { Attempt } from './Attempt.js'
+import type { Connection } from './Connection.js'
 import { WorkerConnections } from './WorkerConnections.js'
 
 /** How runs reach workers. */
@@ -49,24 +50,17 @@
    * @returns how far it came; the sink is not called after that
    */
   async dispatch (run: Run, sink: AnswerSink): Promise<RunEnd> {
-    const pool = this.pool(run.worker, run.address)
-    const patience = Math.min(this.options.connectionPatience, run.bound)
-    const connection = await pool.take(run.fresh, patience, run.signal)
-    if (connection === null) return unsent(run)
-    return await new Promise(resolve => {
-      const attempt = new Attempt({
-        run,
-        sink,
-        connection,
-        clock: this.options.clock,
-        onEnd: end => {
-          if (end.fault === null) pool.giveBack(connection)
-          if (end.fault === 'silent') this.suspect(run, pool)
-          resolve(end)
-        }
-      })
-      attempt.start()
-    })
+    for (;;) {
+      const pool = this.pool(run.worker, run.address)
+      const patience = Math.min(this.options.connectionPatience, run.bound)
+      const connection = await pool.take(run.fresh, patience, run.signal)
+      if (connection === null) return unsent(run)
+      const isReused = connection.isOpened
+      const end = await this.attempt(run, sink, pool, connection)
+      // The worker closed an idle connection at its own time, which says nothing about the worker.
+      const isOnlyClosed = isReused && end.step === 'dispatching' && end.fault === 'refused'
+      if (!isOnlyClosed || isSpent(run.body)) return end
+    }
   }
 
   /**
@@ -87,6 +81,23 @@
     this.workers.clear()
   }
 
+  private async attempt (run: Run, sink: AnswerSink, pool: WorkerConnections, connection: Connection): Promise<RunEnd> {
+    return await new Promise(resolve => {
+      const attempt = new Attempt({
+        run,
+        sink,
+        connection,
+        clock: this.options.clock,
+        onEnd: end => {
+          if (end.fault === null) pool.giveBack(connection)
+          if (end.fault === 'silent') this.suspect(run, pool)
+          resolve(end)
+        }
+      })
+      attempt.start()
+    })
+  }
+
   private connections (): number {
     let count = 0
     for (const pool of this.workers.values()) count += pool.size
@@ -104,12 +115,24 @@
     const known = this.workers.get(key)
     if (known !== undefined) return known
     const { clock, connectTimeout, freshness, connectionsFor } = this.options
-    const pool = new WorkerConnections({ address, clock, connectTimeout, freshness, limit: () => connectionsFor(worker) })
+    const pool = new WorkerConnections({
+      address,
+      clock,
+      connectTimeout,
+      freshness,
+      limit: () => connectionsFor(worker),
+      onEmpty: () => { this.workers.delete(key) }
+    })
     this.workers.set(key, pool)
     return pool
   }
 }
 
+function isSpent (body: Run['body']): boolean {
+  if (body === null || Buffer.isBuffer(body)) return false
+  return body.destroyed || body.readableDidRead
+}
+
 function unsent (run: Run): RunEnd {
   const fault = run.signal.aborted ? 'caller-gone' : 'no-connection'
   return { step: 'dispatching', fault, detail: 'no connection became free', serviceTime: 0 }
--- a/packages/front/src/node/Exchange.ts
+++ b/packages/front/src/node/Exchange.ts
@@ -1,5 +1,5 @@
 import { Chart, hash64 } from '@rattanstep/core'
-import type { Clock, Outcome, Random, Refusal } from '@rattanstep/core'
+import type { Clock, Ending, Outcome, Random, Refusal } from '@rattanstep/core'
 import type { RetryBudget } from '@rattanstep/policy'
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import file from '../charts/request.json' with { type: 'json' }
@@ -61,6 +61,7 @@
   private sentBefore = false
   private claim: KeyClaim | null = null
   private held: KeyAnswer | null = null
+  private placement: Placement | null = null
   private relay: AnswerRelay | null = null
 
   constructor (
@@ -76,10 +77,14 @@
   /** Runs the request and answers its caller. */
   async run (): Promise<void> {
     this.context.retries.earn(this.intake.class.name, this.intake.class.retries)
-    if (this.intake.key !== '' && !(await this.claimKey())) return
-    for (;;) {
-      const again = await this.attempt()
-      if (!again) return
+    try {
+      if (this.intake.key !== '' && !(await this.claimKey())) return
+      let again = true
+      while (again) again = await this.attempt()
+    } finally {
+      // Nothing is left here unless something was thrown.
+      this.release('failed', 0)
+      this.settle('unknown')
     }
   }
 
@@ -149,6 +154,7 @@
     }
     this.step('grant')
     const placement = result.value
+    this.placement = placement
     const wait = this.waited
     const end = await this.dispatch(placement)
     return await this.conclude(placement, end, wait)
@@ -216,14 +222,14 @@
   private async conclude (placement: Placement, end: RunEnd, wait: number): Promise<boolean> {
     if (end.step === 'ended') {
       this.step('end')
-      this.context.permits.release(placement, 'completed', end.serviceTime)
+      this.release('completed', end.serviceTime)
       this.settle('run')
       this.report(placement, end, wait, 'run')
       return false
     }
     const decision = decideOutcome({ step: end.step, fault: end.fault ?? 'reset', repeatable: this.isRepeatable, sentBefore: this.sentBefore })
     this.sentBefore ||= end.step !== 'dispatching'
-    this.context.permits.release(placement, decision.ending, decision.ending === 'unsent' ? 0 : end.serviceTime)
+    this.release(decision.ending, decision.ending === 'unsent' ? 0 : end.serviceTime)
     this.report(placement, end, wait, decision.outcome)
     if (decision.action === 'retry' && await this.mayRetry(placement, end)) return true
     this.settle(decision.outcome)
@@ -270,6 +276,11 @@
     this.context.metrics.counter('front_refused', { class: this.intake.class.name, reason: refusal?.reason ?? problem.code }).add()
   }
 
+  private release (ending: Ending, serviceTime: number): void {
+    if (this.placement !== null) this.context.permits.release(this.placement, ending, serviceTime)
+    this.placement = null
+  }
+
   private settle (outcome: Outcome): void {
     if (this.claim === null || this.held === null) return
     const answer = outcome === 'run' ? this.relay?.stored() ?? null : null
--- a/packages/front/src/node/WorkerConnections.ts
+++ b/packages/front/src/node/WorkerConnections.ts
@@ -11,6 +11,8 @@
   connectTimeout: number
   /** Milliseconds without a sign of life after which a connection counts as unproved. */
   freshness: number
+  /** Called when the last connection has closed. */
+  onEmpty: () => void
 }
 
 interface Waiter {
@@ -112,6 +114,7 @@
       onClosed: closed => {
         this.connections.delete(closed)
         this.serve()
+        if (this.connections.size === 0) this.options.onEmpty()
       }
     })
     this.connections.add(connection)
--- a/packages/front/test/runtime/OwnerPermits.test.ts
+++ b/packages/front/test/runtime/OwnerPermits.test.ts
@@ -212,3 +212,11 @@
   rig.permits.renew()
   expect(rig.network.take()).toEqual(['B permits v4 p1', 'B permits v4 p1'])
 })
+
+test('asks of one turn to one owner go as one message', async () => {
+  const rig = setUp()
+  const signal = new AbortController().signal
+  for (const id of ['r1.1', 'r2.1']) rig.permits.acquire({ ...ASK, id }, signal).catch(() => {})
+  await rig.clock.advance(0)
+  expect(rig.network.take()).toEqual(['A ask r1.1/900,r2.1/900'])
+})
