--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -5,7 +5,7 @@
 import { honestHints } from '../runtime/scenarios/honestHints.js'
 import { packSets } from '../runtime/scenarios/packSets.js'
 import { startGangs } from '../runtime/scenarios/startGangs.js'
-import { sweepConstants } from '../runtime/scenarios/sweepConstants.js'
+import { sweepConstants, sweepCrowded } from '../runtime/scenarios/sweepConstants.js'
 import { cancellationWaves, failingWorkers, headOfLine } from '../runtime/scenarios/trouble.js'
 import type { Scenario } from '../types/scenario.js'
 import { formatReport } from '../utils/markdown.js'
@@ -19,6 +19,7 @@
   blocking: headOfLine,
   hints: honestHints,
   sweep: sweepConstants,
+  'sweep-crowded': sweepCrowded,
   gangs: startGangs,
   packing: packSets,
   cost: measureCost
--- a/packages/bench/src/runtime/scenarios/sweepConstants.ts
+++ b/packages/bench/src/runtime/scenarios/sweepConstants.ts
@@ -6,7 +6,9 @@
 import { runColumns, runRow } from '../summary.js'
 import { CREST } from './compareLoads.js'
 
-const LOADS = [0.9, 2]
+/** Loads of the two scenarios as parts of capacity. */
+const BUSY = 0.9
+const CROWDED = 2
 
 const SWEEPS: Array<{ name: string, values: number[], settings: (value: number) => Settings }> = [
   { name: 'longLeast', values: [0.1, 0.25, 0.4, 0.6], settings: longLeast => ({ admission: { longLeast } }) },
@@ -20,14 +22,23 @@
 ]
 
 /**
- * Varies each constant that matters while the others keep their defaults.
+ * Varies each constant that matters while the others keep their defaults, at 90 % of capacity.
  *
  * @param effort - desks, seeds and duration
- * @returns one table for each desk and load
+ * @returns one table for each desk
  */
 export const sweepConstants: Scenario = effort => {
-  const reports = effort.desks.flatMap(name => LOADS.map(load => sweepDesk(name, load, effort)))
-  return { reports, plots: [] }
+  return { reports: effort.desks.map(name => sweepDesk(name, BUSY, effort)), plots: [] }
+}
+
+/**
+ * The same at 200 % of capacity.
+ *
+ * @param effort - desks, seeds and duration
+ * @returns one table for each desk
+ */
+export const sweepCrowded: Scenario = effort => {
+  return { reports: effort.desks.map(name => sweepDesk(name, CROWDED, effort)), plots: [] }
 }
 
 function sweepDesk (name: string, load: number, effort: Effort): Report {
