--- a/packages/front/src/node/AnswerRelay.ts
+++ b/packages/front/src/node/AnswerRelay.ts
@@ -44,7 +44,8 @@
   data (chunk: Buffer): boolean {
     this.remember(chunk)
     if (this.options.reply.pass(chunk)) return true
-    this.timer = this.options.clock.schedule(this.options.idleTimeout, this.options.onSlow)
+    // An answer that waits behind another one on the same connection is not slow.
+    if (this.options.reply.isNext) this.timer = this.options.clock.schedule(this.options.idleTimeout, this.options.onSlow)
     this.options.reply.onDrain(() => {
       this.timer?.cancel()
       this.resume()
--- a/packages/front/src/node/Exchange.ts
+++ b/packages/front/src/node/Exchange.ts
@@ -3,13 +3,15 @@
 import type { RetryBudget } from '@rattanstep/policy'
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import file from '../charts/request.json' with { type: 'json' }
-import type { KeyAnswer, KeyClaim, Keys } from '../runtime/Keys.js'
+import { KeyGuard } from '../runtime/KeyGuard.js'
+import type { Keys } from '../runtime/Keys.js'
 import { isAheadOfTime, KEY_TIMES } from '../runtime/keyTimes.js'
 import { decideOutcome, refusalOutcome } from '../runtime/outcome.js'
 import type { Decision } from '../runtime/outcome.js'
 import type { Permits, Placement } from '../runtime/Permits.js'
 import { aheadOfTimeProblem, keyProblem, refusalProblem, runProblem } from '../runtime/problems.js'
-import { mayRead, openAnswer, sealAnswer } from '../runtime/storedAnswer.js'
+import { reportAttempt } from '../runtime/reportAttempt.js'
+import { mayRead, openAnswer } from '../runtime/storedAnswer.js'
 import { FRONT_EVENTS } from '../types/events.js'
 import type { Intake } from '../types/intake.js'
 import type { RequestEvent, RequestState } from '../types/life.js'
@@ -35,11 +37,6 @@
 /** How many times its expected run time a request that can be repeated is waited for before its connection counts as silent. */
 const PROBE_FACTOR = 10
 
-/** Longest wait for the end of another run of the same key, in ms. */
-const RUNNING_PATIENCE_MS = 500
-/** Time between questions about a run of the same key, in ms. */
-const RUNNING_PERIOD_MS = 100
-
 /** What every exchange of a front works with. */
 export interface ExchangeContext {
   permits: Permits
@@ -59,8 +56,7 @@
   private readonly avoid: string[] = []
   private attempts = 0
   private sentBefore = false
-  private claim: KeyClaim | null = null
-  private held: KeyAnswer | null = null
+  private guard: KeyGuard | null = null
   private placement: Placement | null = null
   private relay: AnswerRelay | null = null
 
@@ -83,7 +79,7 @@
       while (again) again = await this.attempt()
     } finally {
       // Nothing is left here unless something was thrown.
-      this.release('failed', 0)
+      this.release('abandoned', 0)
       this.settle('unknown')
     }
   }
@@ -106,13 +102,8 @@
       this.refuse(aheadOfTimeProblem())
       return false
     }
-    const claim = { key: this.intake.key, fingerprint: this.fingerprint(), firstSent: this.intake.firstSent }
-    const answer = await this.askHome(claim)
-    if (answer?.verdict === 'first') {
-      this.claim = claim
-      this.held = answer
-      return true
-    }
+    const answer = await this.makeGuard().ask(this.timeLeft, this.signal)
+    if (answer?.verdict === 'first') return true
     const stored = answer?.verdict === 'settled' ? answer.answer : null
     if (stored !== null && mayRead(stored, this.intake.credentials)) {
       this.step('replay')
@@ -124,15 +115,11 @@
     return false
   }
 
-  private async askHome (claim: KeyClaim): Promise<KeyAnswer | null> {
+  private makeGuard (): KeyGuard {
+    const { key, firstSent, credentials } = this.intake
     const { keys, clock } = this.context
-    const end = clock.now() + Math.min(RUNNING_PATIENCE_MS, this.timeLeft)
-    for (;;) {
-      const result = await keys.claim(claim, this.signal)
-      if (result.isErr()) return null
-      if (result.value.verdict !== 'running' || clock.now() + RUNNING_PERIOD_MS >= end) return result.value
-      await clock.sleep(RUNNING_PERIOD_MS)
-    }
+    this.guard = new KeyGuard({ keys, clock, claim: { key, fingerprint: this.fingerprint(), firstSent }, credentials })
+    return this.guard
   }
 
   private fingerprint (): string {
@@ -183,7 +170,7 @@
       reply: this.reply,
       clock: context.clock,
       idleTimeout: intake.limits.idleTimeout,
-      keep: this.held !== null,
+      keep: this.guard !== null,
       onSending: () => { this.step('send') },
       onHead: () => { this.step('answer') },
       onSlow: () => { this.gone.abort('caller-slow' satisfies RunFault) }
@@ -282,32 +269,12 @@
   }
 
   private settle (outcome: Outcome): void {
-    if (this.claim === null || this.held === null) return
-    const answer = outcome === 'run' ? this.relay?.stored() ?? null : null
-    this.context.keys.settle(this.claim, this.held, outcome, answer === null ? null : sealAnswer(answer, this.intake.credentials))
-    this.claim = null
+    this.guard?.settle(outcome, outcome === 'run' ? this.relay?.stored() ?? null : null)
   }
 
   private report (placement: Placement, end: RunEnd, wait: number, outcome: Outcome): void {
-    const { log, metrics } = this.context
-    const name = this.intake.class.name
-    log.write(FRONT_EVENTS.routed, {
-      request: this.intake.id,
-      attempt: this.attempts,
-      class: name,
-      owner: placement.owner,
-      worker: placement.worker,
-      wait,
-      reason: this.attempts === 1 ? placement.reason : `${placement.reason}, retry`,
-      candidates: placement.candidates,
-      outcome,
-      fault: end.fault ?? '',
-      detail: end.detail,
-      service: end.serviceTime
-    })
-    metrics.counter('front_attempts', { class: name, outcome }).add()
-    metrics.timer('front_wait', { class: name }).record(wait)
-    metrics.timer('front_service', { class: name }).record(end.serviceTime)
+    const { id, class: work } = this.intake
+    reportAttempt(this.context, { request: id, attempt: this.attempts, class: work.name, placement, end, wait, outcome })
   }
 
   private step (event: RequestEvent): void {
--- a/packages/front/src/node/Reply.ts
+++ b/packages/front/src/node/Reply.ts
@@ -24,6 +24,11 @@
     return this.response.headersSent
   }
 
+  /** Whether no other answer goes before this one on the connection. */
+  get isNext (): boolean {
+    return this.response.socket !== null
+  }
+
   /** Whether nothing can be said any more. */
   get isOver (): boolean {
     return this.response.writableEnded || this.response.destroyed
