Ownership: a node's standing follows a state chart

Cause: whether a node is named, serves or drains stood in scattered flags, and a listener of heartbeats that threw took the message with it.

--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,6 +1,7 @@
 export { Ownership } from './runtime/Ownership.js'
 export type { HeartbeatListener } from './runtime/Dispatcher.js'
 export type { AssignmentListener } from './runtime/Follower.js'
+export type { MembershipState } from './runtime/Membership.js'
 export { EVENTS as OWNERSHIP_EVENTS } from './types/events.js'
 export type { OwnershipOptions } from './types/OwnershipOptions.js'
 export type { OwnershipStatus } from './types/OwnershipStatus.js'
--- a/packages/ownership/src/runtime/Dispatcher.ts
+++ b/packages/ownership/src/runtime/Dispatcher.ts
@@ -115,7 +115,15 @@
     heartbeats.hear(from, heartbeat)
     if (heartbeat.version < assignment.version) network.send(from, { kind: 'assignment', assignment })
     if (heartbeat.version > assignment.version) network.send(from, { kind: 'fetch', what: 'assignment' })
-    for (const listener of this.listeners) listener(from, heartbeat)
+    for (const listener of this.listeners) this.call(listener, from, heartbeat)
+  }
+
+  private call (listener: HeartbeatListener, from: Incarnation, heartbeat: HeartbeatMessage): void {
+    try {
+      listener(from, heartbeat)
+    } catch (error) {
+      this.options.log.write(EVENTS.listenerFailed, { error: String(error) })
+    }
   }
 
   private receiveAssignment (from: Incarnation, value: Assignment): void {
--- a/packages/ownership/src/runtime/Ownership.ts
+++ b/packages/ownership/src/runtime/Ownership.ts
@@ -17,6 +17,8 @@
 import { Heartbeats } from './Heartbeats.js'
 import { Knowledge } from './Knowledge.js'
 import { Lease } from './Lease.js'
+import { Membership } from './Membership.js'
+import type { MembershipEvent } from './Membership.js'
 import { Planner } from './Planner.js'
 import { Releases } from './Releases.js'
 import { Surplus } from './Surplus.js'
@@ -41,9 +43,9 @@
   private readonly handOvers: HandOvers
   private readonly dispatcher: Dispatcher
   private readonly coordinator: Coordinator
+  private readonly membership: Membership
   private self: Holder
   private timer: Timer | null = null
-  private hadLease = false
 
   /** @param options - see the type */
   constructor (options: OwnershipOptions) {
@@ -74,6 +76,7 @@
     })
     this.dispatcher = new Dispatcher({ ...options, self, follower, heartbeats, voter, ballot, wake: () => { this.wake() } })
     this.coordinator = this.makeCoordinator()
+    this.membership = new Membership(log)
     this.follower.onChange(assignment => { this.follow(assignment) })
   }
 
@@ -93,6 +96,7 @@
     this.timer?.cancel()
     this.timer = null
     this.coordinator.stop()
+    this.note('stop')
   }
 
   /**
@@ -162,6 +166,7 @@
    */
   async drain (): Promise<void> {
     this.self = { ...this.self, draining: true }
+    this.note('drain')
     this.handOvers.stopAdmitting(this.knowledge.owned(), 'stop')
     await this.until(() => this.hasLeft() || this.isLastToLeave())
   }
@@ -183,7 +188,8 @@
   status (): OwnershipStatus {
     const { self, follower, heartbeats, knowledge, lease, coordinator } = this
     const { clock } = this.options
-    return describeStatus({ self, clock, follower, heartbeats, knowledge, lease, coordinator, leaseLeft: this.leaseLeft() })
+    const { state } = this.membership
+    return describeStatus({ self, state, clock, follower, heartbeats, knowledge, lease, coordinator, leaseLeft: this.leaseLeft() })
   }
 
   private makeCoordinator (): Coordinator {
@@ -228,7 +234,7 @@
     this.watch.look()
     this.heartbeats.beat()
     this.knowledge.look()
-    this.noteLease()
+    this.note(this.leaseLeft() > 0 ? 'lease' : 'lapse')
     this.wake()
   }
 
@@ -239,12 +245,8 @@
     })
   }
 
-  private noteLease (): void {
-    const has = this.leaseLeft() > 0
-    if (has === this.hadLease) return
-    this.hadLease = has
-    const { version } = this.assignment
-    this.options.log.write(has ? EVENTS.leaseGained : EVENTS.leaseLost, { version, countsBy: this.lease.countsBy })
+  private note (event: MembershipEvent): void {
+    this.membership.apply(event, { version: this.assignment.version, countsBy: this.lease.countsBy })
   }
 
   private follow (assignment: Assignment): void {
@@ -254,6 +256,7 @@
     this.ballot.adopt(assignment.version)
     this.heartbeats.adopt(assignment)
     this.watch.adopt(assignment)
+    this.note(this.isHolder() ? 'name' : 'remove')
     this.releases.adopt(new Set(this.knowledge.owned()))
     if (this.self.draining) this.releases.want(this.knowledge.owned())
     this.knowledge.look()
--- a/packages/ownership/src/runtime/describeStatus.ts
+++ b/packages/ownership/src/runtime/describeStatus.ts
@@ -5,10 +5,12 @@
 import type { Heartbeats } from './Heartbeats.js'
 import type { Knowledge } from './Knowledge.js'
 import type { Lease } from './Lease.js'
+import type { MembershipState } from './Membership.js'
 
 /** What the status is taken from. */
 export interface StatusSources {
   self: Holder
+  state: MembershipState
   clock: Clock
   follower: Follower
   heartbeats: Heartbeats
@@ -23,7 +25,7 @@
  * @returns what operators see
  */
 export function describeStatus (sources: StatusSources): OwnershipStatus {
-  const { self, clock, follower, heartbeats, knowledge, lease, coordinator, leaseLeft } = sources
+  const { self, state, clock, follower, heartbeats, knowledge, lease, coordinator, leaseLeft } = sources
   const { version, voters, nextVoters, holders } = follower.assignment
   const now = clock.now()
   const { table } = coordinator
@@ -33,6 +35,7 @@
     return at === -Infinity ? null : now - at
   }
   return {
+    state,
     version,
     voters,
     nextVoters,
--- a/packages/ownership/src/types/OwnershipStatus.ts
+++ b/packages/ownership/src/types/OwnershipStatus.ts
@@ -1,7 +1,10 @@
 import type { Incarnation, ResourceKey } from '@rattanstep/core'
+import type { MembershipState } from '../runtime/Membership.js'
 
 /** What operators see of the ownership. Times are in ms before now. */
 export interface OwnershipStatus {
+  /** How this node stands towards the assignment. */
+  state: MembershipState
   version: number
   voters: Incarnation[]
   nextVoters: Incarnation[] | null
--- a/packages/ownership/src/types/events.ts
+++ b/packages/ownership/src/types/events.ts
@@ -71,6 +71,13 @@
     message: 'The lease lapsed; nothing is admitted until a majority of the voters answers.',
     fields: { version: 'version followed', countsBy: 'the voters counted by' }
   },
+  membershipChanged: {
+    number: 3012,
+    name: 'membership-changed',
+    level: 'info',
+    message: 'This node stands otherwise towards the assignment.',
+    fields: { from: 'state before', to: 'state now', version: 'version followed' }
+  },
   holderSuspected: {
     number: 3020,
     name: 'holder-suspected',
