--- a/packages/jobs/test/runtime/Jobs.test.ts
+++ b/packages/jobs/test/runtime/Jobs.test.ts
@@ -23,6 +23,8 @@
   expect((await accepted).isOk()).toEqual(true)
   expect(await stateOf(cell, 'b')).toEqual('done done,done,done')
   expect(cell.workers.runs.length).toEqual(3)
+  const left = [...cell.instances.values()].flatMap(worker => cell.workers.host(worker).report().tasks)
+  expect(left).toEqual([])
   expect(findBreaches(cell)).toEqual([])
 })
 
--- a/packages/jobs/test/runtime/takeover.test.ts
+++ b/packages/jobs/test/runtime/takeover.test.ts
@@ -96,6 +96,38 @@
   expect([stateOf(first), stateOf(second)]).toEqual(['done', 'done'])
 })
 
+test('room of a placement whose answers were all lost is not given away while it may yet take effect', async () => {
+  const { cell, owner, other } = await prepare()
+  const [first, second] = [nameDrivenBy(cell, other.id), nameDrivenBy(cell, owner.id)]
+  let sent = 0
+  other.gate.inject = (step, moment) => {
+    if (step !== 'placed' || moment !== 'before') return null
+    if (++sent === 3) cell.clock.schedule(5, () => { other.gate.shut() })
+    return 'late'
+  }
+  const deliver = cell.deliver.bind(cell)
+  cell.deliver = (from, to, message) => {
+    const asksAgain = sent === 3 && from === other.id && message.kind === 'job' && message.operation === 'hold'
+    if (!asksAgain) deliver(from, to, message)
+  }
+  const large = { command: 'run 1500', resources: { slots: 4 } }
+  const accepted = owner.jobs.submit({ id: first, kind: 'batch', class: 'audio', tasks: [large] })
+  for (let waited = 0; waited < 1000 && !other.gate.isShut; waited += 10) await cell.clock.advance(10)
+  expect([sent, (await accepted).isOk()]).toEqual([3, true])
+  const rival = owner.jobs.submit({ id: second, kind: 'batch', class: 'audio', tasks: [large] })
+  for (let waited = 0; waited < 1500; waited += 50) {
+    await cell.clock.advance(50)
+    expect(findBreaches(cell)).toEqual([])
+  }
+  expect((await rival).isOk()).toEqual(true)
+  cell.deliver = deliver
+  other.gate.inject = () => null
+  other.gate.open()
+  await cell.clock.advance(8000)
+  expect(findBreaches(cell)).toEqual([])
+  expect(readTasks(cell).map(task => task.state).sort()).toEqual(['done', 'done', 'placed'])
+})
+
 function nameDrivenBy (cell: Cell, node: string): string {
   const names = Array.from({ length: 50 }, (_, number) => `job-${number}`)
   return names.find(name => rendezvous(name, [...cell.members.keys()])[0] === node)!
