front: the time of a failed attempt is no waiting for room

Cause: patience was counted from arrival, so that a request whose first attempt hung for the probe time had none left for its second one. Change: only the time in acquire counts; the test fails with the former way of counting (patience from arrival).

--- a/packages/front/src/node/Exchange.ts
+++ b/packages/front/src/node/Exchange.ts
@@ -55,6 +55,8 @@
   private readonly arrivedAt: number
   private readonly avoid: string[] = []
   private attempts = 0
+  /** Milliseconds spent waiting for room, over all attempts. */
+  private queued = 0
   private sentBefore = false
   private guard: KeyGuard | null = null
   private placement: Placement | null = null
@@ -132,7 +134,9 @@
     const { permits } = this.context
     this.step('ask')
     this.attempts++
+    const askedAt = this.context.clock.now()
     const result = await permits.acquire(this.ask(), this.signal)
+    this.queued += this.context.clock.now() - askedAt
     if (result.isErr()) {
       const outcome = refusalOutcome(this.sentBefore)
       this.settle(outcome)
@@ -156,8 +160,8 @@
       caller: intake.caller,
       team: intake.team,
       resources: { slots: 1, cores, memory, accelerators },
-      patience: Math.max(0, Math.min(intake.class.patience - this.waited, this.timeLeft)),
-      waited: this.waited,
+      patience: Math.max(0, Math.min(intake.class.patience - this.queued, this.timeLeft)),
+      waited: this.queued,
       avoid: [...this.avoid]
     }
   }
--- a/packages/front/test/node/Front.test.ts
+++ b/packages/front/test/node/Front.test.ts
@@ -69,3 +69,19 @@
   expect([answer.statusCode, answer.headers['rattanstep-outcome'], answer.headers['retry-after']]).toEqual([503, 'not-run', '3'])
   await rig.close()
 })
+
+const METHODS = ['GET', 'DELETE', 'PATCH', 'OPTIONS', 'PROPFIND', 'M-SEARCH', 'TRACE']
+
+for (const method of METHODS) {
+  test(`${method} with a body is passed on as it is`, async () => {
+    const worker = await FakeWorker.start((incoming, response) => {
+      response.setHeader('x-method', incoming.method!)
+      incoming.pipe(response)
+    })
+    const rig = await startFront([worker.address])
+    const answer = await request(`${rig.url}/any`, { method: method as 'GET', body: 'with a body' })
+    expect([answer.statusCode, answer.headers['x-method'], await answer.body.text()]).toEqual([200, method, 'with a body'])
+    await rig.close()
+    worker.close()
+  })
+}
--- a/packages/front/test/node/callers.test.ts
+++ b/packages/front/test/node/callers.test.ts
@@ -62,7 +62,7 @@
   const answer = await talk(rig.address, 'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\nconnection: close\r\n\r\nhalf', false)
   expect(answer).toMatchRegex(/^HTTP\/1.1 408 /)
   expect(answer).toMatchRegex(/rattanstep-outcome: not-run/)
-  expect(rig.permits.asked).toEqual(0)
+  expect(rig.permits.asks).toEqual([])
   await rig.close()
 })
 
--- a/packages/front/test/node/faults.test.ts
+++ b/packages/front/test/node/faults.test.ts
@@ -100,6 +100,18 @@
   worker.close()
 })
 
+test('the time of an attempt that failed does not count as waiting for room', async () => {
+  const worker = await RawWorker.start((socket, run) => { if (run > 0) socket.write(WHOLE) })
+  const other = await RawWorker.start((socket, run) => { if (run > 0 || worker.runs > 0) socket.write(WHOLE) })
+  const rig = await startFront([worker.address, other.address], { rules: () => sampleRules({}, 3000) })
+  expect((await attempt(rig.url, KINDS[2]!)).status).toEqual(200)
+  const asks = rig.permits.asks.map(({ patience, waited }) => ({ patience, waited }))
+  expect(asks.map(ask => ask.patience > 900 && ask.waited < 100)).toEqual([true, true])
+  await rig.close()
+  worker.close()
+  other.close()
+})
+
 test('a permit that is too old when the first byte would leave is not used', async () => {
   const worker = await FakeWorker.start((_: IncomingMessage, response: ServerResponse) => { response.end() })
   const rig = await startFront([worker.address])
--- a/packages/front/test/node/rig.ts
+++ b/packages/front/test/node/rig.ts
@@ -13,7 +13,7 @@
 export class FakePermits extends Permits {
   readonly held = new Set<string>()
   readonly endings: Ending[] = []
-  asked = 0
+  readonly asks: Ask[] = []
   validity = 60_000
 
   constructor (private readonly workers: Address[], private readonly refusal: Refusal | null = null) {
@@ -21,7 +21,7 @@
   }
 
   override async acquire (ask: Ask): Promise<Result<Placement, Refusal>> {
-    const number = this.asked++
+    const number = this.asks.push(ask) - 1
     if (this.refusal !== null) return Err(this.refusal)
     const usable = this.workers.map((address, index) => ({ address, worker: `w${index}` }))
       .filter(({ worker }) => !ask.avoid.includes(worker))
