--- a/packages/bench/src/node/main.ts
+++ b/packages/bench/src/node/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { parseArgs } from 'node:util'
 import { DESKS } from '../runtime/desks.js'
+import { compareCallers } from '../runtime/scenarios/compareCallers.js'
 import { compareLoads } from '../runtime/scenarios/compareLoads.js'
 import { honestHints } from '../runtime/scenarios/honestHints.js'
 import { packSets } from '../runtime/scenarios/packSets.js'
@@ -17,6 +18,7 @@
   failing: failingWorkers,
   waves: cancellationWaves,
   blocking: headOfLine,
+  callers: compareCallers,
   hints: honestHints,
   sweep: sweepConstants,
   'sweep-crowded': sweepCrowded,
--- a/packages/bench/src/runtime/Recorder.ts
+++ b/packages/bench/src/runtime/Recorder.ts
@@ -1,5 +1,5 @@
 import type { Work } from '../types/work.js'
-import { isCrest } from './generateWork.js'
+import { GREEDY_CALLER, isCrest } from './generateWork.js'
 
 /** Milliseconds for which an item may be under way; only then it counts as work that waits for a slot. */
 const UNDER_WAY = 10
@@ -10,6 +10,9 @@
   waits: number[]
   /** The same for items that arrived at the crest. */
   crestWaits: number[]
+  /** Milliseconds waited by items of the caller that sends most, and by those of all others. */
+  greedyWaits: number[]
+  modestWaits: number[]
   arrived: number
   done: number
   failed: number
@@ -82,7 +85,7 @@
   of (name: string): ClassRecord {
     const known = this.classes.get(name)
     if (known !== undefined) return known
-    const record = { waits: [], crestWaits: [], arrived: 0, done: 0, failed: 0, refused: 0, withdrawn: 0, returned: 0, startedAfterReturn: 0, slowdowns: [], work: 0, lost: 0 }
+    const record = { waits: [], crestWaits: [], greedyWaits: [], modestWaits: [], arrived: 0, done: 0, failed: 0, refused: 0, withdrawn: 0, returned: 0, startedAfterReturn: 0, slowdowns: [], work: 0, lost: 0 }
     this.classes.set(name, record)
     return record
   }
@@ -112,6 +115,8 @@
     const record = this.of(work.class)
     if (work.returned) record.startedAfterReturn++
     record.waits.push(now - work.arrival)
+    const list = work.caller === GREEDY_CALLER ? record.greedyWaits : record.modestWaits
+    list.push(now - work.arrival)
     if (isCrest(work.arrival)) record.crestWaits.push(now - work.arrival)
   }
 
--- a/packages/bench/src/runtime/generateWork.ts
+++ b/packages/bench/src/runtime/generateWork.ts
@@ -8,6 +8,10 @@
 /** Part of a period that is crest. */
 const CREST_PART = 0.25
 
+/** The caller that sends most, and its part of each class. */
+export const GREEDY_CALLER = 'caller-0'
+const GREEDY_PART = 0.5
+
 /** Part of waiting and running work that a wave of cancellations takes. */
 const WAVE_PART = 0.4
 
@@ -56,12 +60,12 @@
 }
 
 function draw (kind: WorkClass, arrival: number, random: Random): Work {
-  const caller = random.next() < 0.5 ? 0 : 1 + random.integer(kind.callers)
+  const caller = random.next() < GREEDY_PART ? GREEDY_CALLER : `caller-${1 + random.integer(kind.callers)}`
   const size = kind.size(random.next(), random.next())
   return {
     id: 0,
     class: kind.rule.name,
-    caller: `caller-${caller}`,
+    caller,
     arrival,
     size,
     left: size,
