Rules: bounded time for the comparison of routes

Cause: 500 hostile routes kept the checker busy for 15.8 s (trial, random paths with many wildcards) and 500 plain ones for 1.7 s, in a process of one thread. Change: two patterns are compared whole only when sample paths do not tell them apart, within one budget; a path has at most 32 segments.

--- a/packages/rules/src/runtime/checkRules.ts
+++ b/packages/rules/src/runtime/checkRules.ts
@@ -7,6 +7,9 @@
 /** Rounding that sums of percentages are allowed. */
 const ROUNDING = 1e-9
 
+/** Most steps spent on comparing routes with each other; far more than routes of real use need. */
+const SHADOW_BUDGET = 20_000
+
 /** Rules as read, some perhaps with findings. */
 export interface ReadRules {
   classes: Array<Rule<Omit<ResolvedClass, 'askedBy' | 'line'>>>
@@ -85,11 +88,12 @@
     method: values.method,
     pattern: values.path?.split('/').filter(segment => segment !== '')
   }))
+  const budget = { left: SHADOW_BUDGET }
   split.forEach((later, index) => {
     const { pattern, method } = later
     if (pattern === undefined || method === undefined) return
     const earlier = split.slice(0, index).find(other =>
-      other.pattern !== undefined && (other.method === '*' || other.method === method) && coversPattern(other.pattern, pattern))
+      other.pattern !== undefined && (other.method === '*' || other.method === method) && coversPattern(other.pattern, pattern, budget))
     if (earlier === undefined) return
     source.report('shadowed', later.offset, `${method} ${later.path} can never match, as ${earlier.method} ${earlier.path} on line ${earlier.line} comes first; move it up or remove it`)
   })
--- a/packages/rules/src/runtime/pathPattern.ts
+++ b/packages/rules/src/runtime/pathPattern.ts
@@ -5,9 +5,18 @@
 /** Longest path, in segments, that a pattern matches. */
 export const MAX_SEGMENTS = 256
 
-/** Most pairs of states compared before two patterns count as unrelated. */
+/** Bounds the time that comparisons of patterns take. */
+export interface Budget {
+  /** Pairs of states that may still be compared. */
+  left: number
+}
+
+/** Most pairs of states compared for two patterns alone. */
 const MAX_PAIRS = 4096
 
+/** Numbers of segments tried for `**` before patterns are compared as a whole. */
+const SAMPLE_LENGTHS = [0, 1, 3]
+
 /** Stands for every segment that neither pattern names. */
 const OTHER = '\u0000'
 
@@ -58,9 +67,11 @@
 /**
  * @param wide - segments of one pattern
  * @param narrow - segments of another
+ * @param budget - shared by many comparisons; patterns count as unrelated once it is used up
  * @returns whether every path of the narrow pattern is one of the wide pattern
  */
-export function coversPattern (wide: readonly string[], narrow: readonly string[]): boolean {
+export function coversPattern (wide: readonly string[], narrow: readonly string[], budget: Budget = { left: MAX_PAIRS }): boolean {
+  if (!SAMPLE_LENGTHS.every(length => matchesPattern(wide, samplePath(narrow, length)))) return false
   const letters = [...new Set([...wide, ...narrow, OTHER])].filter(segment => segment !== '*' && segment !== '**')
   const start: States = { narrow: close(narrow, [0]), wide: close(wide, [0]) }
   const seen = new Set([nameOf(start)])
@@ -71,7 +82,7 @@
     for (const letter of letters) {
       const next: States = { narrow: step(narrow, states.narrow, letter), wide: step(wide, states.wide, letter) }
       if (next.narrow.length === 0 || seen.has(nameOf(next))) continue
-      if (seen.size >= MAX_PAIRS) return false
+      if (budget.left-- <= 0) return false
       seen.add(nameOf(next))
       open.push(next)
     }
@@ -79,6 +90,14 @@
   return true
 }
 
+/** A path of the pattern, in which each `**` stands for as many segments as told. */
+function samplePath (pattern: readonly string[], length: number): string[] {
+  return pattern.flatMap(segment => {
+    if (segment === '**') return Array.from({ length }, () => OTHER)
+    return segment === '*' ? [OTHER] : [segment]
+  })
+}
+
 /** Positions that both patterns can be at after the same segments. */
 interface States {
   narrow: number[]
--- a/packages/rules/src/runtime/schema.ts
+++ b/packages/rules/src/runtime/schema.ts
@@ -17,8 +17,8 @@
 const TEAM_FORM = `empty, or ${NAME_FORM}`
 const COMMAND = /^.{1,4096}$/u
 const COMMAND_FORM = 'one line of 1 to 4096 characters'
-const PATH = /^(?:\/|(?:\/(?:\*{1,2}|[^/\s?#*]+))+)$/
-const PATH_FORM = 'a path that starts with /; a segment is *, ** or has no *, blank, ? or #'
+const PATH = /^(?:\/|(?:\/(?:\*{1,2}|[^/\s?#*]+)){1,32})$/
+const PATH_FORM = 'a path that starts with / and has at most 32 segments; a segment is *, ** or has no *, blank, ? or #'
 const METHOD = /^(?:\*|[A-Z][A-Z-]{0,31})$/
 const METHOD_FORM = 'a method in capitals, or *'
 
--- a/packages/rules/test/runtime/RouteTable.test.ts
+++ b/packages/rules/test/runtime/RouteTable.test.ts
@@ -61,6 +61,13 @@
     }), { numRuns: 300, seed: 2 })
   })
 
+  test('compares no further once the budget is used up', () => {
+    const budget = { left: 1 }
+    expect(coversPattern(['**', 'a', '**'], ['a', 'b', 'a', '**'], budget)).toEqual(false)
+    expect(budget.left).toEqual(-1)
+    expect(coversPattern(['**', 'a', '**'], ['a', 'b', 'a', '**'])).toEqual(true)
+  })
+
   test('steps through a hostile pattern and path in bounded time', () => {
     const hostile = Array.from({ length: 16 }, () => ['**', 'a']).flat()
     const segments = [...Array.from({ length: 255 }, () => 'a'), 'b']
--- a/packages/rules/test/runtime/parseRules.test.ts
+++ b/packages/rules/test/runtime/parseRules.test.ts
@@ -65,6 +65,7 @@
     ['accepts an earlier route of another method', rules(CLASS, '  - { path: /a/**, method: PUT, class: a } # me\n  - { path: /a/*/b, class: a } # me\n'), []],
     ['accepts an earlier route that is narrower', rules(CLASS, '  - { path: /a/*/b, class: a } # me\n  - { path: /a/**, class: a } # me\n'), []],
     ['refuses a path that is no pattern', rules(CLASS, '  - { path: a, class: a } # me\n  - { path: /a//b, class: a } # me\n  - { path: /a*, class: a } # me\n'), ['4:13 wrong-value', '5:13 wrong-value', '6:13 wrong-value']],
+    ['accepts 32 segments and no more', rules(CLASS, `  - { path: ${'/a'.repeat(32)}, class: a } # me\n  - { path: ${'/b'.repeat(33)}, class: a } # me\n`), ['5:13 wrong-value']],
     ['refuses a method in small letters', rules(CLASS, '  - { path: /a, method: get, class: a } # me\n'), ['4:25 wrong-value']],
     ['refuses a rule without a comment', rules('  - { name: a }\n'), ['2:5 no-asker']],
     ['refuses an empty comment', rules('  - { name: a } #\n'), ['2:5 no-asker']],
