--- a/packages/node/test/support/Scenario.ts
+++ b/packages/node/test/support/Scenario.ts
@@ -21,6 +21,9 @@
 /** Requests in a hundred that run past the class's bound. */
 const OVERLONG_PERCENT = 1
 
+/** Mean milliseconds until a caller repeats a request with a key. */
+const REPEAT_GAP_MS = 3000
+
 /** Requests of a burst. */
 const BURST = 150
 
@@ -120,7 +123,7 @@
     const { simulation, random } = this.cluster
     const repeats = random.integer(3)
     for (let repeat = 0; repeat < repeats; repeat++) {
-      simulation.schedule(random.exponential(1500), () => { if (this.working) this.cluster.send(plan) })
+      simulation.schedule(random.exponential(REPEAT_GAP_MS), () => { if (this.working) this.cluster.send(plan) })
     }
   }
 
--- a/packages/node/test/support/matrixTable.ts
+++ b/packages/node/test/support/matrixTable.ts
@@ -14,6 +14,7 @@
   | 'message late'
   | 'cut one way'
   | 'cut both ways'
+  | 'sender cut off'
   | 'table down'
   | 'table slow'
   | 'table answers lost'
@@ -70,6 +71,7 @@
   'message late',
   'cut one way',
   'cut both ways',
+  'sender cut off',
   'table down',
   'table slow',
   'table answers lost',
--- a/packages/node/test/support/strike.ts
+++ b/packages/node/test/support/strike.ts
@@ -56,6 +56,7 @@
       cut(cluster, sender.incarnation, receiver!.incarnation)
       cut(cluster, receiver!.incarnation, sender.incarnation)
       return ORDINARY
+    case 'sender cut off': isolate(cluster, sender); return ORDINARY
     default:
       strikePlatform(cluster, fault, place)
       return ORDINARY
@@ -121,6 +122,14 @@
   simulation.schedule(OUTAGE_MS, () => { wire.cuts.delete(pair) })
 }
 
+function isolate (cluster: Cluster, process: Process): void {
+  for (const other of cluster.processes) {
+    if (other.options.id === process.options.id) continue
+    cut(cluster, process.incarnation, other.incarnation)
+    cut(cluster, other.incarnation, process.incarnation)
+  }
+}
+
 function nameOf (incarnation: Incarnation): string {
   return incarnation.slice(0, incarnation.indexOf('@'))
 }
