--- a/packages/policy/src/runtime/Dispatcher.ts
+++ b/packages/policy/src/runtime/Dispatcher.ts
@@ -1,6 +1,5 @@
 import type { Ask, Incarnation, Random, RefusalReason } from '@rattanstep/core'
 import type { Decision, GrantDecision, RefuseDecision } from '../types/decision.js'
-import { Heap } from '../utils/Heap.js'
 import type { ClassBook } from './ClassBook.js'
 import type { ClassBooks } from './ClassBooks.js'
 import type { WaitingAsk } from './FlowQueue.js'
@@ -14,6 +13,7 @@
 import type { RoomLimits } from './RoomLimits.js'
 import type { WorkerBook } from './WorkerBook.js'
 import type { Choice, WorkerBooks } from './WorkerBooks.js'
+import { askKey, WaitingRoom } from './WaitingRoom.js'
 
 /** Flows whose first ask is tried when a class has its turn. */
 const TRIED_FLOWS = 4
@@ -48,8 +48,7 @@
   /** Whether grants may be given now; asks wait while it is off. */
   admitting = true
   private readonly options: DispatcherOptions
-  private readonly waiting = new Map<string, WaitingAsk>()
-  private readonly deadlines = new Heap<WaitingAsk>((a, b) => a.deadline - b.deadline)
+  private readonly waiting = new WaitingRoom()
   private permitCount = 0
 
   /** @param options - books and limits */
@@ -75,7 +74,7 @@
     if (grant !== null) return [grant]
     const refusal = this.refuseEarly(book, item, now)
     if (refusal !== null) return [refusal]
-    this.enqueue(book, item, now)
+    this.waiting.add(book, item, now)
     return []
   }
 
@@ -104,9 +103,7 @@
    * @param now - ms
    */
   drop (front: Incarnation, now: number): void {
-    for (const item of [...this.waiting.values()]) {
-      if (item.front === front) this.dequeue(item, now, false)
-    }
+    for (const item of this.waiting.ofFront(front)) this.waiting.remove(this.options.classes.get(item.ask.class), item, now, false)
   }
 
   /**
@@ -134,7 +131,7 @@
    */
   expire (now: number): Decision[] {
     const decisions: Decision[] = []
-    for (let item = this.deadlines.peek(); item !== undefined && item.deadline <= now; item = this.deadlines.peek()) {
+    for (let item = this.waiting.expired(now); item !== undefined; item = this.waiting.expired(now)) {
       decisions.push(this.refuse(item, 'patience', now))
     }
     for (const book of this.options.classes.inOrder(now)) decisions.push(...this.sendOn(book, now))
@@ -172,7 +169,7 @@
     const { worker, candidates } = choice
     const queued = this.waiting.has(item.key)
     const reason = queued ? this.turnReason(book, now) : 'free-room'
-    if (queued) this.dequeue(item, now, true)
+    if (queued) this.waiting.remove(book, item, now, true)
     const entry = this.open(book, item, worker, now)
     const { permit } = entry
     const { id, address } = worker.room
@@ -247,30 +244,10 @@
   private refuse (item: WaitingAsk, reason: RefusalReason, now: number, peer?: Incarnation): RefuseDecision {
     const { classes, projection, random, peers } = this.options
     const book = classes.get(item.ask.class)
-    if (this.waiting.has(item.key)) this.dequeue(item, now, false)
+    if (this.waiting.has(item.key)) this.waiting.remove(book, item, now, false)
     const wait = Math.max(LEAST_RETRY, projection.wait(book, item.ask, now))
     const retryAfter = Math.ceil(wait * (1 + RETRY_SPREAD * random.next()))
     const redirect = peer ?? (reason === 'cancelled' ? '' : peers.take(now))
     return { kind: 'refuse', ask: item.ask, front: item.front, reason, retryAfter, redirect }
   }
-
-  private enqueue (book: ClassBook, item: WaitingAsk, now: number): void {
-    this.waiting.set(item.key, item)
-    this.deadlines.push(item)
-    book.queue.push(item)
-    book.noteQueue(now)
-  }
-
-  private dequeue (item: WaitingAsk, now: number, served: boolean): void {
-    const book = this.options.classes.get(item.ask.class)
-    this.waiting.delete(item.key)
-    this.deadlines.remove(item)
-    if (served) book.queue.serve(item)
-    else book.queue.remove(item)
-    book.noteQueue(now)
-  }
-}
-
-function askKey (front: Incarnation, ask: string): string {
-  return `${front} ${ask}`
 }
