--- a/packages/rules/src/runtime/RouteTable.ts
+++ b/packages/rules/src/runtime/RouteTable.ts
@@ -1,5 +1,5 @@
 import type { ResolvedRoute, ResolvedRules } from '../types/rules.js'
-import { matchesPattern, splitPath } from './pathPattern.js'
+import { matchesPattern, splitPath, splitPattern } from './pathPattern.js'
 
 /** A route with its pattern split. */
 interface Entry {
@@ -16,7 +16,7 @@
 
   /** @param rules - rules whose routes are looked up */
   constructor (rules: Pick<ResolvedRules, 'routes'>) {
-    const entries = rules.routes.map(route => ({ route, pattern: route.path.split('/').filter(segment => segment !== '') }))
+    const entries = rules.routes.map(route => ({ route, pattern: splitPattern(route.path) }))
     this.open = entries.filter(entry => isOpen(entry))
     const firsts = new Set(entries.filter(entry => !isOpen(entry)).map(entry => entry.pattern[0]!))
     for (const first of firsts) {
--- a/packages/rules/src/runtime/checkRules.ts
+++ b/packages/rules/src/runtime/checkRules.ts
@@ -1,6 +1,6 @@
 import type { ResolvedClass, ResolvedRoute, ResolvedTeam } from '../types/rules.js'
 import { quote, suggestion } from './fields.js'
-import { coversPattern } from './pathPattern.js'
+import { coversPattern, splitPattern } from './pathPattern.js'
 import type { Rule } from './readRules.js'
 import type { Source } from './Source.js'
 
@@ -86,7 +86,7 @@
     line,
     path: values.path ?? '',
     method: values.method,
-    pattern: values.path?.split('/').filter(segment => segment !== '')
+    pattern: values.path === undefined ? undefined : splitPattern(values.path)
   }))
   const budget = { left: SHADOW_BUDGET }
   split.forEach((later, index) => {
--- a/packages/rules/src/runtime/pathPattern.ts
+++ b/packages/rules/src/runtime/pathPattern.ts
@@ -20,6 +20,14 @@
 /** Stands for every segment that neither pattern names. */
 const OTHER = '\u0000'
 
+/**
+ * @param path - path pattern
+ * @returns its segments
+ */
+export function splitPattern (path: string): string[] {
+  return path.split('/').filter(segment => segment !== '')
+}
+
 /**
  * Splits a request path. Empty segments are dropped, percent-encoding is undone.
  *
@@ -28,7 +36,7 @@
  */
 export function splitPath (path: string): string[] | null {
   const end = path.search(/[?#]/)
-  const segments = (end === -1 ? path : path.slice(0, end)).split('/').filter(segment => segment !== '').map(decode)
+  const segments = splitPattern(end === -1 ? path : path.slice(0, end)).map(decode)
   const refused = segments.length > MAX_SEGMENTS || segments.some(segment => segment === '.' || segment === '..')
   return refused ? null : segments
 }
