--- a/packages/rules/src/runtime/checkRules.ts
+++ b/packages/rules/src/runtime/checkRules.ts
@@ -1,5 +1,5 @@
 import type { ResolvedClass, ResolvedRoute, ResolvedTeam } from '../types/rules.js'
-import { quote, suggestion } from './fields.js'
+import { quote, suggestion } from '../utils/message.js'
 import { coversPattern, splitPattern } from './pathPattern.js'
 import type { Rule } from './readRules.js'
 import type { Source } from './Source.js'
--- a/packages/rules/src/runtime/fields.ts
+++ b/packages/rules/src/runtime/fields.ts
@@ -1,18 +1,15 @@
 import type { Address } from '@rattanstep/core'
 import { isScalar, isSeq } from 'yaml'
 import type { Node } from 'yaml'
-import { z } from 'zod'
 import type { Field, Report } from '../types/Field.js'
-import { nearest } from '../utils/nearest.js'
+import { quote, suggestion } from '../utils/message.js'
+import { parseAddress } from '../utils/parseAddress.js'
 import { BYTES_PER_MIB, parseDecimal, parseDuration, parsePart, parseSize } from '../utils/units.js'
 
 /**
  * Constructors of the fields that the operators' text is made of.
  */
 
-/** Longest part of a value that a message repeats. */
-const MAX_QUOTED = 60
-
 /** What every field is described by. */
 export interface Description {
   meaning: string
@@ -158,39 +155,6 @@
   }
 }
 
-/**
- * @param given - text such as `127.0.0.1:7070`
- * @param least - least port allowed
- * @returns the address, or `null` when the text is none
- */
-export function parseAddress (given: string, least = 1): Address | null {
-  const match = /^(?:\[([0-9a-fA-F:.]{2,45})\]|([0-9.]{7,15})):(\d{1,5})$/.exec(given)
-  if (match === null) return null
-  const host = match[1] ?? match[2]!
-  const port = Number(match[3])
-  const form = match[1] === undefined ? z.ipv4() : z.ipv6()
-  if (!form.safeParse(host).success) return null
-  return port >= least && port <= 65535 ? { host, port } : null
-}
-
-/**
- * @param word - what was given
- * @param known - what is allowed
- * @returns `; did you mean …?`, or empty when nothing is close
- */
-export function suggestion (word: string, known: readonly string[]): string {
-  const close = nearest(word, known)
-  return close === null ? '' : `; did you mean ${close}?`
-}
-
-/**
- * @param given - text from the operators
- * @returns the text in quotes, cut when long
- */
-export function quote (given: string): string {
-  return JSON.stringify(given.length > MAX_QUOTED ? given.slice(0, MAX_QUOTED) + '…' : given)
-}
-
 interface ScalarOptions<T> {
   unit: string
   expected: string
--- a/packages/rules/src/runtime/readFields.ts
+++ b/packages/rules/src/runtime/readFields.ts
@@ -1,7 +1,7 @@
 import { isScalar } from 'yaml'
 import type { Node, Pair, YAMLMap } from 'yaml'
 import type { Schema } from '../types/Field.js'
-import { quote, suggestion } from './fields.js'
+import { quote, suggestion } from '../utils/message.js'
 import type { Source } from './Source.js'
 
 /** Values read from a map; a value that had a finding is missing. */
--- a/packages/rules/src/runtime/readSections.ts
+++ b/packages/rules/src/runtime/readSections.ts
@@ -1,6 +1,6 @@
 import { isMap, isScalar } from 'yaml'
 import type { Document, Node, Pair, YAMLMap } from 'yaml'
-import { quote, suggestion } from './fields.js'
+import { quote, suggestion } from '../utils/message.js'
 import { offsetOf } from './readFields.js'
 import type { Source } from './Source.js'
 
