Real processes under kills, pauses, silent connections and a table outage

Cause: the matrix runs members in one process; sockets and signals were not in it. Change: three nodes, four workers and a platform as processes, 24 requests in flight; connections of one worker silenced by a relay, kill -9 of two nodes, SIGSTOP of one for 6 s (lease 3 s), the table down for 6 s.

--- /dev/null
+++ b/packages/node/test/node/faults.test.ts
@@ -0,0 +1,95 @@
+import { after, before, test } from 'node:test'
+import { expect } from 'earl'
+import { Load } from '../support/Load.js'
+import { openRelay } from '../support/openRelay.js'
+import type { Relay } from '../support/openRelay.js'
+import { Cell, post } from './processes.js'
+
+const cell = new Cell()
+const WORKERS = ['w1', 'w2', 'w3', 'w4']
+let relay: Relay
+
+before(async () => {
+  await cell.startPlatform()
+  for (const id of WORKERS) await cell.startWorker(id)
+  relay = await relayWorker(0)
+  for (const id of ['n1', 'n2', 'n3']) await cell.startNode(id)
+})
+
+after(async () => {
+  relay.close()
+  await cell.close()
+})
+
+async function relayWorker (number: number): Promise<Relay> {
+  const worker = cell.workers[number]!
+  const { hostname, port } = new URL(worker.url)
+  const opened = await openRelay({ host: hostname, port: Number(port) })
+  await post(`${cell.platform}/instances/register`, {
+    id: WORKERS[number],
+    role: 'worker',
+    state: 'live',
+    dataCentre: 'a',
+    rack: 'r1',
+    address: opened.address,
+    resources: { slots: 8, cores: 16, memory: 65536, accelerators: 0 },
+    connections: 60
+  })
+  return opened
+}
+
+function fronts (): string[] {
+  return cell.nodes.filter(node => node.process.exitCode === null && !node.process.killed).map(node => `http://127.0.0.1:${node.addresses.front.port}`)
+}
+
+async function pass (duration: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, duration))
+}
+
+async function readRuns (): Promise<{ tags: Map<string, number>, violations: string[] }> {
+  const tags = new Map<string, number>()
+  const violations: string[] = []
+  for (const worker of cell.workers) {
+    const log = await (await fetch(`${worker.url}/rattanstep/log`, { method: 'POST', body: '{}' })).json() as { tags: Record<string, number>, violations: string[] }
+    violations.push(...log.violations)
+    for (const [tag, count] of Object.entries(log.tags)) tags.set(tag, (tags.get(tag) ?? 0) + count)
+  }
+  return { tags, violations }
+}
+
+test('kills, pauses past the lease, silent connections and an outage of the table lose, double and mix up nothing', async () => {
+  const load = new Load({ fronts, width: 24, seed: 7 })
+  await pass(1500)
+  const silenced = relay.silence()
+  await pass(2500)
+  cell.nodes[0]!.process.kill('SIGKILL')
+  await cell.nodes[0]!.exited
+  await pass(1500)
+  await cell.startNode('n4')
+  await pass(2000)
+  cell.nodes[1]!.process.kill('SIGSTOP')
+  await pass(6000)
+  cell.nodes[1]!.process.kill('SIGCONT')
+  await pass(1500)
+  await cell.setFaults('table', { down: true })
+  await pass(4000)
+  const servedInOutage = load.answers.length
+  cell.nodes[2]!.process.kill('SIGKILL')
+  await pass(2000)
+  await cell.setFaults('table', { down: false })
+  await pass(4000)
+  await load.stop()
+  const { tags, violations } = await readRuns()
+  const runs = (id: string): number => tags.get(id) ?? 0
+  const counts = load.counts()
+  console.log(JSON.stringify({ requests: load.answers.length, ...counts, silenced, servedInOutage }))
+  expect({
+    lost: load.answers.filter(answer => answer.outcome === 'run' && runs(answer.id) === 0),
+    doubled: load.answers.filter(answer => !answer.idempotent && runs(answer.id) > 1),
+    misdelivered: load.answers.filter(answer => !answer.isOwn),
+    falseNotRun: load.answers.filter(answer => answer.outcome === 'not-run' && runs(answer.id) > 0),
+    violations
+  }).toEqual({ lost: [], doubled: [], misdelivered: [], falseNotRun: [], violations: [] })
+  expect(silenced > 0).toEqual(true)
+  expect(counts.run > load.answers.length / 2).toEqual(true)
+})
--- a/packages/stand-ins/src/node/RequestEcho.ts
+++ b/packages/stand-ins/src/node/RequestEcho.ts
@@ -6,6 +6,9 @@
 
 /** Header that names a request, by which doubles are counted. */
 const REQUEST_HEADER = 'rattanstep-request'
+
+/** Header by which a caller names its request over all sendings. */
+const TAG_HEADER = 'echo-tag'
 const CHUNK_BYTES = 65536
 const FILLER = 0x61
 
@@ -17,6 +20,8 @@
   peak = 0
   /** How often each named request was run. */
   readonly counts = new Map<string, number>()
+  /** How often each request that its caller tagged was run. */
+  readonly tags = new Map<string, number>()
   private readonly clock: Clock
   private readonly worker: string
   private readonly onStart: () => void
@@ -36,7 +41,9 @@
     const url = new URL(request.url ?? '/', 'http://worker')
     const knobs = readKnobs(request.headers, url.searchParams)
     const id = request.headers[REQUEST_HEADER]
+    const tag = request.headers[TAG_HEADER]
     if (typeof id === 'string') this.counts.set(id, (this.counts.get(id) ?? 0) + 1)
+    if (typeof tag === 'string') this.tags.set(tag, (this.tags.get(tag) ?? 0) + 1)
     const ended = this.begin(response)
     try {
       const body = await readBody(request)
--- a/packages/stand-ins/src/node/WorkerServer.ts
+++ b/packages/stand-ins/src/node/WorkerServer.ts
@@ -90,7 +90,7 @@
   }
 
   private log (): unknown {
-    return { worker: this.instance.id, violations: this.violations, peak: this.echo.peak, running: this.echo.running, requests: Object.fromEntries(this.echo.counts), runs: this.host.runs }
+    return { worker: this.instance.id, violations: this.violations, peak: this.echo.peak, running: this.echo.running, requests: Object.fromEntries(this.echo.counts), tags: Object.fromEntries(this.echo.tags), runs: this.host.runs }
   }
 
   private checkSlots (): void {
