Ownership: voters too new for a lagging list are not taken for lost

Cause: found by reading: a node whose list lags may not have the instances of new voters yet; cut off from them it would have named voters afresh after one lease while they were alive and kept promising.

Change: voters that this process never saw listed count as lost only after the most that the list may lag (30 s, timing.listLag); those seen listed before, or followed by a later process, after one lease as before.

--- a/packages/ownership/src/runtime/Knowledge.ts
+++ b/packages/ownership/src/runtime/Knowledge.ts
@@ -38,7 +38,8 @@
   constructor (options: KnowledgeOptions) {
     this.options = options
     const { clock, log, timing } = options
-    this.losses = new Losses({ clock, log, wait: timing.lease * (1 + timing.margin) })
+    const seen = timing.lease * (1 + timing.margin)
+    this.losses = new Losses({ clock, log, waits: { seen, unseen: Math.max(seen, timing.listLag) } })
   }
 
   /** Since when something has been without an owner, in monotonic ms; null when all is owned. */
--- a/packages/ownership/src/runtime/Losses.ts
+++ b/packages/ownership/src/runtime/Losses.ts
@@ -3,7 +3,7 @@
 import { EVENTS } from '../types/events.js'
 import type { LostVoters } from '../types/Facts.js'
 import { instanceOf } from '../utils/instanceOf.js'
-import { majority } from '../utils/quorum.js'
+import { majority, namedVoters } from '../utils/quorum.js'
 
 /** What is known when losses are judged. */
 export interface Sightings {
@@ -14,21 +14,31 @@
   heard: ReadonlySet<Incarnation>
 }
 
+/** How long a loss must last before it counts, in ms. */
+export interface LossWaits {
+  /** When the lost voters were listed before, or a later process runs in their place. */
+  seen: number
+  /** When this process never saw them listed: they may be too new for a list that lags. */
+  unseen: number
+}
+
 /**
  * Judges whether a majority of the voters is gone for good: not listed by the platform any more, or followed
- * by a later process on the same instance. One whole lease must pass after that was seen.
+ * by a later process on the same instance. One whole lease must pass after that was seen, and longer where the
+ * list may only not have them yet.
  */
 export class Losses {
   private readonly clock: Clock
   private readonly log: Log
-  private readonly wait: number
+  private readonly waits: LossWaits
   private readonly since = new Map<string, number>()
+  private readonly listed = new Set<string>()
 
-  /** @param options - the clock, the log, and how long a loss must last in ms before it counts */
-  constructor (options: { clock: Clock, log: Log, wait: number }) {
+  /** @param options - the clock, the log, and how long a loss must last */
+  constructor (options: { clock: Clock, log: Log, waits: LossWaits }) {
     this.clock = options.clock
     this.log = options.log
-    this.wait = options.wait
+    this.waits = options.waits
   }
 
   /**
@@ -39,17 +49,24 @@
    */
   judge (sightings: Sightings): LostVoters {
     const { voters, nextVoters } = sightings.assignment
+    for (const { id } of sightings.instances ?? []) this.listed.add(id)
     const lost = {
       voters: this.isLost(voters, sightings),
       nextVoters: nextVoters !== null && this.isLost(nextVoters, sightings)
     }
-    this.forget(sightings.assignment)
+    this.forget(sightings)
     return lost
   }
 
   private isLost (members: readonly Incarnation[], sightings: Sightings): boolean {
-    const key = members.join(' ')
     const gone = members.filter(member => isGone(member, sightings))
+    const seen = gone.filter(member => this.listed.has(instanceOf(member)))
+    const key = members.join(' ')
+    const isLongLost = this.lasts(`unseen ${key}`, members, gone, this.waits.unseen)
+    return this.lasts(`seen ${key}`, members, seen, this.waits.seen) || isLongLost
+  }
+
+  private lasts (key: string, members: readonly Incarnation[], gone: readonly Incarnation[], wait: number): boolean {
     if (members.length === 0 || members.length - gone.length >= majority(members.length)) {
       this.since.delete(key)
       return false
@@ -57,15 +74,21 @@
     const now = this.clock.now()
     if (!this.since.has(key)) {
       this.since.set(key, now)
-      this.log.write(EVENTS.votersLost, { voters: members, gone, waits: this.wait })
+      this.log.write(EVENTS.votersLost, { voters: members, gone, waits: wait })
     }
-    return now - this.since.get(key)! >= this.wait
+    return now - this.since.get(key)! >= wait
   }
 
-  private forget ({ voters, nextVoters }: Assignment): void {
-    const named = [voters.join(' '), (nextVoters ?? []).join(' ')]
+  private forget ({ assignment, instances }: Sightings): void {
+    const { voters, nextVoters } = assignment
+    const sets = [voters, nextVoters ?? []].map(members => members.join(' '))
+    const keys = sets.flatMap(members => [`seen ${members}`, `unseen ${members}`])
     for (const key of this.since.keys()) {
-      if (!named.includes(key)) this.since.delete(key)
+      if (!keys.includes(key)) this.since.delete(key)
+    }
+    const named = namedVoters(assignment).map(instanceOf)
+    for (const id of this.listed) {
+      if (!named.includes(id) && instances?.some(instance => instance.id === id) === false) this.listed.delete(id)
     }
   }
 }
--- a/packages/ownership/src/types/Timing.ts
+++ b/packages/ownership/src/types/Timing.ts
@@ -16,6 +16,8 @@
   balance: number
   /** How long a resource is missing from the list before its owner drops it. */
   dropDelay: number
+  /** The most by which the platform's list may lag; voters that were never seen listed are not lost before. */
+  listLag: number
   /** How long an answer of the table is waited for. */
   answer: number
   /** First and longest delay between tries while the table fails. */
--- a/packages/ownership/src/utils/resolveTiming.ts
+++ b/packages/ownership/src/utils/resolveTiming.ts
@@ -9,6 +9,7 @@
   stagger: 50,
   balance: 5000,
   dropDelay: 3000,
+  listLag: 30_000,
   answer: 2000,
   backoff: { first: 200, longest: 5000 },
   peers: 12
--- /dev/null
+++ b/packages/ownership/test/runtime/Losses.test.ts
@@ -0,0 +1,52 @@
+import { test } from 'node:test'
+import { EMPTY_ASSIGNMENT, FakeClock } from '@rattanstep/core'
+import type { Assignment } from '@rattanstep/core'
+import { SilentLog } from '@rattanstep/telemetry'
+import { expect } from 'earl'
+import { Losses } from '../../src/runtime/Losses.js'
+import { entry } from '../support/Cell.js'
+
+interface LossCase {
+  title: string
+  /** Instances listed at first, and from then on. */
+  lists: [string[] | null, string[] | null]
+  heard?: string[]
+  joined?: string[]
+  /** Ms after which the voters a, b and c count as lost; null for never. */
+  lostAfter: number | null
+}
+
+const cases: LossCase[] = [
+  { title: 'a majority was listed and is not any more', lists: [['a', 'b', 'c'], ['a']], lostAfter: 3000 },
+  { title: 'a majority was never listed, being perhaps too new', lists: [['d'], ['d']], lostAfter: 30_000 },
+  { title: 'one of a majority was never listed', lists: [['a', 'b'], ['a']], lostAfter: 30_000 },
+  { title: 'only a minority is gone', lists: [['a', 'b', 'c'], ['a', 'b']], lostAfter: null },
+  { title: 'a voter that is not listed is heard', lists: [['a', 'b', 'c'], ['a']], heard: ['b@1'], lostAfter: null },
+  { title: 'the list is not known', lists: [['a', 'b', 'c'], null], lostAfter: null },
+  { title: 'later processes run in their place', lists: [['a', 'b', 'c'], ['a', 'b', 'c']], joined: ['b@2', 'c@2'], lostAfter: 3000 },
+  { title: 'earlier processes are still named', lists: [['a', 'b', 'c'], ['a', 'b', 'c']], joined: ['b@1'], lostAfter: null }
+]
+
+for (const { title, lists, heard = [], joined = [], lostAfter } of cases) {
+  test(`${title}: lost ${lostAfter === null ? 'never' : `after ${lostAfter} ms`}`, () => {
+    const clock = new FakeClock()
+    const losses = new Losses({ clock, log: new SilentLog(), waits: { seen: 3000, unseen: 30_000 } })
+    const assignment: Assignment = {
+      ...EMPTY_ASSIGNMENT,
+      version: 3,
+      voters: ['a@1', 'b@1', 'c@1'],
+      holders: [...joined.length > 0 ? ['b@0'] : [], ...joined].map(incarnation =>
+        ({ incarnation, dataCentre: 'dc', peer: { host: '127.0.0.1', port: 1 }, draining: false }))
+    }
+    const judge = (list: string[] | null): boolean =>
+      losses.judge({ assignment, instances: list?.map(entry) ?? null, heard: new Set(heard) }).voters
+    judge(lists[0])
+    let found: number | null = null
+    const start = clock.now()
+    for (let step = 0; step <= 400; step++) {
+      if (judge(lists[1]) && found === null) found = clock.now() - start
+      clock.tick(100)
+    }
+    expect(found).toEqual(lostAfter)
+  })
+}
