Ownership: holders too new for the list keep what they have

Change: an instance that was never seen listed is given nothing more but is no longer taken for leaving.

--- a/packages/ownership/src/runtime/HandOvers.ts
+++ b/packages/ownership/src/runtime/HandOvers.ts
@@ -1,9 +1,10 @@
-import type { Incarnation, ResourceKey } from '@rattanstep/core'
+import type { ResourceKey } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import { EVENTS } from '../types/events.js'
 import type { Follower } from './Follower.js'
 import type { Knowledge } from './Knowledge.js'
 import { candidates } from './plan/shares.js'
+import type { Usability } from './plan/shares.js'
 import type { Releases } from './Releases.js'
 import type { Surplus } from './Surplus.js'
 
@@ -17,8 +18,8 @@
   knowledge: Knowledge
   releases: Releases
   surplus: Surplus
-  /** Holders heard of within the last lease, with this node. */
-  heard: () => ReadonlySet<Incarnation>
+  /** What tells which holders may be given more. */
+  usability: () => Usability
   isDraining: () => boolean
 }
 
@@ -66,9 +67,9 @@
   }
 
   private excess (): ResourceKey[] {
-    const { follower, knowledge, releases, surplus, heard, isDraining } = this.options
+    const { follower, releases, surplus, usability, isDraining } = this.options
     if (isDraining() || !releases.isEmpty()) return []
     const { assignment } = follower
-    return surplus.find({ assignment, candidates: candidates(assignment.holders, heard(), knowledge.leaving()) })
+    return surplus.find({ assignment, candidates: candidates(assignment.holders, usability()) })
   }
 }
--- a/packages/ownership/src/runtime/Knowledge.ts
+++ b/packages/ownership/src/runtime/Knowledge.ts
@@ -1,4 +1,4 @@
-import type { Clock, Holder, Incarnation, Instance, ResourceKey } from '@rattanstep/core'
+import type { Clock, Holder, Instance, ResourceKey } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import { EVENTS } from '../types/events.js'
 import type { Facts } from '../types/Facts.js'
@@ -8,6 +8,7 @@
 import type { Follower } from './Follower.js'
 import type { Heartbeats } from './Heartbeats.js'
 import { Losses } from './Losses.js'
+import type { Usability } from './plan/shares.js'
 import type { Releases } from './Releases.js'
 import type { Watch } from './Watch.js'
 
@@ -49,15 +50,14 @@
 
   /** @returns the facts for a plan */
   facts (): Facts {
-    const { heartbeats, timing, ballot, watch } = this.options
-    const heard = heartbeats.heard(timing.lease)
+    const { timing, ballot, watch, heartbeats, instances } = this.options
+    const usability = this.usability()
     return {
+      ...usability,
       self: this.options.self(),
-      heard,
-      leaving: this.leaving(),
       votes: ballot.votes,
       countsBy: heartbeats.countsBy(),
-      lost: this.losses.judge({ assignment: this.assignment, instances: this.options.instances(), heard }),
+      lost: this.losses.judge({ assignment: this.assignment, instances: instances(), heard: usability.heard }),
       resources: this.resources(),
       released: this.owned().filter(resource => this.options.releases.has(resource)),
       claims: this.unownedAt !== null && this.options.clock.now() - this.unownedAt >= timing.claimDelay,
@@ -97,13 +97,20 @@
     return [...this.missing].filter(([, since]) => now - since >= dropDelay).map(([resource]) => resource)
   }
 
-  /** @returns holders whose instance is leaving or no longer listed */
-  leaving (): Set<Incarnation> {
-    const instances = this.options.instances()
-    if (instances === null) return new Set()
-    const live = new Set(instances.filter(instance => instance.state === 'live').map(instance => instance.id))
-    const holders = this.assignment.holders.map(holder => holder.incarnation)
-    return new Set(holders.filter(holder => !live.has(instanceOf(holder))))
+  /** @returns what tells which holders may be given more */
+  usability (): Usability {
+    const { heartbeats, timing, instances } = this.options
+    const heard = heartbeats.heard(timing.lease)
+    const list = instances()
+    if (list === null) return { heard, leaving: new Set(), unlisted: new Set() }
+    this.losses.see(list)
+    const live = new Set(list.filter(instance => instance.state === 'live').map(instance => instance.id))
+    const missing = this.assignment.holders.map(holder => holder.incarnation).filter(holder => !live.has(instanceOf(holder)))
+    return {
+      heard,
+      leaving: new Set(missing.filter(holder => this.losses.wasListed(holder))),
+      unlisted: new Set(missing.filter(holder => !this.losses.wasListed(holder)))
+    }
   }
 
   private get assignment (): Follower['assignment'] {
--- a/packages/ownership/src/runtime/Losses.ts
+++ b/packages/ownership/src/runtime/Losses.ts
@@ -49,7 +49,7 @@
    */
   judge (sightings: Sightings): LostVoters {
     const { voters, nextVoters } = sightings.assignment
-    for (const { id } of sightings.instances ?? []) this.listed.add(id)
+    this.see(sightings.instances ?? [])
     const lost = {
       voters: this.isLost(voters, sightings),
       nextVoters: nextVoters !== null && this.isLost(nextVoters, sightings)
@@ -58,9 +58,22 @@
     return lost
   }
 
+  /** @param list - the platform's list as it is known now */
+  see (list: readonly Instance[]): void {
+    for (const { id } of list) this.listed.add(id)
+  }
+
+  /**
+   * @param incarnation - one life of a node process
+   * @returns whether its instance was ever seen listed
+   */
+  wasListed (incarnation: Incarnation): boolean {
+    return this.listed.has(instanceOf(incarnation))
+  }
+
   private isLost (members: readonly Incarnation[], sightings: Sightings): boolean {
     const gone = members.filter(member => isGone(member, sightings))
-    const seen = gone.filter(member => this.listed.has(instanceOf(member)))
+    const seen = gone.filter(member => this.wasListed(member))
     const key = members.join(' ')
     const isLongLost = this.lasts(`unseen ${key}`, members, gone, this.waits.unseen)
     return this.lasts(`seen ${key}`, members, seen, this.waits.seen) || isLongLost
@@ -86,7 +99,8 @@
     for (const key of this.since.keys()) {
       if (!keys.includes(key)) this.since.delete(key)
     }
-    const named = namedVoters(assignment).map(instanceOf)
+    const holders = assignment.holders.map(holder => holder.incarnation)
+    const named = [...holders, ...namedVoters(assignment)].map(instanceOf)
     for (const id of this.listed) {
       if (!named.includes(id) && instances?.some(instance => instance.id === id) === false) this.listed.delete(id)
     }
--- a/packages/ownership/src/runtime/Ownership.ts
+++ b/packages/ownership/src/runtime/Ownership.ts
@@ -71,7 +71,7 @@
       knowledge,
       releases,
       surplus: new Surplus({ clock, self, pause: timing.balance }),
-      heard: () => heartbeats.heard(timing.lease),
+      usability: () => knowledge.usability(),
       isDraining: () => this.self.draining
     })
     this.dispatcher = new Dispatcher({ ...options, self, follower, heartbeats, voter, ballot, wake: () => { this.wake() } })
--- a/packages/ownership/src/runtime/plan/chooseVoters.ts
+++ b/packages/ownership/src/runtime/plan/chooseVoters.ts
@@ -21,17 +21,17 @@
  *
  * @param holders - holders that can vote
  * @param voters - voters now
- * @param heard - holders heard of; others are kept but not chosen anew
- * @returns the voters, sorted; fewer than wanted when too few are heard
+ * @param usable - holders that may be chosen anew; others are only kept
+ * @returns the voters, sorted; fewer than wanted when too few are usable
  */
 export function chooseVoters (
   holders: readonly Holder[],
   voters: readonly Incarnation[],
-  heard: ReadonlySet<Incarnation>
+  usable: ReadonlySet<Incarnation>
 ): Incarnation[] {
   const wanted = voterCount(holders.length)
   const most = Math.ceil(wanted / new Set(holders.map(holder => holder.dataCentre)).size)
-  const able = holders.filter(holder => voters.includes(holder.incarnation) || heard.has(holder.incarnation))
+  const able = holders.filter(holder => voters.includes(holder.incarnation) || usable.has(holder.incarnation))
   const queue = sortCandidates(able, voters)
   const chosen: Holder[] = []
   for (const limit of [most, wanted]) {
--- a/packages/ownership/src/runtime/plan/exchangeVoters.ts
+++ b/packages/ownership/src/runtime/plan/exchangeVoters.ts
@@ -3,6 +3,7 @@
 import { sameMembers } from '../../utils/quorum.js'
 import { chooseVoters } from './chooseVoters.js'
 import type { Draft } from './Draft.js'
+import { candidates } from './shares.js'
 
 /**
  * Moves the exchange of voters on by one step: names the next voters beside the current ones, or drops the
@@ -33,8 +34,9 @@
  */
 export function wantedVoters (draft: Draft, facts: Facts): Incarnation[] {
   const able = draft.holders.filter(holder => !holder.draining && !facts.leaving.has(holder.incarnation))
-  if (!facts.lost.voters) return chooseVoters(able, draft.voters, facts.heard)
-  return chooseVoters(able.filter(holder => facts.heard.has(holder.incarnation)), [], facts.heard)
+  const usable = new Set(candidates(draft.holders, facts))
+  if (!facts.lost.voters) return chooseVoters(able, draft.voters, usable)
+  return chooseVoters(able.filter(holder => usable.has(holder.incarnation)), [], usable)
 }
 
 /** A row without voters could never be left again, so that none is written. */
--- a/packages/ownership/src/runtime/plan/shareOut.ts
+++ b/packages/ownership/src/runtime/plan/shareOut.ts
@@ -12,7 +12,7 @@
 export function handOver (draft: Draft, facts: Facts): void {
   if (facts.released.length === 0) return
   const self = facts.self.incarnation
-  const others = candidates(draft.holders, facts.heard, facts.leaving).filter(holder => holder !== self)
+  const others = candidates(draft.holders, facts).filter(holder => holder !== self)
   const shares = new Shares(draft, others)
   for (const resource of facts.released) {
     delete draft.owners[resource]
@@ -37,7 +37,7 @@
   const removed = draft.current.holders.some(holder => !draft.hasHolder(holder.incarnation))
   if (!facts.claims && !removed) return
   const unowned = facts.resources.filter(resource => draft.owners[resource] === undefined)
-  const shares = new Shares(draft, candidates(draft.holders, facts.heard, facts.leaving))
+  const shares = new Shares(draft, candidates(draft.holders, facts))
   let claimed = 0
   for (const resource of unowned) {
     const owner = shares.least(resource)
--- a/packages/ownership/src/runtime/plan/shares.ts
+++ b/packages/ownership/src/runtime/plan/shares.ts
@@ -1,4 +1,5 @@
 import type { Holder, Incarnation, ResourceKey } from '@rattanstep/core'
+import type { Facts } from '../../types/Facts.js'
 import type { Draft } from './Draft.js'
 
 /**
@@ -61,20 +62,18 @@
   }
 }
 
+/** What tells whether a holder may be given more. */
+export type Usability = Pick<Facts, 'heard' | 'leaving' | 'unlisted'>
+
 /**
  * @param holders - holders of the assignment
- * @param usable - holders that are heard of
- * @param leaving - holders whose instance leaves
+ * @param facts - what is known of them
  * @returns the holders that may be given resources, sorted
  */
-export function candidates (
-  holders: readonly Holder[],
-  usable: ReadonlySet<Incarnation>,
-  leaving: ReadonlySet<Incarnation>
-): Incarnation[] {
+export function candidates (holders: readonly Holder[], { heard, leaving, unlisted }: Usability): Incarnation[] {
   return holders
     .filter(holder => !holder.draining)
     .map(holder => holder.incarnation)
-    .filter(holder => usable.has(holder) && !leaving.has(holder))
+    .filter(holder => heard.has(holder) && !leaving.has(holder) && !unlisted.has(holder))
     .sort()
 }
--- a/packages/ownership/src/types/Facts.ts
+++ b/packages/ownership/src/types/Facts.ts
@@ -13,6 +13,8 @@
   heard: ReadonlySet<Incarnation>
   /** Holders whose instance is leaving or no longer listed. */
   leaving: ReadonlySet<Incarnation>
+  /** Holders whose instance was never seen listed: they keep what they have and are given nothing more. */
+  unlisted: ReadonlySet<Incarnation>
   /** For each holder the voters that backed its removal at the current version. */
   votes: ReadonlyMap<Incarnation, ReadonlySet<Incarnation>>
   /** For each holder the voters it said, at the current version, that it counts by. */
--- a/packages/ownership/test/support/Model.ts
+++ b/packages/ownership/test/support/Model.ts
@@ -300,6 +300,7 @@
       self: { ...holderOf(node.incarnation), draining: node.draining },
       heard,
       leaving: new Set((this.options.leaving ?? []).map(id => `${id}@0`)),
+      unlisted: new Set(),
       votes,
       countsBy,
       lost: {
