--- a/packages/node/src/types/events.ts
+++ b/packages/node/src/types/events.ts
@@ -67,7 +67,7 @@
   },
   preempted: {
     number: 5110,
-    name: 'tasks-preempted',
+    name: 'lower-tasks-preempted',
     level: 'info',
     message: 'Tasks of a lower class were told to leave a worker so that urgent work starts.',
     fields: { worker: 'the worker', class: 'class of the tasks', tasks: 'how many', priority: 'priority of the work that waits' }
