Jobs: room held by a former owner is not used beside that of its successor

It passed from one node to another while a driver asked both; each held room on it, and the placement checked the keeper row at the newer version only, so that the older hold slipped through.

A task that has started is not started again while reports lag behind; each such start had led to another look.

--- a/packages/jobs/src/runtime/Placer.ts
+++ b/packages/jobs/src/runtime/Placer.ts
@@ -99,7 +99,7 @@
         if (wanted.has(hold.index)) held.set(hold.index, hold)
       }
     }
-    return [...held.values()]
+    return dropStale([...held.values()])
   }
 
   /** Gangs ask all owners in one fixed order, so that two of them meet at the same owner first. */
@@ -133,6 +133,13 @@
   }
 }
 
+/** Two nodes may hold room on one worker as it passes from one to the other; the room of the former no longer counts. */
+function dropStale (holds: Hold[]): Hold[] {
+  const newest = new Map<string, number>()
+  for (const { worker, version } of holds) newest.set(worker, Math.max(version, newest.get(worker) ?? 0))
+  return holds.filter(hold => hold.version === newest.get(hold.worker))
+}
+
 function describe (unit: Unit, holds: Hold[]): Change {
   const { job } = unit
   const change: Change = { checks: [{ key: jobKey(job.content.id), version: job.version }], writes: [] }
--- a/packages/jobs/src/runtime/sortPlacements.ts
+++ b/packages/jobs/src/runtime/sortPlacements.ts
@@ -39,7 +39,7 @@
     else if (here !== undefined && isOverBound(placement, context)) sorted.stops.push(placement)
     else if (here !== undefined) sorted.renewals.push(placement)
     else if (hasVanished(placement, receivedAt - report.lag)) sorted.stops.push(placement)
-    else sorted.starts.push(placement)
+    else if (placement.confirmedAt === null) sorted.starts.push(placement)
   }
   return sorted
 }
