A slow answer is no silent connection

Cause: a repeatable request without a byte for max(1 s, 10 x declared time) was given up, also on its last attempt: a GET that takes 1.5 s ended as 502 unknown under the default rules, and its worker was blamed. Ruled out: silence measured by TCP keepalive (Node sets no probe interval below the kernel's), no early end at all (a connection that went silent would cost a quick check its whole bound). Change: only a first attempt that another may follow is given up early; runs that were slow lengthen the waits of their class (ProbeTimes). A first slow request still runs twice.

--- a/packages/front/src/node/Exchange.ts
+++ b/packages/front/src/node/Exchange.ts
@@ -10,7 +10,7 @@
 import type { Decision } from '../runtime/outcome.js'
 import type { Permits, Placement } from '../runtime/Permits.js'
 import { aheadOfTimeProblem, keyProblem, refusalProblem, runProblem } from '../runtime/problems.js'
-import { probeTime } from '../runtime/probeTime.js'
+import type { ProbeTimes } from '../runtime/ProbeTimes.js'
 import { reportAttempt } from '../runtime/reportAttempt.js'
 import { mayRead, openAnswer } from '../runtime/storedAnswer.js'
 import { FRONT_EVENTS } from '../types/events.js'
@@ -43,6 +43,7 @@
   log: Log
   metrics: Metrics
   retries: RetryBudget
+  probes: ProbeTimes
 }
 
 /** One request on its way from its caller to a worker and back. */
@@ -179,7 +180,7 @@
       fresh: !this.isRepeatable,
       bound,
       boundBy: timeLeft < intake.class.bound ? 'deadline' : 'bound',
-      probe: probeTime(intake.class, bound, this.isRepeatable),
+      probe: context.probes.probe({ work: intake.class, bound, retry: this.isRepeatable && this.attempts === 1 && this.hasRetry }),
       validUntil: placement.validUntil,
       signal: this.signal
     }, this.relay)
@@ -199,6 +200,7 @@
     if (end.step === 'ended') {
       this.step('end')
       this.release('completed', end.serviceTime)
+      this.context.probes.observe(this.intake.class.name, end.serviceTime)
       this.settle('run')
       this.report(placement, end, wait, 'run')
       return false
@@ -213,6 +215,11 @@
     return false
   }
 
+  private get hasRetry (): boolean {
+    const { name, retries } = this.intake.class
+    return retries > 0 && this.context.retries.has(name)
+  }
+
   private async mayRetry (placement: Placement, end: RunEnd): Promise<boolean> {
     const { clock, random, retries } = this.context
     if (this.attempts >= MOST_ATTEMPTS || !this.body.isUnread) return false
--- a/packages/front/src/node/Front.ts
+++ b/packages/front/src/node/Front.ts
@@ -6,6 +6,7 @@
 import type { CallerLimit } from '../runtime/CallerLimits.js'
 import type { Keys } from '../runtime/Keys.js'
 import type { Permits } from '../runtime/Permits.js'
+import { ProbeTimes } from '../runtime/ProbeTimes.js'
 import { callerOf, resolveIntake } from '../runtime/resolveIntake.js'
 import { FRONT_EVENTS } from '../types/events.js'
 import type { Intake } from '../types/intake.js'
@@ -56,6 +57,7 @@
   private readonly server: CallerServer
   private readonly callers = new CallerLimits()
   private readonly retries = new RetryBudget()
+  private readonly probes = new ProbeTimes()
   private sequence = 0
   private listening = false
   private draining = false
@@ -167,7 +169,7 @@
       this.refuse(reply, intake.id, bodyProblem(prepared.error, intake.limits.body))
       return
     }
-    await new Exchange({ ...this.options, retries: this.retries }, intake, body, reply, gone).run()
+    await new Exchange({ ...this.options, retries: this.retries, probes: this.probes }, intake, body, reply, gone).run()
     body.drop()
   }
 
--- a/packages/node/test/node/cell.test.ts
+++ b/packages/node/test/node/cell.test.ts
@@ -83,6 +83,11 @@
   expect(await countRuns() - before).toEqual(1)
 })
 
+test('a slow answer to a request that may be repeated still comes', async () => {
+  const answer = await fetch(`${front(first)}/slow?time=1500`)
+  expect([answer.status, answer.headers.get('rattanstep-outcome')]).toEqual([200, 'run'])
+})
+
 test('a stranger is refused at the control interface', async () => {
   const answer = await fetch(`http://127.0.0.1:${first.addresses.control.port}/v1/status`)
   expect(answer.status).toEqual(401)
--- a/packages/node/test/support/Scenario.ts
+++ b/packages/node/test/support/Scenario.ts
@@ -24,6 +24,10 @@
 /** Mean milliseconds until a caller repeats a request with a key. */
 const REPEAT_GAP_MS = 3000
 
+/** Changes of the rules, and milliseconds between them, where many are wanted. */
+const RULES_CHANGES = 8
+const RULES_CHANGE_GAP_MS = 1300
+
 /** Requests of a burst. */
 const BURST = 150
 
@@ -157,6 +161,19 @@
     command(process).then(settle, () => { settle(false) })
   }
 
+  /** Lets operators change the rules again and again, so that nodes hear of them from each other. */
+  changeRulesOften (): void {
+    const { simulation, surroundings, random } = this.cluster
+    for (let change = 1; change <= RULES_CHANGES; change++) {
+      simulation.schedule(change * RULES_CHANGE_GAP_MS, () => {
+        const open = this.cluster.open()
+        if (open.length === 0) return
+        const { configuration } = random.pick(open).member
+        configuration.apply(`${surroundings.rules}# change ${change}\n`, null).catch(() => {})
+      })
+    }
+  }
+
   private raceOperators (): void {
     const { cluster } = this
     const operators = cluster.open().slice(0, 2)
--- a/packages/node/test/support/runCase.ts
+++ b/packages/node/test/support/runCase.ts
@@ -93,4 +93,5 @@
     strike(cluster, 'sender dies', { sender: cluster.random.pick(cluster.open()), receiver: null, worker: null })
   }
   if (step === 'message refuse') scenario.burst()
+  if (step === 'message rules' || step === 'message fetch') scenario.changeRulesOften()
 }
--- a/packages/policy/src/runtime/RetryBudget.ts
+++ b/packages/policy/src/runtime/RetryBudget.ts
@@ -30,6 +30,14 @@
     return true
   }
 
+  /**
+   * @param className - class of a request
+   * @returns whether a retry would be allowed now
+   */
+  has (className: string): boolean {
+    return this.available(className) >= 1
+  }
+
   private available (className: string): number {
     return this.saved.get(className) ?? MOST_SAVED
   }
