Ownership: a voter that hears no majority asks for votes but gives none

Only the own vote bars a holder; asking does no harm.

Change: the request is sent, the own vote withheld.

The model's parts are unchanged.

--- a/packages/ownership/src/runtime/Dispatcher.ts
+++ b/packages/ownership/src/runtime/Dispatcher.ts
@@ -94,15 +94,16 @@
   }
 
   /**
-   * Votes for the removal of holders where this voter's own promises lapsed, and asks the other voters to.
+   * Asks the other voters for votes for the removal of holders.
    *
    * @param holders - holders that seem dead
+   * @param votes - whether this voter votes too, where its own promises lapsed
    */
-  collectVotes (holders: readonly Incarnation[]): void {
+  collectVotes (holders: readonly Incarnation[], votes: boolean): void {
     const { network, self, voter, clock, ballot, follower } = this.options
     const { version } = follower.assignment
     for (const holder of holders) {
-      if (voter.vote(holder, version, clock.now())) ballot.add(holder, self, version)
+      if (votes && voter.vote(holder, version, clock.now())) ballot.add(holder, self, version)
       for (const other of namedVoters(follower.assignment)) {
         if (other !== self) network.send(other, { kind: 'vote-request', holder, version })
       }
--- a/packages/ownership/src/runtime/Ownership.ts
+++ b/packages/ownership/src/runtime/Ownership.ts
@@ -204,7 +204,7 @@
       facts: () => this.knowledge.facts(),
       isUnsettled: () => this.isUnsettled(),
       prepare: () => {
-        dispatcher.collectVotes(watch.suspects())
+        dispatcher.collectVotes(watch.suspects(), watch.hearsMajority())
         handOvers.begin()
       },
       doubt: () => { releases.doubt() },
--- a/packages/ownership/src/runtime/Watch.ts
+++ b/packages/ownership/src/runtime/Watch.ts
@@ -17,8 +17,8 @@
 }
 
 /**
- * Finds holders that were silent towards this voter for a whole lease. A voter that was itself paused, or that
- * hears too few other voters for a removal, accuses nobody: its vote would only bar holders that are well.
+ * Finds holders that were silent towards this voter for a whole lease. A voter that was itself paused accuses
+ * nobody, and one that hears too few other voters does not vote: it would only bar holders that are well.
  */
 export class Watch {
   private readonly options: WatchOptions
@@ -61,7 +61,7 @@
   /** @returns holders whose promise by this voter lapsed and who were not heard for a whole lease */
   suspects (): Incarnation[] {
     const now = this.options.clock.now()
-    const silent = this.canRemove() ? [...this.since.keys()].filter(holder => this.isSilent(holder, now)) : []
+    const silent = [...this.since.keys()].filter(holder => this.isSilent(holder, now))
     this.report(silent)
     return silent
   }
@@ -78,7 +78,8 @@
       voter.hasVoted(holder, version) && now - heartbeats.lastHeard(holder) < within)
   }
 
-  private canRemove (): boolean {
+  /** @returns whether this voter hears a majority of each named set, with which a removal can succeed */
+  hearsMajority (): boolean {
     const { heartbeats, lease } = this.options
     const heard = heartbeats.heard(lease)
     const { voters, nextVoters } = this.assignment
