--- a/packages/bench/src/node/measureControl.ts
+++ b/packages/bench/src/node/measureControl.ts
@@ -24,6 +24,9 @@
 /** Clock ticks a second of the processor times in /proc. */
 const TICKS_PER_SECOND = 100
 
+/** Flags that the guide starts nodes with. */
+const NODE_FLAGS = ['--max-semi-space-size=2']
+
 const KIB = 1024
 const SECRET = 'secret-of-the-measured-cell'
 const LOCAL = '127.0.0.1'
@@ -118,7 +121,7 @@
     id, cell: 'measured', dataCentre: 'north', front: `${LOCAL}:0`, peer: `${LOCAL}:0`, control: `${LOCAL}:0`, platform: `${platform.host}:${platform.port}`, secret: SECRET
   }
   writeFileSync(file, Object.entries(settings).map(([key, value]) => `${key}: ${value}\n`).join(''))
-  const child = spawn(process.execPath, [CLI, 'node', '--settings', file], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const child = spawn(process.execPath, [...NODE_FLAGS, CLI, 'node', '--settings', file], { stdio: ['ignore', 'pipe', 'inherit'] })
   const control = new Promise<string>(resolve => {
     child.stdout.setEncoding('utf8').on('data', (text: string) => {
       const found = /"control":"([^"]+)"/.exec(text)
--- a/packages/cli/src/node/startLocal.ts
+++ b/packages/cli/src/node/startLocal.ts
@@ -1,9 +1,10 @@
 import { randomBytes } from 'node:crypto'
 import { NO_RESOURCES } from '@rattanstep/core'
-import type { Address, InstanceList } from '@rattanstep/core'
+import type { Address } from '@rattanstep/core'
 import { startNode } from '@rattanstep/node'
 import type { ResolvedSettings } from '@rattanstep/rules'
-import { embeddedPlatform, MemoryInstanceList } from '@rattanstep/stand-ins'
+import { embeddedPlatform } from '@rattanstep/stand-ins'
+import type { MemoryInstanceList } from '@rattanstep/stand-ins'
 import { SilentLog } from '@rattanstep/telemetry'
 import type { Log } from '@rattanstep/telemetry'
 import { whenEnded, whenServing } from './nodeLife.js'
@@ -63,8 +64,7 @@
 }
 
 /** Puts the node on the platform's list, as only listed nodes are given workers. */
-function enlist (instances: InstanceList, { id, dataCentre, peer }: ResolvedSettings): void {
-  if (!(instances instanceof MemoryInstanceList)) return
+function enlist (instances: MemoryInstanceList, { id, dataCentre, peer }: ResolvedSettings): void {
   instances.add({ id, role: 'entry', state: 'live', dataCentre, rack: 'entry', address: peer, resources: NO_RESOURCES, connections: 0 })
 }
 
--- a/packages/stand-ins/src/node/embeddedPlatform.ts
+++ b/packages/stand-ins/src/node/embeddedPlatform.ts
@@ -1,5 +1,5 @@
 import { SystemClock } from '@rattanstep/core'
-import type { Clock, Instance, InstanceList, ObjectStore, Resources, Table, Workers } from '@rattanstep/core'
+import type { Clock, Instance, ObjectStore, Resources, Table, Workers } from '@rattanstep/core'
 import { HttpWorkers } from '@rattanstep/platform'
 import { MemoryInstanceList } from '../runtime/MemoryInstanceList.js'
 import { MemoryObjectStore } from '../runtime/MemoryObjectStore.js'
@@ -10,7 +10,7 @@
 export interface EmbeddedPlatform {
   table: Table
   objects: ObjectStore
-  instances: InstanceList
+  instances: MemoryInstanceList
   workers: Workers
   /** The workers' servers, for checks. */
   servers: WorkerServer[]
