--- a/packages/ownership/test/support/Cell.ts
+++ b/packages/ownership/test/support/Cell.ts
@@ -6,8 +6,7 @@
 import { CountingLog } from './CountingLog.js'
 import { FakeNetwork, FakeWire } from './FakeNetwork.js'
 import { FakeStore, FakeTable } from './FakeTable.js'
-import { NodeClock } from './NodeClock.js'
-import { Simulation } from './Simulation.js'
+import { NodeClock, Simulation } from '@rattanstep/stand-ins'
 
 /** One process of a node. */
 export interface Process {
@@ -73,7 +72,7 @@
   start (id: string): Process {
     const incarnation = `${id}@${++this.lives}`
     const rate = 1 + this.drift * this.random.pick([-1, 1])
-    const clock = new NodeClock(this.simulation, rate, this.random.next() * 1e6)
+    const clock = new NodeClock({ simulation: this.simulation, rate, offset: this.random.next() * 1e6 })
     const lag = this.random.next() * this.listLag
     const network = new FakeNetwork(this.wire, incarnation, clock)
     const ownership = new Ownership({
--- a/packages/ownership/test/support/FakeNetwork.ts
+++ b/packages/ownership/test/support/FakeNetwork.ts
@@ -1,7 +1,6 @@
 import { Network } from '@rattanstep/core'
 import type { Address, Incarnation, Message, Random, Receiver } from '@rattanstep/core'
-import type { NodeClock } from './NodeClock.js'
-import type { Simulation } from './Simulation.js'
+import type { NodeClock, Simulation } from '@rattanstep/stand-ins'
 
 interface Station {
   clock: NodeClock
--- a/packages/ownership/test/support/FakeTable.ts
+++ b/packages/ownership/test/support/FakeTable.ts
@@ -1,7 +1,6 @@
 import { Err, Ok, Table } from '@rattanstep/core'
 import type { Random, Range, Result, Row, TableError, Transaction } from '@rattanstep/core'
-import type { NodeClock } from './NodeClock.js'
-import type { Simulation } from './Simulation.js'
+import type { NodeClock, Simulation } from '@rattanstep/stand-ins'
 
 /** The rows, shared by all nodes, and the faults in force. */
 export class FakeStore {
