--- a/packages/node/src/node/Node.ts
+++ b/packages/node/src/node/Node.ts
@@ -18,7 +18,7 @@
 const LOOK_MS = 100
 
 /** Milliseconds in which the balancer and the other nodes notice a planned stop. */
-const NOTICE_MS = 500
+const NOTICE_MS = 2000
 
 /** Where a running node listens. */
 export interface NodeAddresses {
