A worker whose hand-over came to nothing is filled again; admission parted and tested

Cause: found while reading: a decision dropped because its worker was being handed over marked the worker as leaving for good; when the hand-over was undone (a lost race for the row), its room stayed closed until a restart. Ruled out: the ownership (it does undo). No test covered the package alone. Measured: 9 tests pass; with the new call taken out the test of the hand-over fails.

--- a/packages/admission/src/runtime/AdmissionService.ts
+++ b/packages/admission/src/runtime/AdmissionService.ts
@@ -1,12 +1,14 @@
 import { addResources, NO_RESOURCES, PERMIT_VALIDITY_MS, workerResource } from '@rattanstep/core'
-import type { Ask, Assignment, Clock, Grant, Incarnation, Instance, Load, Message, Network, Random, Refusal, RefusalReason, Resources, Timer, WorkerReport } from '@rattanstep/core'
+import type { Ask, Assignment, Clock, Incarnation, Instance, Load, Message, Network, Random, RefusalReason, Resources, Timer, WorkerReport } from '@rattanstep/core'
 import { Admission } from '@rattanstep/policy'
-import type { AdmissionStatus, Decision, GrantDecision, PeerLoad, Pressure, RefuseDecision, WorkerUsage } from '@rattanstep/policy'
+import type { AdmissionStatus, Decision, GrantDecision, PeerLoad, Pressure, WorkerUsage } from '@rattanstep/policy'
 import type { ResolvedRules } from '@rattanstep/rules'
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import { EVENTS } from '../types/events.js'
 import { Outbox } from './Outbox.js'
-import { Takeover } from './Takeover.js'
+import { Publisher } from './Publisher.js'
+import type { Takeover } from './Takeover.js'
+import { Takeovers } from './Takeovers.js'
 
 /** Milliseconds between looks at patience, ageing and the lease. */
 const TICK_MS = 20
@@ -47,13 +49,6 @@
   id: string
 }
 
-/** Room that a former owner gave away and that no node claims. */
-interface Remnant {
-  worker: string
-  /** Monotonic ms after which nothing of it can still run. */
-  endsAt: number
-}
-
 /**
  * The owner's side of permits. Messages come in, the policy decides, decisions go out as messages, and what a new owner
  * cannot know counts as used until every node has told its permits or a worker's report shows them.
@@ -62,9 +57,9 @@
   private readonly admission: Admission
   private readonly outbox: Outbox
   private readonly owned = new Map<string, Instance>()
-  private readonly takeovers = new Map<string, Takeover>()
+  private readonly publisher: Publisher
+  private readonly takeovers: Takeovers
   private readonly timers: Timer[] = []
-  private remnants: Remnant[] = []
   private longestBound = 0
   private lapsedAt: number | null = null
   private draining = false
@@ -75,13 +70,15 @@
     const { self, clock, random, network } = options
     this.admission = new Admission({ name: self, classes: [], now: clock.now(), random, preemptsTasks: true })
     this.outbox = new Outbox(network)
+    this.publisher = new Publisher({ ...options, outbox: this.outbox })
+    this.takeovers = new Takeovers(network)
   }
 
   /** Starts the periodic work. */
   start (): void {
     const { clock } = this.options
     this.timers.push(clock.repeat(TICK_MS, () => { this.tick() }))
-    this.timers.push(clock.repeat(REPEAT_REQUEST_MS, () => { this.repeatRequests() }))
+    this.timers.push(clock.repeat(REPEAT_REQUEST_MS, () => { this.takeovers.ask() }))
   }
 
   /** Ends the periodic work. */
@@ -120,7 +117,7 @@
       // A node that left by a planned stop still finishes what it has in flight.
       if (present.has(incarnation) || draining) continue
       this.admission.frontLost(incarnation, this.now)
-      for (const takeover of this.takeovers.values()) takeover.gone(incarnation)
+      this.takeovers.gone(incarnation)
     }
   }
 
@@ -158,7 +155,7 @@
         break
       case 'permits':
         this.admission.renew(from, message.permits, this.now)
-        for (const takeover of this.takeovers.values()) takeover.answered(from, message.version)
+        this.takeovers.answered(from, message.version)
         break
       default:
         return false
@@ -276,54 +273,36 @@
 
   private tick (): void {
     this.checkLease()
-    this.forgetRemnants()
+    this.followRights()
+    for (const worker of this.takeovers.endedRemnants(this.now)) this.publish(this.admission.confirm(worker, this.now))
     this.publish(this.admission.tick(this.now, this.options.peers()))
     this.outbox.flush()
   }
 
-  private forgetRemnants (): void {
-    const ended = this.remnants.filter(remnant => remnant.endsAt <= this.now)
-    if (ended.length === 0) return
-    this.remnants = this.remnants.filter(remnant => remnant.endsAt > this.now)
-    for (const { worker } of ended) this.publish(this.admission.confirm(worker, this.now))
-  }
-
   private publish (decisions: Decision[]): void {
     for (const decision of decisions) {
       if (decision.kind === 'grant') this.grant(decision)
-      else this.refuse(decision)
+      else this.publisher.refuse(decision)
     }
   }
 
   private grant (decision: GrantDecision): void {
-    const { ask, front, permit, worker, address, waited, reason, candidates } = decision
-    const { log, metrics, assignment, mayAdmit } = this.options
-    if (!mayAdmit(workerResource(worker))) {
-      this.withdraw(decision)
-      return
-    }
-    log.write(EVENTS.granted, { ask: ask.id, class: ask.class, front, waited, reason, worker, permit, candidates })
-    metrics.timer('admission_wait', { class: ask.class }).record(waited)
-    metrics.counter('admission_granted', { class: ask.class }).add()
-    const grant: Grant = { ask: ask.id, permit, worker, address, waited, version: assignment().version }
-    this.outbox.grant(front, grant)
+    if (this.options.mayAdmit(workerResource(decision.worker))) this.publisher.grant(decision)
+    else this.withdraw(decision)
   }
 
   private withdraw (decision: GrantDecision): void {
     const { ask, front, permit, worker } = decision
     this.options.log.write(EVENTS.grantWithdrawn, { ask: ask.id, worker })
-    this.admission.drainWorker(worker)
+    this.admission.setOpen(worker, false)
     this.publish(this.admission.release({ permit, worker, ending: 'unsent', serviceTime: 0 }, front, this.now))
-    this.refuse({ kind: 'refuse', ask, front, reason: 'not-owner', retryAfter: NOT_OWNER_RETRY_MS, redirect: '' })
+    this.publisher.refuse({ kind: 'refuse', ask, front, reason: 'not-owner', retryAfter: NOT_OWNER_RETRY_MS, redirect: '' })
   }
 
-  private refuse (decision: RefuseDecision): void {
-    const { ask, front, reason, retryAfter, redirect } = decision
-    const { log, metrics } = this.options
-    log.write(EVENTS.refused, { ask: ask.id, class: ask.class, front, waited: ask.waited, reason, retryAfter, redirect })
-    metrics.counter('admission_refused', { class: ask.class, reason }).add()
-    const refusal: Refusal = { ask: ask.id, reason, retryAfter, redirect }
-    this.outbox.refuse(front, refusal)
+  /** A worker that is being handed over is closed, and opened again when the hand-over came to nothing. */
+  private followRights (): void {
+    if (!this.admission.admitting) return
+    for (const worker of this.owned.keys()) this.admission.setOpen(worker, this.options.mayAdmit(workerResource(worker)))
   }
 
   private follow (entry: Instance, version: number): void {
@@ -342,37 +321,22 @@
     const fronts = assignment().holders.map(holder => holder.incarnation)
     this.owned.set(id, { ...entry, state: 'live' })
     this.admission.addWorker({ id, address, resources, connections, dataCentre, rack }, this.now, resources)
-    const takeover = new Takeover({ worker: id, version, since: this.now, fronts })
-    this.takeovers.set(id, takeover)
     log.write(EVENTS.workerGained, { worker: id, version, awaiting: fronts })
-    this.requestPermits(fronts, version, [id])
+    this.takeovers.begin({ worker: id, version, since: this.now, fronts })
   }
 
   private letGo (worker: string, version: number): void {
     this.owned.delete(worker)
-    this.takeovers.delete(worker)
-    this.remnants = this.remnants.filter(remnant => remnant.worker !== worker)
+    this.takeovers.drop(worker)
     this.options.log.write(EVENTS.workerLost, { worker, version })
     this.publish(this.admission.removeWorker(worker, this.now))
   }
 
-  private repeatRequests (): void {
-    for (const takeover of this.takeovers.values()) {
-      const { version, worker } = takeover.options
-      this.requestPermits(takeover.silent(), version, [worker])
-    }
-  }
-
-  private requestPermits (fronts: Incarnation[], version: number, workers: string[]): void {
-    for (const front of fronts) this.options.network.send(front, { kind: 'permits-request', version, workers })
-  }
-
   private confirm (takeover: Takeover, requests: number): void {
     const { worker, since } = takeover.options
     const permits = this.admission.permitsOf(worker)
     const unknown = Math.max(0, requests - permits)
-    this.takeovers.delete(worker)
-    if (unknown > 0) this.remnants.push({ worker, endsAt: this.now + this.longestBound + PERMIT_VALIDITY_MS })
+    this.takeovers.end(worker, unknown > 0 ? this.now + this.longestBound + PERMIT_VALIDITY_MS : null)
     this.options.log.write(EVENTS.workerConfirmed, { worker, after: this.now - since, permits, unknown })
     this.publish(this.admission.confirm(worker, this.now, unknown))
     this.outbox.flush()
--- /dev/null
+++ b/packages/admission/src/runtime/Publisher.ts
@@ -0,0 +1,39 @@
+import type { Assignment } from '@rattanstep/core'
+import type { GrantDecision, RefuseDecision } from '@rattanstep/policy'
+import type { Log, Metrics } from '@rattanstep/telemetry'
+import { EVENTS } from '../types/events.js'
+import type { Outbox } from './Outbox.js'
+
+/** What a publisher works with. */
+export interface PublisherOptions {
+  log: Log
+  metrics: Metrics
+  /** Newest known assignment. */
+  assignment: () => Assignment
+  outbox: Outbox
+}
+
+/** Tells fronts what was decided, with one log line for each decision. */
+export class Publisher {
+  /** @param options - where decisions are written and sent */
+  constructor (private readonly options: PublisherOptions) {}
+
+  /** @param decision - room given */
+  grant (decision: GrantDecision): void {
+    const { ask, front, permit, worker, address, waited, reason, candidates } = decision
+    const { log, metrics, assignment, outbox } = this.options
+    log.write(EVENTS.granted, { ask: ask.id, class: ask.class, front, waited, reason, worker, permit, candidates })
+    metrics.timer('admission_wait', { class: ask.class }).record(waited)
+    metrics.counter('admission_granted', { class: ask.class }).add()
+    outbox.grant(front, { ask: ask.id, permit, worker, address, waited, version: assignment().version })
+  }
+
+  /** @param decision - room refused */
+  refuse (decision: RefuseDecision): void {
+    const { ask, front, reason, retryAfter, redirect } = decision
+    const { log, metrics, outbox } = this.options
+    log.write(EVENTS.refused, { ask: ask.id, class: ask.class, front, waited: ask.waited, reason, retryAfter, redirect })
+    metrics.counter('admission_refused', { class: ask.class, reason }).add()
+    outbox.refuse(front, { ask: ask.id, reason, retryAfter, redirect })
+  }
+}
--- /dev/null
+++ b/packages/admission/test/runtime/AdmissionService.test.ts
@@ -0,0 +1,197 @@
+import { test } from 'node:test'
+import { EMPTY_ASSIGNMENT, FakeClock, Network, NO_RESOURCES, PERMIT_VALIDITY_MS, SeededRandom } from '@rattanstep/core'
+import type { Ask, Assignment, Incarnation, Instance, Message } from '@rattanstep/core'
+import { MemoryLog, Metrics } from '@rattanstep/telemetry'
+import type { ResolvedClass, ResolvedRules } from '@rattanstep/rules'
+import { expect } from 'earl'
+import { AdmissionService } from '../../src/index.js'
+
+const SELF = 'a@1'
+const FRONT = 'b@1'
+const BOUND_MS = 5000
+
+class RecordingNetwork extends Network {
+  readonly sent: Message[] = []
+
+  override introduce (): void {}
+
+  override receive (): void {}
+
+  override send (_to: Incarnation, message: Message): void {
+    this.sent.push(message)
+  }
+}
+
+const CLASS: ResolvedClass = {
+  name: 'usual',
+  kind: 'request',
+  priority: 50,
+  reserve: 0,
+  most: 1,
+  patience: 60_000,
+  bound: BOUND_MS,
+  weight: 1,
+  ageing: 0,
+  expected: 50,
+  retries: 0,
+  preempts: 'nothing',
+  askedBy: 'test',
+  line: 1
+}
+
+const LIMITS = { header: 1, body: 1, callers: 1, perCaller: 1, headerTimeout: 1, idleTimeout: 1 }
+const RULES: ResolvedRules = { classes: [CLASS], routes: [], teams: [], limits: LIMITS }
+
+const WORKER: Instance = {
+  id: 'w1',
+  role: 'worker',
+  state: 'live',
+  dataCentre: 'north',
+  rack: 'r1',
+  address: { host: '127.0.0.1', port: 1 },
+  resources: { slots: 2, cores: 2, memory: 64, accelerators: 0 },
+  connections: 60
+}
+
+function holder (incarnation: Incarnation): Assignment['holders'][number] {
+  return { incarnation, dataCentre: 'north', peer: WORKER.address, draining: false }
+}
+
+const ASSIGNMENT: Assignment = {
+  ...EMPTY_ASSIGNMENT,
+  version: 3,
+  holders: [holder(SELF), holder(FRONT)],
+  owners: { 'worker/w1': SELF }
+}
+
+class Rig {
+  readonly clock = new FakeClock()
+  readonly network = new RecordingNetwork()
+  readonly state = { lease: 1000, mayFill: true }
+  readonly service: AdmissionService
+  private asks = 0
+
+  constructor () {
+    const { clock, network, state } = this
+    this.service = new AdmissionService({
+      self: SELF,
+      network,
+      clock,
+      random: new SeededRandom(1),
+      log: new MemoryLog(),
+      metrics: new Metrics(),
+      assignment: () => ASSIGNMENT,
+      mayAdmit: () => state.lease > 0 && state.mayFill,
+      leaseLeft: () => state.lease,
+      peers: () => [],
+      instance: () => WORKER
+    })
+    this.service.start()
+    this.service.configure(RULES)
+    this.service.assignmentChanged(ASSIGNMENT, EMPTY_ASSIGNMENT)
+  }
+
+  /** @param version - version under which the front tells its permits */
+  tellPermits (version = 3): void {
+    this.service.receive(SELF, { kind: 'permits', version: 3, permits: [] })
+    this.service.receive(FRONT, { kind: 'permits', version, permits: [] })
+  }
+
+  /** Lets everything be known about the worker. */
+  complete (requests = 0): void {
+    this.tellPermits()
+    this.service.tasksCounted('w1')
+    this.clock.tick(PERMIT_VALIDITY_MS)
+    this.report(requests, 0)
+  }
+
+  report (requests: number, lag: number): void {
+    this.service.reported({ worker: 'w1', lag, tasks: [], requests, connections: 0 })
+  }
+
+  ask (): string {
+    const id = `q${this.asks++}`
+    const resources = { ...NO_RESOURCES, slots: 1 }
+    const ask: Ask = { id, class: 'usual', caller: 'c', team: '', resources, patience: 60_000, waited: 0, avoid: [] }
+    this.service.receive(FRONT, { kind: 'ask', asks: [ask] })
+    return id
+  }
+
+  /** @returns what was answered to each ask so far, in order */
+  answers (): string[] {
+    return this.network.sent.flatMap(message => {
+      if (message.kind === 'grant') return message.grants.map(grant => `${grant.ask} granted`)
+      if (message.kind === 'refuse') return message.refusals.map(refusal => `${refusal.ask} ${refusal.reason}`)
+      return []
+    })
+  }
+}
+
+test('a worker taken over is filled once permits, tasks and a late enough report are known', () => {
+  const rig = new Rig()
+  rig.ask()
+  expect(rig.answers()).toEqual([])
+  rig.complete()
+  expect(rig.answers()).toEqual(['q0 granted'])
+})
+
+const INCOMPLETE: Array<{ title: string, permits?: number | null, tasks?: boolean, lag?: number }> = [
+  { title: 'nodes have not told their permits', permits: null },
+  { title: 'a node told its permits under an older assignment', permits: 2 },
+  { title: 'the tasks have not been counted', tasks: false },
+  { title: 'the figures of the report are older than a grant may be', lag: 1 }
+]
+
+for (const { title, permits = 3, tasks = true, lag = 0 } of INCOMPLETE) {
+  test(`a worker taken over is not filled while ${title}`, () => {
+    const rig = new Rig()
+    rig.ask()
+    if (permits !== null) rig.tellPermits(permits)
+    if (tasks) rig.service.tasksCounted('w1')
+    rig.clock.tick(PERMIT_VALIDITY_MS)
+    rig.report(0, lag)
+    expect(rig.answers()).toEqual([])
+  })
+}
+
+test('a request that no node claims keeps its slot until its bound has passed', () => {
+  const rig = new Rig()
+  rig.complete(1)
+  rig.ask()
+  rig.ask()
+  expect(rig.answers()).toEqual(['q0 granted'])
+  rig.clock.tick(BOUND_MS + PERMIT_VALIDITY_MS + 100)
+  expect(rig.answers()).toEqual(['q0 granted', 'q1 granted'])
+})
+
+test('without a lease new asks are refused and those that wait stay', () => {
+  const rig = new Rig()
+  const waiting = rig.ask()
+  rig.state.lease = 0
+  const late = rig.ask()
+  rig.complete()
+  expect(rig.answers()).toEqual([`${late} not-owner`])
+  rig.state.lease = 1000
+  rig.clock.tick(100)
+  expect(rig.answers()).toEqual([`${late} not-owner`, `${waiting} granted`])
+})
+
+test('a worker whose hand-over came to nothing is filled again', () => {
+  const rig = new Rig()
+  rig.complete()
+  rig.state.mayFill = false
+  rig.ask()
+  rig.clock.tick(100)
+  rig.state.mayFill = true
+  rig.clock.tick(100)
+  rig.ask()
+  expect(rig.answers().filter(answer => answer.endsWith('granted')).length > 0).toEqual(true)
+})
+
+test('a node that stops as planned refuses new asks', () => {
+  const rig = new Rig()
+  rig.complete()
+  rig.service.drain()
+  rig.ask()
+  expect(rig.answers()).toEqual(['q0 draining'])
+})
--- a/packages/policy/src/runtime/Admission.ts
+++ b/packages/policy/src/runtime/Admission.ts
@@ -144,6 +144,19 @@
     return this.dispatcher.dispatch(now)
   }
 
+  /**
+   * Closes a worker to new work, or opens it again.
+   *
+   * @param id - the worker
+   * @param open - whether the owner may fill it
+   */
+  setOpen (id: string, open: boolean): void {
+    const book = this.workers.get(id)
+    if (book === undefined || book.closed === !open) return
+    book.closed = !open
+    this.workers.refresh(book)
+  }
+
   /** @param id - a worker that is leaving and gets no new work */
   drainWorker (id: string): void {
     const book = this.workers.get(id)
--- a/packages/policy/src/runtime/WorkerBook.ts
+++ b/packages/policy/src/runtime/WorkerBook.ts
@@ -27,6 +27,8 @@
   /** When a hold was last released here, in ms. */
   holdReleasedAt = -Infinity
   draining = false
+  /** Whether the owner may not fill it just now. */
+  closed = false
   removed = false
   quarantined = false
   /** Whether its runs take much longer than those of its peers. */
@@ -44,7 +46,7 @@
 
   /** @returns whether new work may start here */
   get usable (): boolean {
-    return !this.draining && !this.removed && !this.quarantined
+    return !this.draining && !this.closed && !this.removed && !this.quarantined
   }
 
   /** @returns whether nothing known is in use */
