One function tells which workers a holder owns

Cause: read over: the service of permits and the view for jobs each took the owners' map apart by the prefix 'worker/', beside the function that makes it. Weighed: sharing the relays of two tests too; left, they are in two packages' tests and differ in what they close. Change: workersOwnedBy in core; both call it. Behaviour stays.

--- a/packages/admission/src/runtime/AdmissionService.ts
+++ b/packages/admission/src/runtime/AdmissionService.ts
@@ -1,4 +1,4 @@
-import { addResources, NO_RESOURCES, PERMIT_VALIDITY_MS, workerResource } from '@rattanstep/core'
+import { addResources, NO_RESOURCES, PERMIT_VALIDITY_MS, workerResource, workersOwnedBy } from '@rattanstep/core'
 import type { Ask, Assignment, Clock, Incarnation, Instance, Load, Message, Network, Random, RefusalReason, Resources, Timer, WorkerReport } from '@rattanstep/core'
 import { Admission } from '@rattanstep/policy'
 import type { AdmissionStatus, Decision, GrantDecision, PeerLoad, Pressure, WorkerUsage } from '@rattanstep/policy'
@@ -125,13 +125,13 @@
   updateWorkers (): void {
     this.checkLease()
     const { self, assignment, instance } = this.options
-    const { owners, version } = assignment()
+    const { version } = assignment()
+    const owned = new Set(workersOwnedBy(assignment(), self))
     for (const worker of [...this.owned.keys()]) {
-      if (owners[workerResource(worker)] !== self) this.letGo(worker, version)
+      if (!owned.has(worker)) this.letGo(worker, version)
     }
-    for (const [resource, owner] of Object.entries(owners)) {
-      if (owner !== self || !resource.startsWith('worker/')) continue
-      const entry = instance(resource.slice('worker/'.length))
+    for (const worker of owned) {
+      const entry = instance(worker)
       if (entry !== undefined) this.follow(entry, version)
     }
   }
--- a/packages/core/src/types/assignment.ts
+++ b/packages/core/src/types/assignment.ts
@@ -48,6 +48,9 @@
 /** Number of ranges that idempotency keys are divided into. */
 export const KEY_SHARDS = 32
 
+/** What the resource of a worker begins with. */
+const WORKER_PREFIX = 'worker/'
+
 /**
  * Names the resource of a worker.
  *
@@ -55,7 +58,7 @@
  * @returns its resource key
  */
 export function workerResource (worker: string): ResourceKey {
-  return `worker/${worker}`
+  return WORKER_PREFIX + worker
 }
 
 /**
@@ -67,3 +70,14 @@
 export function shardResource (shard: number): ResourceKey {
   return `shard/${shard}`
 }
+
+/**
+ * @param assignment - an assignment
+ * @param owner - a holder
+ * @returns identifiers of the workers that the holder owns in it
+ */
+export function workersOwnedBy (assignment: Assignment, owner: Incarnation): string[] {
+  return Object.entries(assignment.owners)
+    .filter(([resource, holder]) => holder === owner && resource.startsWith(WORKER_PREFIX))
+    .map(([resource]) => resource.slice(WORKER_PREFIX.length))
+}
--- a/packages/node/src/runtime/OwnedWorkers.ts
+++ b/packages/node/src/runtime/OwnedWorkers.ts
@@ -1,4 +1,4 @@
-import { workerResource } from '@rattanstep/core'
+import { workerResource, workersOwnedBy } from '@rattanstep/core'
 import type { Incarnation, Instance } from '@rattanstep/core'
 import { Owned } from '@rattanstep/jobs'
 import type { Ownership } from '@rattanstep/ownership'
@@ -53,9 +53,7 @@
     const { ownership, self } = this.options
     const before = this.owned
     const now = new Map<string, Instance>()
-    for (const [resource, owner] of Object.entries(ownership.assignment.owners)) {
-      if (owner !== self || !resource.startsWith('worker/')) continue
-      const id = resource.slice('worker/'.length)
+    for (const id of workersOwnedBy(ownership.assignment, self)) {
       const entry = this.options.fleet.find(id) ?? before.get(id)
       if (entry !== undefined) now.set(id, entry)
     }
