--- a/packages/node/test/support/Load.ts
+++ b/packages/node/test/support/Load.ts
@@ -10,6 +10,9 @@
   isOwn: boolean
 }
 
+/** Milliseconds that a caller waits after a refusal. */
+const REFUSED_PAUSE_MS = 100
+
 /** A bounded stream of requests to the fronts of a cell. */
 export class Load {
   readonly answers: Answered[] = []
@@ -54,6 +57,8 @@
       const answer = await fetch(`${front}/work/${id}`, { method: idempotent ? 'PUT' : 'POST', body, headers })
       const text = await answer.text()
       const outcome = (answer.headers.get('rattanstep-outcome') ?? 'cut') as Answered['outcome']
+      // A caller that is told to come back later does so.
+      if (outcome === 'not-run') await new Promise(resolve => setTimeout(resolve, REFUSED_PAUSE_MS))
       this.answers.push({ id, idempotent, outcome, status: answer.status, isOwn: outcome !== 'run' || text === body })
     } catch {
       this.answers.push({ id, idempotent, outcome: 'cut', status: 0, isOwn: true })
