--- /dev/null
+++ b/packages/cell/src/node/CallerServer.ts
@@ -0,0 +1,167 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Clock } from '@rattanstep/core'
+import type { Log, Metrics } from '@rattanstep/telemetry'
+import type { CallerCodec, Verdict } from '../types/callers.js'
+import type { Configuration, Route } from '../types/configuration.js'
+import type { Job } from '../types/job.js'
+import { CELL_EVENTS } from '../types/events.js'
+import type { Entry } from '../runtime/Entry.js'
+import { findRoute } from '../runtime/findRoute.js'
+
+/** ms that a caller waits when it does not say. */
+const DEFAULT_PATIENCE = 3000
+/** ms kept for the answer's way back. */
+const ANSWER_RESERVE = 100
+/** ms that a count of waiting jobs may be old; the platform's pages allow 2 s. */
+const COUNT_STALENESS = 1500
+/** Ids are this. */
+const JOB_ID = /^[0-9a-f]{16}$/
+
+interface Reply {
+  status: number
+  body?: string
+  /** s */
+  retryAfter?: number
+}
+
+/** What a caller server needs. */
+export interface CallerServerOptions {
+  entry: Entry
+  codec: CallerCodec
+  clock: Clock
+  log: Log
+  metrics: Metrics
+  configuration: () => Configuration | undefined
+  storeTime: () => number
+  storeSilence: () => number
+}
+
+/** Callers' HTTP: hand-ins, states, cancellations and counts. */
+export class CallerServer {
+  /** Requests that have no answer yet. */
+  open = 0
+  private closing = false
+  private readonly server: Server
+
+  constructor (private readonly options: CallerServerOptions) {
+    this.server = createServer((request, response) => { void this.serve(request, response) })
+    this.server.keepAliveTimeout = 15_000
+  }
+
+  listen (host: string, port: number): void {
+    this.server.listen(port, host)
+  }
+
+  /** From now on each answer ends its connection. */
+  beginClosing (): void {
+    this.closing = true
+  }
+
+  /** Takes no new connections and closes idle ones. */
+  close (): void {
+    this.server.close()
+    this.server.closeIdleConnections()
+  }
+
+  private async serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { clock, metrics } = this.options
+    const since = clock.now()
+    this.open++
+    const reply = await this.handle(request, since).catch((error: unknown) => this.fault(error))
+    this.open--
+    metrics.timer('caller_request', { method: request.method ?? '', status: String(reply.status) }).record(clock.now() - since)
+    if (response.destroyed) return
+    const body = reply.body ?? ''
+    response.writeHead(reply.status, {
+      'content-length': Buffer.byteLength(body),
+      ...(reply.body === undefined ? {} : { 'content-type': 'application/json' }),
+      ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) }),
+      ...(this.closing ? { connection: 'close' } : {})
+    })
+    response.end(body)
+  }
+
+  private fault (error: unknown): Reply {
+    this.options.log.write(CELL_EVENTS.fault, { step: 'caller request', error: String(error) })
+    return { status: 500 }
+  }
+
+  private async handle (request: IncomingMessage, since: number): Promise<Reply> {
+    const { configuration, codec } = this.options
+    const current = configuration()
+    const id = codec.requestId(request.headers)
+    const body = await readBody(request, current?.maxBody ?? 0)
+    if (current === undefined) return this.refuse(id, 503, 'no configuration yet', 1)
+    const path = (request.url ?? '/').split('?')[0]!
+    const route = findRoute(current, hostOf(request), path)
+    if (route === undefined) return this.refuse(id, 404, 'no such route')
+    if (body === undefined) return this.refuse(id, 413, 'body too large')
+    const job = path.slice(route.prefix.length)
+    const deadline = since + (codec.patience(request.headers) ?? DEFAULT_PATIENCE) - ANSWER_RESERVE
+    if (request.method === 'POST') return await this.submit({ id, route, job, body, deadline, since })
+    if (request.method === 'DELETE') return this.settle(id, job, since, route, await this.options.entry.cancel(job, deadline))
+    if (request.method !== 'GET') return { status: 405 }
+    return job === '' ? await this.count(id, route) : await this.phase(id, job)
+  }
+
+  private async submit (call: { id: string, route: Route, job: string, body: string, deadline: number, since: number }): Promise<Reply> {
+    const { codec, entry, storeTime } = this.options
+    if (!JOB_ID.test(call.job)) return this.refuse(call.id, 400, 'the id is not 16 hexadecimal digits')
+    const handIn = codec.readHandIn(call.body)
+    if (handIn.isErr()) return this.refuse(call.id, 400, handIn.error)
+    const job: Job = { id: call.job, route: call.route.name, acceptedAt: Math.round(storeTime()), ...handIn.value }
+    return this.settle(call.id, call.job, call.since, call.route, await entry.submit(job, call.deadline))
+  }
+
+  private async phase (id: string, job: string): Promise<Reply> {
+    const verdict = await this.options.entry.phase(job)
+    if (verdict.kind === 'phase') return { status: 200, body: this.options.codec.writePhase(verdict.phase) }
+    if (verdict.kind === 'unknown-job') return this.refuse(id, 410, 'no such job')
+    return this.refuse(id, 503, verdict.reason, verdict.retryAfter)
+  }
+
+  private async count (id: string, route: Route): Promise<Reply> {
+    const count = await this.options.entry.countWaiting(route.name, COUNT_STALENESS)
+    if (count === undefined) return this.refuse(id, 503, 'the count is not known', 1)
+    return { status: 200, body: this.options.codec.writeWaiting(count) }
+  }
+
+  private settle (id: string, job: string, since: number, route: Route, verdict: Verdict): Reply {
+    const { log, clock } = this.options
+    const duration = Math.round(clock.now() - since)
+    switch (verdict.kind) {
+      case 'accepted':
+        log.write(CELL_EVENTS.accepted, { request: id, job, route: route.name, duration, repeated: verdict.repeated })
+        return { status: 200 }
+      case 'cancelled':
+        log.write(CELL_EVENTS.cancelled, { request: id, job })
+        return { status: 200 }
+      case 'unknown-job': return this.refuse(id, 410, 'no such job')
+      case 'refused': return this.refuse(id, 503, verdict.reason, verdict.retryAfter)
+      case 'unsettled':
+        log.write(CELL_EVENTS.unsettled, { request: id, job, reason: verdict.reason, duration })
+        return { status: 504 }
+    }
+  }
+
+  private refuse (request: string, status: number, reason: string, retryAfter?: number): Reply {
+    const { log, storeSilence, configuration } = this.options
+    log.write(CELL_EVENTS.refused, { request, status, reason, storeSilence: Math.round(storeSilence()), configuration: configuration()?.version })
+    return { status, retryAfter }
+  }
+}
+
+function hostOf (request: IncomingMessage): string {
+  return (request.headers.host ?? '').split(':')[0]!
+}
+
+async function readBody (request: IncomingMessage, limit: number): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    size += chunk.length
+    if (size <= limit) chunks.push(chunk)
+  }
+  return size > limit ? undefined : Buffer.concat(chunks).toString('utf8')
+}
--- /dev/null
+++ b/packages/cell/src/node/TcpLink.ts
@@ -0,0 +1,94 @@
+import { connect, createServer } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import { Err, Ok } from 'ts-results-es'
+import type { Result } from 'ts-results-es'
+import { Link, Linker } from '../runtime/Link.js'
+import type { LinkFailure } from '../runtime/Link.js'
+
+/** Largest message in characters: a hand-in with its longest text, several times over. */
+const MESSAGE_MAX = 1_000_000
+
+/** A link over TCP: one line of JSON a message. */
+export class TcpLink<Incoming, Outgoing> extends Link<Incoming, Outgoing> {
+  private rest = ''
+  private closed = false
+
+  constructor (private readonly socket: Socket) {
+    super()
+    socket.setNoDelay(true)
+    socket.setEncoding('utf8')
+    socket.on('data', (text: string) => { this.take(text) })
+    socket.on('error', error => { this.end(error.message) })
+    socket.on('close', () => { this.end('closed') })
+  }
+
+  override send (message: Outgoing): void {
+    if (!this.closed) this.socket.write(JSON.stringify(message) + '\n')
+  }
+
+  override close (): void {
+    this.closed = true
+    this.socket.destroy()
+  }
+
+  private take (text: string): void {
+    const lines = (this.rest + text).split('\n')
+    this.rest = lines.pop()!
+    if (this.rest.length > MESSAGE_MAX) return this.fail('message too long')
+    for (const line of lines) {
+      if (this.closed) return
+      let message: Incoming
+      try {
+        message = JSON.parse(line) as Incoming
+      } catch (error) {
+        return this.fail(String(error))
+      }
+      this.onMessage(message)
+    }
+  }
+
+  private fail (reason: string): void {
+    this.end(reason)
+    this.close()
+  }
+
+  private end (reason: string): void {
+    if (this.closed) return
+    this.closed = true
+    this.onClose(reason)
+  }
+}
+
+/** Connects over TCP. */
+export class TcpLinker<Incoming, Outgoing> extends Linker<Incoming, Outgoing> {
+  override async connect (address: string, timeout: number): Promise<Result<Link<Incoming, Outgoing>, LinkFailure>> {
+    const [host, port] = address.split(':')
+    return await new Promise(resolve => {
+      const socket = connect({ host, port: Number(port) })
+      const timer = setTimeout(() => {
+        socket.destroy()
+        resolve(Err('silent'))
+      }, timeout)
+      socket.once('error', (error: NodeJS.ErrnoException) => {
+        clearTimeout(timer)
+        resolve(Err(error.code === 'ECONNREFUSED' || error.code === 'ECONNRESET' ? 'refused' : 'silent'))
+      })
+      socket.once('connect', () => {
+        clearTimeout(timer)
+        socket.removeAllListeners('error')
+        resolve(Ok(new TcpLink<Incoming, Outgoing>(socket)))
+      })
+    })
+  }
+}
+
+/**
+ * Waits for links of other nodes.
+ *
+ * @param address - where to listen
+ * @param onLink - called for each
+ */
+export function listenForLinks<Incoming, Outgoing> (address: { host: string, port: number }, onLink: (link: Link<Incoming, Outgoing>) => void): Server {
+  const server = createServer(socket => { onLink(new TcpLink<Incoming, Outgoing>(socket)) })
+  return server.listen(address.port, address.host)
+}
--- /dev/null
+++ b/packages/cell/src/runtime/Decider.ts
@@ -0,0 +1,330 @@
+import type { Clock } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import type { Configuration, Route } from '../types/configuration.js'
+import type { Job } from '../types/job.js'
+import type { Answer, Question } from '../types/links.js'
+import { CELL_EVENTS } from '../types/events.js'
+import { CLOCK_RATE_MIN, CONFIRMATION_WINDOW, IDLE_COMMIT, LEASE, LEASE_MARGIN } from '../types/limits.js'
+import type { Advice, RowReader, WorkerOrders } from '../types/ports.js'
+import type { RecordStore } from '../types/records.js'
+import type { WorkerReport } from '../types/worker.js'
+import { AdviceDesk } from './AdviceDesk.js'
+import { Book } from './Book.js'
+import { HandInFeed } from './HandInFeed.js'
+import { InstanceFeed } from './InstanceFeed.js'
+import { applyRecord, writeRecord } from './jobRecord.js'
+import type { JobState, StepState, Task, WorkerState } from './model.js'
+import { planRound } from './planRound.js'
+import type { AdviceWish } from './planRound.js'
+import { rankSteps } from './rankSteps.js'
+import { Recorder } from './Recorder.js'
+import { Recovery } from './Recovery.js'
+import { TaskLife } from './TaskLife.js'
+import type { Term } from './Term.js'
+import { WorkerWatch } from './WorkerWatch.js'
+
+/** ms between a change and the round of planning that follows, so that changes close together share one. */
+const ROUND_DELAY = 4
+/** ms between rounds when nothing changes: tickets run out, rests end, occurrences fall due. */
+const ROUND_PERIOD = 100
+/** ms since the last confirmed commit after which nothing new is placed. */
+const COMMIT_PATIENCE = 1000
+/** ms after which a question to the advice service is asked again, beyond what it should take. */
+const ADVICE_PATIENCE = 1500
+/** ms before a question is repeated that was not answered. */
+const ADVICE_PAUSE = 100
+
+/** What a decider needs. */
+export interface DeciderOptions {
+  store: RecordStore
+  orders: WorkerOrders
+  reader: RowReader
+  clock: Clock
+  log: Log
+  term: Term
+  /** Version of the term's row. */
+  version: number
+  configuration: () => Configuration | undefined
+  /** Nodes that can ask the advice service, and the way to do so. */
+  askers: () => string[]
+  ask: (node: string, question: { step: string, workers: string[], timeout: number }) => Promise<Advice>
+  /** Whether a majority of the nodes knows of no newer term. */
+  backed: () => boolean
+  /** Called once, when another node has claimed the term. */
+  deposed: (successor: string | undefined) => void
+  /** ms for which ended jobs are kept. */
+  retention: number
+}
+
+/** Decides which task runs where, for as long as its term lasts. */
+export class Decider {
+  readonly book = new Book()
+  private readonly recorder: Recorder
+  private readonly watch: WorkerWatch
+  private readonly life: TaskLife
+  private readonly desk = new AdviceDesk()
+  private readonly routes = new Map<string, Route>()
+  private readonly afterRecord = new Map<string, Array<() => void>>()
+  private readonly recording = new Map<string, Array<() => void>>()
+  private readonly handIns: HandInFeed
+  private readonly instances: InstanceFeed
+  private roundDue = false
+  private stopped = false
+  private paused = false
+  /** Whether the records have been read. */
+  ready = false
+
+  constructor (private readonly options: DeciderOptions) {
+    const { store, clock, log, term, orders } = options
+    this.recorder = new Recorder({
+      store, clock, term, version: options.version, encode: key => this.encode(key), events: { recorded: keys => { this.recorded(keys) }, deposed: ({ term: next }) => { this.depose(next?.node) } }
+    })
+    this.watch = new WorkerWatch({
+      book: this.book, orders, clock, log, fence: term.fence, mayRenew: () => this.mayRenew(), changed: () => { this.changed() }, outrun: () => { this.recorder.kick() }
+    })
+    this.life = new TaskLife({
+      book: this.book,
+      clock,
+      log,
+      record: (job, then) => { this.record(job, then) },
+      order: (task, ticket) => { void this.order(task, ticket) },
+      stop: task => { void this.watch.stopRun(task) },
+      maxAttempts: job => this.routes.get(job.job.route)?.maxAttempts ?? 1,
+      changed: () => { this.changed() }
+    })
+    this.watch.join(this.life)
+    this.watch.onRecord = (task, then) => { this.record(task.step.unit.job, then) }
+    this.handIns = new HandInFeed({ store, clock, log, job: job => { this.addJob(job, 'feed') }, cancel: id => { this.cancel(id) } })
+    this.instances = new InstanceFeed({ store, reader: options.reader, clock, log, listed: report => { this.listed(report) }, gone: id => { this.gone(id) } })
+  }
+
+  /** Reads the records and begins to decide. */
+  async start (): Promise<void> {
+    const { clock, log, term, store, orders } = this.options
+    const since = clock.now()
+    clock.repeat(IDLE_COMMIT, () => { if (!this.stopped) this.recorder.kick() })
+    clock.repeat(ROUND_PERIOD, () => { if (!this.stopped) this.changed() })
+    const recovery = new Recovery({ store, clock, log })
+    const [found] = await Promise.all([recovery.read(() => this.stopped), this.instances.start(() => this.stopped)])
+    if (found === undefined || this.stopped) return
+    let assumed = 0
+    for (const job of found.jobs) {
+      const state = this.addJob(job, 'record')
+      const record = found.records.get(job.id)
+      if (record !== undefined) assumed += this.assume(applyRecord(this.book, state, record), since)
+    }
+    for (const id of found.cancelled) this.cancel(id)
+    this.handIns.start(found.version, () => this.stopped)
+    this.ready = true
+    log.write(CELL_EVENTS.recovered, { fence: term.fence, jobs: found.jobs.length, assumed, duration: Math.round(clock.now() - since) })
+    for (const worker of this.book.workers.values()) this.watch.watch(worker)
+    void orders
+    this.changed()
+  }
+
+  /** Ends all deciding; orders that are under way are not waited for. */
+  stop (): void {
+    this.stopped = true
+    this.recorder.stop()
+    this.watch.stop()
+  }
+
+  /** Places nothing more, ahead of a hand-over. */
+  pause (): void {
+    this.paused = true
+  }
+
+  /** @returns monotonic ms at which the last successful commit was sent */
+  get confirmedAt (): number {
+    return this.recorder.confirmedAt
+  }
+
+  /** @returns transactions written */
+  get commits (): number {
+    return this.recorder.commits
+  }
+
+  /** Takes a job in; one that is known is left as it is. */
+  addJob (job: Job, source: 'link' | 'feed' | 'record'): JobState {
+    const known = this.book.jobs.get(job.id)
+    if (known !== undefined) return known
+    const { clock, store, log } = this.options
+    const age = store.now() === 0 ? 0 : Math.max(0, store.now() - job.acceptedAt)
+    if (source !== 'record') log.write(CELL_EVENTS.jobKnown, { job: job.id, source })
+    this.learnRoutes()
+    const state = this.book.addJob(job, { now: clock.now(), age, wall: clock.wall() })
+    this.changed()
+    return state
+  }
+
+  /** Cancels a job whose cancellation is on record. */
+  cancel (id: string): void {
+    const state = this.book.jobs.get(id)
+    if (state !== undefined) this.life.endJob(state, 'cancelled')
+  }
+
+  /** @returns what the decider knows */
+  answer (question: Question): Answer {
+    if (question.about === 'queue') return { about: 'queue', waiting: this.book.waiting(question.route) }
+    return { about: 'job', phase: this.book.jobs.get(question.id)?.shown ?? 'unknown' }
+  }
+
+  /** Asks for a round of planning soon. */
+  changed (): void {
+    if (this.roundDue || this.stopped) return
+    this.roundDue = true
+    this.options.clock.schedule(ROUND_DELAY, () => {
+      this.roundDue = false
+      if (!this.stopped) this.plan()
+    })
+  }
+
+  private plan (): void {
+    const { clock } = this.options
+    const now = clock.now()
+    if (!this.ready || this.paused || now - this.recorder.confirmedAt > COMMIT_PATIENCE) return
+    this.learnRoutes()
+    const ranked = rankSteps(this.book.ready, { routeOf: name => this.routes.get(name), now })
+    if (ranked.length === 0) return
+    const usable = new Map<string, WorkerState[]>()
+    for (const worker of this.book.workers.values()) if (isUsable(worker, now)) push(usable, worker.report.service, worker)
+    const round = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, goodShare: route => this.desk.goodShare(route) })
+    this.life.place(round.placements)
+    for (const wish of round.wishes) void this.advise(wish)
+  }
+
+  private async order (task: Task, ticket?: string): Promise<void> {
+    const { worker, run } = task
+    if (worker === undefined || this.stopped) return
+    const leaseEnd = this.watch.lease(worker)
+    const outcome = await this.options.orders.start(worker.report, {
+      task: task.name, run, spec: task.step.unit.job.job.spec, leaseEnd, fence: this.options.term.fence, checkpoint: task.checkpoint, ticket
+    })
+    if (this.stopped) return
+    if (outcome.kind === 'refused' && outcome.reason === 'fence') this.recorder.kick()
+    this.life.orderAnswered(task, run, worker, outcome)
+  }
+
+  private async advise (wish: AdviceWish): Promise<void> {
+    const { step, route, workers } = wish
+    if (route.advice === undefined || workers.length === 0) return
+    const { clock, log, ask, askers } = this.options
+    const sentAt = clock.now()
+    const { node, expected } = this.desk.choose(route.advice, { nodes: askers(), workers: workers.length, now: sentAt })
+    step.asking = true
+    const answer = await ask(node, { step: step.name, workers: workers.map(worker => worker.report.id), timeout: expected + ADVICE_PATIENCE })
+    step.asking = false
+    const duration = clock.now() - sentAt
+    this.desk.answered(node, clock.now(), duration - expected)
+    const allowed = answer.kind === 'answered' ? answer.tickets.length : 0
+    log.write(CELL_EVENTS.advised, { step: step.name, node, named: workers.length, allowed, duration: Math.round(duration), expected: Math.round(expected), outcome: answer.kind, ...('reason' in answer ? { reason: answer.reason } : {}) })
+    if (answer.kind === 'answered') {
+      takeAdvice(step, workers, answer, clock.now())
+      this.desk.learn(route.name, allowed, workers.length)
+    } else step.askAfter = clock.now() + ADVICE_PAUSE
+    this.changed()
+  }
+
+  private mayRenew (): boolean {
+    return this.options.clock.now() - this.recorder.confirmedAt < CONFIRMATION_WINDOW || this.options.backed()
+  }
+
+  private assume (runs: Array<{ task: Task, worker: string }>, since: number): number {
+    for (const { task, worker: id } of runs) {
+      const worker = this.book.workers.get(id) ?? this.unlisted(id)
+      task.phase = 'assumed'
+      this.book.assign(task, worker)
+      this.book.refreshUnit(task.step.unit)
+      worker.leaseOver = since + CONFIRMATION_WINDOW + LEASE / CLOCK_RATE_MIN + LEASE_MARGIN
+    }
+    return runs.length
+  }
+
+  /** A worker that only the records name: its leases are waited out. */
+  private unlisted (id: string): WorkerState {
+    const worker = this.book.worker({ id, service: '', address: '', dataCentre: '', state: 'draining', capacity: { cpu: 0, memory: 0, accelerators: 0 }, labels: [], born: 0 })
+    worker.listed = false
+    return worker
+  }
+
+  private listed (report: WorkerReport): void {
+    const known = this.book.workers.get(report.id)
+    if (known === undefined) {
+      const worker = this.book.worker(report)
+      if (this.ready) this.watch.watch(worker)
+      this.changed()
+      return
+    }
+    // The incarnation is taken over by the next look, which also settles the runs of the former one.
+    known.report = { ...report, born: known.report.born }
+    known.listed = true
+    this.changed()
+  }
+
+  private gone (id: string): void {
+    const worker = this.book.workers.get(id)
+    if (worker === undefined) return
+    worker.listed = false
+    worker.report = { ...worker.report, state: 'draining' }
+  }
+
+  private learnRoutes (): void {
+    const configuration = this.options.configuration()
+    // Jobs of a route that was removed go on under its last terms.
+    for (const route of configuration?.routes ?? []) this.routes.set(route.name, route)
+  }
+
+  private record (job: JobState, then?: () => void): void {
+    if (then !== undefined) push(this.afterRecord, job.job.id, then)
+    this.recorder.mark(job.job.id)
+  }
+
+  private encode (key: string): string | null {
+    this.recording.set(key, this.afterRecord.get(key) ?? [])
+    this.afterRecord.delete(key)
+    const state = this.book.jobs.get(key)
+    return state === undefined ? null : writeRecord(state)
+  }
+
+  private recorded (keys: string[]): void {
+    for (const key of keys) {
+      const actions = this.recording.get(key) ?? []
+      this.recording.delete(key)
+      for (const action of actions) action()
+    }
+    this.forgetEnded()
+  }
+
+  private forgetEnded (): void {
+    const limit = this.options.clock.now() - this.options.retention
+    for (const [id, state] of this.book.jobs) {
+      if (state.endedAt === 0 || state.endedAt > limit) return
+      this.book.jobs.delete(id)
+    }
+  }
+
+  private depose (successor: string | undefined): void {
+    if (this.stopped) return
+    this.stop()
+    this.options.log.write(CELL_EVENTS.deposed, { fence: this.options.term.fence, successor })
+    this.options.deposed(successor)
+  }
+}
+
+function isUsable (worker: WorkerState, now: number): boolean {
+  return worker.listed && worker.known && worker.reachable && worker.report.state === 'ready' && worker.strangers === 0 && worker.restUntil <= now
+}
+
+function takeAdvice (step: StepState, workers: WorkerState[], advice: Extract<Advice, { kind: 'answered' }>, now: number): void {
+  for (const worker of workers) step.rulings.set(worker.report.id, false)
+  for (const { worker, text } of advice.tickets) {
+    step.rulings.set(worker, true)
+    step.tickets.set(worker, { text, validUntil: now + advice.validity })
+  }
+}
+
+function push<Key, Value> (map: Map<Key, Value[]>, key: Key, value: Value): void {
+  const list = map.get(key)
+  if (list === undefined) map.set(key, [value])
+  else list.push(value)
+}
--- /dev/null
+++ b/packages/cell/src/runtime/Followers.ts
@@ -0,0 +1,150 @@
+import type { Clock, Timer } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import type { Job } from '../types/job.js'
+import type { Answer, DownMessage, Question, UpMessage } from '../types/links.js'
+import { CELL_EVENTS } from '../types/events.js'
+import { LINK_BEAT, LINK_SILENCE } from '../types/limits.js'
+import type { Advice } from '../types/ports.js'
+import type { Link } from './Link.js'
+
+/** A link to a follower. */
+export type DownLink = Link<UpMessage, DownMessage>
+
+/** ms of store silence at a follower above which it is no successor: a feed's wait and a slow answer. */
+const SUCCESSOR_STORE_SILENCE = 2000
+
+/** What the decider does for its followers. */
+export interface FollowersEvents {
+  job: (job: Job) => void
+  cancel: (id: string) => void
+  answer: (question: Question) => Answer
+  configuration: () => number
+  /** A follower knows of a newer term. */
+  outrun: () => void
+}
+
+interface Entry {
+  node: string
+  link: DownLink
+  heardAt: number
+  storeSilence: number
+}
+
+/** The nodes that follow this decider. */
+export class Followers {
+  private readonly entries = new Map<string, Entry>()
+  private readonly calls = new Map<number, { node: string, resolve: (advice: Advice) => void }>()
+  private nextCall = 1
+  private readonly timer: Timer
+
+  constructor (private readonly options: { clock: Clock, log: Log, fence: number, events: FollowersEvents }) {
+    this.timer = options.clock.repeat(LINK_BEAT, () => { this.beat() })
+  }
+
+  /** @returns the nodes, in order of succession */
+  get nodes (): string[] {
+    return [...this.entries.keys()]
+  }
+
+  /** @returns share of followers that know of no newer term, and whether all of them miss the store too */
+  storeSilences (): number[] {
+    return [...this.entries.values()].map(entry => entry.storeSilence)
+  }
+
+  /** Takes a node in that has said hello. */
+  add (link: DownLink, node: string): void {
+    const { clock, log, fence } = this.options
+    this.entries.get(node)?.link.close()
+    const entry: Entry = { node, link, heardAt: clock.now(), storeSilence: 0 }
+    this.entries.set(node, entry)
+    link.onMessage = message => { this.take(entry, message) }
+    link.onClose = reason => { this.remove(entry, reason) }
+    link.send({ kind: 'welcome', term: fence })
+    log.write(CELL_EVENTS.followerGained, { follower: node })
+  }
+
+  /** Lets a follower ask the advice service. */
+  async ask (node: string, question: { step: string, workers: string[], timeout: number }): Promise<Advice> {
+    const entry = this.entries.get(node)
+    if (entry === undefined) return { kind: 'failed', reason: 'the node no longer follows' }
+    const call = this.nextCall++
+    return await new Promise<Advice>(resolve => {
+      const timer = this.options.clock.schedule(question.timeout, () => { this.settle(call, { kind: 'failed', reason: 'no answer' }) })
+      this.calls.set(call, {
+        node,
+        resolve: advice => {
+          timer.cancel()
+          resolve(advice)
+        }
+      })
+      entry.link.send({ kind: 'advise', call, ...question })
+    })
+  }
+
+  /**
+   * Tells one follower to claim the term.
+   *
+   * @param reason - why
+   * @param attempt - how many were told before
+   * @returns the follower told, if there is one
+   */
+  callSuccessor (reason: 'stopping' | 'store-unreachable', attempt: number): string | undefined {
+    const fit = [...this.entries.values()].filter(entry => entry.storeSilence < SUCCESSOR_STORE_SILENCE)
+    const entry = fit[attempt % Math.max(1, fit.length)]
+    entry?.link.send({ kind: 'succeed', reason })
+    return entry?.node
+  }
+
+  /** Closes all links. */
+  close (): void {
+    this.timer.cancel()
+    for (const entry of [...this.entries.values()]) entry.link.close()
+    for (const call of [...this.calls.keys()]) this.settle(call, { kind: 'failed', reason: 'the term has ended' })
+  }
+
+  private take (entry: Entry, message: UpMessage): void {
+    const { clock, events, fence } = this.options
+    entry.heardAt = clock.now()
+    switch (message.kind) {
+      case 'beat':
+        entry.storeSilence = message.storeSilence
+        if (message.term > fence) events.outrun()
+        return
+      case 'job': return events.job(message.job)
+      case 'cancel': return events.cancel(message.id)
+      case 'ask': return entry.link.send({ kind: 'answer', call: message.call, answer: events.answer(message.question) })
+      case 'advised': return this.settle(message.call, message.advice)
+      case 'hello': entry.link.send({ kind: 'welcome', term: fence })
+    }
+  }
+
+  private beat (): void {
+    const { clock, events } = this.options
+    let rank = 0
+    const configuration = events.configuration()
+    for (const entry of [...this.entries.values()]) {
+      if (clock.now() - entry.heardAt > LINK_SILENCE) {
+        entry.link.close()
+        this.remove(entry, 'silent')
+        continue
+      }
+      const fit = entry.storeSilence < SUCCESSOR_STORE_SILENCE
+      entry.link.send({ kind: 'beat', rank: fit ? rank++ : this.entries.size, configuration })
+    }
+  }
+
+  private remove (entry: Entry, reason: string): void {
+    if (this.entries.get(entry.node) !== entry) return
+    this.entries.delete(entry.node)
+    this.options.log.write(CELL_EVENTS.followerLost, { follower: entry.node, reason })
+    for (const [call, { node }] of [...this.calls]) {
+      if (node === entry.node) this.settle(call, { kind: 'failed', reason: 'the node no longer follows' })
+    }
+  }
+
+  private settle (call: number, advice: Advice): void {
+    const waiting = this.calls.get(call)
+    this.calls.delete(call)
+    waiting?.resolve(advice)
+  }
+}
--- /dev/null
+++ b/packages/cell/src/runtime/InstanceFeed.ts
@@ -0,0 +1,94 @@
+import type { Clock } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import type { RecordStore, Row, RowChange } from '../types/records.js'
+import type { RowReader } from '../types/ports.js'
+import type { WorkerReport } from '../types/worker.js'
+import { CELL_EVENTS } from '../types/events.js'
+
+/** ms that a question for changes may wait. Short, since a feed can go deaf without a word. */
+const FEED_WAIT = 1000
+/** ms between attempts when the store does not answer. */
+const RETRY_DELAY = 200
+/** ms after the store's return for which a missing entry may still come back; the platform's pages say two seconds. */
+const RETURN_GRACE = 2500
+/** ms of silence that count as an outage in which entries may have lapsed: one heartbeat. */
+const OUTAGE = 1500
+
+/** Follows the platform's list of workers. */
+export class InstanceFeed {
+  private version = 0
+  private readonly states = new Map<string, WorkerReport['state']>()
+  private outageEnd = -Infinity
+
+  constructor (private readonly options: {
+    store: RecordStore
+    reader: RowReader
+    clock: Clock
+    log: Log
+    listed: (report: WorkerReport) => void
+    gone: (id: string) => void
+  }) {}
+
+  /** Reads the list, then follows it in the background. */
+  async start (stopped: () => boolean): Promise<void> {
+    while (!stopped() && !await this.readAll()) await this.options.clock.sleep(RETRY_DELAY)
+    void this.follow(stopped)
+  }
+
+  private async follow (stopped: () => boolean): Promise<void> {
+    const { store, clock } = this.options
+    while (!stopped()) {
+      const silence = store.silence()
+      const answer = await store.changes({ table: 'servers', after: this.version, wait: FEED_WAIT })
+      if (stopped()) return
+      if (answer.isOk()) {
+        if (silence > FEED_WAIT + OUTAGE) this.outageEnd = clock.now()
+        for (const row of answer.value.rows) this.take(row)
+        this.version = answer.value.version
+      } else if (answer.error.code === 'history-lost') await this.readAll()
+      else await clock.sleep(RETRY_DELAY)
+    }
+  }
+
+  private async readAll (): Promise<boolean> {
+    const answer = await this.options.store.range({ table: 'servers', part: '' })
+    if (answer.isErr()) return false
+    const present = new Set(answer.value.rows.map(row => row.key))
+    for (const id of [...this.states.keys()]) if (!present.has(id)) this.remove(id)
+    for (const row of answer.value.rows) this.takeRow(row)
+    this.version = answer.value.version
+    return true
+  }
+
+  private take (row: RowChange): void {
+    if (!row.deleted) return this.takeRow(row)
+    const wait = this.outageEnd + RETURN_GRACE - this.options.clock.now()
+    if (wait <= 0) return this.remove(row.key)
+    const before = this.version
+    this.options.clock.schedule(wait, () => { if (this.lapsed.get(row.key) === before) this.remove(row.key) })
+    this.lapsed.set(row.key, before)
+  }
+
+  /** Entries that went missing around an outage, by the version at which they did. */
+  private readonly lapsed = new Map<string, number>()
+
+  private takeRow (row: Row): void {
+    this.lapsed.delete(row.key)
+    const { reader, log, listed } = this.options
+    const report = reader.readWorker(row.key, row.value)
+    if (report.isErr()) {
+      log.write(CELL_EVENTS.badRow, { key: row.key, problem: report.error })
+      return
+    }
+    if (this.states.get(row.key) !== report.value.state) log.write(CELL_EVENTS.workerListed, { worker: row.key, state: report.value.state })
+    this.states.set(row.key, report.value.state)
+    listed(report.value)
+  }
+
+  private remove (id: string): void {
+    this.lapsed.delete(id)
+    if (!this.states.delete(id)) return
+    this.options.log.write(CELL_EVENTS.workerListed, { worker: id, state: 'gone' })
+    this.options.gone(id)
+  }
+}
--- /dev/null
+++ b/packages/cell/src/runtime/Room.ts
@@ -0,0 +1,74 @@
+import type { Size, Step } from '../types/job.js'
+import { chargedSize } from './Book.js'
+import type { StepState, WorkerState } from './model.js'
+
+/** A worker's room during one round of planning. */
+export interface Slot {
+  worker: WorkerState
+  free: Size
+  /** Tasks of the step in hand that this round places here. */
+  taken: number
+}
+
+/** Free room of the workers of one service, worked on by one round of planning. */
+export class Room {
+  readonly slots: Slot[]
+
+  /**
+   * @param workers - workers that may be given work
+   */
+  constructor (workers: WorkerState[]) {
+    this.slots = workers.map(worker => ({ worker, free: freeSize(worker), taken: 0 }))
+  }
+
+  /** @returns whether any processor is free at all */
+  get exhausted (): boolean {
+    return this.slots.every(slot => slot.free.cpu <= 0)
+  }
+}
+
+/** @returns what a worker has left */
+export function freeSize (worker: WorkerState): Size {
+  const { capacity } = worker.report
+  return {
+    cpu: capacity.cpu - worker.used.cpu,
+    memory: capacity.memory - worker.used.memory,
+    accelerators: capacity.accelerators - worker.used.accelerators
+  }
+}
+
+/**
+ * @param free - room
+ * @param step - whose tasks
+ * @returns how many tasks fit
+ */
+export function countFitting (free: Size, step: Step): number {
+  const size = chargedSize(step)
+  let count = Infinity
+  if (size.cpu > 0) count = Math.min(count, Math.floor(free.cpu / size.cpu))
+  if (size.memory > 0) count = Math.min(count, Math.floor(free.memory / size.memory))
+  if (size.accelerators > 0) count = Math.min(count, Math.floor(free.accelerators / size.accelerators))
+  return Math.max(0, count)
+}
+
+/**
+ * @param slot - room on a worker
+ * @param step - a step
+ * @returns how many more tasks of the step the worker may take
+ */
+export function capacityFor (slot: Slot, step: StepState): number {
+  const fitting = countFitting(slot.free, step.definition)
+  const { perWorker } = step.definition
+  if (perWorker === undefined || fitting === 0) return fitting
+  let present = 0
+  for (const task of slot.worker.tasks.values()) if (task.step === step) present++
+  return Math.max(0, Math.min(fitting, perWorker - present - slot.taken))
+}
+
+/** Takes room of one task, or of several, out of a slot. */
+export function takeRoom (slot: Slot, step: Step, tasks = 1): void {
+  const size = chargedSize(step)
+  slot.free.cpu -= tasks * size.cpu
+  slot.free.memory -= tasks * size.memory
+  slot.free.accelerators -= tasks * size.accelerators
+}
--- /dev/null
+++ b/packages/cell/src/runtime/parts.ts
@@ -0,0 +1,18 @@
+/** Parts over which hand-ins are spread; one part takes 150 transactions a second. */
+const HAND_IN_PARTS = 8
+
+/** Names of the parts that hold hand-ins. */
+export const handInParts: readonly string[] = Array.from({ length: HAND_IN_PARTS }, (_, number) => `j${number}`)
+
+/**
+ * @param id - a job's id
+ * @returns the part that its hand-in and its cancellation lie in
+ */
+export function handInPart (id: string): string {
+  let hash = 0
+  for (let index = 0; index < id.length; index++) hash = (hash * 31 + id.charCodeAt(index)) >>> 0
+  return handInParts[hash % HAND_IN_PARTS]!
+}
+
+/** Ends the key of a cancellation, which otherwise is the job's id. */
+export const CANCELLED = '!'
--- /dev/null
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -0,0 +1,98 @@
+import { Err, Ok } from 'ts-results-es'
+import type { Result } from 'ts-results-es'
+import { LineCounter, parseDocument } from 'yaml'
+import type { Document } from 'yaml'
+import type { Finding } from '@rattanstep/core'
+import type { CellSettings } from '../types/settings.js'
+
+const ADDRESS = /^[0-9.]+:[0-9]+$/
+const LEVELS = ['debug', 'info', 'warn', 'error'] as const
+
+/**
+ * Reads the settings of a process.
+ *
+ * @param text - YAML
+ * @param file - name for findings
+ * @returns the settings, or every fault with its place
+ */
+export function resolveSettings (text: string, file: string): Result<CellSettings, Finding[]> {
+  const lines = new LineCounter()
+  const document = parseDocument(text, { lineCounter: lines })
+  const findings: Finding[] = document.errors.map(error => ({ code: 'bad-yaml', message: error.message, place: { file, line: error.linePos?.[0].line ?? 1, column: error.linePos?.[0].col ?? 1 } }))
+  if (findings.length > 0) return Err(findings)
+  const read = new Reader(document, lines, file, findings)
+  const settings: CellSettings = {
+    node: read.text('node'),
+    dataCentre: read.text('dataCentre'),
+    ip: read.text('ip'),
+    listen: {
+      callers: read.address('listen', 'callers'),
+      readiness: read.address('listen', 'readiness'),
+      linkPort: read.count('listen', 'linkPort'),
+      metricsPort: read.count('listen', 'metricsPort')
+    },
+    store: { address: read.address('store', 'address') },
+    advice: { address: read.textOr('', 'advice', 'address') },
+    bounds: {
+      grace: read.count('bounds', 'grace'),
+      gangAssembly: read.count('bounds', 'gangAssembly'),
+      leaseMax: read.count('bounds', 'leaseMax'),
+      stop: read.count('bounds', 'stop'),
+      configurationApply: read.count('bounds', 'configurationApply'),
+      finishedJobRetention: read.count('bounds', 'finishedJobRetention')
+    },
+    farFactor: read.countOr(1, 'farFactor'),
+    logLevel: read.level('logLevel')
+  }
+  return findings.length > 0 ? Err(findings) : Ok(settings)
+}
+
+/** Reads single values and collects what is wrong with them. */
+class Reader {
+  constructor (private readonly document: Document.Parsed, private readonly lines: LineCounter, private readonly file: string, private readonly findings: Finding[]) {}
+
+  text (...path: string[]): string {
+    const value = this.document.getIn(path)
+    if (typeof value === 'string' && value !== '') return value
+    return this.fault(path, value, 'a text', '')
+  }
+
+  textOr (fallback: string, ...path: string[]): string {
+    const value = this.document.getIn(path)
+    return value === undefined || value === null ? fallback : this.text(...path)
+  }
+
+  address (...path: string[]): string {
+    const value = this.document.getIn(path)
+    if (typeof value === 'string' && ADDRESS.test(value)) return value
+    return this.fault(path, value, 'an address such as 10.1.0.13:8161', '')
+  }
+
+  count (...path: string[]): number {
+    const value = this.document.getIn(path)
+    if (typeof value === 'number' && value >= 0) return value
+    return this.fault(path, value, 'a number from 0', 0)
+  }
+
+  countOr (fallback: number, ...path: string[]): number {
+    const value = this.document.getIn(path)
+    return value === undefined || value === null ? fallback : this.count(...path)
+  }
+
+  level (...path: string[]): CellSettings['logLevel'] {
+    const value = this.document.getIn(path)
+    if (value === undefined || value === null) return 'info'
+    return LEVELS.find(level => level === value) ?? this.fault(path, value, `one of ${LEVELS.join(', ')}`, 'info')
+  }
+
+  private fault<Value> (path: string[], value: unknown, expected: string, fallback: Value): Value {
+    const node = this.document.getIn(path, true) as { range?: [number, number, number] } | undefined
+    const place = this.lines.linePos(node?.range?.[0] ?? 0)
+    this.findings.push({
+      code: value === undefined ? 'missing-setting' : 'bad-setting',
+      place: { file: this.file, line: place.line, column: place.col },
+      message: `${path.join('.')} is ${value === undefined ? 'missing' : JSON.stringify(value)}; expected ${expected}`
+    })
+    return fallback
+  }
+}
--- /dev/null
+++ b/packages/cell/src/types/limits.ts
@@ -0,0 +1,20 @@
+/** Length of a task lease in ms. Long enough for a takeover (about 1.5 s) twice over, short enough that lost work restarts soon. */
+export const LEASE = 4000
+/** Slowest worker clock as a share of true time; the platform's pages allow 2 %, and 1 % is kept in hand. */
+export const CLOCK_RATE_MIN = 0.97
+/** ms added to every lease that is waited out: one way over a link, and a timer that fires late. */
+export const LEASE_MARGIN = 150
+/** ms for which a decider may renew leases after its term was last confirmed; store outages shorter than this cost nothing. */
+export const CONFIRMATION_WINDOW = 2000
+/** ms between commits of an idle decider; followers judge its life by them. */
+export const IDLE_COMMIT = 250
+/** ms between messages on a link without traffic; 16 ms was the worst delay seen on a calm day. */
+export const LINK_BEAT = 120
+/** ms without any message after which a link is taken as dead: four beats. */
+export const LINK_SILENCE = 500
+/** ms between two looks at the term row of a silent decider; more than one idle commit. */
+export const TERM_RECHECK = 400
+/** ms by which each place in the line of successors waits longer. */
+export const SUCCESSION_STEP = 150
+/** ms without an answer of the store after which a decider offers its term to others. */
+export const STORE_PATIENCE = 700
--- /dev/null
+++ b/packages/cell/src/types/links.ts
@@ -0,0 +1,31 @@
+import type { Job, JobPhase } from './job.js'
+import type { Advice } from './ports.js'
+
+/** Messages from a follower to the decider. */
+export type UpMessage =
+  | { kind: 'hello', node: string, dataCentre: string }
+  | { kind: 'beat', /** ms since the store last answered this node */ storeSilence: number, term: number, configuration: number }
+  | { kind: 'job', job: Job }
+  | { kind: 'cancel', id: string }
+  | { kind: 'ask', call: number, question: Question }
+  | { kind: 'advised', call: number, advice: Advice }
+
+/** Messages from the decider to a follower. */
+export type DownMessage =
+  | { kind: 'welcome', term: number }
+  | { kind: 'elsewhere' }
+  | { kind: 'beat', /** place in the line of successors, from 0 */ rank: number, configuration: number }
+  | { kind: 'answer', call: number, answer: Answer }
+  | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
+  /** The receiver should claim the term now. */
+  | { kind: 'succeed', reason: 'stopping' | 'store-unreachable' }
+
+/** What an entry node asks the decider. */
+export type Question =
+  | { about: 'job', id: string }
+  | { about: 'queue', route: string }
+
+/** The decider's answer. */
+export type Answer =
+  | { about: 'job', phase: JobPhase | 'unknown' }
+  | { about: 'queue', waiting: number }
--- /dev/null
+++ b/packages/cell/src/types/settings.ts
@@ -0,0 +1,28 @@
+/** Settings of one process. */
+export interface CellSettings {
+  node: string
+  dataCentre: string
+  ip: string
+  listen: {
+    /** `HOST:PORT` for callers. */
+    callers: string
+    readiness: string
+    /** Ports free for links between nodes. */
+    linkPort: number
+    metricsPort: number
+  }
+  store: { address: string }
+  advice: { address: string }
+  /** Periods and bounds that the platform sets, in ms. */
+  bounds: {
+    grace: number
+    gangAssembly: number
+    leaseMax: number
+    stop: number
+    configurationApply: number
+    finishedJobRetention: number
+  }
+  /** Factor by which work is longer away from its data or over several racks. */
+  farFactor: number
+  logLevel: 'debug' | 'info' | 'warn' | 'error'
+}
