Background work of the cell reports what it throws

Cause: floating promises were marked with void, which the linter refuses and which would end the process on a rejection. Change: detach() logs the fault with its step. Behaviour is the same.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -8,6 +8,7 @@
 import { CELL_EVENTS } from '../types/events.js'
 import type { Entry } from '../runtime/Entry.js'
 import { findRoute } from '../runtime/findRoute.js'
+import { detach } from '../runtime/detach.js'
 
 /** ms that a caller waits when it does not say. */
 const DEFAULT_PATIENCE = 3000
@@ -45,7 +46,7 @@
   private readonly server: Server
 
   constructor (private readonly options: CallerServerOptions) {
-    this.server = createServer((request, response) => { void this.serve(request, response) })
+    this.server = createServer((request, response) => { detach(this.serve(request, response), this.options.log, 'caller request') })
     this.server.keepAliveTimeout = 15_000
   }
 
--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -21,6 +21,7 @@
 import type { Term } from '../runtime/Term.js'
 import { CallerServer } from './CallerServer.js'
 import { TcpLinker, listenForLinks } from './TcpLink.js'
+import { detach } from '../runtime/detach.js'
 
 /** ms between checks of a decider's reach to the store. */
 const STORE_CHECK_PERIOD = 150
@@ -100,8 +101,8 @@
       listenForLinks<UpMessage, DownMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.greet(link) }),
       serveText(endpoint(settings.listen.readiness), () => ({ status: this.ready ? 200 : 503, text: '' })),
       serveText([settings.ip, settings.listen.metricsPort], () => ({ status: 200, text: this.options.metrics.render() })))
-    void this.configuration.start()
-    void this.membership.run().catch((error: unknown) => { log.write(CELL_EVENTS.fault, { step: 'membership', error: String(error) }) })
+    detach(this.configuration.start(), log, 'configuration')
+    detach(this.membership.run(), log, 'membership')
     log.write(CELL_EVENTS.started, { addresses: settings.listen, dataCentre: settings.dataCentre })
   }
 
@@ -173,7 +174,7 @@
     this.decider = decider
     this.followers = followers
     const check = clock.repeat(STORE_CHECK_PERIOD, () => { this.offerTerm(decider) })
-    void decider.start()
+    detach(decider.start(), log, 'decider')
     await lost
     check.cancel()
     this.decider = undefined
@@ -215,7 +216,7 @@
   }
 
   private heardOfConfiguration (version: number): void {
-    if (version > (this.configuration.current?.version ?? 0)) void this.configuration.refresh()
+    if (version > (this.configuration.current?.version ?? 0)) detach(this.configuration.refresh(), this.options.log, 'configuration')
   }
 }
 
--- a/packages/cell/src/runtime/ConfigurationFeed.ts
+++ b/packages/cell/src/runtime/ConfigurationFeed.ts
@@ -4,6 +4,7 @@
 import type { Configuration } from '../types/configuration.js'
 import { CELL_EVENTS } from '../types/events.js'
 import type { RecordStore, Row } from '../types/records.js'
+import { detach } from './detach.js'
 
 /** ms that a question for changes may wait; a feed can go deaf without a word, and a version must be in force within 2 s. */
 const FEED_WAIT = 1000
@@ -25,7 +26,7 @@
       await this.refresh()
       if (this.current === undefined) await this.options.clock.sleep(RETRY_DELAY)
     }
-    void this.follow()
+    detach(this.follow(), this.options.log, 'configuration')
   }
 
   stop (): void {
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -22,6 +22,7 @@
 import { TaskLife } from './TaskLife.js'
 import type { Term } from './Term.js'
 import { WorkerWatch } from './WorkerWatch.js'
+import { detach } from './detach.js'
 
 /** ms between a change and the round of planning that follows, so that changes close together share one. */
 const ROUND_DELAY = 4
@@ -77,7 +78,7 @@
   constructor (private readonly options: DeciderOptions) {
     const { store, clock, log, term, orders } = options
     this.recorder = new Recorder({
-      store, clock, term, version: options.version, encode: key => this.encode(key), events: { recorded: keys => { this.recorded(keys) }, deposed: ({ term: next }) => { this.depose(next?.node) } }
+      store, clock, log, term, version: options.version, encode: key => this.encode(key), events: { recorded: keys => { this.recorded(keys) }, deposed: ({ term: next }) => { this.depose(next?.node) } }
     })
     this.watch = new WorkerWatch({
       book: this.book, orders, clock, log, fence: term.fence, mayRenew: () => this.mayRenew(), changed: () => { this.changed() }, outrun: () => { this.recorder.kick() }
@@ -87,8 +88,8 @@
       clock,
       log,
       record: (job, then) => { this.record(job, then) },
-      order: (task, ticket) => { void this.order(task, ticket) },
-      stop: task => { void this.watch.stopRun(task) },
+      order: (task, ticket) => { detach(this.order(task, ticket), log, 'order') },
+      stop: task => { detach(this.watch.stopRun(task), log, 'stop') },
       maxAttempts: job => this.routes.get(job.job.route)?.maxAttempts ?? 1,
       changed: () => { this.changed() }
     })
@@ -100,7 +101,7 @@
 
   /** Reads the records and begins to decide. */
   async start (): Promise<void> {
-    const { clock, log, term, store, orders } = this.options
+    const { clock, log, term, store } = this.options
     const since = clock.now()
     clock.repeat(IDLE_COMMIT, () => { if (!this.stopped) this.recorder.kick() })
     clock.repeat(ROUND_PERIOD, () => { if (!this.stopped) this.changed() })
@@ -118,7 +119,6 @@
     this.ready = true
     log.write(CELL_EVENTS.recovered, { fence: term.fence, jobs: found.jobs.length, assumed, duration: Math.round(clock.now() - since) })
     for (const worker of this.book.workers.values()) this.watch.watch(worker)
-    void orders
     this.changed()
   }
 
@@ -190,7 +190,7 @@
     for (const worker of this.book.workers.values()) if (isUsable(worker, now)) push(usable, worker.report.service, worker)
     const round = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, goodShare: route => this.desk.goodShare(route) })
     this.life.place(round.placements)
-    for (const wish of round.wishes) void this.advise(wish)
+    for (const wish of round.wishes) detach(this.advise(wish), this.options.log, 'advice')
   }
 
   private async order (task: Task, ticket?: string): Promise<void> {
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -4,6 +4,8 @@
 import { LINK_BEAT, LINK_SILENCE } from '../types/limits.js'
 import type { Advice } from '../types/ports.js'
 import type { Link, Linker } from './Link.js'
+import type { Log } from '@rattanstep/telemetry'
+import { detach } from './detach.js'
 
 /** A link to the decider. */
 export type UpLink = Link<DownMessage, UpMessage>
@@ -37,6 +39,7 @@
 
   constructor (private readonly link: UpLink, private readonly options: {
     clock: Clock
+    log: Log
     events: FollowerEvents
     node: string
     dataCentre: string
@@ -113,8 +116,7 @@
         return this.options.events.configuration(message.configuration)
       case 'answer': return this.settle(message.call, message.answer)
       case 'advise':
-        void this.advise(message)
-        return
+        return detach(this.advise(message), this.options.log, 'advice')
       case 'succeed': this.finish('called')
     }
   }
--- a/packages/cell/src/runtime/HandInFeed.ts
+++ b/packages/cell/src/runtime/HandInFeed.ts
@@ -5,6 +5,7 @@
 import { CELL_EVENTS } from '../types/events.js'
 import { readHandIn } from './handInRow.js'
 import { CANCELLED, handInParts } from './parts.js'
+import { detach } from './detach.js'
 
 /** ms between looks at the hand-ins on record. Most come by link; this finds those of nodes that died right after accepting. */
 const PERIOD = 800
@@ -24,7 +25,7 @@
    */
   start (version: number, stopped: () => boolean): void {
     this.version = version
-    void this.run(stopped)
+    detach(this.run(stopped), this.options.log, 'hand-ins')
   }
 
   private async run (stopped: () => boolean): Promise<void> {
--- a/packages/cell/src/runtime/InstanceFeed.ts
+++ b/packages/cell/src/runtime/InstanceFeed.ts
@@ -4,6 +4,7 @@
 import type { RowReader } from '../types/ports.js'
 import type { WorkerReport } from '../types/worker.js'
 import { CELL_EVENTS } from '../types/events.js'
+import { detach } from './detach.js'
 
 /** ms that a question for changes may wait. Short, since a feed can go deaf without a word. */
 const FEED_WAIT = 1000
@@ -32,7 +33,7 @@
   /** Reads the list, then follows it in the background. */
   async start (stopped: () => boolean): Promise<void> {
     while (!stopped() && !await this.readAll()) await this.options.clock.sleep(RETRY_DELAY)
-    void this.follow(stopped)
+    detach(this.follow(stopped), this.options.log, 'instance list')
   }
 
   private async follow (stopped: () => boolean): Promise<void> {
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -117,7 +117,7 @@
       this.reason = link.error
       return link.error
     }
-    this.follower = new Follower(link.value, { clock, events: follower, node, dataCentre, silence: () => store.silence(), term: () => this.term?.fence ?? 0 })
+    this.follower = new Follower(link.value, { clock, log, events: follower, node, dataCentre, silence: () => store.silence(), term: () => this.term?.fence ?? 0 })
     const welcomed = await this.follower.greet(LINK_SILENCE)
     if (welcomed !== 'welcomed') {
       this.follower.close()
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -2,6 +2,8 @@
 import type { RecordStore, Row, TransactionOutcome } from '../types/records.js'
 import type { Term } from './Term.js'
 import { readTerm, termRow, writeTerm } from './Term.js'
+import type { Log } from '@rattanstep/telemetry'
+import { detach } from './detach.js'
 
 /** Entries in one transaction; the store takes 100, of which the term takes two. */
 const ENTRIES_MAX = 45
@@ -40,6 +42,7 @@
   constructor (private readonly options: {
     store: RecordStore
     clock: Clock
+    log: Log
     term: Term
     version: number
     encode: (key: string) => string | null
@@ -59,7 +62,7 @@
   kick (): void {
     if (this.busy || this.stopped) return
     this.busy = true
-    this.options.clock.soon(() => { void this.run() })
+    this.options.clock.soon(() => { detach(this.run(), this.options.log, 'commit') })
   }
 
   stop (): void {
--- a/packages/cell/src/runtime/WorkerWatch.ts
+++ b/packages/cell/src/runtime/WorkerWatch.ts
@@ -7,6 +7,7 @@
 import type { Book } from './Book.js'
 import type { Task, WorkerState } from './model.js'
 import type { TaskLife } from './TaskLife.js'
+import { detach } from './detach.js'
 
 /** ms that a look at a worker with tasks waits for an end; a quarter of a lease. */
 const LOOK_WAIT = 1000
@@ -53,7 +54,7 @@
   watch (worker: WorkerState): void {
     if (this.watched.has(worker)) return
     this.watched.add(worker)
-    void this.run(worker)
+    detach(this.run(worker), this.options.log, 'look')
   }
 
   /** Looks at a worker without waiting for the period. */
@@ -78,7 +79,9 @@
   async stopRun (task: Task): Promise<void> {
     const { worker, run } = task
     const { orders, clock, fence } = this.options
-    while (!this.stopped && worker !== undefined && task.worker === worker && task.run === run && task.phase === 'stopping') {
+    if (worker === undefined) return
+    for (;;) {
+      if (this.stopped || task.worker !== worker || task.run !== run || task.phase !== 'stopping') return
       const outcome = await orders.stop(worker.report, { task: task.name, run, fence })
       if (outcome.kind === 'taken') {
         task.stoppedAt = clock.now()
@@ -212,10 +215,10 @@
   private stopStranger (worker: WorkerState, listed: ListedRun): void {
     const { log, orders, fence, clock } = this.options
     log.write(CELL_EVENTS.stranger, { task: listed.task, run: listed.run, worker: worker.report.id })
-    void orders.stop(worker.report, { task: listed.task, run: listed.run, fence }).then(async () => {
+    detach(orders.stop(worker.report, { task: listed.task, run: listed.run, fence }).then(async () => {
       await clock.sleep(STOP_RETRY)
       this.wake(worker)
-    })
+    }), log, 'stop')
   }
 
   /** What a list leaves out is over, if the list was asked for after the run's order was settled. */
