--- /dev/null
+++ b/packages/cell/src/runtime/Cell.ts
@@ -0,0 +1,202 @@
+import type { Clock } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import type { Result } from 'ts-results-es'
+import type { Configuration } from '../types/configuration.js'
+import type { Job } from '../types/job.js'
+import { LINK_SILENCE, STORE_PATIENCE } from '../types/limits.js'
+import type { Answer, Question } from '../types/links.js'
+import type { Advice, Advisor, RowReader, WorkerOrders } from '../types/ports.js'
+import type { RecordStore } from '../types/records.js'
+import { ConfigurationFeed } from './ConfigurationFeed.js'
+import { Decider } from './Decider.js'
+import { detach } from './detach.js'
+import { DeciderAccess, Entry } from './Entry.js'
+import type { UpLinker } from './Follower.js'
+import { Followers } from './Followers.js'
+import type { DownLink } from './Followers.js'
+import { Membership } from './Membership.js'
+import type { Term } from './Term.js'
+
+/** ms between checks of a decider's reach to the store. */
+const STORE_CHECK_PERIOD = 150
+/** ms that a successor is given to claim the term. */
+const SUCCESSION_PATIENCE = 400
+/** ms between looks at whether a hand-over has happened. */
+const SUCCESSION_CHECK = 10
+
+/** What a member of the cell is made of. */
+export interface CellOptions {
+  node: string
+  dataCentre: string
+  /** `HOST:PORT` at which other nodes reach this one. */
+  address: string
+  /** ms for which ended jobs are kept. */
+  retention: number
+  store: RecordStore
+  orders: WorkerOrders
+  advisor: Advisor
+  reader: RowReader
+  linker: UpLinker
+  readConfiguration: (value: string) => Result<Configuration, string>
+  clock: Clock
+  log: Log
+}
+
+/** One member of the cell, without its sockets: entry, follower and, while it holds the term, decider. */
+export class Cell extends DeciderAccess {
+  readonly entry: Entry
+  private readonly configurationFeed: ConfigurationFeed
+  private readonly membership: Membership
+  private decider: Decider | undefined
+  private followers: Followers | undefined
+  private offers = 0
+  private lastOffer = 0
+
+  constructor (private readonly options: CellOptions) {
+    super()
+    const { store, clock, log, advisor } = options
+    this.configurationFeed = new ConfigurationFeed({ store, clock, log, read: options.readConfiguration })
+    this.entry = new Entry({ store, clock, decider: this })
+    this.membership = new Membership({
+      store,
+      linker: options.linker,
+      clock,
+      log,
+      node: options.node,
+      dataCentre: options.dataCentre,
+      start: String(clock.wall()),
+      address: options.address,
+      follower: {
+        advise: async question => await advisor.advise(question),
+        configuration: version => { this.heardOfConfiguration(version) },
+        ownConfiguration: () => this.configuration?.version ?? 0
+      },
+      decide: async (term, version) => { await this.decide(term, version) }
+    })
+  }
+
+  /** @returns the configuration in force */
+  get configuration (): Configuration | undefined {
+    return this.configurationFeed.current
+  }
+
+  /** @returns whether callers are well served here */
+  get ready (): boolean {
+    if (this.configuration === undefined || !this.entry.storeReachable) return false
+    return this.decider !== undefined || this.membership.follower !== undefined
+  }
+
+  /** @returns the decider, while it is this node */
+  get deciding (): Decider | undefined {
+    return this.decider
+  }
+
+  /** Joins the others. */
+  start (): void {
+    const { log } = this.options
+    detach(this.configurationFeed.start(), log, 'configuration')
+    detach(this.membership.run(), log, 'membership')
+  }
+
+  /** Claims nothing any more, and hands the term over if it is held here. */
+  async retire (patience: number): Promise<void> {
+    const { clock } = this.options
+    this.membership.retire()
+    const until = clock.now() + patience
+    for (let attempt = 0; this.decider !== undefined && clock.now() < until; attempt++) {
+      this.decider.pause()
+      if (this.followers?.callSuccessor('stopping', attempt) === undefined) return
+      const next = clock.now() + SUCCESSION_PATIENCE
+      while (this.decider !== undefined && clock.now() < next) await clock.sleep(SUCCESSION_CHECK)
+    }
+  }
+
+  /** Leaves the others. */
+  stop (): void {
+    this.configurationFeed.stop()
+    this.membership.stop()
+    this.decider?.stop()
+    this.followers?.close()
+  }
+
+  /** Takes a link of another node. */
+  greet (link: DownLink): void {
+    link.onMessage = message => {
+      if (message.kind === 'hello' && this.followers !== undefined) this.followers.add(link, message.node)
+      else link.send({ kind: 'elsewhere' })
+    }
+  }
+
+  override async ask (question: Question, timeout: number): Promise<Answer | undefined> {
+    if (this.decider !== undefined) return this.decider.ready ? this.decider.answer(question) : undefined
+    return await this.membership.follower?.ask(question, timeout)
+  }
+
+  override tellJob (job: Job): void {
+    if (this.decider === undefined) this.membership.follower?.tellJob(job)
+    else if (this.decider.ready) this.decider.addJob(job, 'link')
+  }
+
+  override tellCancel (id: string): void {
+    if (this.decider === undefined) this.membership.follower?.tellCancel(id)
+    else this.decider.cancel(id)
+  }
+
+  private async decide (term: Term, version: number): Promise<void> {
+    const { store, orders, reader, clock, log, node, advisor, retention } = this.options
+    let deposed!: () => void
+    const lost = new Promise<void>(resolve => { deposed = resolve })
+    const followers: Followers = new Followers({
+      clock,
+      log,
+      fence: term.fence,
+      events: {
+        job: job => { if (decider.ready) decider.addJob(job, 'link') },
+        cancel: id => { decider.cancel(id) },
+        answer: question => decider.ready ? decider.answer(question) : notYet(question),
+        configuration: () => this.configuration?.version ?? 0,
+        outrun: () => { decider.confirm() }
+      }
+    })
+    const decider: Decider = new Decider({
+      store,
+      orders,
+      reader,
+      clock,
+      log,
+      term,
+      version,
+      configuration: () => this.configuration,
+      askers: () => [node, ...followers.nodes],
+      ask: async (asker, question): Promise<Advice> => asker === node ? await advisor.advise(question) : await followers.ask(asker, question),
+      backed: () => followers.storeSilences().length > 0 && followers.storeSilences().every(silence => silence > STORE_PATIENCE),
+      deposed,
+      retention
+    })
+    this.decider = decider
+    this.followers = followers
+    const check = clock.repeat(STORE_CHECK_PERIOD, () => { this.offerTerm(decider) })
+    detach(decider.start(), log, 'decider')
+    await lost
+    check.cancel()
+    this.decider = undefined
+    this.followers = undefined
+    followers.close()
+  }
+
+  /** A decider that the store does not answer lets a follower try. */
+  private offerTerm (decider: Decider): void {
+    const now = this.options.clock.now()
+    if (now - decider.confirmedAt < STORE_PATIENCE || now - this.lastOffer < LINK_SILENCE) return
+    this.lastOffer = now
+    this.followers?.callSuccessor('store-unreachable', this.offers++)
+  }
+
+  private heardOfConfiguration (version: number): void {
+    if (version > (this.configuration?.version ?? 0)) detach(this.configurationFeed.refresh(), this.options.log, 'configuration')
+  }
+}
+
+function notYet (question: Question): Answer {
+  return question.about === 'job' ? { about: 'job', phase: 'unknown' } : { about: 'queue', waiting: -1 }
+}
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -129,6 +129,11 @@
     this.watch.stop()
   }
 
+  /** Commits at once, which tells whether the term is still held. */
+  confirm (): void {
+    this.recorder.kick()
+  }
+
   /** Places nothing more, ahead of a hand-over. */
   pause (): void {
     this.paused = true
--- /dev/null
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -0,0 +1,104 @@
+import { describe, test } from 'node:test'
+import { expect } from 'earl'
+import { CellRig } from '../support/CellRig.js'
+import type { RigNode } from '../support/CellRig.js'
+
+/** Aim in ms from the last order of the old decider to the first of the new one, after a kill and after a power cut. */
+const AFTER_KILL = 300
+const AFTER_POWER_CUT = 1000
+
+async function busyRig (): Promise<{ rig: CellRig, decider: RigNode, entry: RigNode, ids: string[] }> {
+  const rig = new CellRig({ nature: () => ({ duration: 700, how: 'done', size: { cpu: 1000, memory: 100, accelerators: 0 } }) })
+  await rig.until(() => rig.decider !== undefined)
+  await rig.run(500)
+  const decider = rig.decider!
+  const entry = rig.nodes.find(node => node !== decider)!
+  const ids: string[] = []
+  for (let index = 0; index < 12; index++) ids.push((await rig.submit(entry, [{ count: 3 }, { after: [0], count: 2 }])).id)
+  return { rig, decider, entry, ids }
+}
+
+async function finish (rig: CellRig, ids: string[]): Promise<void> {
+  await rig.run(20_000)
+  expect(await rig.phases(ids)).toEqual(ids.map(() => 'completed'))
+  expect(rig.fleet.breaches).toEqual([])
+}
+
+describe('a takeover', () => {
+  test('runs a job to its end on a calm day', async () => {
+    const { rig, ids } = await busyRig()
+    await finish(rig, ids)
+  })
+
+  test('follows a kill of the decider within its aim and repeats no task', async () => {
+    const { rig, decider, ids } = await busyRig()
+    rig.kill(decider)
+    const last = rig.fleet.lastStart
+    await rig.until(() => rig.fleet.lastStart > last)
+    expect(rig.fleet.lastStart - last).toBeLessThan(AFTER_KILL + 1)
+    await finish(rig, ids)
+    expect(Math.max(...rig.fleet.starts.values())).toEqual(1)
+  })
+
+  test('follows a power cut of the decider within its aim', async () => {
+    const { rig, decider, ids } = await busyRig()
+    rig.powerOff(decider)
+    const last = rig.fleet.lastStart
+    await rig.until(() => rig.fleet.lastStart > last)
+    expect(rig.fleet.lastStart - last).toBeLessThan(AFTER_POWER_CUT + 1)
+    await finish(rig, ids)
+  })
+
+  test('leaves a frozen decider without effect when it wakes', async () => {
+    const { rig, decider, ids } = await busyRig()
+    decider.clock.freeze()
+    await rig.until(() => rig.nodes.some(node => node !== decider && node.cell.deciding?.ready === true))
+    decider.clock.thaw()
+    await finish(rig, ids)
+    expect(decider.cell.deciding).toEqual(undefined)
+  })
+
+  test('comes about when only the decider is cut from the store', async () => {
+    const { rig, decider, ids } = await busyRig()
+    decider.store.weather = 'silent'
+    await rig.until(() => rig.nodes.some(node => node !== decider && node.cell.deciding?.ready === true), 4000)
+    await finish(rig, ids)
+  })
+
+  test('is not noticed at a planned stop', async () => {
+    const { rig, decider, ids } = await busyRig()
+    const done = decider.cell.retire(5000)
+    await rig.until(() => rig.nodes.some(node => node !== decider && node.cell.deciding?.ready === true), 200)
+    await rig.run(100)
+    await done
+    await finish(rig, ids)
+    expect(Math.max(...rig.fleet.starts.values())).toEqual(1)
+  })
+
+  test('does not happen when only one follower loses sight of the decider', async () => {
+    const { rig, decider, entry, ids } = await busyRig()
+    entry.end.silenced = true
+    await rig.run(4000)
+    expect(rig.decider).toEqual(decider)
+    entry.end.silenced = false
+    await finish(rig, ids)
+  })
+
+  test('follows the loss of all processes at once', async () => {
+    const { rig, ids } = await busyRig()
+    for (const node of [...rig.nodes]) rig.kill(node)
+    await rig.run(800)
+    for (const node of [...rig.nodes]) rig.addNode(node.name)
+    await finish(rig, ids)
+  })
+
+  test('waits for the leases of a worker that it can not reach', async () => {
+    const { rig, decider, ids } = await busyRig()
+    const worker = [...rig.fleet.workers.values()].find(each => each.running.size > 0)!
+    worker.cut = true
+    rig.kill(decider)
+    await rig.run(12_000)
+    worker.cut = false
+    await finish(rig, ids)
+  })
+})
--- /dev/null
+++ b/packages/cell/test/support/CellRig.ts
@@ -0,0 +1,176 @@
+import { Ok } from 'ts-results-es'
+import type { Result } from 'ts-results-es'
+import { FakeClock } from '@rattanstep/core'
+import { MemoryLog } from '@rattanstep/telemetry'
+import { Advisor, Cell, RowReader } from '../../src/index.js'
+import type { Advice, Configuration, Job, Route, Step, Verdict, WorkerReport } from '../../src/index.js'
+import { FakeLinker } from './FakeLinks.js'
+import type { FakeEnd } from './FakeLinks.js'
+import { FakeStore, FakeTables } from './FakeStore.js'
+import { FakeFleet, FakeOrders } from './FakeWorkers.js'
+import type { TaskNature } from './FakeWorkers.js'
+import { LifeClock } from './LifeClock.js'
+
+/** One node of the rig. */
+export interface RigNode {
+  name: string
+  clock: LifeClock
+  store: FakeStore
+  orders: FakeOrders
+  log: MemoryLog
+  cell: Cell
+  end: FakeEnd
+}
+
+/** Reads rows that hold reports as JSON. */
+class JsonReader extends RowReader {
+  override readWorker (_key: string, value: string): Result<WorkerReport, string> {
+    return Ok(JSON.parse(value) as WorkerReport)
+  }
+}
+
+/** Allows every worker at once. */
+class EasyAdvisor extends Advisor {
+  override async advise ({ workers }: { workers: string[] }): Promise<Advice> {
+    return { kind: 'answered', tickets: workers.map(worker => ({ worker, text: 'ticket' })), validity: 1500 }
+  }
+}
+
+/** Options of a rig. */
+export interface RigOptions {
+  nodes?: number
+  workers?: number
+  /** Thousandths of a core of each worker. */
+  cpu?: number
+  nature?: (task: string) => TaskNature
+  route?: Partial<Route>
+}
+
+/** The cell's decision and recovery code over a fake clock, store, workers and links. */
+export class CellRig {
+  readonly clock = new FakeClock({ start: 1000 })
+  readonly tables = new FakeTables()
+  readonly fleet: FakeFleet
+  readonly nodes: RigNode[] = []
+  private readonly ends = new Map<string, FakeEnd>()
+  private nextJob = 1
+
+  constructor (options: RigOptions = {}) {
+    const { nodes = 3, workers = 4, cpu = 4000, route, nature = () => ({ duration: 300, how: 'done', size: { cpu: 1000, memory: 100, accelerators: 0 } }) } = options
+    this.fleet = new FakeFleet(this.clock, nature)
+    this.configure(1, route)
+    for (let index = 0; index < workers; index++) this.addWorker(`w${index}`, cpu)
+    for (let index = 0; index < nodes; index++) this.addNode(`n${index}`)
+  }
+
+  configure (version: number, route: Partial<Route> = {}): void {
+    const configuration: Configuration = {
+      version, routes: [{ name: 'r', host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...route }], guardedServices: [], maxBody: 1000
+    }
+    this.tables.put({ table: 'op', part: '', key: 'config' }, JSON.stringify(configuration))
+  }
+
+  addWorker (id: string, cpu = 4000): void {
+    const report: WorkerReport = { id, service: 's', address: `${id}:1`, dataCentre: 'd', state: 'ready', capacity: { cpu, memory: 100_000, accelerators: 0 }, labels: [], born: 1 }
+    this.fleet.add(report)
+    this.list(report)
+  }
+
+  list (report: WorkerReport): void {
+    this.tables.put({ table: 'servers', part: '', key: report.id }, JSON.stringify(report))
+  }
+
+  /** Starts a node, or the next process of one that was killed. */
+  addNode (name: string): RigNode {
+    const clock = new LifeClock(this.clock)
+    const store = new FakeStore(this.tables, clock, this.clock)
+    const orders = new FakeOrders(this.fleet, clock)
+    const log = new MemoryLog()
+    const end: FakeEnd = { clock, silenced: false, links: new Set() }
+    const address = `${name}:1`
+    const cell = new Cell({
+      node: name,
+      dataCentre: 'd',
+      address,
+      retention: 120_000,
+      store,
+      orders,
+      advisor: new EasyAdvisor(),
+      reader: new JsonReader(),
+      linker: new FakeLinker(end, this.ends),
+      readConfiguration: value => Ok(JSON.parse(value) as Configuration),
+      clock,
+      log
+    })
+    end.greet = link => { cell.greet(link) }
+    this.ends.set(address, end)
+    const node: RigNode = { name, clock, store, orders, log, cell, end }
+    const index = this.nodes.findIndex(each => each.name === name)
+    if (index < 0) this.nodes.push(node)
+    else this.nodes[index] = node
+    cell.start()
+    return node
+  }
+
+  /** Ends a process; its links close. */
+  kill (node: RigNode): void {
+    node.end.greet = undefined
+    for (const link of node.end.links) link.close()
+    node.clock.dead = true
+  }
+
+  /** Ends a process without a word on its links. */
+  powerOff (node: RigNode): void {
+    node.end.silenced = true
+    node.clock.dead = true
+  }
+
+  /** @returns the living node that decides */
+  get decider (): RigNode | undefined {
+    return this.nodes.find(node => !node.clock.dead && node.cell.deciding?.ready === true)
+  }
+
+  async run (duration: number): Promise<void> {
+    await this.clock.advance(duration)
+  }
+
+  /** Runs until something holds. */
+  async until (holds: () => boolean, limit = 20_000): Promise<void> {
+    const end = this.clock.now() + limit
+    while (!holds()) {
+      if (this.clock.now() >= end) throw new Error(`did not come to hold within ${limit} ms`)
+      await this.clock.advance(10)
+    }
+  }
+
+  /** Hands a job in at a node. */
+  async submit (node: RigNode, steps: Array<Partial<Step>>): Promise<{ id: string, verdict: Verdict }> {
+    const id = (this.nextJob++).toString(16).padStart(16, '0')
+    const job: Job = { id, route: 'r', spec: 'x', steps: steps.map(stepOf), acceptedAt: node.store.now() }
+    const pending = node.cell.entry.submit(job, this.clock.now() + 2000)
+    let verdict: Verdict | undefined
+    pending.then(value => { verdict = value }, error => { throw error })
+    await this.until(() => verdict !== undefined, 4000)
+    return { id, verdict: verdict! }
+  }
+
+  /** @returns what callers of a node are told of a job */
+  async phase (node: RigNode, id: string): Promise<string> {
+    let phase: string | undefined
+    node.cell.entry.phase(id).then(verdict => { phase = verdict.kind === 'phase' ? verdict.phase : verdict.kind }, error => { throw error })
+    await this.until(() => phase !== undefined, 4000)
+    return phase!
+  }
+
+  /** @returns jobs and what they are shown as, without asking the nodes */
+  async phases (ids: string[]): Promise<string[]> {
+    const phases: string[] = []
+    for (const id of ids) phases.push(await this.phase(this.decider ?? this.nodes.find(node => !node.clock.dead)!, id))
+    return phases
+  }
+}
+
+/** @returns a step with defaults of one task of one core */
+export function stepOf (step: Partial<Step>): Step {
+  return { count: 1, size: { cpu: 1000, memory: 100, accelerators: 0 }, estimate: 300, after: [], checkpoints: false, gang: false, sameRack: false, lasting: false, filling: false, ...step }
+}
--- /dev/null
+++ b/packages/cell/test/support/FakeStore.ts
@@ -0,0 +1,124 @@
+import { Err, Ok } from 'ts-results-es'
+import type { Result } from 'ts-results-es'
+import type { Clock } from '@rattanstep/core'
+import { RecordStore } from '../../src/index.js'
+import type { Row, RowChange, RowName, StoreFault, Transaction, TransactionOutcome } from '../../src/index.js'
+import type { LifeClock } from './LifeClock.js'
+
+/** ms of one answer. */
+const ANSWER = 5
+/** ms after which a call without an answer is given up. */
+const TIMEOUT = 1200
+
+/** Rows that all nodes share. */
+export class FakeTables {
+  version = 1
+  readonly rows = new Map<string, Row>()
+  /** Changes in order; dropped when the history is forgotten. */
+  history: RowChange[] = []
+  /** Version below which no history is left. */
+  forgotten = 0
+
+  write ({ expect, puts, deletes = [] }: Transaction): TransactionOutcome {
+    const wrong = expect.some(row => (this.rows.get(id(row))?.version ?? 0) !== row.version)
+    if (wrong) return { kind: 'conflict', rows: expect.flatMap(row => this.rows.get(id(row)) ?? []) }
+    const version = ++this.version
+    for (const put of puts) {
+      const row = { ...put, version }
+      this.rows.set(id(put), row)
+      this.history.push({ ...row, deleted: false })
+    }
+    for (const name of deletes) {
+      this.rows.delete(id(name))
+      this.history.push({ ...name, value: '', version, deleted: true })
+    }
+    return { kind: 'done', version }
+  }
+
+  put (name: RowName, value: string): void {
+    this.write({ expect: [], puts: [{ ...name, value }] })
+  }
+
+  drop (name: RowName): void {
+    this.write({ expect: [], puts: [], deletes: [name] })
+  }
+
+  forgetHistory (): void {
+    this.history = []
+    this.forgotten = this.version
+  }
+}
+
+/** What a node's way to the store does to its calls. */
+export type StoreWeather = 'fair' | 'refusing' | 'silent' | 'losing-answers' | 'late'
+
+/** One node's way to the shared rows. */
+export class FakeStore extends RecordStore {
+  weather: StoreWeather = 'fair'
+  calls = 0
+  private answeredAt = -Infinity
+
+  constructor (private readonly tables: FakeTables, private readonly clock: LifeClock, private readonly world: Clock) {
+    super()
+  }
+
+  override async commit (transaction: Transaction): Promise<TransactionOutcome> {
+    this.calls++
+    const { weather } = this
+    if (weather === 'refusing') return await this.clock.deliver(ANSWER, () => ({ kind: 'refused', reason: 'status 503' }))
+    if (weather === 'silent') return await this.clock.deliver(TIMEOUT, () => ({ kind: 'unknown', reason: 'no answer' }))
+    if (weather === 'losing-answers' || weather === 'late') {
+      this.world.schedule(weather === 'late' ? 3000 : ANSWER, () => { this.tables.write(transaction) })
+      return await this.clock.deliver(TIMEOUT, () => ({ kind: 'unknown', reason: 'no answer' }))
+    }
+    return await new Promise(resolve => {
+      this.world.schedule(ANSWER, () => {
+        const outcome = this.tables.write(transaction)
+        this.clock.run(() => { resolve(this.heard(outcome)) })
+      })
+    })
+  }
+
+  override async range ({ table, part, from = '', until }: { table: string, part: string, from?: string, until?: string }): Promise<Result<{ rows: Row[], version: number }, StoreFault>> {
+    return await this.read(() => Ok({
+      rows: [...this.tables.rows.values()].filter(row => row.table === table && row.part === part && row.key >= from && (until === undefined || row.key < until)).sort((a, b) => a.key < b.key ? -1 : 1),
+      version: this.tables.version
+    }))
+  }
+
+  override async changes ({ table, after, wait }: { table: string, after: number, wait: number }): Promise<Result<{ rows: RowChange[], version: number }, StoreFault>> {
+    const until = this.clock.now() + wait
+    for (;;) {
+      const answer = await this.read(() => {
+        if (after < this.tables.forgotten) return Err<StoreFault>({ code: 'history-lost', reason: 'dropped' })
+        return Ok({ rows: this.tables.history.filter(row => row.table === table && row.version > after), version: this.tables.version })
+      })
+      if (answer.isErr() || answer.value.rows.length > 0 || this.clock.now() >= until) return answer
+      await this.clock.sleep(50)
+    }
+  }
+
+  override now (): number {
+    return this.world.now() + 1
+  }
+
+  override silence (): number {
+    return this.clock.now() - this.answeredAt
+  }
+
+  private async read<Value> (make: () => Result<Value, StoreFault>): Promise<Result<Value, StoreFault>> {
+    this.calls++
+    if (this.weather === 'refusing') return await this.clock.deliver(ANSWER, () => Err({ code: 'unavailable', reason: 'status 503' }))
+    if (this.weather === 'silent') return await this.clock.deliver(TIMEOUT, () => Err({ code: 'unavailable', reason: 'no answer' }))
+    return await this.clock.deliver(ANSWER, () => this.heard(make()))
+  }
+
+  private heard<Value> (value: Value): Value {
+    this.answeredAt = this.clock.now()
+    return value
+  }
+}
+
+function id ({ table, part, key }: RowName): string {
+  return `${table}/${part}/${key}`
+}
--- /dev/null
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -0,0 +1,244 @@
+import { Err, Ok } from 'ts-results-es'
+import type { Result } from 'ts-results-es'
+import type { Clock } from '@rattanstep/core'
+import { WorkerOrders } from '../../src/index.js'
+import type { ListedEnd, OrderOutcome, RunEnding, Size, StartOrder, WorkerList, WorkerReport } from '../../src/index.js'
+import type { LifeClock } from './LifeClock.js'
+
+/** ms of one answer. */
+const ANSWER = 2
+/** ms after which an order without an answer is given up. */
+const TIMEOUT = 500
+/** ms that a stop takes. */
+const STOP = 100
+/** ms between checks of ends and leases. */
+const TICK = 10
+
+interface Run {
+  task: string
+  run: number
+  endsAt: number
+  size: Size
+  stopping: boolean
+}
+
+/** What is wrong with what was ordered; stays empty when the promises hold. */
+export interface Breach {
+  rule: 'twice' | 'over-capacity' | 'after-done' | 'unasked'
+  task: string
+  worker: string
+  at: number
+}
+
+/** How long a task runs, how it ends and what it takes. */
+export interface TaskNature {
+  duration: number
+  how: RunEnding
+  size: Size
+}
+
+/** A worker that follows the published rules. */
+export class FakeWorker {
+  fence = 0
+  running = new Map<string, Run>()
+  ended: ListedEnd[] = []
+  nextEnd = 1
+  leaseEnd = 0
+  clockStart: number
+  /** Highest run that was stopped or ended here, by task. */
+  readonly closed = new Map<string, number>()
+  /** Cut off from all nodes; it runs on. */
+  cut = false
+  /** Orders get no answer and are carried out this many ms later; 0: at once and answered. */
+  lateness = 0
+  starts = 0
+
+  constructor (public report: WorkerReport, private readonly fleet: FakeFleet) {
+    this.clockStart = fleet.clock.now()
+  }
+
+  get now (): number {
+    return this.fleet.clock.now() - this.clockStart + 1
+  }
+
+  list (): WorkerList {
+    return {
+      clock: this.now,
+      born: this.report.born,
+      running: [...this.running.values()].map(({ task, run }) => ({ task, run, checkpoint: '', percent: 50 })),
+      ended: [...this.ended]
+    }
+  }
+
+  start (order: StartOrder): OrderOutcome {
+    const refused = this.refuses(order)
+    if (refused !== undefined) return { kind: 'refused', reason: refused }
+    if (this.running.has(order.task)) return { kind: 'taken', clock: this.now }
+    const nature = this.fleet.nature(order.task)
+    this.leaseEnd = Math.max(this.leaseEnd, order.leaseEnd)
+    this.starts++
+    this.fleet.noteStart(order.task, this)
+    this.running.set(order.task, { task: order.task, run: order.run, endsAt: this.now + nature.duration, size: nature.size, stopping: false })
+    this.fleet.checkCapacity(order.task, this)
+    return { kind: 'taken', clock: this.now }
+  }
+
+  stop ({ task, run, fence }: { task: string, run: number, fence: number }): OrderOutcome {
+    if (fence < this.fence) return { kind: 'refused', reason: 'fence' }
+    this.fence = fence
+    this.closed.set(task, Math.max(run, this.closed.get(task) ?? 0))
+    const present = this.running.get(task)
+    if (present?.run === run && !present.stopping) {
+      present.stopping = true
+      present.endsAt = this.now + STOP
+    }
+    return { kind: 'taken', clock: this.now }
+  }
+
+  look ({ fence, acknowledged, leaseEnd }: { fence: number, acknowledged: number, leaseEnd?: number }): Result<WorkerList, string> {
+    if (fence < this.fence) return Err('status 409 fence')
+    this.fence = fence
+    this.ended = this.ended.filter(end => end.number > acknowledged)
+    if (leaseEnd !== undefined) this.leaseEnd = Math.max(this.leaseEnd, leaseEnd)
+    return Ok(this.list())
+  }
+
+  tick (): void {
+    for (const run of [...this.running.values()]) {
+      if (this.now >= this.leaseEnd) this.finish(run, 'lapsed')
+      else if (this.now >= run.endsAt) this.finish(run, run.stopping ? 'stopped' : this.fleet.nature(run.task).how)
+    }
+  }
+
+  /** Begins a new incarnation under the same id. */
+  restart (): void {
+    this.running.clear()
+    this.ended = []
+    this.nextEnd = 1
+    this.fence = 0
+    this.leaseEnd = 0
+    this.closed.clear()
+    this.clockStart = this.fleet.clock.now()
+    this.report = { ...this.report, born: this.report.born + 1 }
+  }
+
+  private refuses (order: StartOrder): 'fence' | 'old' | 'late' | undefined {
+    if (order.fence < this.fence) return 'fence'
+    this.fence = order.fence
+    if (order.leaseEnd <= this.now) return 'late'
+    if (order.run <= (this.closed.get(order.task) ?? 0)) return 'old'
+    return undefined
+  }
+
+  private finish (run: Run, how: RunEnding): void {
+    this.running.delete(run.task)
+    this.closed.set(run.task, Math.max(run.run, this.closed.get(run.task) ?? 0))
+    this.ended.push({ number: this.nextEnd++, task: run.task, run: run.run, how, checkpoint: '' })
+    if (how === 'done') this.fleet.done.add(run.task)
+  }
+}
+
+/** All workers, and the judge of what happens on them. */
+export class FakeFleet {
+  readonly workers = new Map<string, FakeWorker>()
+  readonly breaches: Breach[] = []
+  readonly done = new Set<string>()
+  readonly starts = new Map<string, number>()
+  /** ms at which a task first started. */
+  readonly firstStart = new Map<string, number>()
+  lastStart = 0
+
+  constructor (readonly clock: Clock, readonly nature: (task: string) => TaskNature) {
+    clock.repeat(TICK, () => { for (const worker of this.workers.values()) worker.tick() })
+  }
+
+  add (report: WorkerReport): FakeWorker {
+    const worker = new FakeWorker(report, this)
+    this.workers.set(report.id, worker)
+    return worker
+  }
+
+  noteStart (task: string, worker: FakeWorker): void {
+    const at = this.clock.now()
+    this.starts.set(task, (this.starts.get(task) ?? 0) + 1)
+    if (!this.firstStart.has(task)) this.firstStart.set(task, at)
+    this.lastStart = at
+    if (this.done.has(task)) this.breach('after-done', task, worker)
+    for (const other of this.workers.values()) if (other.running.has(task)) this.breach('twice', task, worker)
+  }
+
+  checkCapacity (task: string, worker: FakeWorker): void {
+    let cpu = 0
+    for (const run of worker.running.values()) cpu += run.size.cpu
+    if (cpu > worker.report.capacity.cpu) this.breach('over-capacity', task, worker)
+  }
+
+  private breach (rule: Breach['rule'], task: string, worker: FakeWorker): void {
+    this.breaches.push({ rule, task, worker: worker.report.id, at: this.clock.now() })
+  }
+}
+
+/** One node's way to the workers. */
+export class FakeOrders extends WorkerOrders {
+  /** Workers that this node can't reach. */
+  readonly unreachable = new Set<string>()
+  lastOrderAt = 0
+  looks = 0
+
+  constructor (private readonly fleet: FakeFleet, private readonly clock: LifeClock) {
+    super()
+  }
+
+  override async start (worker: WorkerReport, order: StartOrder): Promise<OrderOutcome> {
+    this.lastOrderAt = this.clock.now()
+    return await this.order(worker, target => target.start(order))
+  }
+
+  override async stop (worker: WorkerReport, order: { task: string, run: number, fence: number }): Promise<OrderOutcome> {
+    return await this.order(worker, target => target.stop(order))
+  }
+
+  override async look (worker: WorkerReport, order: { fence: number, acknowledged: number, leaseEnd?: number, wait: number }): Promise<Result<WorkerList, string>> {
+    this.looks++
+    const target = this.reach(worker)
+    if (target === undefined) return await this.clock.deliver(TIMEOUT, () => Err('no answer'))
+    return await new Promise(resolve => {
+      this.fleet.clock.schedule(ANSWER / 2, () => {
+        const first = target.look(order)
+        if (first.isErr() || order.wait === 0) return this.answer(resolve, () => first)
+        this.waitForEnd(target, order.acknowledged, this.fleet.clock.now() + order.wait, resolve)
+      })
+    })
+  }
+
+  override forget (): void {}
+
+  private waitForEnd (target: FakeWorker, acknowledged: number, until: number, resolve: (list: Result<WorkerList, string>) => void): void {
+    if (target.ended.some(end => end.number > acknowledged) || this.fleet.clock.now() >= until) return this.answer(resolve, () => Ok(target.list()))
+    this.fleet.clock.schedule(TICK, () => { this.waitForEnd(target, acknowledged, until, resolve) })
+  }
+
+  private answer<Value> (resolve: (value: Value) => void, make: () => Value): void {
+    const value = make()
+    this.clock.schedule(ANSWER / 2, () => { resolve(value) })
+  }
+
+  private async order (worker: WorkerReport, carryOut: (target: FakeWorker) => OrderOutcome): Promise<OrderOutcome> {
+    const target = this.reach(worker)
+    if (target === undefined || target.lateness > 0) {
+      if (target !== undefined) this.fleet.clock.schedule(target.lateness, () => { carryOut(target) })
+      return await this.clock.deliver(TIMEOUT, () => ({ kind: 'unknown', reason: 'no answer' }))
+    }
+    return await new Promise(resolve => {
+      this.fleet.clock.schedule(ANSWER / 2, () => {
+        const outcome = carryOut(target)
+        this.clock.schedule(ANSWER / 2, () => { resolve(outcome) })
+      })
+    })
+  }
+
+  private reach (worker: WorkerReport): FakeWorker | undefined {
+    const target = this.fleet.workers.get(worker.id)
+    return target === undefined || target.cut || this.unreachable.has(worker.id) ? undefined : target
+  }
+}
