Hand-ins share transactions, and nodes that the store turns away hand in through the decider

Change: HandInWriter sends one transaction at a time for each part with all that wait; with a slow or missing store a node has the decider's node write, so that all share its transactions. A sent wish without an answer is never called refused. Ruled out: fewer parts alone, since nine nodes would still queue behind one another.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -11,6 +11,8 @@
 import { Decider } from './Decider.js'
 import { detach } from './detach.js'
 import { DeciderAccess, Entry } from './Entry.js'
+import type { Wish } from './Entry.js'
+import type { WriteOutcome } from './HandInWriter.js'
 import type { UpLinker } from './Follower.js'
 import { Followers } from './Followers.js'
 import type { DownLink } from './Followers.js'
@@ -21,6 +23,10 @@
 const STORE_CHECK_PERIOD = 150
 /** ms that a successor is given to claim the term. */
 const SUCCESSION_PATIENCE = 400
+/** ms kept for the way of a follower's write and its answer. */
+const RECORD_RESERVE = 30
+/** ms of store silence at the decider up to which it may write for others; as long as a node writes for itself. */
+const DECIDER_STORE_SILENCE = 1800
 /** ms between looks at whether a hand-over has happened. */
 const SUCCESSION_CHECK = 10
 
@@ -82,8 +88,10 @@
 
   /** @returns whether callers are well served here */
   get ready (): boolean {
-    if (this.configuration === undefined || !this.entry.storeReachable) return false
-    return this.decider !== undefined || this.membership.follower !== undefined
+    if (this.configuration === undefined) return false
+    if (this.decider !== undefined) return this.entry.storeReachable
+    const { follower } = this.membership
+    return follower !== undefined && (this.entry.storeReachable || follower.deciderStoreSilence < DECIDER_STORE_SILENCE)
   }
 
   /** @returns the decider, while it is this node */
@@ -142,6 +150,11 @@
     else this.decider.cancel(id)
   }
 
+  override async record (wish: Wish, deadline: number): Promise<WriteOutcome | undefined> {
+    if (this.decider !== undefined) return undefined
+    return await this.membership.follower?.record(wish, deadline - this.options.clock.now())
+  }
+
   private async decide (term: Term, version: number): Promise<void> {
     const { store, orders, reader, clock, log, node, advisor, retention } = this.options
     let deposed!: () => void
@@ -155,7 +168,9 @@
         cancel: id => { decider.cancel(id) },
         answer: question => decider.ready ? decider.answer(question) : notYet(question),
         configuration: () => this.configuration?.version ?? 0,
-        outrun: () => { decider.confirm() }
+        outrun: () => { decider.confirm() },
+        record: async (wish, patience) => await this.entry.write(wish, clock.now() + patience - RECORD_RESERVE),
+        storeSilence: () => store.silence()
       }
     })
     const decider: Decider = new Decider({
--- a/packages/cell/src/runtime/Entry.ts
+++ b/packages/cell/src/runtime/Entry.ts
@@ -2,15 +2,15 @@
 import type { PhaseVerdict, Verdict } from '../types/callers.js'
 import type { Job, JobPhase } from '../types/job.js'
 import type { Answer, Question } from '../types/links.js'
-import type { RecordStore, TransactionOutcome } from '../types/records.js'
+import type { RecordStore } from '../types/records.js'
 import { writeHandIn } from './handInRow.js'
+import { HandInWriter } from './HandInWriter.js'
+import type { HandInRow, WriteOutcome } from './HandInWriter.js'
 import type { JobRecord } from './jobRecord.js'
 import { CANCELLED, handInPart } from './parts.js'
 
 /** ms for which the decider is given time to answer before the store is read. */
 const ASK_TIMEOUT = 300
-/** ms between attempts at a write that had no answer. */
-const RETRY_DELAY = 60
 /** s after which callers of a node without the store may return: a short outage is over, other nodes are tried at once anyway. */
 const STORE_RETRY_AFTER = 1
 /** ms of silence of the store after which hand-ins are refused without trying. */
@@ -22,14 +22,23 @@
   abstract ask (question: Question, timeout: number): Promise<Answer | undefined>
   abstract tellJob (job: Job): void
   abstract tellCancel (id: string): void
+
+  /** @returns what came of a write at the decider's node, or `undefined` when this node is the decider or knows of none */
+  abstract record (wish: Wish, deadline: number): Promise<WriteOutcome | undefined>
 }
 
+/** What of a caller goes on record. */
+export type Wish = { kind: 'job', job: Job } | { kind: 'cancel', id: string }
+
 /** Takes callers' wishes to the record and answers from it. */
 export class Entry {
   /** Last counts of queues that the decider gave. */
   private readonly waiting = new Map<string, { count: number, at: number }>()
+  private readonly writer: HandInWriter
 
-  constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderAccess }) {}
+  constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderAccess }) {
+    this.writer = new HandInWriter(options)
+  }
 
   /** @returns whether the store has answered lately enough to take hand-ins */
   get storeReachable (): boolean {
@@ -43,13 +52,10 @@
    * @param deadline - monotonic ms until which the caller waits
    */
   async submit (job: Job, deadline: number): Promise<Verdict> {
-    if (!this.storeReachable) return storeAway()
-    const name = { table: 'jobs', part: handInPart(job.id), key: job.id }
-    const outcome = await this.commitSettled({ expect: [{ ...name, version: 0 }], puts: [{ ...name, value: writeHandIn(job) }] }, deadline)
-    if (outcome.kind === 'refused') return storeAway(outcome.reason)
-    if (outcome.kind === 'unknown') return { kind: 'unsettled', reason: outcome.reason }
-    if (outcome.kind === 'done') this.options.decider.tellJob(job)
-    return { kind: 'accepted', repeated: outcome.kind === 'conflict' }
+    const outcome = await this.record({ kind: 'job', job }, deadline)
+    if (outcome === 'refused') return storeAway()
+    if (outcome === 'unknown') return { kind: 'unsettled', reason: 'the write was not answered in time' }
+    return { kind: 'accepted', repeated: outcome === 'repeated' }
   }
 
   /**
@@ -72,12 +78,9 @@
     const phase = await this.phase(id)
     if (phase.kind !== 'phase') return phase
     if (phase.phase === 'cancelled' || phase.phase === 'completed' || phase.phase === 'failed') return { kind: 'cancelled' }
-    if (!this.storeReachable) return storeAway()
-    const name = { table: 'jobs', part: handInPart(id), key: id + CANCELLED }
-    const outcome = await this.commitSettled({ expect: [], puts: [{ ...name, value: '{}' }] }, deadline)
-    if (outcome.kind === 'refused') return storeAway(outcome.reason)
-    if (outcome.kind === 'unknown') return { kind: 'unsettled', reason: outcome.reason }
-    this.options.decider.tellCancel(id)
+    const outcome = await this.record({ kind: 'cancel', id }, deadline)
+    if (outcome === 'refused') return storeAway()
+    if (outcome === 'unknown') return { kind: 'unsettled', reason: 'the write was not answered in time' }
     return { kind: 'cancelled' }
   }
 
@@ -97,6 +100,33 @@
     return last !== undefined && clock.now() - last.at <= staleness ? last.count : undefined
   }
 
+  /**
+   * Writes a wish here, whatever the state of the store, and tells the decider.
+   *
+   * @param wish - of a caller of this node, or of one that can't write itself
+   * @param deadline - monotonic ms
+   */
+  async write (wish: Wish, deadline: number): Promise<WriteOutcome> {
+    const { decider } = this.options
+    if (!this.storeReachable) return 'refused'
+    const outcome = await this.writer.write(rowOf(wish), deadline)
+    if (outcome === 'done') {
+      if (wish.kind === 'job') decider.tellJob(wish.job)
+      else decider.tellCancel(wish.id)
+    }
+    return outcome
+  }
+
+  /** Writes here, or has the decider write: with a slow store the nodes share its transactions, without one they need its reach. */
+  private async record (wish: Wish, deadline: number): Promise<WriteOutcome> {
+    const { decider } = this.options
+    if (this.storeReachable && !this.writer.slow) return await this.write(wish, deadline)
+    const there = await decider.record(wish, deadline)
+    if (there === 'done' || there === 'repeated') return there
+    const here = await this.write(wish, deadline)
+    return there === 'unknown' && here === 'refused' ? 'unknown' : here
+  }
+
   private async recordedPhase (id: string): Promise<PhaseVerdict> {
     const { store } = this.options
     const [handIn, record] = await Promise.all([
@@ -110,27 +140,17 @@
     if (row !== undefined) return { kind: 'phase', phase: phaseOf(JSON.parse(row.value) as JobRecord) }
     return { kind: 'phase', phase: keys.includes(id + CANCELLED) ? 'cancelled' : 'queued' }
   }
+}
 
-  /** Repeats a write without an answer until one comes: its condition makes the repeat harmless. */
-  private async commitSettled (transaction: Parameters<RecordStore['commit']>[0], deadline: number): Promise<TransactionOutcome> {
-    const { store, clock } = this.options
-    let unknown: TransactionOutcome | undefined
-    for (;;) {
-      const outcome = await store.commit(transaction)
-      if (outcome.kind === 'done' || outcome.kind === 'conflict') return outcome
-      if (outcome.kind === 'unknown') unknown = outcome
-      // Once an attempt may have been carried out, a refusal of another says nothing about it.
-      if (unknown === undefined) return outcome
-      if (clock.now() + RETRY_DELAY >= deadline) return unknown
-      await clock.sleep(RETRY_DELAY)
-    }
-  }
+function rowOf (wish: Wish): HandInRow {
+  if (wish.kind === 'job') return { name: { table: 'jobs', part: handInPart(wish.job.id), key: wish.job.id }, value: writeHandIn(wish.job), once: true }
+  return { name: { table: 'jobs', part: handInPart(wish.id), key: wish.id + CANCELLED }, value: '{}', once: false }
 }
 
 function phaseOf (record: JobRecord): JobPhase {
   return record.phase === 'open' ? 'running' : record.phase
 }
 
-function storeAway (reason = 'the store does not answer'): { kind: 'refused', reason: string, retryAfter: number } {
-  return { kind: 'refused', reason, retryAfter: STORE_RETRY_AFTER }
+function storeAway (): { kind: 'refused', reason: string, retryAfter: number } {
+  return { kind: 'refused', reason: 'the store does not answer', retryAfter: STORE_RETRY_AFTER }
 }
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -3,6 +3,8 @@
 import type { Answer, DownMessage, Question, UpMessage } from '../types/links.js'
 import { LINK_BEAT, LINK_SILENCE } from '../types/limits.js'
 import type { Advice } from '../types/ports.js'
+import type { Wish } from './Entry.js'
+import type { WriteOutcome } from './HandInWriter.js'
 import type { Link, Linker } from './Link.js'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
@@ -28,7 +30,9 @@
   /** Place in the line of successors, from 0. */
   rank: number | undefined
   private heardAt: number
-  private readonly calls = new Map<number, (answer: Answer | undefined) => void>()
+  /** ms since the store last answered the decider, as of its last message. */
+  deciderStoreSilence = Infinity
+  private readonly calls = new Map<number, (answer: unknown) => void>()
   private nextCall = 1
   private timer: Timer | undefined
   private ended = false
@@ -88,17 +92,30 @@
    * @returns the answer, or `undefined` when none came
    */
   async ask (question: Question, timeout: number): Promise<Answer | undefined> {
+    return await this.call<Answer>(call => ({ kind: 'ask', call, question }), timeout)
+  }
+
+  /**
+   * @param wish - to be put on record by the decider's node
+   * @param patience - ms
+   * @returns what came of it, or `undefined` when the wish was not sent
+   */
+  async record (wish: Wish, patience: number): Promise<WriteOutcome | undefined> {
+    if (this.ended) return undefined
+    return await this.call<WriteOutcome>(call => ({ kind: 'record', call, wish, patience }), patience) ?? 'unknown'
+  }
+
+  private async call<Value> (write: (call: number) => UpMessage, timeout: number): Promise<Value | undefined> {
     if (this.ended) return undefined
     const call = this.nextCall++
-    const answer = new Promise<Answer | undefined>(resolve => {
+    return await new Promise<Value | undefined>(resolve => {
       const timer = this.options.clock.schedule(timeout, () => { this.settle(call, undefined) })
       this.calls.set(call, value => {
         timer.cancel()
-        resolve(value)
+        resolve(value as Value | undefined)
       })
+      this.link.send(write(call))
     })
-    this.link.send({ kind: 'ask', call, question })
-    return await answer
   }
 
   close (): void {
@@ -113,8 +130,10 @@
       case 'elsewhere': return this.greeted('turned-away')
       case 'beat':
         this.rank = message.rank
+        this.deciderStoreSilence = message.storeSilence
         return this.options.events.configuration(message.configuration)
       case 'answer': return this.settle(message.call, message.answer)
+      case 'recorded': return this.settle(message.call, message.outcome)
       case 'advise':
         return detach(this.advise(message), this.options.log, 'advice')
       case 'succeed': this.finish('called')
@@ -136,7 +155,7 @@
     this.link.send({ kind: 'beat', storeSilence: Math.min(silence(), Number.MAX_SAFE_INTEGER), term: term(), configuration: events.ownConfiguration() })
   }
 
-  private settle (call: number, answer: Answer | undefined): void {
+  private settle (call: number, answer: unknown): void {
     const resolve = this.calls.get(call)
     this.calls.delete(call)
     resolve?.(answer)
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -5,6 +5,9 @@
 import { CELL_EVENTS } from '../types/events.js'
 import { LINK_BEAT, LINK_SILENCE } from '../types/limits.js'
 import type { Advice } from '../types/ports.js'
+import { detach } from './detach.js'
+import type { Wish } from './Entry.js'
+import type { WriteOutcome } from './HandInWriter.js'
 import type { Link } from './Link.js'
 
 /** A link to a follower. */
@@ -19,6 +22,9 @@
   cancel: (id: string) => void
   answer: (question: Question) => Answer
   configuration: () => number
+  record: (wish: Wish, patience: number) => Promise<WriteOutcome>
+  /** ms since the store last answered this node */
+  storeSilence: () => number
   /** A follower knows of a newer term. */
   outrun: () => void
 }
@@ -114,15 +120,21 @@
       case 'job': return events.job(message.job)
       case 'cancel': return events.cancel(message.id)
       case 'ask': return entry.link.send({ kind: 'answer', call: message.call, answer: events.answer(message.question) })
+      case 'record': return detach(this.record(entry, message), this.options.log, 'record for a follower')
       case 'advised': return this.settle(message.call, message.advice)
       case 'hello': entry.link.send({ kind: 'welcome', term: fence })
     }
   }
 
+  private async record (entry: Entry, message: Extract<UpMessage, { kind: 'record' }>): Promise<void> {
+    entry.link.send({ kind: 'recorded', call: message.call, outcome: await this.options.events.record(message.wish, message.patience) })
+  }
+
   private beat (): void {
     const { clock, events } = this.options
     let rank = 0
     const configuration = events.configuration()
+    const storeSilence = Math.min(events.storeSilence(), Number.MAX_SAFE_INTEGER)
     for (const entry of [...this.entries.values()]) {
       if (clock.now() - entry.heardAt > LINK_SILENCE) {
         entry.link.close()
@@ -130,7 +142,7 @@
         continue
       }
       const fit = entry.storeSilence < SUCCESSOR_STORE_SILENCE
-      entry.link.send({ kind: 'beat', rank: fit ? rank++ : this.entries.size, configuration })
+      entry.link.send({ kind: 'beat', rank: fit ? rank++ : this.entries.size, configuration, storeSilence })
     }
   }
 
--- /dev/null
+++ b/packages/cell/src/runtime/HandInWriter.ts
@@ -0,0 +1,114 @@
+import type { Clock, Timer } from '@rattanstep/core'
+import type { RecordStore, Row, RowName } from '../types/records.js'
+
+/** Rows in one transaction: each may take two of the 100 entries. */
+const ROWS_MAX = 45
+/** ms between attempts after one that was not carried out. */
+const RETRY_DELAY = 60
+/** ms of one write above which the store counts as slow; 8 to 13 ms are usual. */
+const SLOW_WRITE = 150
+
+/** What is known of a write. */
+export type WriteOutcome = 'done' | 'repeated' | 'refused' | 'unknown'
+
+/** A row to be written. */
+export interface HandInRow {
+  name: RowName
+  value: string
+  /** The row must not exist yet. */
+  once: boolean
+}
+
+interface Item {
+  row: HandInRow
+  /** An attempt had no answer, so the row may be written already. */
+  uncertain: boolean
+  sending: boolean
+  resolve: (outcome: WriteOutcome) => void
+  timer: Timer
+}
+
+interface Part {
+  queue: Item[]
+  sentAt: number | undefined
+}
+
+/** Writes hand-ins and cancellations: one transaction at a time for each part, with all that wait. */
+export class HandInWriter {
+  private readonly parts = new Map<string, Part>()
+  private lastDuration = 0
+
+  constructor (private readonly options: { store: RecordStore, clock: Clock }) {}
+
+  /** @returns whether writes take so long that they should share transactions with those of other nodes */
+  get slow (): boolean {
+    const now = this.options.clock.now()
+    let duration = this.lastDuration
+    for (const { sentAt } of this.parts.values()) if (sentAt !== undefined) duration = Math.max(duration, now - sentAt)
+    return duration > SLOW_WRITE
+  }
+
+  /**
+   * @param row - what to write
+   * @param deadline - monotonic ms by which the outcome is wanted
+   * @returns what is known then
+   */
+  async write (row: HandInRow, deadline: number): Promise<WriteOutcome> {
+    const { clock } = this.options
+    let part = this.parts.get(row.name.part)
+    if (part === undefined) this.parts.set(row.name.part, part = { queue: [], sentAt: undefined })
+    const { queue } = part
+    return await new Promise<WriteOutcome>(resolve => {
+      const item: Item = { row, uncertain: false, sending: false, resolve, timer: clock.schedule(Math.max(0, deadline - clock.now()), () => { this.expire(part, item) }) }
+      queue.push(item)
+      if (part.sentAt === undefined) this.flush(part)
+    })
+  }
+
+  private flush (part: Part): void {
+    const batch = part.queue.slice(0, ROWS_MAX)
+    if (batch.length === 0) return
+    const { store, clock } = this.options
+    const sentAt = clock.now()
+    part.sentAt = sentAt
+    for (const item of batch) item.sending = true
+    store.commit({
+      expect: batch.filter(item => item.row.once).map(item => ({ ...item.row.name, version: 0 })),
+      puts: batch.map(item => ({ ...item.row.name, value: item.row.value }))
+    }).then(outcome => {
+      this.lastDuration = clock.now() - sentAt
+      for (const item of batch) item.sending = false
+      if (outcome.kind === 'done') for (const item of batch) this.settle(part, item, 'done')
+      else if (outcome.kind === 'conflict') this.takeConflict(part, batch, outcome.rows)
+      else if (outcome.kind === 'unknown') for (const item of batch) item.uncertain = true
+      // Once an attempt may have been carried out, a refusal of another says nothing about it.
+      else for (const item of batch) if (!item.uncertain) this.settle(part, item, 'refused')
+      this.goOn(part, outcome.kind === 'done' || outcome.kind === 'conflict' ? 0 : RETRY_DELAY)
+    }, () => { this.goOn(part, RETRY_DELAY) })
+  }
+
+  private goOn (part: Part, delay: number): void {
+    part.sentAt = undefined
+    if (part.queue.length === 0) return
+    if (delay === 0) return this.flush(part)
+    this.options.clock.schedule(delay, () => { if (part.sentAt === undefined) this.flush(part) })
+  }
+
+  private takeConflict (part: Part, batch: Item[], rows: Row[]): void {
+    const present = new Set(rows.filter(row => row.version > 0).map(row => row.key))
+    for (const item of batch) {
+      if (item.row.once && present.has(item.row.name.key)) this.settle(part, item, item.uncertain ? 'done' : 'repeated')
+    }
+  }
+
+  private expire (part: Part, item: Item): void {
+    this.settle(part, item, item.uncertain || item.sending ? 'unknown' : 'refused')
+  }
+
+  private settle (part: Part, item: Item, outcome: WriteOutcome): void {
+    item.timer.cancel()
+    const index = part.queue.indexOf(item)
+    if (index >= 0) part.queue.splice(index, 1)
+    item.resolve(outcome)
+  }
+}
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -1,5 +1,7 @@
 import type { Job, JobPhase } from './job.js'
 import type { Advice } from './ports.js'
+import type { Wish } from '../runtime/Entry.js'
+import type { WriteOutcome } from '../runtime/HandInWriter.js'
 
 /** Messages from a follower to the decider. */
 export type UpMessage =
@@ -8,14 +10,16 @@
   | { kind: 'job', job: Job }
   | { kind: 'cancel', id: string }
   | { kind: 'ask', call: number, question: Question }
+  | { kind: 'record', call: number, wish: Wish, /** ms */ patience: number }
   | { kind: 'advised', call: number, advice: Advice }
 
 /** Messages from the decider to a follower. */
 export type DownMessage =
   | { kind: 'welcome', term: number }
   | { kind: 'elsewhere' }
-  | { kind: 'beat', /** place in the line of successors, from 0 */ rank: number, configuration: number }
+  | { kind: 'beat', /** place in the line of successors, from 0 */ rank: number, configuration: number, /** ms since the store last answered the decider */ storeSilence: number }
   | { kind: 'answer', call: number, answer: Answer }
+  | { kind: 'recorded', call: number, outcome: WriteOutcome }
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
   /** The receiver should claim the term now. */
   | { kind: 'succeed', reason: 'stopping' | 'store-unreachable' }
--- /dev/null
+++ b/packages/cell/test/runtime/handIn.test.ts
@@ -0,0 +1,74 @@
+import { describe, test } from 'node:test'
+import { expect } from 'earl'
+import { CellRig } from '../support/CellRig.js'
+
+async function calmRig (): Promise<CellRig> {
+  const rig = new CellRig()
+  await rig.until(() => rig.decider !== undefined)
+  await rig.run(500)
+  return rig
+}
+
+describe('a hand-in', () => {
+  test('is refused at once and never runs while no node reaches the store', async () => {
+    const rig = await calmRig()
+    for (const node of rig.nodes) node.store.weather = 'refusing'
+    await rig.run(2500)
+    const before = rig.clock.now()
+    const { id, verdict } = await rig.submit(rig.nodes[1]!, [{}])
+    expect(verdict.kind).toEqual('refused')
+    expect(rig.clock.now() - before).toBeLessThan(100)
+    for (const node of rig.nodes) node.store.weather = 'fair'
+    await rig.run(5000)
+    expect(await rig.phase(rig.nodes[1]!, id)).toEqual('unknown-job')
+  })
+
+  test('goes through the decider at a node that the store turns away', async () => {
+    const rig = await calmRig()
+    const entry = rig.nodes.find(node => node !== rig.decider)!
+    entry.store.weather = 'refusing'
+    await rig.run(2500)
+    const { id, verdict } = await rig.submit(entry, [{}])
+    expect(verdict.kind).toEqual('accepted')
+    expect(entry.cell.ready).toEqual(true)
+    await rig.run(2000)
+    expect(await rig.phase(entry, id)).toEqual('completed')
+  })
+
+  test('is one job when the answer of its write is lost', async () => {
+    const rig = await calmRig()
+    const entry = rig.nodes.find(node => node !== rig.decider)!
+    entry.store.weather = 'losing-answers'
+    rig.clock.schedule(700, () => { entry.store.weather = 'fair' })
+    const { id, verdict } = await rig.submit(entry, [{ count: 2 }])
+    expect(verdict.kind).toEqual('accepted')
+    await rig.run(3000)
+    expect(await rig.phase(entry, id)).toEqual('completed')
+    expect([...rig.fleet.starts.values()]).toEqual([1, 1])
+  })
+
+  test('is not called refused when its write may have been carried out', async () => {
+    const rig = await calmRig()
+    for (const node of rig.nodes) node.store.weather = 'late'
+    const { verdict } = await rig.submit(rig.nodes[1]!, [{}])
+    expect(verdict.kind).toEqual('unsettled')
+  })
+
+  test('is found by the decider when its node dies right after accepting it', async () => {
+    const rig = await calmRig()
+    const entry = rig.nodes.find(node => node !== rig.decider)!
+    const told = entry.cell.tellJob.bind(entry.cell)
+    entry.cell.tellJob = () => {}
+    const { id } = await rig.submit(entry, [{}])
+    entry.cell.tellJob = told
+    rig.powerOff(entry)
+    await rig.run(3000)
+    expect(await rig.phase(rig.decider!, id)).toEqual('completed')
+  })
+
+  test('is answered for at every node, also one that has not heard of it', async () => {
+    const rig = await calmRig()
+    const { id } = await rig.submit(rig.nodes[0]!, [{}])
+    for (const node of rig.nodes) expect(await rig.phase(node, id)).not.toEqual('unknown-job')
+  })
+})
