Runs that stand still start elsewhere; ended jobs cost a takeover nothing but their row

Ended jobs are kept as one entry and their hand-ins are not decoded at a takeover. Looks with tasks wait 600 ms, so that standing still is seen in two seconds. Ruled out for gangs: stopping the whole gang costs as much as the wait. Test that failed before: workers.test.ts, 'that stands still'.

--- a/packages/cell/src/runtime/Book.ts
+++ b/packages/cell/src/runtime/Book.ts
@@ -3,9 +3,14 @@
 import type { JobState, StepState, Task, Unit, WorkerState } from './model.js'
 import { stepName, taskName } from './taskName.js'
 
+/** How a job can end. */
+export type EndedPhase = Exclude<JobState['phase'], 'open'>
+
 /** All jobs, tasks and workers that a decider knows. */
 export class Book {
   readonly jobs = new Map<string, JobState>()
+  /** Jobs that have ended, in order of their ends: how, and the monotonic ms. */
+  readonly ended = new Map<string, { phase: EndedPhase, at: number }>()
   readonly workers = new Map<string, WorkerState>()
   /** Steps with tasks that wait and whose earlier steps are done. */
   readonly ready = new Set<StepState>()
@@ -31,6 +36,12 @@
     return state
   }
 
+  /** Keeps only how a job has ended. */
+  retire (id: string, phase: EndedPhase, now: number): void {
+    this.jobs.delete(id)
+    this.ended.set(id, { phase, at: now })
+  }
+
   /** Notes that a task of the job has started, or that it ended unstarted. */
   begin (state: JobState): void {
     if (state.begun) return
@@ -89,6 +100,7 @@
       used: { cpu: 0, memory: 0, accelerators: 0 },
       strangers: 0,
       restUntil: 0,
+      slow: false,
       failuresInRow: 0
     }
     this.workers.set(report.id, state)
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -12,7 +12,7 @@
 import { Book } from './Book.js'
 import { HandInFeed } from './HandInFeed.js'
 import { InstanceFeed } from './InstanceFeed.js'
-import { applyRecord, writeRecord } from './jobRecord.js'
+import { applyRecord, hasRuns, writeRecord } from './jobRecord.js'
 import type { JobState, StepState, Task, WorkerState } from './model.js'
 import { planRound } from './planRound.js'
 import type { AdviceWish } from './planRound.js'
@@ -108,11 +108,12 @@
     const recovery = new Recovery({ store, clock, log })
     const [found] = await Promise.all([recovery.read(() => this.stopped), this.instances.start(() => this.stopped)])
     if (found === undefined || this.stopped) return
+    for (const [id, phase] of found.ended) this.book.retire(id, phase, since)
     let assumed = 0
     for (const job of found.jobs) {
       const state = this.addJob(job, 'record')
       const record = found.records.get(job.id)
-      if (record !== undefined) assumed += this.assume(applyRecord(this.book, state, record), since)
+      if (record !== undefined && state !== undefined) assumed += this.assume(applyRecord(this.book, state, record), since)
     }
     for (const id of found.cancelled) this.cancel(id)
     this.handIns.start(found.version, () => this.stopped)
@@ -150,7 +151,8 @@
   }
 
   /** Takes a job in; one that is known is left as it is. */
-  addJob (job: Job, source: 'link' | 'feed' | 'record'): JobState {
+  addJob (job: Job, source: 'link' | 'feed' | 'record'): JobState | undefined {
+    if (this.book.ended.has(job.id)) return undefined
     const known = this.book.jobs.get(job.id)
     if (known !== undefined) return known
     const { clock, store, log } = this.options
@@ -171,7 +173,8 @@
   /** @returns what the decider knows */
   answer (question: Question): Answer {
     if (question.about === 'queue') return { about: 'queue', waiting: this.book.waiting(question.route) }
-    return { about: 'job', phase: this.book.jobs.get(question.id)?.shown ?? 'unknown' }
+    const { id } = question
+    return { about: 'job', phase: this.book.jobs.get(id)?.shown ?? this.book.ended.get(id)?.phase ?? 'unknown' }
   }
 
   /** Asks for a round of planning soon. */
@@ -296,15 +299,22 @@
       const actions = this.recording.get(key) ?? []
       this.recording.delete(key)
       for (const action of actions) action()
+      this.retireEnded(key)
     }
     this.forgetEnded()
   }
 
+  private retireEnded (id: string): void {
+    const state = this.book.jobs.get(id)
+    if (state === undefined || state.phase === 'open' || state.shown !== state.phase || hasRuns(state) || this.afterRecord.has(id)) return
+    this.book.retire(id, state.phase, this.options.clock.now())
+  }
+
   private forgetEnded (): void {
     const limit = this.options.clock.now() - this.options.retention
-    for (const [id, state] of this.book.jobs) {
-      if (state.endedAt === 0 || state.endedAt > limit) return
-      this.book.jobs.delete(id)
+    for (const [id, { at }] of this.book.ended) {
+      if (at > limit) return
+      this.book.ended.delete(id)
     }
   }
 
--- a/packages/cell/src/runtime/Recovery.ts
+++ b/packages/cell/src/runtime/Recovery.ts
@@ -4,6 +4,7 @@
 import type { RecordStore, Row } from '../types/records.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { readHandIn } from './handInRow.js'
+import type { EndedPhase } from './Book.js'
 import type { JobRecord } from './jobRecord.js'
 import { CANCELLED, handInParts } from './parts.js'
 
@@ -13,6 +14,8 @@
 /** What the store holds of the jobs. */
 export interface Found {
   jobs: Job[]
+  /** Jobs that have ended and of which nothing runs. */
+  ended: Map<string, EndedPhase>
   cancelled: string[]
   records: Map<string, JobRecord>
   /** Version from which changes of hand-ins are to be followed. */
@@ -32,9 +35,9 @@
     const records = await this.readPart('tasks', 'd', abandoned)
     const parts = await Promise.all(handInParts.map(async part => await this.readPart('jobs', part, abandoned)))
     if (records === undefined || parts.some(part => part === undefined)) return undefined
-    const found: Found = { jobs: [], cancelled: [], records: new Map(), version: Math.min(...parts.map(part => part!.version)) }
-    for (const row of parts.flatMap(part => part!.rows)) this.takeHandIn(row, found)
+    const found: Found = { jobs: [], ended: new Map(), cancelled: [], records: new Map(), version: Math.min(...parts.map(part => part!.version)) }
     for (const row of records.rows) this.takeRecord(row, found)
+    for (const row of parts.flatMap(part => part!.rows)) if (!found.ended.has(row.key)) this.takeHandIn(row, found)
     found.jobs.sort((a, b) => a.acceptedAt - b.acceptedAt)
     return found
   }
@@ -60,7 +63,9 @@
 
   private takeRecord (row: Row, found: Found): void {
     try {
-      found.records.set(row.key, JSON.parse(row.value) as JobRecord)
+      const record = JSON.parse(row.value) as JobRecord
+      if (record.phase !== 'open' && record.tasks === undefined) found.ended.set(row.key, record.phase)
+      else found.records.set(row.key, record)
     } catch (error) {
       this.options.log.write(CELL_EVENTS.badRow, { key: row.key, problem: String(error) })
     }
--- a/packages/cell/src/runtime/TaskLife.ts
+++ b/packages/cell/src/runtime/TaskLife.ts
@@ -81,9 +81,9 @@
       if (task.phase === 'ordered') this.stopRun(task, 'start-unanswered')
       return
     }
-    if (outcome.kind === 'unwell') this.rest(worker, UNWELL_REST, 'unwell')
+    if (outcome.kind === 'unwell') this.restWorker(worker, UNWELL_REST, 'unwell')
     if (outcome.kind === 'refused' && outcome.reason === 'ticket') task.step.tickets.delete(worker.report.id)
-    if (outcome.kind === 'refused' && outcome.reason === 'room') this.rest(worker, UNWELL_REST, 'no room')
+    if (outcome.kind === 'refused' && outcome.reason === 'room') this.restWorker(worker, UNWELL_REST, 'no room')
     if (task.phase !== 'ordered' && task.phase !== 'stopping') return
     task.notBefore = clock.now() + REFUSED_PAUSE
     this.backToWaiting(task)
@@ -182,7 +182,7 @@
   private failed (task: Task, worker: WorkerState): void {
     const { step } = task
     worker.failuresInRow++
-    if (worker.failuresInRow >= FAILURES_BEFORE_REST) this.rest(worker, FAILING_REST, 'fails all it starts')
+    if (worker.failuresInRow >= FAILURES_BEFORE_REST) this.restWorker(worker, FAILING_REST, 'fails all it starts')
     task.avoid.add(worker.report.id)
     if (!step.definition.gang) task.failures++
     else if (step.failedRun < task.run) {
@@ -210,8 +210,9 @@
     for (const member of task.step.tasks) this.abandon(member, 'gang-broken')
   }
 
-  private rest (worker: WorkerState, duration: number, reason: string): void {
-    worker.restUntil = this.options.clock.now() + duration
+  /** Gives a worker nothing for a while. */
+  restWorker (worker: WorkerState, duration: number, reason: string): void {
+    worker.restUntil = Math.max(worker.restUntil, this.options.clock.now() + duration)
     this.options.log.write(CELL_EVENTS.workerRested, { worker: worker.report.id, reason, duration })
   }
 }
--- a/packages/cell/src/runtime/WorkerWatch.ts
+++ b/packages/cell/src/runtime/WorkerWatch.ts
@@ -6,11 +6,12 @@
 import { CLOCK_RATE_MIN, LEASE, LEASE_MARGIN } from '../types/limits.js'
 import type { Book } from './Book.js'
 import type { Task, WorkerState } from './model.js'
+import { Progress } from './Progress.js'
 import type { TaskLife } from './TaskLife.js'
 import { detach } from './detach.js'
 
-/** ms that a look at a worker with tasks waits for an end; a quarter of a lease. */
-const LOOK_WAIT = 1000
+/** ms that a look at a worker with tasks waits for an end; a run that stands still is noticed after three. */
+const LOOK_WAIT = 600
 /** ms between looks at an idle worker. */
 const IDLE_PERIOD = 1000
 /** ms between looks at a worker that does not answer. */
@@ -19,6 +20,8 @@
 const UNRECORDED_PERIOD = 800
 /** ms between two looks at least, so that ends close together are taken in at once. */
 const LOOK_GAP = 10
+/** ms for which a worker is given nothing after a run there stood still; hanging workers do so for about five seconds. */
+const STILL_REST = 3000
 /** ms between attempts to stop a run. */
 const STOP_RETRY = 300
 
@@ -40,6 +43,7 @@
 export class WorkerWatch {
   private readonly watched = new Set<WorkerState>()
   private readonly wakers = new Map<WorkerState, () => void>()
+  private readonly progress = new Progress()
   private stopped = false
   private life!: TaskLife
 
@@ -203,8 +207,19 @@
       }
       if (listed.checkpoint !== '') task.checkpoint = listed.checkpoint
       if (task.phase === 'assumed' || task.phase === 'ordered') this.adopt(task)
+      const still = this.progress.note(task, listed, worker, this.options.clock.now())
+      if (still && task.phase === 'running') this.leave(task, worker)
     }
     worker.strangers = strangers
+    if (running.length === 0) this.progress.forgive(worker)
+    worker.slow = this.progress.isSlow(worker)
+  }
+
+  /** Starts a run that stands still elsewhere, and lets its worker rest. */
+  private leave (task: Task, worker: WorkerState): void {
+    this.progress.forget(task)
+    this.life.restWorker(worker, STILL_REST, 'a run stands still')
+    this.life.stopRun(task, 'stands still')
   }
 
   private adopt (task: Task): void {
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -57,6 +57,7 @@
   return runs
 }
 
-function hasRuns (state: JobState): boolean {
+/** @returns whether a run of the job is not known to be over */
+export function hasRuns (state: JobState): boolean {
   return state.units.some(unit => unit.steps.some(step => step.tasks.some(task => task.worker !== undefined)))
 }
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -106,6 +106,8 @@
   strangers: number
   /** Monotonic ms before which no work is given. */
   restUntil: number
+  /** Does far less than declared durations let expect; given work last. */
+  slow: boolean
   /** Failed runs in a row. */
   failuresInRow: number
 }
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -120,7 +120,7 @@
 function orderSlots (slots: Slot[], step: StepState): Slot[] {
   const rack = step.definition.dataRack ?? (step.definition.sameRack ? roomiestRack(slots, step) : undefined)
   const away = (slot: Slot): number => rack !== undefined && !slot.worker.report.labels.includes(rack) ? 1 : 0
-  return [...slots].sort((a, b) => away(a) - away(b) || a.worker.failuresInRow - b.worker.failuresInRow || a.free.cpu - b.free.cpu)
+  return [...slots].sort((a, b) => away(a) - away(b) || Number(a.worker.slow) - Number(b.worker.slow) || a.worker.failuresInRow - b.worker.failuresInRow || a.free.cpu - b.free.cpu)
 }
 
 function roomiestRack (slots: Slot[], step: StepState): string | undefined {
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -18,6 +18,7 @@
   task: string
   run: number
   endsAt: number
+  duration: number
   size: Size
   stopping: boolean
 }
@@ -51,6 +52,9 @@
   cut = false
   /** Orders get no answer and are carried out this many ms later; 0: at once and answered. */
   lateness = 0
+  /** Everything it runs stands still. */
+  hung = false
+  private tickedAt = 0
   starts = 0
 
   constructor (public report: WorkerReport, private readonly fleet: FakeFleet) {
@@ -65,7 +69,7 @@
     return {
       clock: this.now,
       born: this.report.born,
-      running: [...this.running.values()].map(({ task, run }) => ({ task, run, checkpoint: '', percent: 50 })),
+      running: [...this.running.values()].map(({ task, run, endsAt, duration }) => ({ task, run, checkpoint: '', percent: Math.floor(100 - 100 * (endsAt - this.tickedAt) / duration) })),
       ended: [...this.ended]
     }
   }
@@ -78,7 +82,7 @@
     this.leaseEnd = Math.max(this.leaseEnd, order.leaseEnd)
     this.starts++
     this.fleet.noteStart(order.task, this)
-    this.running.set(order.task, { task: order.task, run: order.run, endsAt: this.now + nature.duration, size: nature.size, stopping: false })
+    this.running.set(order.task, { task: order.task, run: order.run, endsAt: this.now + nature.duration, duration: nature.duration, size: nature.size, stopping: false })
     this.fleet.checkCapacity(order.task, this)
     return { kind: 'taken', clock: this.now }
   }
@@ -104,8 +108,10 @@
   }
 
   tick (): void {
+    this.tickedAt = this.now
     if (this.now >= this.leaseEnd) this.voidEnds()
     for (const run of [...this.running.values()]) {
+      if (this.hung && !run.stopping) run.endsAt += TICK
       if (this.now >= this.leaseEnd) this.finish(run, 'lapsed')
       else if (this.now >= run.endsAt) this.finish(run, run.stopping ? 'stopped' : this.fleet.nature(run.task).how)
     }
