--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -211,6 +211,8 @@
     if (this.stopped) return
     if (outcome.kind === 'refused' && outcome.reason === 'fence') return this.depose(undefined)
     this.life.orderAnswered(task, run, worker, outcome)
+    // A worker that was idle is looked at from now on, so that the run's end is heard of at once.
+    this.watch.wake(worker)
   }
 
   private async advise (wish: AdviceWish): Promise<void> {
--- a/packages/cell/src/runtime/WorkerWatch.ts
+++ b/packages/cell/src/runtime/WorkerWatch.ts
@@ -250,6 +250,7 @@
     }
   }
 
+  /** Runs of the former incarnation are left out of the list, which settles them; a run that is listed was started in the new one. */
   private reborn (worker: WorkerState, born: number): void {
     const first = worker.report.born === 0
     worker.report = { ...worker.report, born }
@@ -258,10 +259,6 @@
     worker.seenEnd = 0
     worker.unrecorded.clear()
     worker.clock = { value: 0, at: 0 }
-    for (const task of [...worker.tasks.values()]) {
-      // An order without an answer may still reach the new incarnation; it goes on being stopped there.
-      if (task.phase === 'running' || task.phase === 'assumed' || task.phase === 'done' || (task.phase === 'stopping' && task.takenAt > 0)) this.life.lost(task, 'worker reborn')
-    }
   }
 }
 
--- a/packages/cell/test/runtime/workers.test.ts
+++ b/packages/cell/test/runtime/workers.test.ts
@@ -63,6 +63,17 @@
     expect(rig.fleet.breaches).toEqual([])
   })
 
+  test('that was idle has the end of its run heard of at once', async () => {
+    const rig = await calmRig({ nature: () => ({ duration: 200, how: 'done', size: SIZE }) })
+    for (let index = 0; index < 5; index++) {
+      await rig.run(150)
+      const { id } = await rig.submit(rig.nodes[0]!, [{}])
+      await rig.run(320)
+      expect(await rig.phase(rig.nodes[0]!, id)).toEqual('completed')
+      await rig.run(1000)
+    }
+  })
+
   test('that drains is given nothing more', async () => {
     const rig = await calmRig({ workers: 2 })
     const drained = rig.fleet.workers.get('w0')!
