--- a/packages/cli/src/runtime/catalogue.ts
+++ b/packages/cli/src/runtime/catalogue.ts
@@ -1,4 +1,5 @@
 import * as admission from '@rattanstep/admission'
+import * as cell from '@rattanstep/cell'
 import * as configuration from '@rattanstep/configuration'
 import * as front from '@rattanstep/front'
 import * as jobs from '@rattanstep/jobs'
@@ -32,7 +33,8 @@
   ['jobs', 4000, [jobs]],
   ['node and configuration', 5000, [node, configuration]],
   ['peer', 6000, [peer]],
-  ['platform', 7000, [platform]]
+  ['platform', 7000, [platform]],
+  ['cell', 8000, [cell]]
 ]
 
 /** @returns the events of every package, found by exports whose names end in `EVENTS` */
