--- a/packages/cell/src/types/events.ts
+++ b/packages/cell/src/types/events.ts
@@ -37,7 +37,7 @@
   jobEnded: { number: 8046, name: 'job-settled', level: 'info', message: 'a job has ended', fields: { job, phase: 'how', age: 'ms since it was handed in', objective: 'ms within which it should have ended' } },
   stop: { number: 8047, name: 'run-stop-ordered', level: 'info', message: 'a run is being stopped', fields: { task, run: 'number of the run', worker, reason: 'why' } },
   stranger: { number: 8048, name: 'run-unknown', level: 'warn', message: 'a worker lists a run that is not on record, which is stopped', fields: { task, run: 'number of the run', worker } },
-  workerGained: { number: 8050, name: 'worker-gained', level: 'info', message: 'a worker answers', fields: { worker, running: 'runs there', after: 'ms without an answer' } },
+  workerGained: { number: 8050, name: 'worker-reachable', level: 'info', message: 'a worker answers', fields: { worker, running: 'runs there', after: 'ms without an answer' } },
   workerSilent: { number: 8051, name: 'worker-unreachable', level: 'warn', message: 'a worker does not answer and is given nothing', fields: { worker, reason: 'why', tasks: 'runs there', leaseLeft: 'ms until its leases have run out' } },
   workerListed: { number: 8052, name: 'worker-listed', level: 'info', message: 'the instance list has changed', fields: { worker, state: 'ready, draining or gone' } },
   workerReborn: { number: 8053, name: 'worker-reborn', level: 'warn', message: 'a worker has a new incarnation', fields: { worker, born: 'ms since 1970' } },
