--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'bench-results/**', 'target/**']  }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'bench-results/**', 'target/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
