A takeover reads only open jobs, and a strong instance decides

Timers of a decider end with it. Ruled out: longer timeouts, with which the read would still take seconds. Tests: handIn.test.ts 'leaves one short row', takeover.test.ts 'moves the term'.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -18,7 +18,7 @@
 const DRAIN_CHECK = 20
 
 /** What a node is made of. */
-export interface CellNodeOptions extends Omit<CellOptions, 'node' | 'dataCentre' | 'address' | 'retention' | 'linker'> {
+export interface CellNodeOptions extends Omit<CellOptions, 'node' | 'dataCentre' | 'strength' | 'address' | 'retention' | 'linker'> {
   settings: CellSettings
   codec: CallerCodec
   metrics: Metrics
@@ -37,6 +37,7 @@
       ...options,
       node: settings.node,
       dataCentre: settings.dataCentre,
+      strength: settings.strength,
       address: `${settings.ip}:${settings.listen.linkPort}`,
       retention: settings.bounds.finishedJobRetention,
       linker: new TcpLinker<DownMessage, UpMessage>()
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@rattanstep/core'
+import type { Clock, Timer } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { Result } from 'ts-results-es'
 import type { Configuration } from '../types/configuration.js'
@@ -23,6 +23,10 @@
 const STORE_CHECK_PERIOD = 150
 /** ms that a successor is given to claim the term. */
 const SUCCESSION_PATIENCE = 400
+/** How many times as strong a follower must be for a hand-over in calm, which costs a moment. */
+const STRONGER_FACTOR = 1.8
+/** ms between two offers for that reason. */
+const YIELD_PERIOD = 1000
 /** ms kept for the way of a follower's write and its answer. */
 const RECORD_RESERVE = 30
 /** ms of store silence at the decider up to which it may write for others; as long as a node writes for itself. */
@@ -34,6 +38,8 @@
 export interface CellOptions {
   node: string
   dataCentre: string
+  /** How well this instance can decide; see the settings. */
+  strength: number
   /** `HOST:PORT` at which other nodes reach this one. */
   address: string
   /** ms for which ended jobs are kept. */
@@ -55,6 +61,7 @@
   private readonly membership: Membership
   private decider: Decider | undefined
   private followers: Followers | undefined
+  private check: Timer | undefined
   private offers = 0
   private lastOffer = 0
 
@@ -70,6 +77,7 @@
       log,
       node: options.node,
       dataCentre: options.dataCentre,
+      strength: options.strength,
       start: String(clock.wall()),
       address: options.address,
       follower: {
@@ -124,13 +132,14 @@
     this.configurationFeed.stop()
     this.membership.stop()
     this.decider?.stop()
+    this.check?.cancel()
     this.followers?.close()
   }
 
   /** Takes a link of another node. */
   greet (link: DownLink): void {
     link.onMessage = message => {
-      if (message.kind === 'hello' && this.followers !== undefined) this.followers.add(link, message.node)
+      if (message.kind === 'hello' && this.followers !== undefined) this.followers.add(link, message.node, message.strength)
       else link.send({ kind: 'elsewhere' })
     }
   }
@@ -190,10 +199,13 @@
     })
     this.decider = decider
     this.followers = followers
-    const check = clock.repeat(STORE_CHECK_PERIOD, () => { this.offerTerm(decider) })
+    this.check = clock.repeat(STORE_CHECK_PERIOD, () => {
+      this.offerTerm(decider)
+      this.yieldToStronger(decider)
+    })
     detach(decider.start(), log, 'decider')
     await lost
-    check.cancel()
+    this.check.cancel()
     this.decider = undefined
     this.followers = undefined
     followers.close()
@@ -209,6 +221,16 @@
     this.followers?.callSuccessor('store-unreachable', this.offers++, silence - STORE_ADVANTAGE)
   }
 
+  /** A weak instance decides only until a much stronger one follows. */
+  private yieldToStronger (decider: Decider): void {
+    const { clock, strength } = this.options
+    const now = clock.now()
+    if (!decider.ready || this.followers === undefined || now - this.lastOffer < YIELD_PERIOD) return
+    if (this.followers.bestStrength < STRONGER_FACTOR * strength) return
+    this.lastOffer = now
+    this.followers.callSuccessor('stronger', 0)
+  }
+
   private heardOfConfiguration (version: number): void {
     if (version > (this.configuration?.version ?? 0)) detach(this.configurationFeed.refresh(), this.options.log, 'configuration')
   }
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@rattanstep/core'
+import type { Clock, Timer } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { Configuration, Route } from '../types/configuration.js'
 import type { Job } from '../types/job.js'
@@ -17,7 +17,9 @@
 import { planRound } from './planRound.js'
 import type { AdviceWish } from './planRound.js'
 import { rankSteps } from './rankSteps.js'
+import { JobRetirer } from './JobRetirer.js'
 import { Recorder } from './Recorder.js'
+import type { RecordChange } from './Recorder.js'
 import { Recovery } from './Recovery.js'
 import { TaskLife } from './TaskLife.js'
 import type { Term } from './Term.js'
@@ -69,6 +71,10 @@
   private readonly recording = new Map<string, Array<() => void>>()
   private readonly handIns: HandInFeed
   private readonly instances: InstanceFeed
+  private readonly retirer: JobRetirer
+  /** Jobs whose records may go. */
+  private readonly unneeded = new Set<string>()
+  private readonly timers: Timer[] = []
   private roundDue = false
   private stopped = false
   private paused = false
@@ -95,6 +101,17 @@
     })
     this.watch.join(this.life)
     this.watch.onRecord = (task, then) => { this.record(task.step.unit.job, then) }
+    this.retirer = new JobRetirer({
+      store,
+      clock,
+      log,
+      retired: ids => {
+        for (const id of ids) {
+          this.unneeded.add(id)
+          this.recorder.mark(id)
+        }
+      }
+    })
     this.handIns = new HandInFeed({ store, clock, log, job: job => { this.addJob(job, 'feed') }, cancel: id => { this.cancel(id) } })
     this.instances = new InstanceFeed({ store, reader: options.reader, clock, log, listed: report => { this.listed(report) }, gone: id => { this.gone(id) } })
   }
@@ -103,12 +120,14 @@
   async start (): Promise<void> {
     const { clock, log, term, store } = this.options
     const since = clock.now()
-    clock.repeat(IDLE_COMMIT, () => { if (!this.stopped) this.recorder.kick() })
-    clock.repeat(ROUND_PERIOD, () => { if (!this.stopped) this.changed() })
+    this.timers.push(clock.repeat(IDLE_COMMIT, () => { this.recorder.kick() }), clock.repeat(ROUND_PERIOD, () => { this.changed() }))
     const recovery = new Recovery({ store, clock, log })
     const [found] = await Promise.all([recovery.read(() => this.stopped), this.instances.start(() => this.stopped)])
     if (found === undefined || this.stopped) return
-    for (const [id, phase] of found.ended) this.book.retire(id, phase, since)
+    for (const [id, phase] of found.ended) {
+      this.book.retire(id, phase, since)
+      this.retirer.add(id, phase)
+    }
     let assumed = 0
     for (const job of found.jobs) {
       const state = this.addJob(job, 'record')
@@ -117,6 +136,7 @@
     }
     for (const id of found.cancelled) this.cancel(id)
     this.handIns.start(found.version, () => this.stopped)
+    this.retirer.start(() => this.stopped)
     this.ready = true
     log.write(CELL_EVENTS.recovered, { fence: term.fence, jobs: found.jobs.length, assumed, duration: Math.round(clock.now() - since) })
     for (const worker of this.book.workers.values()) this.watch.watch(worker)
@@ -126,6 +146,7 @@
   /** Ends all deciding; orders that are under way are not waited for. */
   stop (): void {
     this.stopped = true
+    for (const timer of this.timers) timer.cancel()
     this.recorder.stop()
     this.watch.stop()
   }
@@ -289,11 +310,12 @@
     this.recorder.mark(job.job.id)
   }
 
-  private encode (key: string): string | null {
+  private encode (key: string): RecordChange | null {
     this.recording.set(key, this.afterRecord.get(key) ?? [])
     this.afterRecord.delete(key)
     const state = this.book.jobs.get(key)
-    return state === undefined ? null : writeRecord(state)
+    if (state !== undefined) return { kind: 'put', value: writeRecord(state) }
+    return this.unneeded.delete(key) ? { kind: 'delete' } : null
   }
 
   private recorded (keys: string[]): void {
@@ -310,6 +332,7 @@
     const state = this.book.jobs.get(id)
     if (state === undefined || state.phase === 'open' || state.shown !== state.phase || hasRuns(state) || this.afterRecord.has(id)) return
     this.book.retire(id, state.phase, this.options.clock.now())
+    this.retirer.add(id, state.phase)
   }
 
   private forgetEnded (): void {
--- a/packages/cell/src/runtime/Entry.ts
+++ b/packages/cell/src/runtime/Entry.ts
@@ -3,11 +3,12 @@
 import type { Job, JobPhase } from '../types/job.js'
 import type { Answer, Question } from '../types/links.js'
 import type { RecordStore } from '../types/records.js'
+import type { EndedPhase } from './Book.js'
 import { writeHandIn } from './handInRow.js'
 import { HandInWriter } from './HandInWriter.js'
 import type { HandInRow, WriteOutcome } from './HandInWriter.js'
 import type { JobRecord } from './jobRecord.js'
-import { CANCELLED, handInPart } from './parts.js'
+import { CANCELLED, endName, handInName, handInPart } from './parts.js'
 
 /** ms for which the decider is given time to answer before the store is read. */
 const ASK_TIMEOUT = 300
@@ -129,11 +130,14 @@
 
   private async recordedPhase (id: string): Promise<PhaseVerdict> {
     const { store } = this.options
-    const [handIn, record] = await Promise.all([
+    const [handIn, record, end] = await Promise.all([
       store.range({ table: 'jobs', part: handInPart(id), from: id, until: id + CANCELLED + '\0' }),
-      store.range({ table: 'tasks', part: 'd', from: id, until: id + '\0' })
+      store.range({ table: 'tasks', part: 'd', from: id, until: id + '\0' }),
+      store.range({ ...endName(id), from: id, until: id + '\0' })
     ])
-    if (handIn.isErr() || record.isErr()) return storeAway()
+    if (handIn.isErr() || record.isErr() || end.isErr()) return storeAway()
+    const [ended] = end.value.rows
+    if (ended !== undefined) return { kind: 'phase', phase: ended.value as EndedPhase }
     const keys = handIn.value.rows.map(row => row.key)
     if (!keys.includes(id)) return { kind: 'unknown-job' }
     const row = record.value.rows[0]
@@ -143,8 +147,11 @@
 }
 
 function rowOf (wish: Wish): HandInRow {
-  if (wish.kind === 'job') return { name: { table: 'jobs', part: handInPart(wish.job.id), key: wish.job.id }, value: writeHandIn(wish.job), once: true }
-  return { name: { table: 'jobs', part: handInPart(wish.id), key: wish.id + CANCELLED }, value: '{}', once: false }
+  if (wish.kind === 'job') {
+    const name = handInName(wish.job.id)
+    return { name, value: writeHandIn(wish.job), absent: [name, endName(wish.job.id)] }
+  }
+  return { name: { ...handInName(wish.id), key: wish.id + CANCELLED }, value: '{}', absent: [] }
 }
 
 function phaseOf (record: JobRecord): JobPhase {
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -47,6 +47,7 @@
     events: FollowerEvents
     node: string
     dataCentre: string
+    strength: number
     /** ms since the store last answered this node */
     silence: () => number
     /** Newest fencing token that this node knows of. */
@@ -62,8 +63,8 @@
    * @returns whether the other end decides and takes this node in
    */
   async greet (timeout: number): Promise<'welcomed' | 'turned-away' | 'silent' | 'refused'> {
-    const { node, dataCentre, clock } = this.options
-    this.link.send({ kind: 'hello', node, dataCentre })
+    const { node, dataCentre, strength, clock } = this.options
+    this.link.send({ kind: 'hello', node, dataCentre, strength })
     const silent = clock.sleep(timeout).then(() => 'silent' as const)
     const closed = this.ending.then(() => 'refused' as const)
     const outcome = await Promise.race([this.greeting, silent, closed])
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timer } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { Job } from '../types/job.js'
-import type { Answer, DownMessage, Question, UpMessage } from '../types/links.js'
+import type { Answer, DownMessage, Question, SuccessionReason, UpMessage } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { LINK_BEAT, LINK_SILENCE } from '../types/limits.js'
 import type { Advice } from '../types/ports.js'
@@ -34,6 +34,7 @@
   link: DownLink
   heardAt: number
   storeSilence: number
+  strength: number
 }
 
 /** The nodes that follow this decider. */
@@ -58,10 +59,10 @@
   }
 
   /** Takes a node in that has said hello. */
-  add (link: DownLink, node: string): void {
+  add (link: DownLink, node: string, strength: number): void {
     const { clock, log, fence } = this.options
     this.entries.get(node)?.link.close()
-    const entry: Entry = { node, link, heardAt: clock.now(), storeSilence: 0 }
+    const entry: Entry = { node, link, heardAt: clock.now(), storeSilence: 0, strength }
     this.entries.set(node, entry)
     link.onMessage = message => { this.take(entry, message) }
     link.onClose = reason => { this.remove(entry, reason) }
@@ -95,8 +96,8 @@
    * @param silenceMax - ms of store silence at a follower above which it would be no better
    * @returns the follower told, if there is one
    */
-  callSuccessor (reason: 'stopping' | 'store-unreachable', attempt: number, silenceMax = SUCCESSOR_STORE_SILENCE): string | undefined {
-    const fit = [...this.entries.values()].filter(entry => entry.storeSilence < silenceMax)
+  callSuccessor (reason: SuccessionReason, attempt: number, silenceMax = SUCCESSOR_STORE_SILENCE): string | undefined {
+    const fit = this.ranked().filter(entry => entry.storeSilence < silenceMax)
     const entry = fit[attempt % Math.max(1, fit.length)]
     entry?.link.send({ kind: 'succeed', reason })
     return entry?.node
@@ -109,6 +110,16 @@
     for (const call of [...this.calls.keys()]) this.settle(call, { kind: 'failed', reason: 'the term has ended' })
   }
 
+  /** @returns strength of the strongest follower that reaches the store */
+  get bestStrength (): number {
+    return Math.max(0, ...[...this.entries.values()].filter(entry => entry.storeSilence < SUCCESSOR_STORE_SILENCE).map(entry => entry.strength))
+  }
+
+  /** Strongest first, then in the order in which they came. */
+  private ranked (): Entry[] {
+    return [...this.entries.values()].sort((a, b) => b.strength - a.strength)
+  }
+
   private take (entry: Entry, message: UpMessage): void {
     const { clock, events, fence } = this.options
     entry.heardAt = clock.now()
@@ -135,7 +146,7 @@
     let rank = 0
     const configuration = events.configuration()
     const storeSilence = Math.min(events.storeSilence(), Number.MAX_SAFE_INTEGER)
-    for (const entry of [...this.entries.values()]) {
+    for (const entry of this.ranked()) {
       if (clock.now() - entry.heardAt > LINK_SILENCE) {
         entry.link.close()
         this.remove(entry, 'silent')
--- a/packages/cell/src/runtime/HandInWriter.ts
+++ b/packages/cell/src/runtime/HandInWriter.ts
@@ -1,8 +1,8 @@
 import type { Clock, Timer } from '@rattanstep/core'
 import type { RecordStore, Row, RowName } from '../types/records.js'
 
-/** Rows in one transaction: each may take two of the 100 entries. */
-const ROWS_MAX = 45
+/** Rows in one transaction: each may take three of the 100 entries. */
+const ROWS_MAX = 33
 /** ms between attempts after one that was not carried out. */
 const RETRY_DELAY = 60
 /** ms of one write above which the store counts as slow; 8 to 13 ms are usual. */
@@ -15,8 +15,8 @@
 export interface HandInRow {
   name: RowName
   value: string
-  /** The row must not exist yet. */
-  once: boolean
+  /** Rows that must not exist: the row itself, and the one that follows when the job has ended. */
+  absent: RowName[]
 }
 
 interface Item {
@@ -73,7 +73,7 @@
     part.sentAt = sentAt
     for (const item of batch) item.sending = true
     store.commit({
-      expect: batch.filter(item => item.row.once).map(item => ({ ...item.row.name, version: 0 })),
+      expect: batch.flatMap(item => item.row.absent.map(name => ({ ...name, version: 0 }))),
       puts: batch.map(item => ({ ...item.row.name, value: item.row.value }))
     }).then(outcome => {
       this.lastDuration = clock.now() - sentAt
@@ -97,7 +97,7 @@
   private takeConflict (part: Part, batch: Item[], rows: Row[]): void {
     const present = new Set(rows.filter(row => row.version > 0).map(row => row.key))
     for (const item of batch) {
-      if (item.row.once && present.has(item.row.name.key)) this.settle(part, item, item.uncertain ? 'done' : 'repeated')
+      if (item.row.absent.some(name => present.has(name.key))) this.settle(part, item, item.uncertain ? 'done' : 'repeated')
     }
   }
 
--- /dev/null
+++ b/packages/cell/src/runtime/JobRetirer.ts
@@ -0,0 +1,55 @@
+import type { Clock } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import type { RecordStore } from '../types/records.js'
+import type { EndedPhase } from './Book.js'
+import { detach } from './detach.js'
+import { CANCELLED, endName, handInName, handInPart } from './parts.js'
+
+/** ms for which ends are gathered, so that one transaction takes many. */
+const PERIOD = 500
+/** Jobs in one transaction: each takes three of the 100 entries. */
+const JOBS_MAX = 33
+
+/**
+ * Replaces the hand-ins of jobs that have ended by a short row, so that a successor reads only what is open. Both lie in one part, so
+ * a repeated hand-in finds one or the other.
+ */
+export class JobRetirer {
+  private readonly waiting = new Map<string, Map<string, EndedPhase>>()
+  private readonly busy = new Set<string>()
+
+  constructor (private readonly options: { store: RecordStore, clock: Clock, log: Log, /** The hand-ins are gone, so the records may go. */ retired: (ids: string[]) => void }) {}
+
+  /** Takes a job whose end is on record. */
+  add (id: string, phase: EndedPhase): void {
+    const part = handInPart(id)
+    let jobs = this.waiting.get(part)
+    if (jobs === undefined) this.waiting.set(part, jobs = new Map())
+    jobs.set(id, phase)
+  }
+
+  /** Writes what has gathered, again and again. */
+  start (stopped: () => boolean): void {
+    const timer = this.options.clock.repeat(PERIOD, () => {
+      if (stopped()) return timer.cancel()
+      for (const part of this.waiting.keys()) if (!this.busy.has(part)) detach(this.flush(part), this.options.log, 'retire jobs')
+    })
+  }
+
+  private async flush (part: string): Promise<void> {
+    const jobs = this.waiting.get(part)!
+    const batch = [...jobs].slice(0, JOBS_MAX)
+    if (batch.length === 0) return
+    this.busy.add(part)
+    const outcome = await this.options.store.commit({
+      expect: [],
+      puts: batch.map(([id, phase]) => ({ ...endName(id), value: phase })),
+      deletes: batch.flatMap(([id]) => [handInName(id), { ...handInName(id), key: id + CANCELLED }])
+    })
+    this.busy.delete(part)
+    // Without an answer the same rows are written again, which changes nothing.
+    if (outcome.kind !== 'done') return
+    for (const [id] of batch) jobs.delete(id)
+    this.options.retired(batch.map(([id]) => id))
+  }
+}
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -16,6 +16,8 @@
 const CONNECT_TIMEOUT = 400
 /** ms before a node looks again after a claim that had no clear outcome. */
 const CLAIM_RETRY = 50
+/** ms by which an instance without any strength would wait longer than one with a whole core. */
+const WEAKNESS_DELAY = 300
 /** Rank of a node that has not been told one; such nodes wait for those in line. */
 const UNRANKED = 3
 
@@ -32,6 +34,8 @@
   log: Log
   node: string
   dataCentre: string
+  /** See the settings. */
+  strength: number
   /** Tells starts of this node apart. */
   start: string
   /** `HOST:PORT` for links. */
@@ -109,7 +113,7 @@
   }
 
   private async connect (): Promise<Event> {
-    const { linker, clock, log, node, dataCentre, follower, store } = this.options
+    const { linker, clock, log, node, dataCentre, strength, follower, store } = this.options
     const term = this.term!
     const link = await linker.connect(term.address, CONNECT_TIMEOUT)
     if (link.isErr()) {
@@ -117,7 +121,7 @@
       this.reason = link.error
       return link.error
     }
-    this.follower = new Follower(link.value, { clock, log, events: follower, node, dataCentre, silence: () => store.silence(), term: () => this.term?.fence ?? 0 })
+    this.follower = new Follower(link.value, { clock, log, events: follower, node, dataCentre, strength, silence: () => store.silence(), term: () => this.term?.fence ?? 0 })
     const welcomed = await this.follower.greet(LINK_SILENCE)
     if (welcomed !== 'welcomed') {
       this.follower.close()
@@ -158,8 +162,8 @@
   }
 
   private async claim (): Promise<Event> {
-    const { clock, store, node, start, address } = this.options
-    if (this.reason !== 'called') await clock.sleep(this.rank * SUCCESSION_STEP)
+    const { clock, store, node, start, address, strength } = this.options
+    if (this.reason !== 'called') await clock.sleep(this.rank * SUCCESSION_STEP + WEAKNESS_DELAY * Math.max(0, 1 - strength))
     const former = this.term
     if (this.retiring || !await this.readTerm() || this.term?.fence !== former?.fence) {
       await clock.sleep(CLAIM_RETRY)
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@rattanstep/core'
-import type { RecordStore, Row, TransactionOutcome } from '../types/records.js'
+import type { RecordStore, Row, RowName, Transaction, TransactionOutcome } from '../types/records.js'
 import type { Term } from './Term.js'
 import { readTerm, termRow, writeTerm } from './Term.js'
 import type { Log } from '@rattanstep/telemetry'
@@ -13,6 +13,9 @@
 /** Why a decider has lost its term. */
 export type Deposition = { reason: 'superseded', term: Term | undefined }
 
+/** What happens to the row of a key. */
+export type RecordChange = { kind: 'put', value: string } | { kind: 'delete' }
+
 /** What a recorder reports. */
 export interface RecorderEvents {
   /** Keys that are on record now, as given to `mark`. */
@@ -36,8 +39,8 @@
   commits = 0
 
   /**
-   * @param options - `store`; `clock`; `term`: the term held, and the version of its row; `encode`: the row's value for a key, `null` to
-   * leave the key out; `events`
+   * @param options - `store`; `clock`; `term`: the term held, and the version of its row; `encode`: what happens to a key's row, `null` to
+   * leave it; `events`
    */
   constructor (private readonly options: {
     store: RecordStore
@@ -45,7 +48,7 @@
     log: Log
     term: Term
     version: number
-    encode: (key: string) => string | null
+    encode: (key: string) => RecordChange | null
     events: RecorderEvents
   }) {
     this.version = options.version
@@ -81,14 +84,17 @@
   private async write (keys: string[]): Promise<void> {
     const { store, clock, term, encode, events } = this.options
     const serial = ++this.serial
-    const puts = keys.flatMap(key => {
-      const value = encode(key)
-      return value === null ? [] : [{ table: 'tasks', part: 'd', key, value }]
-    })
+    const puts: Transaction['puts'] = []
+    const deletes: RowName[] = []
+    for (const key of keys) {
+      const change = encode(key)
+      if (change?.kind === 'put') puts.push({ table: 'tasks', part: 'd', key, value: change.value })
+      else if (change?.kind === 'delete') deletes.push({ table: 'tasks', part: 'd', key })
+    }
     const mine = { ...termRow, value: writeTerm({ ...term, serial }) }
     while (!this.stopped) {
       const sentAt = clock.now()
-      const outcome = await store.commit({ expect: [{ ...termRow, version: this.version }], puts: [mine, ...puts] })
+      const outcome = await store.commit({ expect: [{ ...termRow, version: this.version }], puts: [mine, ...puts], deletes })
       const settled = this.settle(outcome, serial)
       if (this.stopped) return
       if (settled === 'deposed') return
--- a/packages/cell/src/runtime/resolveSettings.ts
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -24,6 +24,7 @@
   const settings: CellSettings = {
     node: read.text('node'),
     dataCentre: read.text('dataCentre'),
+    strength: strengthOf(read.count('capacity', 'cores') * read.count('capacity', 'coreShare'), read.count('capacity', 'linkRate')),
     ip: read.text('ip'),
     listen: {
       callers: read.address('listen', 'callers'),
@@ -47,6 +48,13 @@
   return findings.length > 0 ? Err(findings) : Ok(settings)
 }
 
+/** Mbit/s that a decider of today's largest deployment sends and receives at its peak, several times over. */
+const DECIDER_LINK_RATE = 40
+
+function strengthOf (cores: number, linkRate: number): number {
+  return cores * Math.min(1, linkRate / DECIDER_LINK_RATE)
+}
+
 /** Reads single values and collects what is wrong with them. */
 class Reader {
   constructor (private readonly document: Document.Parsed, private readonly lines: LineCounter, private readonly file: string, private readonly findings: Finding[]) {}
--- a/packages/cell/src/types/events.ts
+++ b/packages/cell/src/types/events.ts
@@ -35,7 +35,7 @@
   ended: { number: 8044, name: 'run-ended', level: 'info', message: 'a run is over', fields: { task, run: 'number of the run', worker, how: 'how it ended', failures: 'failed runs so far' } },
   lost: { number: 8045, name: 'run-lost', level: 'warn', message: 'a run is taken as over without a word from its worker', fields: { task, run: 'number of the run', worker, reason: 'why' } },
   jobEnded: { number: 8046, name: 'job-settled', level: 'info', message: 'a job has ended', fields: { job, phase: 'how', age: 'ms since it was handed in', objective: 'ms within which it should have ended' } },
-  stop: { number: 8047, name: 'run-stop-ordered', level: 'info', message: 'a run is being stopped', fields: { task, run: 'number of the run', worker, reason: 'why' } },
+  stop: { number: 8047, name: 'stop-ordered', level: 'info', message: 'a run is being stopped', fields: { task, run: 'number of the run', worker, reason: 'why' } },
   stranger: { number: 8048, name: 'run-unknown', level: 'warn', message: 'a worker lists a run that is not on record, which is stopped', fields: { task, run: 'number of the run', worker } },
   workerGained: { number: 8050, name: 'worker-reachable', level: 'info', message: 'a worker answers', fields: { worker, running: 'runs there', after: 'ms without an answer' } },
   workerSilent: { number: 8051, name: 'worker-unreachable', level: 'warn', message: 'a worker does not answer and is given nothing', fields: { worker, reason: 'why', tasks: 'runs there', leaseLeft: 'ms until its leases have run out' } },
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -5,7 +5,7 @@
 
 /** Messages from a follower to the decider. */
 export type UpMessage =
-  | { kind: 'hello', node: string, dataCentre: string }
+  | { kind: 'hello', node: string, dataCentre: string, /** see the settings */ strength: number }
   | { kind: 'beat', /** ms since the store last answered this node */ storeSilence: number, term: number, configuration: number }
   | { kind: 'job', job: Job }
   | { kind: 'cancel', id: string }
@@ -13,6 +13,9 @@
   | { kind: 'record', call: number, wish: Wish, /** ms */ patience: number }
   | { kind: 'advised', call: number, advice: Advice }
 
+/** Why a follower is told to claim the term. */
+export type SuccessionReason = 'stopping' | 'store-unreachable' | 'stronger'
+
 /** Messages from the decider to a follower. */
 export type DownMessage =
   | { kind: 'welcome', term: number }
@@ -22,7 +25,7 @@
   | { kind: 'recorded', call: number, outcome: WriteOutcome }
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
   /** The receiver should claim the term now. */
-  | { kind: 'succeed', reason: 'stopping' | 'store-unreachable' }
+  | { kind: 'succeed', reason: SuccessionReason }
 
 /** What an entry node asks the decider. */
 export type Question =
--- a/packages/cell/src/types/settings.ts
+++ b/packages/cell/src/types/settings.ts
@@ -2,6 +2,8 @@
 export interface CellSettings {
   node: string
   dataCentre: string
+  /** How well this instance can decide: cores, less on a narrow link. */
+  strength: number
   ip: string
   listen: {
     /** `HOST:PORT` for callers. */
--- a/packages/cell/test/runtime/handIn.test.ts
+++ b/packages/cell/test/runtime/handIn.test.ts
@@ -1,6 +1,6 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
-import { CellRig } from '../support/CellRig.js'
+import { CellRig, stepOf } from '../support/CellRig.js'
 
 async function calmRig (): Promise<CellRig> {
   const rig = new CellRig()
@@ -66,6 +66,24 @@
     expect(await rig.phase(rig.decider!, id)).toEqual('completed')
   })
 
+  test('leaves one short row when its job has ended, and a repeat of it is still the same job', async () => {
+    const rig = await calmRig()
+    const node = rig.nodes.find(each => each !== rig.decider)!
+    const { id } = await rig.submit(node, [{ count: 2 }])
+    await rig.run(3000)
+    const left = [...rig.tables.rows.values()].filter(row => row.key.startsWith(id)).map(({ table, value }) => ({ table, value }))
+    expect(left).toEqual([{ table: 'ended', value: 'completed' }])
+    let kind = ''
+    const again = { id, route: 'r', spec: 'x', steps: [stepOf({ count: 2 })], acceptedAt: 1 }
+    node.cell.entry.submit(again, rig.clock.now() + 1000).then(verdict => { kind = verdict.kind }, error => { throw error })
+    await rig.run(2000)
+    expect(kind).toEqual('accepted')
+    rig.kill(rig.decider!)
+    await rig.run(3000)
+    expect(await rig.phase(node, id)).toEqual('completed')
+    expect([...rig.fleet.starts.values()]).toEqual([1, 1])
+  })
+
   test('is answered for at every node, also one that has not heard of it', async () => {
     const rig = await calmRig()
     const { id } = await rig.submit(rig.nodes[0]!, [{}])
--- a/packages/cell/test/runtime/takeover.test.ts
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -92,6 +92,14 @@
     await finish(rig, ids)
   })
 
+  test('moves the term from a weak instance to a strong one in calm', async () => {
+    const rig = new CellRig({ nodes: 1 })
+    await rig.until(() => rig.decider !== undefined)
+    const strong = rig.addNode('strong', 4)
+    await rig.until(() => rig.decider === strong, 5000)
+    expect((await rig.submit(rig.nodes[0]!, [{}])).verdict.kind).toEqual('accepted')
+  })
+
   test('waits for the leases of a worker that it can not reach', async () => {
     const { rig, decider, ids } = await busyRig()
     await rig.until(() => [...rig.fleet.workers.values()].some(each => each.running.size > 0))
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -54,6 +54,8 @@
   readonly nodes: RigNode[] = []
   private readonly ends = new Map<string, FakeEnd>()
   private nextJob = 1
+  /** Strength of nodes by name, 1 unless set. */
+  readonly strengths = new Map<string, number>()
 
   constructor (options: RigOptions = {}) {
     const { nodes = 3, workers = 4, cpu = 4000, route, nature = () => ({ duration: 300, how: 'done', size: { cpu: 1000, memory: 100, accelerators: 0 } }) } = options
@@ -81,7 +83,8 @@
   }
 
   /** Starts a node, or the next process of one that was killed. */
-  addNode (name: string): RigNode {
+  addNode (name: string, strength = this.strengths.get(name) ?? 1): RigNode {
+    this.strengths.set(name, strength)
     const clock = new LifeClock(this.clock)
     const store = new FakeStore(this.tables, clock, this.clock)
     const orders = new FakeOrders(this.fleet, clock)
@@ -91,6 +94,7 @@
     const cell = new Cell({
       node: name,
       dataCentre: 'd',
+      strength: this.strengths.get(name) ?? 1,
       address,
       retention: 120_000,
       store,
