Ownership's random runs go on outside the test runner

Change: each runs its share in a process of its own and hands back the failures; seeds, bound and check are the same.

--- a/packages/ownership/test/faults/randomSecond.test.ts
+++ b/packages/ownership/test/faults/randomSecond.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { runStorms } from '../support/runStorms.js'
+import { runStormsApart } from '../support/runStormsApart.js'
 
 test('under random faults no node admits for what the table gives to another, and all are served again afterwards', async () => {
-  expect(await runStorms(1)).toEqual([])
+  expect(await runStormsApart(1)).toEqual([])
 })
