A table read in pages is followed from its first page

Cause, found on reading the diff: range() gave the version of its last page, so a hand-in written between two pages, with a key of a page already read, was in neither the pages nor the feed and stayed unknown to a new decider. Change: the version of the first page.

--- a/packages/cell/src/types/records.ts
+++ b/packages/cell/src/types/records.ts
@@ -46,7 +46,7 @@
 export abstract class RecordStore {
   abstract commit (transaction: Transaction): Promise<TransactionOutcome>
 
-  /** @returns rows in order of their keys, as of one moment, and the store's version then */
+  /** @returns rows in order of their keys, read in pages, and the store's version at the first page, from which changes are to be followed */
   abstract range (query: { table: string, part: string, from?: string, until?: string }): Promise<Result<{ rows: Row[], version: number }, StoreFault>>
 
   /**
