--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -51,7 +51,7 @@
   /** Nodes that can ask the advice service, and the way to do so. */
   askers: () => string[]
   ask: (node: string, question: { step: string, workers: string[], timeout: number }) => Promise<Advice>
-  /** Whether a majority of the nodes knows of no newer term. */
+  /** Whether there are followers and none of them reaches the store either, so that nobody can claim the term unseen. */
   backed: () => boolean
   /** Called once, when another node has claimed the term. */
   deposed: (successor: string | undefined) => void
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -53,7 +53,7 @@
     return [...this.entries.keys()]
   }
 
-  /** @returns share of followers that know of no newer term, and whether all of them miss the store too */
+  /** @returns ms since the store last answered each follower */
   storeSilences (): number[] {
     return [...this.entries.values()].map(entry => entry.storeSilence)
   }
--- a/packages/cell/src/runtime/HandInFeed.ts
+++ b/packages/cell/src/runtime/HandInFeed.ts
@@ -2,9 +2,8 @@
 import type { Log } from '@rattanstep/telemetry'
 import type { Job } from '../types/job.js'
 import type { RecordStore, Row } from '../types/records.js'
-import { CELL_EVENTS } from '../types/events.js'
-import { readHandIn } from './handInRow.js'
-import { CANCELLED, handInParts } from './parts.js'
+import { handInParts } from './parts.js'
+import { sortHandIns } from './sortHandIns.js'
 import { detach } from './detach.js'
 
 /** ms between looks at the hand-ins on record. Most come by link; this finds those of nodes that died right after accepting. */
@@ -53,16 +52,8 @@
 
   private take (rows: Row[]): void {
     const { log, job, cancel } = this.options
-    const cancelled: string[] = []
-    for (const row of rows) {
-      if (row.key.endsWith(CANCELLED)) {
-        cancelled.push(row.key.slice(0, -CANCELLED.length))
-        continue
-      }
-      const read = readHandIn(row.value)
-      if (read.isOk()) job(read.value)
-      else log.write(CELL_EVENTS.badRow, { key: row.key, problem: read.error })
-    }
+    const { jobs, cancelled } = sortHandIns(rows, log)
+    for (const each of jobs) job(each)
     for (const id of cancelled) cancel(id)
   }
 }
--- a/packages/cell/src/runtime/Recovery.ts
+++ b/packages/cell/src/runtime/Recovery.ts
@@ -3,10 +3,10 @@
 import type { Job } from '../types/job.js'
 import type { RecordStore, Row } from '../types/records.js'
 import { CELL_EVENTS } from '../types/events.js'
-import { readHandIn } from './handInRow.js'
 import type { EndedPhase } from './Book.js'
 import type { JobRecord } from './jobRecord.js'
-import { CANCELLED, handInParts } from './parts.js'
+import { handInParts } from './parts.js'
+import { sortHandIns } from './sortHandIns.js'
 
 /** ms between attempts to read. */
 const RETRY_DELAY = 100
@@ -35,9 +35,10 @@
     const records = await this.readPart('tasks', 'd', abandoned)
     const parts = await Promise.all(handInParts.map(async part => await this.readPart('jobs', part, abandoned)))
     if (records === undefined || parts.some(part => part === undefined)) return undefined
-    const found: Found = { jobs: [], ended: new Map(), cancelled: [], records: new Map(), version: Math.min(...parts.map(part => part!.version)) }
+    const found: Found = { jobs: [], cancelled: [], ended: new Map(), records: new Map(), version: Math.min(...parts.map(part => part!.version)) }
     for (const row of records.rows) this.takeRecord(row, found)
-    for (const row of parts.flatMap(part => part!.rows)) if (!found.ended.has(row.key)) this.takeHandIn(row, found)
+    const open = parts.flatMap(part => part!.rows).filter(row => !found.ended.has(row.key))
+    Object.assign(found, sortHandIns(open, this.options.log))
     found.jobs.sort((a, b) => a.acceptedAt - b.acceptedAt)
     return found
   }
@@ -51,16 +52,6 @@
     return undefined
   }
 
-  private takeHandIn (row: Row, found: Found): void {
-    if (row.key.endsWith(CANCELLED)) {
-      found.cancelled.push(row.key.slice(0, -CANCELLED.length))
-      return
-    }
-    const job = readHandIn(row.value)
-    if (job.isOk()) found.jobs.push(job.value)
-    else this.options.log.write(CELL_EVENTS.badRow, { key: row.key, problem: job.error })
-  }
-
   private takeRecord (row: Row, found: Found): void {
     try {
       const record = JSON.parse(row.value) as JobRecord
--- a/packages/cell/src/runtime/Room.ts
+++ b/packages/cell/src/runtime/Room.ts
@@ -20,11 +20,6 @@
   constructor (workers: WorkerState[]) {
     this.slots = workers.map(worker => ({ worker, free: freeSize(worker), taken: 0 }))
   }
-
-  /** @returns whether any processor is free at all */
-  get exhausted (): boolean {
-    return this.slots.every(slot => slot.free.cpu <= 0)
-  }
 }
 
 /** @returns what a worker has left */
--- /dev/null
+++ b/packages/cell/src/runtime/sortHandIns.ts
@@ -0,0 +1,27 @@
+import type { Log } from '@rattanstep/telemetry'
+import { CELL_EVENTS } from '../types/events.js'
+import type { Job } from '../types/job.js'
+import type { Row } from '../types/records.js'
+import { readHandIn } from './handInRow.js'
+import { CANCELLED } from './parts.js'
+
+/**
+ * Tells hand-ins from cancellations. Rows that can't be read are logged and left out.
+ *
+ * @param rows - rows of the table of hand-ins
+ * @param log - for rows that can't be read
+ */
+export function sortHandIns (rows: Row[], log: Log): { jobs: Job[], cancelled: string[] } {
+  const jobs: Job[] = []
+  const cancelled: string[] = []
+  for (const row of rows) {
+    if (row.key.endsWith(CANCELLED)) {
+      cancelled.push(row.key.slice(0, -CANCELLED.length))
+      continue
+    }
+    const job = readHandIn(row.value)
+    if (job.isOk()) jobs.push(job.value)
+    else log.write(CELL_EVENTS.badRow, { key: row.key, problem: job.error })
+  }
+  return { jobs, cancelled }
+}
