Questions for advice wait at the decider, in rank order, one to a node

All questions of a round were handed to nodes at once, so a later urgent one stood behind them; and the estimate of when a node is idle took each late answer into account once for every call behind it, so that one of nine nodes got nearly all calls. Ruled out: lack of room (runs started at once after their advice), deciding (rounds went on). Change: AdviceDesk counts the calls that have no answer; a question is given out only to a node that is about to be idle, the rest is planned again in rank order when an answer comes. Asking left Decider for StepAdvisor. Slow transactions get a log line and all a histogram (WatchedStore), which this needed to be seen.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -7,6 +7,7 @@
 import type { CellSettings } from '../types/settings.js'
 import { Cell } from '../runtime/Cell.js'
 import type { CellOptions } from '../runtime/Cell.js'
+import { WatchedStore } from '../runtime/WatchedStore.js'
 import { CallerServer } from './CallerServer.js'
 import { TcpLinker, listenForLinks } from './TcpLink.js'
 
@@ -32,9 +33,11 @@
   private stopping = false
 
   constructor (private readonly options: CellNodeOptions) {
-    const { settings, store, clock, log, metrics, codec } = options
+    const { settings, clock, log, metrics, codec } = options
+    const store = new WatchedStore({ store: options.store, clock, log, metrics })
     this.cell = new Cell({
       ...options,
+      store,
       node: settings.node,
       dataCentre: settings.dataCentre,
       strength: settings.strength,
--- a/packages/cell/src/runtime/AdviceDesk.ts
+++ b/packages/cell/src/runtime/AdviceDesk.ts
@@ -4,34 +4,52 @@
 const LONG_CALL = 250
 /** Share of the nodes that long calls may use. */
 const LONG_SHARE = 0.6
+/** ms of work that may lie at a node when it is given a call: the way there and back, so that the service need not wait for the next. */
+const AHEAD = 15
 /** Weight of the newest answer in the learned share of allowed workers. */
 const LEARNING_RATE = 0.1
 
-/** Spreads questions to the advice service over the nodes, which each are served one call at a time. */
+/** Calls of one node that have no answer yet, in the order in which the service takes them. */
+interface Queue {
+  costs: number[]
+  /** Monotonic ms at which the service began with the first of them. */
+  since: number
+}
+
+/**
+ * Spreads questions to the advice service over the nodes, which are each served one call at a time. A question is given out only
+ * when a node is about to be idle: those that must wait do so at the decider, in rank order, where a more urgent one can still pass.
+ */
 export class AdviceDesk {
-  /** Monotonic ms at which each node should be idle again. */
-  private readonly idleAt = new Map<string, number>()
+  private readonly queues = new Map<string, Queue>()
   private readonly shares = new Map<string, number>()
 
   /**
-   * @param terms - what a call costs
-   * @param options - `nodes`: that can ask; `workers`: how many are named; `now`: monotonic ms
-   * @returns the node that should have the answer first, and the ms that takes
+   * @param nodes - that can ask
+   * @param now - monotonic ms
+   * @returns the nodes that may be given questions now
    */
-  choose (terms: AdviceTerms, options: { nodes: string[], workers: number, now: number }): { node: string, expected: number } {
-    const cost = terms.base + terms.perWorker * options.workers
-    const nodes = [...options.nodes].sort()
-    const allowed = cost >= LONG_CALL ? nodes.slice(0, Math.max(1, Math.floor(nodes.length * LONG_SHARE))) : nodes.reverse()
-    let best = allowed[0]!
-    for (const node of allowed) if (this.backlog(node, options.now) < this.backlog(best, options.now)) best = node
-    const expected = this.backlog(best, options.now) + cost
-    this.idleAt.set(best, options.now + expected)
-    return { node: best, expected }
+  open (nodes: string[], now: number): Askers {
+    for (const node of this.queues.keys()) if (!nodes.includes(node)) this.queues.delete(node)
+    const sorted = [...nodes].sort()
+    const longMax = Math.max(1, Math.floor(sorted.length * LONG_SHARE))
+    return new Askers(sorted.map((node, index) => ({ node, backlog: this.backlog(node, now), long: index < longMax })))
+  }
+
+  /** Notes that a node was given a call that takes this long, in ms. */
+  sent (node: string, cost: number, now: number): void {
+    const queue = this.queues.get(node)
+    if (queue === undefined || queue.costs.length === 0) this.queues.set(node, { costs: [cost], since: now })
+    else queue.costs.push(cost)
   }
 
-  /** Notes that a node has answered, earlier or later than thought. */
-  answered (node: string, now: number, error: number): void {
-    this.idleAt.set(node, Math.max(now, (this.idleAt.get(node) ?? now) + error))
+  /** Notes that a call has ended, with or without an answer. */
+  ended (node: string, cost: number, now: number): void {
+    const queue = this.queues.get(node)
+    const index = queue?.costs.indexOf(cost) ?? -1
+    if (queue === undefined || index < 0) return
+    queue.costs.splice(index, 1)
+    queue.since = now
   }
 
   /**
@@ -50,7 +68,51 @@
     this.shares.set(route, known === undefined ? share : known + LEARNING_RATE * (share - known))
   }
 
+  /** What lies ahead at a node, in ms. A first call that is overdue counts for as long again as it is late. */
   private backlog (node: string, now: number): number {
-    return Math.max(0, (this.idleAt.get(node) ?? 0) - now)
+    const queue = this.queues.get(node)
+    if (queue === undefined || queue.costs.length === 0) return 0
+    const left = queue.costs[0]! - (now - queue.since)
+    return queue.costs.slice(1).reduce((sum, cost) => sum + cost, Math.abs(left))
+  }
+}
+
+/** Nodes that may be given questions in one round of planning. */
+export class Askers {
+  constructor (private readonly nodes: Array<{ node: string, backlog: number, long: boolean }>) {}
+
+  /** @returns whether a call on these terms, however short, could be given out */
+  mayAsk (terms: AdviceTerms): boolean {
+    return this.find(costOf(terms, 1)) !== undefined
   }
+
+  /**
+   * Takes the node that is idle first.
+   *
+   * @param terms - what a call costs
+   * @param workers - how many are named
+   * @returns the node, and the ms of the call there; `undefined` when all are busy
+   */
+  take (terms: AdviceTerms, workers: number): { node: string, cost: number } | undefined {
+    const cost = costOf(terms, workers)
+    const found = this.find(cost)
+    if (found === undefined) return undefined
+    found.backlog += cost
+    return { node: found.node, cost }
+  }
+
+  private find (cost: number): { node: string, backlog: number } | undefined {
+    const isLong = cost >= LONG_CALL
+    let best: { node: string, backlog: number, long: boolean } | undefined
+    for (const each of this.nodes) {
+      if (each.backlog > AHEAD || (isLong && !each.long)) continue
+      // Short calls leave the nodes of the long ones free where they can.
+      if (best === undefined || each.backlog < best.backlog || (!isLong && each.backlog === best.backlog && best.long && !each.long)) best = each
+    }
+    return best
+  }
+}
+
+function costOf (terms: AdviceTerms, workers: number): number {
+  return terms.base + terms.perWorker * workers
 }
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -13,15 +13,15 @@
 import { HandInFeed } from './HandInFeed.js'
 import { InstanceFeed } from './InstanceFeed.js'
 import { applyRecord, hasRuns, writeRecord } from './jobRecord.js'
-import type { JobState, StepState, Task, WorkerState } from './model.js'
+import type { JobState, Task, WorkerState } from './model.js'
 import { planRound } from './planRound.js'
-import type { AdviceWish } from './planRound.js'
 import { rankSteps } from './rankSteps.js'
 import { JobRetirer } from './JobRetirer.js'
 import { Recorder } from './Recorder.js'
 import type { RecordChange } from './Recorder.js'
 import { Recovery } from './Recovery.js'
 import { TaskLife } from './TaskLife.js'
+import { StepAdvisor } from './StepAdvisor.js'
 import type { Term } from './Term.js'
 import { WorkerWatch } from './WorkerWatch.js'
 import { detach } from './detach.js'
@@ -32,10 +32,6 @@
 const ROUND_PERIOD = 100
 /** ms since the last confirmed commit after which nothing new is placed. */
 const COMMIT_PATIENCE = 1000
-/** ms after which a question to the advice service is asked again, beyond what it should take. */
-const ADVICE_PATIENCE = 1500
-/** ms before a question is repeated that was not answered. */
-const ADVICE_PAUSE = 100
 
 /** What a decider needs. */
 export interface DeciderOptions {
@@ -66,6 +62,7 @@
   private readonly watch: WorkerWatch
   private readonly life: TaskLife
   private readonly desk = new AdviceDesk()
+  private readonly advisor: StepAdvisor
   private readonly routes = new Map<string, Route>()
   private readonly afterRecord = new Map<string, Array<() => void>>()
   private readonly recording = new Map<string, Array<() => void>>()
@@ -100,6 +97,7 @@
       changed: () => { this.changed() }
     })
     this.watch.join(this.life)
+    this.advisor = new StepAdvisor({ desk: this.desk, clock, log, ask: options.ask, changed: () => { this.changed() } })
     this.watch.onRecord = (task, then) => { this.record(task.step.unit.job, then) }
     this.retirer = new JobRetirer({
       store,
@@ -217,9 +215,10 @@
     if (ranked.length === 0) return
     const usable = new Map<string, WorkerState[]>()
     for (const worker of this.book.workers.values()) if (isUsable(worker, now)) push(usable, worker.report.service, worker)
-    const round = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, goodShare: route => this.desk.goodShare(route) })
+    const askers = this.desk.open(this.options.askers(), now)
+    const round = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, askers, goodShare: route => this.desk.goodShare(route) })
     this.life.place(round.placements)
-    for (const wish of round.wishes) detach(this.advise(wish), this.options.log, 'advice')
+    for (const wish of round.wishes) detach(this.advisor.advise(wish), this.options.log, 'advice')
   }
 
   private async order (task: Task, ticket?: string): Promise<void> {
@@ -236,26 +235,6 @@
     this.watch.wake(worker)
   }
 
-  private async advise (wish: AdviceWish): Promise<void> {
-    const { step, route, workers } = wish
-    if (route.advice === undefined || workers.length === 0) return
-    const { clock, log, ask, askers } = this.options
-    const sentAt = clock.now()
-    const { node, expected } = this.desk.choose(route.advice, { nodes: askers(), workers: workers.length, now: sentAt })
-    step.asking = true
-    const answer = await ask(node, { step: step.name, workers: workers.map(worker => worker.report.id), timeout: expected + ADVICE_PATIENCE })
-    step.asking = false
-    const duration = clock.now() - sentAt
-    this.desk.answered(node, clock.now(), duration - expected)
-    const allowed = answer.kind === 'answered' ? answer.tickets.length : 0
-    log.write(CELL_EVENTS.advised, { step: step.name, node, named: workers.length, allowed, duration: Math.round(duration), expected: Math.round(expected), outcome: answer.kind, ...('reason' in answer ? { reason: answer.reason } : {}) })
-    if (answer.kind === 'answered') {
-      takeAdvice(step, workers, answer, clock.now())
-      this.desk.learn(route.name, allowed, workers.length)
-    } else step.askAfter = clock.now() + ADVICE_PAUSE
-    this.changed()
-  }
-
   private mayRenew (): boolean {
     return this.options.clock.now() - this.recorder.confirmedAt < CONFIRMATION_WINDOW || this.options.backed()
   }
@@ -355,14 +334,6 @@
   return worker.listed && worker.known && worker.reachable && worker.report.state === 'ready' && worker.strangers === 0 && worker.restUntil <= now
 }
 
-function takeAdvice (step: StepState, workers: WorkerState[], advice: Extract<Advice, { kind: 'answered' }>, now: number): void {
-  for (const worker of workers) step.rulings.set(worker.report.id, false)
-  for (const { worker, text } of advice.tickets) {
-    step.rulings.set(worker, true)
-    step.tickets.set(worker, { text, validUntil: now + advice.validity })
-  }
-}
-
 function push<Key, Value> (map: Map<Key, Value[]>, key: Key, value: Value): void {
   const list = map.get(key)
   if (list === undefined) map.set(key, [value])
--- /dev/null
+++ b/packages/cell/src/runtime/WatchedStore.ts
@@ -0,0 +1,54 @@
+import type { Clock } from '@rattanstep/core'
+import type { Log, Metrics } from '@rattanstep/telemetry'
+import type { Result } from 'ts-results-es'
+import { CELL_EVENTS } from '../types/events.js'
+import { RecordStore } from '../types/records.js'
+import type { RangeQuery, Row, RowChange, StoreFault, Transaction, TransactionOutcome } from '../types/records.js'
+
+/** ms of a transaction from which it has a log line of its own; 8 to 13 ms are usual. */
+const SLOW_COMMIT = 150
+
+/** A store whose calls are counted, timed and, where they are slow, logged. */
+export class WatchedStore extends RecordStore {
+  constructor (private readonly options: { store: RecordStore, clock: Clock, log: Log, metrics: Metrics }) {
+    super()
+  }
+
+  override async commit (transaction: Transaction): Promise<TransactionOutcome> {
+    const { store, clock, log, metrics } = this.options
+    const since = clock.now()
+    const outcome = await store.commit(transaction)
+    const duration = clock.now() - since
+    metrics.timer('store_commit', { outcome: outcome.kind }).record(duration)
+    if (duration >= SLOW_COMMIT || outcome.kind === 'unknown') {
+      log.write(CELL_EVENTS.commitSlow, {
+        part: transaction.puts[0]?.part,
+        rows: transaction.puts.length + (transaction.deletes?.length ?? 0),
+        duration: Math.round(duration),
+        outcome: outcome.kind,
+        ...('reason' in outcome ? { reason: outcome.reason } : {})
+      })
+    }
+    return outcome
+  }
+
+  override async range (query: RangeQuery): Promise<Result<{ rows: Row[], version: number }, StoreFault>> {
+    const { store, clock, metrics } = this.options
+    const since = clock.now()
+    const answer = await store.range(query)
+    metrics.timer('store_read', { outcome: answer.isOk() ? 'done' : answer.error.code }).record(clock.now() - since)
+    return answer
+  }
+
+  override async changes (query: { table: string, after: number, wait: number }): Promise<Result<{ rows: RowChange[], version: number }, StoreFault>> {
+    return await this.options.store.changes(query)
+  }
+
+  override now (): number {
+    return this.options.store.now()
+  }
+
+  override silence (): number {
+    return this.options.store.silence()
+  }
+}
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -1,4 +1,5 @@
 import type { Route } from '../types/configuration.js'
+import type { Askers } from './AdviceDesk.js'
 import type { RankedStep } from './rankSteps.js'
 import type { StepState, Task, WorkerState } from './model.js'
 import { Room, capacityFor, countFitting, takeRoom } from './Room.js'
@@ -25,6 +26,10 @@
   step: StepState
   route: Route
   workers: WorkerState[]
+  /** Node that asks. */
+  node: string
+  /** ms of the call. */
+  cost: number
 }
 
 /** What one round decides. */
@@ -33,16 +38,27 @@
   wishes: AdviceWish[]
 }
 
+/** What a round is planned with. */
+export interface PlanOptions {
+  /** Usable workers of a service. */
+  workersOf: (service: string) => WorkerState[]
+  /** Monotonic ms. */
+  now: number
+  /** Nodes that may be given questions. */
+  askers: Askers
+  /** Share of workers that advice allowed on a route so far. */
+  goodShare?: (route: string) => number | undefined
+}
+
 /**
  * Decides which waiting tasks start where. Steps are served in rank order on one picture of the room; a step that still lacks
  * tickets keeps the room it is likely to use, so that lower ranks don't take it while advice is asked.
  *
  * @param ranked - steps in rank order
- * @param options - `workersOf`: usable workers of a service; `now`: monotonic ms; `goodShare`: share of workers that advice allowed on
- * a route so far
+ * @param options - see there
  * @returns starts and questions
  */
-export function planRound (ranked: RankedStep[], options: { workersOf: (service: string) => WorkerState[], now: number, goodShare?: (route: string) => number | undefined }): Round {
+export function planRound (ranked: RankedStep[], options: PlanOptions): Round {
   const rooms = new Map<string, Room>()
   const draining = new Set<string>()
   const round: Round = { placements: [], wishes: [] }
@@ -52,7 +68,7 @@
     if (room === undefined) rooms.set(service, room = new Room(options.workersOf(service)))
     const waiting = entry.step.tasks.filter(task => task.phase === 'waiting' && task.notBefore <= options.now)
     if (waiting.length === 0) continue
-    planStep(entry, waiting, { room, round, now: options.now, share: options.goodShare?.(entry.route.name) ?? GOOD_SHARE_GUESS, draining })
+    planStep(entry, waiting, { room, round, now: options.now, share: options.goodShare?.(entry.route.name) ?? GOOD_SHARE_GUESS, askers: options.askers, draining })
   }
   return round
 }
@@ -62,6 +78,7 @@
   round: Round
   now: number
   share: number
+  askers: Askers
   /** Services where a gang already keeps workers free. */
   draining: Set<string>
 }
@@ -76,7 +93,7 @@
     if (placed === 0 && step.definition.gang) keepForGang(entry, eligible, context)
     return
   }
-  if (step.asking || step.askAfter > context.now) return keepWhileAsking(waiting.length - placed, eligible, step)
+  if (step.asking || step.askAfter > context.now || !context.askers.mayAsk(route.advice)) return keepWhileAsking(waiting.length - placed, eligible, step)
   askAdvice(entry, waiting.length - placed, eligible, context)
 }
 
@@ -163,7 +180,8 @@
   }
   const workers = nameWorkers(known, fresh, step, missing, context.share)
   if (step.definition.gang) addHeld(workers, eligible, step)
-  context.round.wishes.push({ step, route, workers: workers.map(slot => slot.worker) })
+  const asker = route.advice === undefined ? undefined : context.askers.take(route.advice, workers.length)
+  if (asker !== undefined) context.round.wishes.push({ step, route, workers: workers.map(slot => slot.worker), ...asker })
   keepWhileAsking(missing, known, step)
 }
 
--- a/packages/cell/src/types/records.ts
+++ b/packages/cell/src/types/records.ts
@@ -42,12 +42,21 @@
   reason: string
 }
 
+/** Rows of one part, in order of their keys. */
+export interface RangeQuery {
+  table: string
+  part: string
+  from?: string
+  /** First key that is left out. */
+  until?: string
+}
+
 /** The transactional store that outlives every process. */
 export abstract class RecordStore {
   abstract commit (transaction: Transaction): Promise<TransactionOutcome>
 
   /** @returns rows in order of their keys, read in pages, and the store's version at the first page, from which changes are to be followed */
-  abstract range (query: { table: string, part: string, from?: string, until?: string }): Promise<Result<{ rows: Row[], version: number }, StoreFault>>
+  abstract range (query: RangeQuery): Promise<Result<{ rows: Row[], version: number }, StoreFault>>
 
   /**
    * @param query - `after`: version already known; `wait`: ms that the answer may wait for a change
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -29,9 +29,18 @@
   }
 }
 
-/** Allows every worker at once. */
-class EasyAdvisor extends Advisor {
-  override async advise ({ workers }: { workers: string[] }): Promise<Advice> {
+/** Allows every worker; serves one call of a node at a time, each for as long as `duration` says. */
+class SerialAdvisor extends Advisor {
+  private idleAt = 0
+
+  constructor (private readonly clock: LifeClock, private readonly duration: (step: string, workers: number) => number) {
+    super()
+  }
+
+  override async advise ({ step, workers }: { step: string, workers: string[] }): Promise<Advice> {
+    const now = this.clock.now()
+    this.idleAt = Math.max(now, this.idleAt) + this.duration(step, workers.length)
+    await this.clock.sleep(this.idleAt - now)
     return { kind: 'answered', tickets: workers.map(worker => ({ worker, text: 'ticket' })), validity: 1500 }
   }
 }
@@ -44,6 +53,10 @@
   cpu?: number
   nature?: (task: string) => TaskNature
   route?: Partial<Route>
+  /** Routes beside the first, which is named `r`. */
+  others?: Array<Partial<Route> & { name: string }>
+  /** ms of a call of the advice service. */
+  advice?: (step: string, workers: number) => number
 }
 
 /** The cell's decision and recovery code over a fake clock, store, workers and links. */
@@ -57,7 +70,7 @@
   /** Strength of nodes by name, 1 unless set. */
   readonly strengths = new Map<string, number>()
 
-  constructor (options: RigOptions = {}) {
+  constructor (private readonly options: RigOptions = {}) {
     const { nodes = 3, workers = 4, cpu = 4000, route, nature = () => ({ duration: 300, how: 'done', size: { cpu: 1000, memory: 100, accelerators: 0 } }) } = options
     this.fleet = new FakeFleet(this.clock, nature)
     this.configure(1, route)
@@ -67,7 +80,7 @@
 
   configure (version: number, route: Partial<Route> = {}): void {
     const configuration: Configuration = {
-      version, routes: [{ name: 'r', host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...route }], guardedServices: [], maxBody: 1000
+      version, routes: [{ name: 'r', ...route }, ...this.options.others ?? []].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), guardedServices: [], maxBody: 1000
     }
     this.tables.put({ table: 'op', part: '', key: 'config' }, JSON.stringify(configuration))
   }
@@ -99,7 +112,7 @@
       retention: 120_000,
       store,
       orders,
-      advisor: new EasyAdvisor(),
+      advisor: new SerialAdvisor(clock, this.options.advice ?? (() => 0)),
       reader: new JsonReader(),
       linker: new FakeLinker(end, this.ends),
       readConfiguration: value => Ok(JSON.parse(value) as Configuration),
@@ -148,9 +161,9 @@
   }
 
   /** Hands a job in at a node. */
-  async submit (node: RigNode, steps: Array<Partial<Step>>): Promise<{ id: string, verdict: Verdict }> {
+  async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r'): Promise<{ id: string, verdict: Verdict }> {
     const id = (this.nextJob++).toString(16).padStart(16, '0')
-    const job: Job = { id, route: 'r', spec: 'x', steps: steps.map(stepOf), acceptedAt: node.store.now() }
+    const job: Job = { id, route, spec: 'x', steps: steps.map(stepOf), acceptedAt: node.store.now() }
     const pending = node.cell.entry.submit(job, this.clock.now() + 2000)
     let verdict: Verdict | undefined
     pending.then(value => { verdict = value }, error => { throw error })
--- a/packages/cell/test/support/FakeStore.ts
+++ b/packages/cell/test/support/FakeStore.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results-es'
 import type { Clock } from '@rattanstep/core'
 import { RecordStore } from '../../src/index.js'
-import type { Row, RowChange, RowName, StoreFault, Transaction, TransactionOutcome } from '../../src/index.js'
+import type { RangeQuery, Row, RowChange, RowName, StoreFault, Transaction, TransactionOutcome } from '../../src/index.js'
 import type { LifeClock } from './LifeClock.js'
 
 /** ms of one answer. */
@@ -79,7 +79,7 @@
     })
   }
 
-  override async range ({ table, part, from = '', until }: { table: string, part: string, from?: string, until?: string }): Promise<Result<{ rows: Row[], version: number }, StoreFault>> {
+  override async range ({ table, part, from = '', until }: RangeQuery): Promise<Result<{ rows: Row[], version: number }, StoreFault>> {
     return await this.read(() => Ok({
       rows: [...this.tables.rows.values()].filter(row => row.table === table && row.part === part && row.key >= from && (until === undefined || row.key < until)).sort((a, b) => a.key < b.key ? -1 : 1),
       version: this.tables.version
