A round of planning passes over steps that it can do nothing for

Cause: the cost of a round grew with all waiting tasks times the workers: each waiting step was compared with every worker even with no room for it, or while its question to the advice service could not be given out. Change: a step is passed over when its task is larger than the most that any worker has left, or when it has no ruling and can't ask now; gangs that may keep workers free are still looked at.

--- a/packages/cell/src/runtime/Room.ts
+++ b/packages/cell/src/runtime/Room.ts
@@ -19,9 +19,37 @@
    */
   constructor (workers: WorkerState[]) {
     this.slots = workers.map(worker => ({ worker, free: freeSize(worker), taken: 0 }))
+    this.most = this.findMost()
+  }
+
+  /**
+   * @param step - whose tasks
+   * @returns whether a task might fit on some worker; `false` is certain
+   */
+  mayFit (step: Step): boolean {
+    const size = chargedSize(step)
+    if (++this.asked % LOOK_AGAIN === 0) this.most = this.findMost()
+    return size.cpu <= this.most.cpu && size.memory <= this.most.memory && size.accelerators <= this.most.accelerators
+  }
+
+  /** The most that any worker has left of each, which only shrinks during a round. */
+  private most: Size
+  private asked = 0
+
+  private findMost (): Size {
+    const most = { cpu: 0, memory: 0, accelerators: 0 }
+    for (const { free } of this.slots) {
+      most.cpu = Math.max(most.cpu, free.cpu)
+      most.memory = Math.max(most.memory, free.memory)
+      most.accelerators = Math.max(most.accelerators, free.accelerators)
+    }
+    return most
   }
 }
 
+/** Steps after which the most that is left is looked for again: as many as there are workers in a small cell. */
+const LOOK_AGAIN = 16
+
 /** @returns what a worker has left */
 export function freeSize (worker: WorkerState): Size {
   const { capacity } = worker.report
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -66,6 +66,7 @@
     const { service } = entry.route
     let room = rooms.get(service)
     if (room === undefined) rooms.set(service, room = new Room(options.workersOf(service)))
+    if (!mayMove(entry, room, draining, options)) continue
     const waiting = entry.step.tasks.filter(task => task.phase === 'waiting' && task.notBefore <= options.now)
     if (waiting.length === 0) continue
     planStep(entry, waiting, { room, round, now: options.now, share: options.goodShare?.(entry.route.name) ?? GOOD_SHARE_GUESS, askers: options.askers, draining })
@@ -73,6 +74,14 @@
   return round
 }
 
+/** Tells cheaply, for most of the steps of a crowd, that a round can do nothing for them. */
+function mayMove ({ step, route, lateness }: RankedStep, room: Room, draining: Set<string>, { askers, now }: PlanOptions): boolean {
+  const keeps = step.definition.gang && lateness < 2 && !draining.has(route.service)
+  if (!keeps && !room.mayFit(step.definition)) return false
+  if (route.advice === undefined || step.rulings.size > 0) return true
+  return !step.asking && step.askAfter <= now && askers.mayAsk(route.advice)
+}
+
 interface Context {
   room: Room
   round: Round
