A store that fails at once counts as away after 0.2 s; too little time left is a refusal

For the first 1.8 s hand-ins were tried on and on, since only silence counted, and callers got a 504 after 2.9 s; repeats with nothing left of their time got a 504 although nothing had been written. Ruled out: single nodes cut off (all nine lost the store within 1 ms). Change: RecordStore tells for how long every call has failed at once; Entry refuses from 0.2 s on, and below 40 ms of time left. Attempts with an open outcome back off to 240 ms. Tests: two in handIn.test.ts, both fail without the change.

--- a/packages/cell/src/runtime/Entry.ts
+++ b/packages/cell/src/runtime/Entry.ts
@@ -17,6 +17,11 @@
 /** ms of silence of the store after which hand-ins are refused without trying. */
 const STORE_SILENCE_MAX = 1800
 
+/** ms of calls to the store that all fail at once after which hand-ins are refused without trying: longer than one broken connection. */
+const STORE_FAILING_MAX = 200
+/** ms that must be left of a caller's time: a write takes 10 to 20. With less nothing is written, so that the answer is certain. */
+const TIME_MIN = 40
+
 /** The decider, as an entry node reaches it. */
 export abstract class DeciderAccess {
   /** @returns the answer, or `undefined` when none came in time */
@@ -31,6 +36,9 @@
 /** What of a caller goes on record. */
 export type Wish = { kind: 'job', job: Job } | { kind: 'cancel', id: string }
 
+/** `late`: too little of the caller's time was left, and nothing was written. */
+type RecordOutcome = WriteOutcome | 'late'
+
 /** Takes callers' wishes to the record and answers from it. */
 export class Entry {
   /** Last counts of queues that the decider gave. */
@@ -43,7 +51,8 @@
 
   /** @returns whether the store has answered lately enough to take hand-ins */
   get storeReachable (): boolean {
-    return this.options.store.silence() < STORE_SILENCE_MAX
+    const { store } = this.options
+    return store.silence() < STORE_SILENCE_MAX && store.failing() < STORE_FAILING_MAX
   }
 
   /**
@@ -54,9 +63,7 @@
    */
   async submit (job: Job, deadline: number): Promise<Verdict> {
     const outcome = await this.record({ kind: 'job', job }, deadline)
-    if (outcome === 'refused' || outcome === 'busy') return storeAway()
-    if (outcome === 'unknown') return { kind: 'unsettled', reason: 'the write was not answered in time' }
-    return { kind: 'accepted', repeated: outcome === 'repeated' }
+    return explainFailure(outcome) ?? { kind: 'accepted', repeated: outcome === 'repeated' }
   }
 
   /**
@@ -79,10 +86,7 @@
     const phase = await this.phase(id)
     if (phase.kind !== 'phase') return phase
     if (phase.phase === 'cancelled' || phase.phase === 'completed' || phase.phase === 'failed') return { kind: 'cancelled' }
-    const outcome = await this.record({ kind: 'cancel', id }, deadline)
-    if (outcome === 'refused' || outcome === 'busy') return storeAway()
-    if (outcome === 'unknown') return { kind: 'unsettled', reason: 'the write was not answered in time' }
-    return { kind: 'cancelled' }
+    return explainFailure(await this.record({ kind: 'cancel', id }, deadline)) ?? { kind: 'cancelled' }
   }
 
   /**
@@ -123,7 +127,8 @@
    * Writes here, or has the decider write: a slow store takes fewer transactions, so the nodes share them, and a node that the store
    * turns away needs the decider's reach.
    */
-  private async record (wish: Wish, deadline: number): Promise<WriteOutcome> {
+  private async record (wish: Wish, deadline: number): Promise<RecordOutcome> {
+    if (deadline - this.options.clock.now() < TIME_MIN) return 'late'
     const trusted = this.storeReachable && !this.writer.slow
     const here = trusted ? await this.write(wish, deadline, { persistent: false }) : 'busy'
     if (here !== 'busy' && here !== 'refused') return here
@@ -162,6 +167,18 @@
   return record.phase === 'open' ? 'running' : record.phase
 }
 
+/** @returns what the caller is told when a wish is not known to be on record */
+function explainFailure (outcome: RecordOutcome): Verdict | undefined {
+  switch (outcome) {
+    case 'done':
+    case 'repeated': return undefined
+    case 'refused':
+    case 'busy': return storeAway()
+    case 'late': return { kind: 'refused', reason: 'too little time is left', retryAfter: STORE_RETRY_AFTER }
+    case 'unknown': return { kind: 'unsettled', reason: 'the write was not answered in time' }
+  }
+}
+
 function storeAway (): { kind: 'refused', reason: string, retryAfter: number } {
   return { kind: 'refused', reason: 'the store does not answer', retryAfter: STORE_RETRY_AFTER }
 }
--- a/packages/cell/src/runtime/HandInWriter.ts
+++ b/packages/cell/src/runtime/HandInWriter.ts
@@ -3,8 +3,9 @@
 
 /** Rows in one transaction: each may take three of the 100 entries. */
 const ROWS_MAX = 33
-/** ms between attempts after one that was not carried out. */
+/** ms between attempts after one that was not carried out, at first and at most: it doubles. */
 const RETRY_DELAY = 60
+const RETRY_DELAY_MAX = 240
 /** ms between attempts while the store is busy: a part works off a second of waiting work. */
 const BUSY_DELAY = 200
 /** ms of one write above which the store counts as slow; 8 to 13 ms are usual. */
@@ -37,6 +38,8 @@
 interface Part {
   queue: Item[]
   sentAt: number | undefined
+  /** ms until the next attempt, should this one fail. */
+  delay: number
 }
 
 /** Writes hand-ins and cancellations: one transaction at a time for each part, with all that wait. */
@@ -65,7 +68,7 @@
   async write (row: HandInRow, deadline: number, { persistent = false } = {}): Promise<WriteOutcome> {
     const { clock } = this.options
     let part = this.parts.get(row.name.part)
-    if (part === undefined) this.parts.set(row.name.part, part = { queue: [], sentAt: undefined })
+    if (part === undefined) this.parts.set(row.name.part, part = { queue: [], sentAt: undefined, delay: RETRY_DELAY })
     const { queue } = part
     return await new Promise<WriteOutcome>(resolve => {
       const item: Item = { row, uncertain: false, sending: false, persistent, resolve, timer: clock.schedule(Math.max(0, deadline - clock.now()), () => { this.expire(part, item) }) }
@@ -88,7 +91,7 @@
       this.lastDuration = clock.now() - sentAt
       for (const item of batch) item.sending = false
       this.take(part, batch, outcome)
-      this.goOn(part, delayAfter(outcome))
+      this.goOn(part, delayAfter(part, outcome))
     }, () => { this.goOn(part, RETRY_DELAY) })
   }
 
@@ -137,7 +140,10 @@
   }
 }
 
-function delayAfter ({ kind }: TransactionOutcome): number {
-  if (kind === 'done' || kind === 'conflict') return 0
-  return kind === 'busy' ? BUSY_DELAY : RETRY_DELAY
+function delayAfter (part: Part, { kind }: TransactionOutcome): number {
+  const { delay } = part
+  const wasTaken = kind === 'done' || kind === 'conflict'
+  part.delay = wasTaken ? RETRY_DELAY : Math.min(RETRY_DELAY_MAX, 2 * delay)
+  if (wasTaken) return 0
+  return kind === 'busy' ? BUSY_DELAY : delay
 }
--- a/packages/cell/src/runtime/WatchedStore.ts
+++ b/packages/cell/src/runtime/WatchedStore.ts
@@ -10,6 +10,9 @@
 
 /** A store whose calls are counted, timed and, where they are slow, logged. */
 export class WatchedStore extends RecordStore {
+  /** Parts whose last transaction was not carried out, as far as known. */
+  private readonly troubled = new Set<string>()
+
   constructor (private readonly options: { store: RecordStore, clock: Clock, log: Log, metrics: Metrics }) {
     super()
   }
@@ -20,9 +23,10 @@
     const outcome = await store.commit(transaction)
     const duration = clock.now() - since
     metrics.timer('store_commit', { outcome: outcome.kind }).record(duration)
-    if (duration >= SLOW_COMMIT || outcome.kind === 'unknown') {
+    const part = transaction.puts[0]?.part ?? ''
+    if (this.isNoteworthy(part, outcome.kind, duration)) {
       log.write(CELL_EVENTS.commitSlow, {
-        part: transaction.puts[0]?.part,
+        part,
         rows: transaction.puts.length + (transaction.deletes?.length ?? 0),
         duration: Math.round(duration),
         outcome: outcome.kind,
@@ -51,4 +55,16 @@
   override silence (): number {
     return this.options.store.silence()
   }
+
+  override failing (): number {
+    return this.options.store.failing()
+  }
+
+  /** Of a part whose transactions fail one after the other only the first has a line. */
+  private isNoteworthy (part: string, kind: TransactionOutcome['kind'], duration: number): boolean {
+    const first = !this.troubled.has(part)
+    if (kind === 'unknown' || kind === 'refused') this.troubled.add(part)
+    else this.troubled.delete(part)
+    return duration >= SLOW_COMMIT || (kind === 'unknown' && first)
+  }
 }
--- a/packages/cell/src/types/records.ts
+++ b/packages/cell/src/types/records.ts
@@ -71,4 +71,7 @@
 
   /** @returns ms since the store last answered, Infinity before the first answer */
   abstract silence (): number
+
+  /** @returns ms for which every call has failed at once, with a reset or a refusal; 0 when the last was answered, or is only late */
+  abstract failing (): number
 }
--- a/packages/cell/test/runtime/handIn.test.ts
+++ b/packages/cell/test/runtime/handIn.test.ts
@@ -23,6 +23,29 @@
     expect(await rig.phase(rig.nodes[1]!, id)).toEqual('unknown-job')
   })
 
+  test('is refused within a third of a second while the store resets every connection, not held', async () => {
+    const rig = await calmRig()
+    for (const node of rig.nodes) node.store.weather = 'resetting'
+    await rig.run(1300)
+    const before = rig.clock.now()
+    const { verdict } = await rig.submit(rig.nodes[1]!, [{}])
+    expect(verdict.kind).toEqual('refused')
+    expect(rig.clock.now() - before).toBeLessThan(333)
+  })
+
+  test('of which too little time is left is refused, with nothing written', async () => {
+    const rig = await calmRig()
+    const calls = rig.nodes[1]!.store.calls
+    let kind = ''
+    const job = { id: '00000000000000ff', route: 'r', spec: 'x', steps: [stepOf({})], acceptedAt: 1 }
+    rig.nodes[1]!.cell.entry.submit(job, rig.clock.now() + 5).then(verdict => { kind = verdict.kind }, error => { throw error })
+    await rig.run(3)
+    expect(kind).toEqual('refused')
+    expect(rig.nodes[1]!.store.calls).toEqual(calls)
+    await rig.run(2000)
+    expect(await rig.phase(rig.nodes[0]!, job.id)).toEqual('unknown-job')
+  })
+
   test('goes through the decider at a node that the store turns away', async () => {
     const rig = await calmRig()
     const entry = rig.nodes.find(node => node !== rig.decider)!
--- a/packages/cell/test/support/FakeStore.ts
+++ b/packages/cell/test/support/FakeStore.ts
@@ -52,7 +52,7 @@
 }
 
 /** What a node's way to the store does to its calls. */
-export type StoreWeather = 'fair' | 'refusing' | 'silent' | 'losing-answers' | 'late' | 'slow'
+export type StoreWeather = 'fair' | 'refusing' | 'silent' | 'losing-answers' | 'late' | 'slow' | 'resetting'
 
 /** ms that a slow store takes to answer, and that one transaction keeps its part busy: 85 times the usual. */
 const SLOW_ANSWER = 340
@@ -65,6 +65,7 @@
   weather: StoreWeather = 'fair'
   calls = 0
   private answeredAt = -Infinity
+  private failingSince: number | undefined
 
   constructor (private readonly tables: FakeTables, private readonly clock: LifeClock, private readonly world: Clock) {
     super()
@@ -73,7 +74,9 @@
   override async commit (transaction: Transaction): Promise<TransactionOutcome> {
     this.calls++
     const { weather } = this
+    if (weather === 'refusing' || weather === 'resetting') this.failingSince ??= this.clock.now()
     if (weather === 'refusing') return await this.clock.deliver(ANSWER, () => ({ kind: 'refused', reason: 'status 503' }))
+    if (weather === 'resetting') return await this.clock.deliver(ANSWER, () => ({ kind: 'unknown', reason: 'reset' }))
     if (weather === 'silent') return await this.clock.deliver(TIMEOUT, () => ({ kind: 'unknown', reason: 'no answer' }))
     if (weather === 'losing-answers' || weather === 'late') {
       this.world.schedule(weather === 'late' ? 3000 : ANSWER, () => { this.tables.write(transaction) })
@@ -129,15 +132,23 @@
     return this.clock.now() - this.answeredAt
   }
 
+  override failing (): number {
+    return this.failingSince === undefined ? 0 : this.clock.now() - this.failingSince
+  }
+
   private async read<Value> (make: () => Result<Value, StoreFault>): Promise<Result<Value, StoreFault>> {
     this.calls++
-    if (this.weather === 'refusing') return await this.clock.deliver(ANSWER, () => Err({ code: 'unavailable', reason: 'status 503' }))
+    if (this.weather === 'refusing' || this.weather === 'resetting') {
+      this.failingSince ??= this.clock.now()
+      return await this.clock.deliver(ANSWER, () => Err({ code: 'unavailable', reason: this.weather }))
+    }
     if (this.weather === 'silent') return await this.clock.deliver(TIMEOUT, () => Err({ code: 'unavailable', reason: 'no answer' }))
     return await this.clock.deliver(this.weather === 'slow' ? SLOW_ANSWER : ANSWER, () => this.heard(make()))
   }
 
   private heard<Value> (value: Value): Value {
     this.answeredAt = this.clock.now()
+    this.failingSince = undefined
     return value
   }
 }
