Settings hold only what is read, durations carry their unit, leases are capped by what workers grant

Cause: five settings were read by nothing; a grace period of 4.5 s in the platform's fields became 4.5 ms, since the template appended zeros; a deployment that grants leases under 4 s would have had them run out between two looks. Change: durations are texts with a unit; lease length is the smaller of ours and the platform's; unread settings are gone.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -19,7 +19,7 @@
 const DRAIN_CHECK = 20
 
 /** What a node is made of. */
-export interface CellNodeOptions extends Omit<CellOptions, 'node' | 'dataCentre' | 'strength' | 'address' | 'retention' | 'linker'> {
+export interface CellNodeOptions extends Omit<CellOptions, 'node' | 'dataCentre' | 'strength' | 'address' | 'retention' | 'leaseMax' | 'linker'> {
   settings: CellSettings
   codec: CallerCodec
   metrics: Metrics
@@ -43,6 +43,7 @@
       strength: settings.strength,
       address: `${settings.ip}:${settings.listen.linkPort}`,
       retention: settings.bounds.finishedJobRetention,
+      leaseMax: settings.bounds.leaseMax,
       linker: new TcpLinker<DownMessage, UpMessage>()
     })
     this.callers = new CallerServer({
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -3,7 +3,7 @@
 import type { Result } from 'ts-results-es'
 import type { Configuration } from '../types/configuration.js'
 import type { Job } from '../types/job.js'
-import { LINK_SILENCE, STORE_ADVANTAGE, STORE_PATIENCE } from '../types/limits.js'
+import { LEASE, LINK_SILENCE, STORE_ADVANTAGE, STORE_PATIENCE } from '../types/limits.js'
 import type { Answer, Question } from '../types/links.js'
 import type { Advice, Advisor, RowReader, WorkerOrders } from '../types/ports.js'
 import type { RecordStore } from '../types/records.js'
@@ -44,6 +44,8 @@
   address: string
   /** ms for which ended jobs are kept. */
   retention: number
+  /** Longest lease that workers grant, in ms. */
+  leaseMax: number
   store: RecordStore
   orders: WorkerOrders
   advisor: Advisor
@@ -165,7 +167,7 @@
   }
 
   private async decide (term: Term, version: number): Promise<void> {
-    const { store, orders, reader, clock, log, node, advisor, retention } = this.options
+    const { store, orders, reader, clock, log, node, advisor, retention, leaseMax } = this.options
     let deposed!: () => void
     const lost = new Promise<void>(resolve => { deposed = resolve })
     const followers: Followers = new Followers({
@@ -195,7 +197,8 @@
       ask: async (asker, question): Promise<Advice> => asker === node ? await advisor.advise(question) : await followers.ask(asker, question),
       backed: () => followers.storeSilences().length > 0 && followers.storeSilences().every(silence => silence > STORE_PATIENCE),
       deposed,
-      retention
+      retention,
+      lease: Math.min(LEASE, leaseMax)
     })
     this.decider = decider
     this.followers = followers
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -4,7 +4,7 @@
 import type { Job } from '../types/job.js'
 import type { Answer, Question } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
-import { CLOCK_RATE_MIN, CONFIRMATION_WINDOW, IDLE_COMMIT, LEASE, LEASE_MARGIN } from '../types/limits.js'
+import { CLOCK_RATE_MIN, CONFIRMATION_WINDOW, IDLE_COMMIT, LEASE_MARGIN } from '../types/limits.js'
 import type { Advice, RowReader, WorkerOrders } from '../types/ports.js'
 import type { RecordStore } from '../types/records.js'
 import type { WorkerReport } from '../types/worker.js'
@@ -55,6 +55,8 @@
   deposed: (successor: string | undefined) => void
   /** ms for which ended jobs are kept. */
   retention: number
+  /** Length of a lease at a worker in ms. */
+  lease: number
 }
 
 /** Decides which task runs where, for as long as its term lasts. */
@@ -89,7 +91,7 @@
       store, clock, log, term, version: options.version, encode: key => this.encode(key), events: { recorded: keys => { this.recorded(keys) }, deposed: ({ term: next }) => { this.depose(next?.node) } }
     })
     this.watch = new WorkerWatch({
-      book: this.book, orders, clock, log, fence: term.fence, mayRenew: () => this.mayRenew(), changed: () => { this.changed() }, outrun: () => { this.depose(undefined) }
+      book: this.book, orders, clock, log, fence: term.fence, lease: options.lease, mayRenew: () => this.mayRenew(), changed: () => { this.changed() }, outrun: () => { this.depose(undefined) }
     })
     this.life = new TaskLife({
       book: this.book,
@@ -254,7 +256,7 @@
       task.phase = 'assumed'
       this.book.assign(task, worker)
       this.book.refreshUnit(task.step.unit)
-      worker.leaseOver = since + CONFIRMATION_WINDOW + LEASE / CLOCK_RATE_MIN + LEASE_MARGIN
+      worker.leaseOver = since + CONFIRMATION_WINDOW + this.options.lease / CLOCK_RATE_MIN + LEASE_MARGIN
     }
     return runs.length
   }
--- a/packages/cell/src/runtime/WorkerWatch.ts
+++ b/packages/cell/src/runtime/WorkerWatch.ts
@@ -3,7 +3,7 @@
 import type { ListedRun, WorkerList } from '../types/worker.js'
 import type { WorkerOrders } from '../types/ports.js'
 import { CELL_EVENTS } from '../types/events.js'
-import { CLOCK_RATE_MIN, LEASE, LEASE_MARGIN } from '../types/limits.js'
+import { CLOCK_RATE_MIN, LEASE_MARGIN } from '../types/limits.js'
 import type { Book } from './Book.js'
 import type { Task, WorkerState } from './model.js'
 import { Progress } from './Progress.js'
@@ -32,6 +32,8 @@
   clock: Clock
   log: Log
   fence: number
+  /** Length of a lease in ms. */
+  lease: number
   /** Whether leases may be renewed: the term was confirmed lately. */
   mayRenew: () => boolean
   changed: () => void
@@ -73,10 +75,10 @@
 
   /** @returns lease end for an order sent now, on the worker's clock; notes when it has run out for certain */
   lease (worker: WorkerState): number {
-    const { clock } = this.options
+    const { clock, lease } = this.options
     const now = clock.now()
-    worker.leaseOver = Math.max(worker.leaseOver, now + LEASE / CLOCK_RATE_MIN + LEASE_MARGIN)
-    return Math.floor(worker.clock.value + (now - worker.clock.at) * CLOCK_RATE_MIN + LEASE)
+    worker.leaseOver = Math.max(worker.leaseOver, now + lease / CLOCK_RATE_MIN + LEASE_MARGIN)
+    return Math.floor(worker.clock.value + (now - worker.clock.at) * CLOCK_RATE_MIN + lease)
   }
 
   /** Stops a run, again and again until its worker answers or the run is known to be over. */
--- a/packages/cell/src/runtime/resolveSettings.ts
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -6,6 +6,7 @@
 import type { CellSettings } from '../types/settings.js'
 
 const ADDRESS = /^[0-9.]+:[0-9]+$/
+const DURATION = /^([0-9]+(?:\.[0-9]+)?) *(ms|s)$/
 const LEVELS = ['debug', 'info', 'warn', 'error'] as const
 
 /**
@@ -35,14 +36,10 @@
     store: { address: read.address('store', 'address') },
     advice: { address: read.textOr('', 'advice', 'address') },
     bounds: {
-      grace: read.count('bounds', 'grace'),
-      gangAssembly: read.count('bounds', 'gangAssembly'),
-      leaseMax: read.count('bounds', 'leaseMax'),
-      stop: read.count('bounds', 'stop'),
-      configurationApply: read.count('bounds', 'configurationApply'),
-      finishedJobRetention: read.count('bounds', 'finishedJobRetention')
+      grace: read.duration('bounds', 'grace'),
+      leaseMax: read.duration('bounds', 'leaseMax'),
+      finishedJobRetention: read.duration('bounds', 'finishedJobRetention')
     },
-    farFactor: read.countOr(1, 'farFactor'),
     logLevel: read.level('logLevel')
   }
   return findings.length > 0 ? Err(findings) : Ok(settings)
@@ -82,9 +79,12 @@
     return this.fault(path, value, 'a number from 0', 0)
   }
 
-  countOr (fallback: number, ...path: string[]): number {
+  /** @returns ms */
+  duration (...path: string[]): number {
     const value = this.document.getIn(path)
-    return value === undefined || value === null ? fallback : this.count(...path)
+    const match = typeof value === 'string' ? DURATION.exec(value) : null
+    if (match !== null) return Number(match[1]) * (match[2] === 's' ? 1000 : 1)
+    return this.fault(path, value, 'a duration such as 6 s or 250 ms', 0)
   }
 
   level (...path: string[]): CellSettings['logLevel'] {
--- a/packages/cell/src/types/configuration.ts
+++ b/packages/cell/src/types/configuration.ts
@@ -30,8 +30,6 @@
 export interface Configuration {
   version: number
   routes: Route[]
-  /** Services whose workers refuse what doesn't fit. */
-  guardedServices: string[]
   /** Largest body of a hand-in, bytes. */
   maxBody: number
 }
--- a/packages/cell/src/types/settings.ts
+++ b/packages/cell/src/types/settings.ts
@@ -18,13 +18,9 @@
   /** Periods and bounds that the platform sets, in ms. */
   bounds: {
     grace: number
-    gangAssembly: number
+    /** Longest lease that workers grant. */
     leaseMax: number
-    stop: number
-    configurationApply: number
     finishedJobRetention: number
   }
-  /** Factor by which work is longer away from its data or over several racks. */
-  farFactor: number
   logLevel: 'debug' | 'info' | 'warn' | 'error'
 }
--- /dev/null
+++ b/packages/cell/test/runtime/settings.test.ts
@@ -0,0 +1,58 @@
+import { readFileSync } from 'node:fs'
+import { describe, test } from 'node:test'
+import { expect } from 'earl'
+import { resolveSettings } from '../../src/index.js'
+
+const VALUES: Record<string, string> = {
+  'node|json': '"n1"',
+  'zone|json': '"z1"',
+  'ip|json': '"127.0.0.1"',
+  'limits.cpu_cores': '1',
+  'limits.cpu_share': '0.675',
+  'limits.link_mbps': '1000.0',
+  'listen_addrs.frontend|json': '"127.0.0.1:8161"',
+  'listen_addrs.readiness|json': '"127.0.0.1:8167"',
+  'internal_ports.0': '7720',
+  'platform.address|json': '"127.0.0.1:8169"',
+  'advice|json': '"127.0.0.1:8170"',
+  'bounds.grace_s': '4.5',
+  'bounds.hold_max_ms': '10000',
+  'bounds.status_s': '120'
+}
+
+/** @returns the template of the deploy file with every placeholder filled in */
+function fill (changes: Record<string, string> = {}): string {
+  const template = readFileSync(new URL('../../../../../deploy/settings.yaml', import.meta.url), 'utf8')
+  return template.replace(/\{\{([^}]+)\}\}/g, (_, name: string) => ({ ...VALUES, ...changes })[name] ?? '')
+}
+
+describe('settings of a process', () => {
+  test('are read from the template of the deploy file', () => {
+    const settings = resolveSettings(fill(), 'boot.yaml').unwrap()
+    expect(settings.bounds).toEqual({ grace: 4500, leaseMax: 10_000, finishedJobRetention: 120_000 })
+    expect(settings.strength).toEqual(0.675)
+    expect(settings.logLevel).toEqual('info')
+  })
+
+  test('count an instance on a narrow link as weaker', () => {
+    expect(resolveSettings(fill({ 'limits.link_mbps': '10' }), 'boot.yaml').unwrap().strength).toEqual(0.675 / 4)
+  })
+
+  test('that are wrong are all named with their place and what was expected', () => {
+    const findings = resolveSettings(fill({ 'ip|json': '', 'platform.address|json': '"store"', 'bounds.grace_s': '-1' }), 'boot.yaml').unwrapErr()
+    expect(findings.map(({ code, place, message }) => `${place.file}:${place.line} ${code} ${message}`)).toEqual([
+      'boot.yaml:3 bad-setting ip is null; expected a text',
+      'boot.yaml:14 bad-setting store.address is "store"; expected an address such as 10.1.0.13:8161',
+      'boot.yaml:18 bad-setting bounds.grace is "-1 s"; expected a duration such as 6 s or 250 ms'
+    ])
+  })
+
+  test('of which a part is missing name the part', () => {
+    const text = fill().replace(/store:\n {2}address: .*\n/, '')
+    expect(resolveSettings(text, 'boot.yaml').unwrapErr().map(({ code }) => code)).toEqual(['missing-setting'])
+  })
+
+  test('that are no YAML are a finding', () => {
+    expect(resolveSettings('node: [', 'boot.yaml').unwrapErr()[0]!.code).toEqual('bad-yaml')
+  })
+})
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -80,7 +80,7 @@
 
   configure (version: number, route: Partial<Route> = {}): void {
     const configuration: Configuration = {
-      version, routes: [{ name: 'r', ...route }, ...this.options.others ?? []].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), guardedServices: [], maxBody: 1000
+      version, routes: [{ name: 'r', ...route }, ...this.options.others ?? []].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), maxBody: 1000
     }
     this.tables.put({ table: 'op', part: '', key: 'config' }, JSON.stringify(configuration))
   }
@@ -110,6 +110,7 @@
       strength: this.strengths.get(name) ?? 1,
       address,
       retention: 120_000,
+      leaseMax: 10_000,
       store,
       orders,
       advisor: new SerialAdvisor(clock, this.options.advice ?? (() => 0)),
