Nodes follow sooner after a claim, and a node is given what it works off until the next round

Between 36.5 and 37.0 five to eight questions for advice went out in 0.1 s where four nodes work off thirty: a node got one a round, and rounds of cold code with their rest were 90 ms apart. Change: a node that waits to claim looks at the term every 50 ms. As much work may lie at a node as the time to the next round; a round rests as long as it took, no longer twice that.

--- a/packages/cell/src/runtime/AdviceDesk.ts
+++ b/packages/cell/src/runtime/AdviceDesk.ts
@@ -4,7 +4,7 @@
 const LONG_CALL = 250
 /** Share of the nodes that long calls may use. */
 const LONG_SHARE = 0.6
-/** ms of work that may lie at a node when it is given a call: the way there and back, so that the service need not wait for the next. */
+/** ms of work that may lie at a node when it is given a call, at least: the way there and back, so that the service need not wait. */
 const AHEAD = 15
 /** Weight of the newest answer in the learned share of allowed workers. */
 const LEARNING_RATE = 0.1
@@ -27,13 +27,14 @@
   /**
    * @param nodes - that can ask
    * @param now - monotonic ms
+   * @param gap - ms until the next questions can be given out; so much work may lie at a node
    * @returns the nodes that may be given questions now
    */
-  open (nodes: string[], now: number): Askers {
+  open (nodes: string[], now: number, gap = 0): Askers {
     for (const node of this.queues.keys()) if (!nodes.includes(node)) this.queues.delete(node)
     const sorted = [...nodes].sort()
     const longMax = Math.max(1, Math.floor(sorted.length * LONG_SHARE))
-    return new Askers(sorted.map((node, index) => ({ node, backlog: this.backlog(node, now), long: index < longMax })))
+    return new Askers(sorted.map((node, index) => ({ node, backlog: this.backlog(node, now), long: index < longMax })), Math.max(AHEAD, gap))
   }
 
   /** Notes that a node was given a call that takes this long, in ms. */
@@ -79,7 +80,7 @@
 
 /** Nodes that may be given questions in one round of planning. */
 export class Askers {
-  constructor (private readonly nodes: Array<{ node: string, backlog: number, long: boolean }>) {}
+  constructor (private readonly nodes: Array<{ node: string, backlog: number, long: boolean }>, private readonly ahead: number) {}
 
   /** @returns whether a call on these terms, however short, could be given out */
   mayAsk (terms: AdviceTerms): boolean {
@@ -105,7 +106,7 @@
     const isLong = cost >= LONG_CALL
     let best: { node: string, backlog: number, long: boolean } | undefined
     for (const each of this.nodes) {
-      if (each.backlog > AHEAD || (isLong && !each.long)) continue
+      if (each.backlog > this.ahead || (isLong && !each.long)) continue
       // Short calls leave the nodes of the long ones free where they can.
       if (best === undefined || each.backlog < best.backlog || (!isLong && each.backlog === best.backlog && best.long && !each.long)) best = each
     }
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -28,8 +28,8 @@
 
 /** ms between a change and the round of planning that follows, so that changes close together share one. */
 const ROUND_DELAY = 4
-/** How many times as long as a round took, at least, the next one waits: links and workers get the larger part of a processor. */
-const ROUND_REST = 2
+/** How many times as long as a round took, at least, the next one waits: links and workers get half of a processor. */
+const ROUND_REST = 1
 /** ms between rounds when nothing changes: tickets run out, rests end, occurrences fall due. */
 const ROUND_PERIOD = 100
 /** ms since the last confirmed commit after which nothing new is placed. */
@@ -80,6 +80,8 @@
   private roundDue = false
   /** Monotonic ms before which no round begins. */
   private restUntil = 0
+  /** ms that the last round took. */
+  private roundDuration = 0
   private stopped = false
   private paused = false
   /** Whether the records have been read. */
@@ -213,7 +215,8 @@
       const since = this.options.clock.now()
       this.plan()
       const now = this.options.clock.now()
-      this.restUntil = now + ROUND_REST * (now - since)
+      this.roundDuration = now - since
+      this.restUntil = now + ROUND_REST * this.roundDuration
     })
   }
 
@@ -226,7 +229,7 @@
     if (ranked.length === 0) return
     const usable = new Map<string, WorkerState[]>()
     for (const worker of this.book.workers.values()) if (isUsable(worker, now)) push(usable, worker.report.service, worker)
-    const askers = this.desk.open(this.options.askers(), now)
+    const askers = this.desk.open(this.options.askers(), now, (1 + ROUND_REST) * this.roundDuration)
     const round = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, askers, goodShare: route => this.desk.goodShare(route) })
     this.life.place(round.placements)
     for (const wish of round.wishes) detach(this.advisor.advise(wish), this.options.log, 'advice')
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -15,6 +15,8 @@
 const STORE_RETRY = 150
 /** ms to wait for a connection; several times the way between data centres. */
 const CONNECT_TIMEOUT = 400
+/** ms between looks at the term by a node that waits its turn to claim it; a read takes 4 to 6. */
+const CLAIM_WATCH = 50
 /** ms before a node looks again after a claim that had no clear outcome. */
 const CLAIM_RETRY = 50
 /** ms by which an unranked instance without any strength would wait longer than one with a whole core; ranks contain strength. */
@@ -169,12 +171,8 @@
 
   private async claim (): Promise<Event> {
     const { clock, store, node, start, address } = this.options
-    if (this.reason !== 'called') await clock.sleep(this.claimDelay())
     const former = this.term
-    if (this.retiring || !await this.readTerm() || this.term?.fence !== former?.fence) {
-      await clock.sleep(CLAIM_RETRY)
-      return 'lost'
-    }
+    if (!await this.awaitTurn(former)) return 'lost'
     const term: Term = { fence: (this.term?.fence ?? 0) + 1, node, start, address, serial: 0 }
     const outcome = await store.commit({ expect: [{ ...termRow, version: this.version }], puts: [{ ...termRow, value: writeTerm(term) }] })
     if (outcome.kind === 'done') return this.won(term, outcome.version, former)
@@ -184,6 +182,21 @@
     return 'lost'
   }
 
+  /** @returns whether the term is still vacant when it is this node's turn to claim it */
+  private async awaitTurn (former: Term | undefined): Promise<boolean> {
+    const { clock } = this.options
+    const turn = clock.now() + (this.reason === 'called' ? 0 : this.claimDelay())
+    for (;;) {
+      await clock.sleep(Math.min(CLAIM_WATCH, Math.max(0, turn - clock.now())))
+      if (this.retiring || !await this.readTerm()) {
+        await clock.sleep(CLAIM_RETRY)
+        return false
+      }
+      if (this.term?.fence !== former?.fence) return false
+      if (clock.now() >= turn) return true
+    }
+  }
+
   private claimDelay (): number {
     if (this.rank !== undefined) return this.rank * SUCCESSION_STEP
     const { node, strength } = this.options
--- a/packages/cell/test/runtime/advice.test.ts
+++ b/packages/cell/test/runtime/advice.test.ts
@@ -15,6 +15,12 @@
     expect(desk.open(['a'], 70).take(MIDDLE, 1)).toEqual({ node: 'a', cost: 80 })
   })
 
+  test('gives a node as much as it can work off before the next round', () => {
+    const askers = new AdviceDesk().open(['a'], 0, 60)
+    const taken = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10].filter(() => askers.take(SHORT, 1) !== undefined)
+    expect(taken.length).toEqual(8)
+  })
+
   test('keeps long calls off a part of the nodes', () => {
     const askers = new AdviceDesk().open(['a', 'b', 'c', 'd', 'e'], 0)
     const taken = [1, 2, 3, 4, 5].map(() => askers.take(LONG, 1)?.node)
--- a/packages/cell/test/runtime/takeover.test.ts
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -113,6 +113,25 @@
     await finish(rig, ids)
   })
 
+  // The load: all processes come back at once, and the service of advice is only as wide as the cell is complete.
+  test('has all nodes follow soon after the claim when all have been lost', async () => {
+    const rig = new CellRig({ nodes: 9 })
+    await rig.until(() => rig.decider !== undefined)
+    await rig.run(500)
+    const last = rig.decider!
+    for (const node of [...rig.nodes]) rig.kill(node)
+    await rig.run(800)
+    for (const node of rig.nodes.filter(each => each !== last)) {
+      rig.addNode(node.name)
+      await rig.run(10)
+    }
+    rig.addNode(last.name)
+    await rig.until(() => rig.decider !== undefined)
+    await rig.run(150)
+    const following = rig.nodes.filter(node => node.log.lines.some(({ event }) => event.name === 'decider-followed'))
+    expect(following.length).toEqual(8)
+  })
+
   test('moves the term from a weak instance to a strong one in calm', async () => {
     const rig = new CellRig({ nodes: 1 })
     await rig.until(() => rig.decider !== undefined)
