--- a/packages/cell/test/runtime/advice.test.ts
+++ b/packages/cell/test/runtime/advice.test.ts
@@ -1,7 +1,7 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
 import { AdviceDesk } from '../../src/runtime/AdviceDesk.js'
-import { CellRig, stepOf } from '../support/CellRig.js'
+import { calmRig, stepOf } from '../support/CellRig.js'
 
 const SHORT = { base: 8, perWorker: 0, validity: 1500 }
 const MIDDLE = { base: 80, perWorker: 0, validity: 1500 }
@@ -58,7 +58,7 @@
 // The load: a crowd of steps has no tickets, as after a takeover or at a crest, while urgent short work comes in.
 describe('a crowd of steps that wait for advice', () => {
   test('lets urgent work pass that comes after it', async () => {
-    const rig = new CellRig({
+    const rig = await calmRig({
       workers: 8,
       cpu: 64_000,
       route: { priority: 2, advice: MIDDLE },
@@ -66,8 +66,6 @@
       advice: step => step.startsWith('0000000000000') && Number.parseInt(step.slice(0, 16), 16) > 60 ? 8 : 80,
       nature: () => ({ duration: 200, how: 'done', size: { cpu: 100, memory: 1, accelerators: 0 } })
     })
-    await rig.until(() => rig.decider !== undefined)
-    await rig.run(500)
     const small = { size: { cpu: 100, memory: 1, accelerators: 0 } }
     const crowd: Array<Promise<unknown>> = []
     for (let index = 0; index < 60; index++) {
--- a/packages/cell/test/runtime/handIn.test.ts
+++ b/packages/cell/test/runtime/handIn.test.ts
@@ -1,13 +1,6 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
-import { CellRig, stepOf } from '../support/CellRig.js'
-
-async function calmRig (): Promise<CellRig> {
-  const rig = new CellRig()
-  await rig.until(() => rig.decider !== undefined)
-  await rig.run(500)
-  return rig
-}
+import { calmRig, stepOf } from '../support/CellRig.js'
 
 describe('a hand-in', () => {
   test('is refused at once and never runs while no node reaches the store', async () => {
@@ -67,9 +60,7 @@
 
   // The load: the store takes 85 times as long for some seconds while a crest of short work comes in at all nodes.
   test('is accepted in its caller’s time while the store is slow', async () => {
-    const rig = new CellRig({ nodes: 9, workers: 16, cpu: 16_000 })
-    await rig.until(() => rig.decider !== undefined)
-    await rig.run(500)
+    const rig = await calmRig({ nodes: 9, workers: 16, cpu: 16_000 })
     for (const node of rig.nodes) node.store.weather = 'slow'
     const kinds: string[] = []
     for (let index = 0; index < 120; index++) {
--- a/packages/cell/test/runtime/kinds.test.ts
+++ b/packages/cell/test/runtime/kinds.test.ts
@@ -1,18 +1,11 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
 import type { Job } from '../../src/index.js'
-import { CellRig, stepOf } from '../support/CellRig.js'
-import type { RigNode, RigOptions } from '../support/CellRig.js'
+import { calmRig, stepOf } from '../support/CellRig.js'
+import type { RigNode, RigOptions, CellRig } from '../support/CellRig.js'
 
 const SIZE = { cpu: 1000, memory: 100, accelerators: 0 }
 
-async function calmRig (options: RigOptions = {}): Promise<CellRig> {
-  const rig = new CellRig(options)
-  await rig.until(() => rig.decider !== undefined)
-  await rig.run(500)
-  return rig
-}
-
 async function submitJob (rig: CellRig, node: RigNode, job: Partial<Job>): Promise<string> {
   const id = '00000000000000aa'
   let kind = ''
--- a/packages/cell/test/runtime/takeover.test.ts
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -1,6 +1,6 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
-import { CellRig } from '../support/CellRig.js'
+import { calmRig, CellRig } from '../support/CellRig.js'
 import type { RigNode } from '../support/CellRig.js'
 
 /** Aim in ms from the last order of the old decider to the first of the new one, after a kill and after a power cut. */
@@ -77,9 +77,7 @@
 
   // The load: every node is stopped and started in turn, as in an upgrade.
   test('goes to a node that has had its turn when all are restarted one after the other', async () => {
-    const rig = new CellRig({ nodes: 6 })
-    await rig.until(() => rig.decider !== undefined)
-    await rig.run(500)
+    const rig = await calmRig({ nodes: 6 })
     const first = rig.tables.rows.get('term/d/term')!.value
     const decider = rig.decider!
     for (const name of [decider.name, ...rig.nodes.filter(node => node !== decider).map(node => node.name)]) {
@@ -115,9 +113,7 @@
 
   // The load: all processes come back at once, and the service of advice is only as wide as the cell is complete.
   test('has all nodes follow soon after the claim when all have been lost', async () => {
-    const rig = new CellRig({ nodes: 9 })
-    await rig.until(() => rig.decider !== undefined)
-    await rig.run(500)
+    const rig = await calmRig({ nodes: 9 })
     const last = rig.decider!
     for (const node of [...rig.nodes]) rig.kill(node)
     await rig.run(800)
--- a/packages/cell/test/runtime/workers.test.ts
+++ b/packages/cell/test/runtime/workers.test.ts
@@ -1,17 +1,9 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
-import { CellRig } from '../support/CellRig.js'
-import type { RigOptions } from '../support/CellRig.js'
+import { calmRig } from '../support/CellRig.js'
 
 const SIZE = { cpu: 1000, memory: 100, accelerators: 0 }
 
-async function calmRig (options: RigOptions = {}): Promise<CellRig> {
-  const rig = new CellRig(options)
-  await rig.until(() => rig.decider !== undefined)
-  await rig.run(500)
-  return rig
-}
-
 describe('a worker', () => {
   test('that stands still loses its short runs to others within three seconds', async () => {
     const rig = await calmRig({ workers: 2, nature: () => ({ duration: 500, how: 'done', size: SIZE }) })
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -188,6 +188,14 @@
   }
 }
 
+/** @returns a rig whose nodes have found their decider */
+export async function calmRig (options: RigOptions = {}): Promise<CellRig> {
+  const rig = new CellRig(options)
+  await rig.until(() => rig.decider !== undefined)
+  await rig.run(500)
+  return rig
+}
+
 /** @returns a step with defaults of one task of one core */
 export function stepOf (step: Partial<Step>): Step {
   return { count: 1, size: { cpu: 1000, memory: 100, accelerators: 0 }, estimate: 300, after: [], checkpoints: false, gang: false, sameRack: false, lasting: false, filling: false, ...step }
