--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -19,6 +19,9 @@
 /** Share of the strongest follower's strength from which another serves as well: being replaced again soon costs more than a fifth of a processor. */
 const STRONG_SHARE = 0.8
 
+/** ms after its start for which a process has cold code and answers late; a start takes 0.3 to 0.8 s. */
+const WARM_UP = 800
+
 /** What the decider does for its followers. */
 export interface FollowersEvents {
   job: (job: Job) => void
@@ -125,12 +128,13 @@
     return [...this.entries.values()].sort((a, b) => b.strength - a.strength)
   }
 
-  /** Of the strong ones the last started first: in a rolling restart those that have had their turn. The rest follows. */
+  /** Of the strong ones the last started first: in a rolling restart those that have had their turn. The cold and the weak follow. */
   private freshest (): Entry[] {
     const ranked = this.ranked()
     const enough = (ranked[0]?.strength ?? 0) * STRONG_SHARE
-    const isStrong = (entry: Entry): number => entry.strength >= enough ? 0 : 1
-    return ranked.sort((a, b) => isStrong(a) - isStrong(b) || b.startedAt - a.startedAt)
+    const warmBy = this.options.clock.now() - WARM_UP
+    const isLess = (entry: Entry): number => entry.strength < enough ? 2 : entry.startedAt > warmBy ? 1 : 0
+    return ranked.sort((a, b) => isLess(a) - isLess(b) || b.startedAt - a.startedAt)
   }
 
   private take (entry: Entry, message: UpMessage): void {
--- a/packages/cell/src/runtime/JobRetirer.ts
+++ b/packages/cell/src/runtime/JobRetirer.ts
@@ -19,7 +19,7 @@
  */
 export class JobRetirer {
   private readonly waiting = new Map<string, Map<string, EndedPhase>>()
-  private readonly busy = new Set<string>()
+  private busy = false
   /** Monotonic ms before which nothing is written. */
   private restUntil = 0
 
@@ -37,16 +37,21 @@
   start (stopped: () => boolean): void {
     const timer = this.options.clock.repeat(PERIOD, () => {
       if (stopped()) return timer.cancel()
-      if (this.options.clock.now() < this.restUntil) return
-      for (const part of this.waiting.keys()) if (!this.busy.has(part)) detach(this.flush(part), this.options.log, 'retire jobs')
+      if (!this.busy) detach(this.flushAll(), this.options.log, 'retire jobs')
     })
   }
 
+  /** One part after the other, so that a store that turns slow has one of these transactions, not one in each part. */
+  private async flushAll (): Promise<void> {
+    this.busy = true
+    for (const part of this.waiting.keys()) if (this.options.clock.now() >= this.restUntil) await this.flush(part)
+    this.busy = false
+  }
+
   private async flush (part: string): Promise<void> {
     const jobs = this.waiting.get(part)!
     const batch = [...jobs].slice(0, JOBS_MAX)
     if (batch.length === 0) return
-    this.busy.add(part)
     const { clock, store } = this.options
     const since = clock.now()
     const outcome = await store.commit({
@@ -54,7 +59,6 @@
       puts: batch.map(([id, phase]) => ({ ...endName(id), value: phase })),
       deletes: batch.flatMap(([id]) => [handInName(id), { ...handInName(id), key: id + CANCELLED }])
     })
-    this.busy.delete(part)
     if (outcome.kind !== 'done' || clock.now() - since > SLOW_WRITE) this.restUntil = clock.now() + REST
     // Without an answer the same rows are written again, which changes nothing.
     if (outcome.kind !== 'done') return
