--- a/packages/cell/src/runtime/Room.ts
+++ b/packages/cell/src/runtime/Room.ts
@@ -2,6 +2,9 @@
 import { chargedSize } from './Book.js'
 import type { StepState, WorkerState } from './model.js'
 
+/** Steps after which the most that is left is looked for again: about as many as there are workers in a small cell. */
+const LOOK_AGAIN = 16
+
 /** A worker's room during one round of planning. */
 export interface Slot {
   worker: WorkerState
@@ -13,6 +16,9 @@
 /** Free room of the workers of one service, worked on by one round of planning. */
 export class Room {
   readonly slots: Slot[]
+  /** The most that any worker has left of each, which only shrinks during a round. */
+  private most: Size
+  private asked = 0
 
   /**
    * @param workers - workers that may be given work
@@ -32,10 +38,6 @@
     return size.cpu <= this.most.cpu && size.memory <= this.most.memory && size.accelerators <= this.most.accelerators
   }
 
-  /** The most that any worker has left of each, which only shrinks during a round. */
-  private most: Size
-  private asked = 0
-
   private findMost (): Size {
     const most = { cpu: 0, memory: 0, accelerators: 0 }
     for (const { free } of this.slots) {
@@ -47,9 +49,6 @@
   }
 }
 
-/** Steps after which the most that is left is looked for again: as many as there are workers in a small cell. */
-const LOOK_AGAIN = 16
-
 /** @returns what a worker has left */
 export function freeSize (worker: WorkerState): Size {
   const { capacity } = worker.report
--- a/packages/cell/test/support/FakeStore.ts
+++ b/packages/cell/test/support/FakeStore.ts
@@ -113,18 +113,15 @@
   }
 
   override async changes ({ table, after, wait }: { table: string, after: number, wait: number }): Promise<Result<{ rows: RowChange[], version: number }, StoreFault>> {
-    // However often it looks for news, a question that waits is one call.
     const until = this.clock.now() + wait
     for (;;) {
       const answer = await this.read(() => {
         if (after < this.tables.forgotten) return Err<StoreFault>({ code: 'history-lost', reason: 'dropped' })
         return Ok({ rows: this.tables.history.filter(row => row.table === table && row.version > after), version: this.tables.version })
       })
+      if (answer.isErr() || answer.value.rows.length > 0 || this.clock.now() >= until) return answer
+      // However often it looks for news, a question that waits is one call.
       this.calls--
-      if (answer.isErr() || answer.value.rows.length > 0 || this.clock.now() >= until) {
-        this.calls++
-        return answer
-      }
       await this.clock.sleep(50)
     }
   }
