One constant says when the store counts as slow

The change had written the same 150 ms twice, once as SLOW_WRITE in HandInWriter, imported by JobRetirer, and once as SLOW_COMMIT in WatchedStore; both stand for one thing and now lie in limits.ts. A parameter's comment says what it holds. No behaviour changes.

--- a/packages/cell/src/runtime/HandInWriter.ts
+++ b/packages/cell/src/runtime/HandInWriter.ts
@@ -1,4 +1,5 @@
 import type { Clock, Timer } from '@rattanstep/core'
+import { SLOW_COMMIT } from '../types/limits.js'
 import type { RecordStore, Row, RowName, TransactionOutcome } from '../types/records.js'
 
 /** Rows in one transaction: each may take three of the 100 entries. */
@@ -8,8 +9,6 @@
 const RETRY_DELAY_MAX = 240
 /** ms between attempts while the store is busy: a part works off a second of waiting work. */
 const BUSY_DELAY = 200
-/** ms of one write above which the store counts as slow; 8 to 13 ms are usual. */
-export const SLOW_WRITE = 150
 /** ms after the store was too busy for a write in which it counts as slow: a part then has a second of work waiting. */
 const BUSY_SPAN = 1000
 
@@ -56,7 +55,7 @@
     if (now - this.busyAt < BUSY_SPAN) return true
     let duration = this.lastDuration
     for (const { sentAt } of this.parts.values()) if (sentAt !== undefined) duration = Math.max(duration, now - sentAt)
-    return duration > SLOW_WRITE
+    return duration > SLOW_COMMIT
   }
 
   /**
--- a/packages/cell/src/runtime/JobRetirer.ts
+++ b/packages/cell/src/runtime/JobRetirer.ts
@@ -1,9 +1,9 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
+import { SLOW_COMMIT } from '../types/limits.js'
 import type { RecordStore } from '../types/records.js'
 import type { EndedPhase } from './Book.js'
 import { detach } from './detach.js'
-import { SLOW_WRITE } from './HandInWriter.js'
 import { CANCELLED, endName, handInName, handInPart } from './parts.js'
 
 /** ms for which ends are gathered, so that one transaction takes many; a successor reads what ended in them as open. */
@@ -59,7 +59,7 @@
       puts: batch.map(([id, phase]) => ({ ...endName(id), value: phase })),
       deletes: batch.flatMap(([id]) => [handInName(id), { ...handInName(id), key: id + CANCELLED }])
     })
-    if (outcome.kind !== 'done' || clock.now() - since > SLOW_WRITE) this.restUntil = clock.now() + REST
+    if (outcome.kind !== 'done' || clock.now() - since > SLOW_COMMIT) this.restUntil = clock.now() + REST
     // Without an answer the same rows are written again, which changes nothing.
     if (outcome.kind !== 'done') return
     for (const [id] of batch) jobs.delete(id)
--- a/packages/cell/src/runtime/WatchedStore.ts
+++ b/packages/cell/src/runtime/WatchedStore.ts
@@ -2,12 +2,10 @@
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import type { Result } from 'ts-results-es'
 import { CELL_EVENTS } from '../types/events.js'
+import { SLOW_COMMIT } from '../types/limits.js'
 import { RecordStore } from '../types/records.js'
 import type { RangeQuery, Row, RowChange, StoreFault, Transaction, TransactionOutcome } from '../types/records.js'
 
-/** ms of a transaction from which it has a log line of its own; 8 to 13 ms are usual. */
-const SLOW_COMMIT = 150
-
 /** A store whose calls are counted, timed and, where they are slow, logged. */
 export class WatchedStore extends RecordStore {
   /** Parts whose last transaction was not carried out, as far as known. */
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -55,7 +55,7 @@
  * tickets keeps the room it is likely to use, so that lower ranks don't take it while advice is asked.
  *
  * @param ranked - steps in rank order
- * @param options - see there
+ * @param options - workers, time and nodes that the round is planned with
  * @returns starts and questions
  */
 export function planRound (ranked: RankedStep[], options: PlanOptions): Round {
--- a/packages/cell/src/types/limits.ts
+++ b/packages/cell/src/types/limits.ts
@@ -20,3 +20,5 @@
 export const STORE_PATIENCE = 1200
 /** ms by which the store must have answered a follower more lately than the decider. */
 export const STORE_ADVANTAGE = 500
+/** ms of one transaction above which the store counts as slow; 8 to 13 ms are usual. */
+export const SLOW_COMMIT = 150
