Workers are called through followers instead of by the decider alone

Change: the decider passes each call to a worker to a follower of the worker's data centre, chosen by rendezvous hashing. All decisions, state and lease arithmetic stay at the decider: an order carries its token and an absolute end of its lease, so a late executor is as harmless as a late network. A poll whose executor is lost is repeated directly.

Found on the way: a follower that was asked to claim the term lost the race against the commits of the offering decider; the claim is now repeated at the version that the conflict names (takeover.test, 'interrupts nothing at a planned stop', failed first).

--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -1,6 +1,7 @@
 export * from './types/callers.js'
 export * from './types/configuration.js'
 export * from './types/events.js'
+export * from './types/execution.js'
 export * from './types/job.js'
 export * from './types/limits.js'
 export * from './types/links.js'
--- a/packages/cell/src/node/TcpLink.ts
+++ b/packages/cell/src/node/TcpLink.ts
@@ -23,7 +23,13 @@
   }
 
   override send (message: Outgoing): void {
-    if (!this.isClosed) this.socket.write(JSON.stringify(message) + '\n')
+    if (this.isClosed) return
+    // Messages of one turn of the event loop are written together.
+    if (this.socket.writableCorked === 0) {
+      this.socket.cork()
+      process.nextTick(() => { this.socket.uncork() })
+    }
+    this.socket.write(JSON.stringify(message) + '\n')
   }
 
   override close (): void {
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -9,7 +9,9 @@
 import type { RecordStore } from '../types/records.js'
 import { ConfigurationFeed } from './ConfigurationFeed.js'
 import { Decider } from './Decider.js'
+import { DelegatingWorkerClient } from './DelegatingWorkerClient.js'
 import { detach } from './detach.js'
+import { executeWorkerCall } from './executeWorkerCall.js'
 import { DeciderClient, Gateway } from './Gateway.js'
 import type { WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
@@ -84,6 +86,7 @@
       address: options.address,
       follower: {
         advise: async question => await advisor.advise(question),
+        execute: async call => await executeWorkerCall(options.workers, call),
         onConfigurationVersion: version => { this.updateConfiguration(version) },
         configurationVersion: () => this.configuration?.version ?? 0
       },
@@ -190,7 +193,12 @@
     })
     const decider: Decider = new Decider({
       store,
-      workers,
+      workers: new DelegatingWorkerClient({
+        direct: workers,
+        clock,
+        executors: () => followers.executors,
+        execute: async (executor, call, timeout) => await followers.execute(executor, call, timeout)
+      }),
       reader,
       clock,
       log,
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -1,5 +1,6 @@
 import type { Clock, Timer } from '@rattanstep/core'
 import type { Job } from '../types/job.js'
+import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
 import type { Answer, DeciderMessage, Question, FollowerMessage } from '../types/links.js'
 import { LINK_HEARTBEAT_MS, LINK_TIMEOUT_MS } from '../types/limits.js'
 import type { Advice } from '../types/ports.js'
@@ -18,6 +19,8 @@
 export interface FollowerCallbacks {
   /** Calls the advice service on behalf of the decider; `timeout` in ms. */
   advise: (question: { step: string, workers: string[], timeout: number }) => Promise<Advice>
+  /** Calls a worker on behalf of the decider. */
+  execute: (call: WorkerCall) => Promise<WorkerCallResult>
   /** Receives the version of the configuration in force at the decider. */
   onConfigurationVersion: (version: number) => void
   /** Returns the version of the configuration in force at this node. */
@@ -155,6 +158,7 @@
       case 'recorded': return this.resolveCall(message.call, message.outcome)
       case 'advise':
         return detach(this.advise(message), this.options.log, 'advice')
+      case 'execute': return detach(this.execute(message), this.options.log, 'order for the decider')
       case 'succeed': this.end('called')
     }
   }
@@ -164,6 +168,11 @@
     if (!this.hasEnded) this.link.send({ kind: 'advised', call: message.call, advice })
   }
 
+  private async execute ({ call, order }: Extract<DeciderMessage, { kind: 'execute' }>): Promise<void> {
+    const result = await this.options.callbacks.execute(order)
+    if (!this.hasEnded) this.link.send({ kind: 'executed', call, result })
+  }
+
   private sendHeartbeat (): void {
     const { clock, storeSilence, callbacks, newestFence } = this.options
     if (clock.now() - this.lastMessageAt > LINK_TIMEOUT_MS) {
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -4,7 +4,9 @@
 import type { Answer, DeciderMessage, Question, SuccessionReason, FollowerMessage } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { LINK_HEARTBEAT_MS, LINK_TIMEOUT_MS } from '../types/limits.js'
+import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
 import type { Advice } from '../types/ports.js'
+import type { Executor } from './ExecutorSelection.js'
 import { detach } from './detach.js'
 import type { WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
@@ -42,6 +44,7 @@
 
 interface FollowerState {
   node: string
+  dataCentre: string
   link: FollowerLink
   /** Monotonic ms. */
   lastMessageAt: number
@@ -55,8 +58,10 @@
 /** The nodes that follow a decider. */
 export class Followers {
   private readonly followers = new Map<string, FollowerState>()
-  private readonly calls = new Map<number, { node: string, resolve: (advice: Advice) => void }>()
+  private readonly calls = new Map<number, { node: string, resolve: (answer: unknown) => void }>()
   private nextCall = 1
+  /** The followers as executors of calls to workers; replaced after each change. */
+  executors: readonly Executor[] = []
   private readonly timer: Timer
 
   constructor (private readonly options: { clock: Clock, log: Log, fence: number, callbacks: FollowersCallbacks }) {
@@ -74,11 +79,12 @@
   }
 
   /** Adds a node that has asked to join. */
-  add (link: FollowerLink, { node, strength, age }: { node: string, strength: number, age: number }): void {
+  add (link: FollowerLink, { node, dataCentre, strength, age }: Omit<Extract<FollowerMessage, { kind: 'hello' }>, 'kind'>): void {
     const { clock, log, fence } = this.options
     this.followers.get(node)?.link.close()
-    const follower: FollowerState = { node, link, lastMessageAt: clock.now(), storeSilence: 0, strength, startedAt: clock.now() - age }
+    const follower: FollowerState = { node, dataCentre, link, lastMessageAt: clock.now(), storeSilence: 0, strength, startedAt: clock.now() - age }
     this.followers.set(node, follower)
+    this.updateExecutors()
     link.onMessage = message => { this.handleMessage(follower, message) }
     link.onClose = reason => { this.remove(follower, reason) }
     link.send({ kind: 'welcome', term: fence })
@@ -92,19 +98,35 @@
    * @param question - step, workers named in the call, and timeout in ms
    */
   async ask (node: string, question: { step: string, workers: string[], timeout: number }): Promise<Advice> {
+    return await this.call<Advice>(node, call => ({ kind: 'advise', call, ...question }), question.timeout) ?? { kind: 'failed', reason: 'the node did not answer' }
+  }
+
+  /**
+   * Has a follower call a worker.
+   *
+   * @param node - name of the follower
+   * @param order - the call
+   * @param timeout - ms
+   * @returns the result, or `undefined` if none arrived in time
+   */
+  async execute (node: string, order: WorkerCall, timeout: number): Promise<WorkerCallResult | undefined> {
+    return await this.call<WorkerCallResult>(node, call => ({ kind: 'execute', call, order }), timeout)
+  }
+
+  private async call<Value> (node: string, write: (call: number) => DeciderMessage, timeout: number): Promise<Value | undefined> {
     const follower = this.followers.get(node)
-    if (follower === undefined) return { kind: 'failed', reason: 'the node no longer follows' }
+    if (follower === undefined) return undefined
     const call = this.nextCall++
-    return await new Promise<Advice>(resolve => {
-      const timer = this.options.clock.schedule(question.timeout, () => { this.resolveCall(call, { kind: 'failed', reason: 'no answer' }) })
+    return await new Promise<Value | undefined>(resolve => {
+      const timer = this.options.clock.schedule(timeout, () => { this.resolveCall(call, undefined) })
       this.calls.set(call, {
         node,
-        resolve: advice => {
+        resolve: answer => {
           timer.cancel()
-          resolve(advice)
+          resolve(answer as Value | undefined)
         }
       })
-      follower.link.send({ kind: 'advise', call, ...question })
+      follower.link.send(write(call))
     })
   }
 
@@ -127,7 +149,7 @@
   close (): void {
     this.timer.cancel()
     for (const follower of [...this.followers.values()]) follower.link.close()
-    for (const call of [...this.calls.keys()]) this.resolveCall(call, { kind: 'failed', reason: 'the term has ended' })
+    for (const call of [...this.calls.keys()]) this.resolveCall(call, undefined)
   }
 
   /** @returns strength of the strongest follower that the store answers, or 0 if there is none */
@@ -165,6 +187,7 @@
       case 'ask': return follower.link.send({ kind: 'answer', call: message.call, answer: callbacks.answer(message.question) })
       case 'record': return detach(this.writeForFollower(follower, message), this.options.log, 'record for a follower')
       case 'advised': return this.resolveCall(message.call, message.advice)
+      case 'executed': return this.resolveCall(message.call, message.result)
       case 'hello': follower.link.send({ kind: 'welcome', term: fence })
     }
   }
@@ -192,15 +215,21 @@
   private remove (follower: FollowerState, reason: string): void {
     if (this.followers.get(follower.node) !== follower) return
     this.followers.delete(follower.node)
+    this.updateExecutors()
     this.options.log.write(CELL_EVENTS.followerLost, { follower: follower.node, reason })
     for (const [call, { node }] of [...this.calls]) {
-      if (node === follower.node) this.resolveCall(call, { kind: 'failed', reason: 'the node no longer follows' })
+      if (node === follower.node) this.resolveCall(call, undefined)
     }
   }
 
-  private resolveCall (call: number, advice: Advice): void {
+  private updateExecutors (): void {
+    this.executors = [...this.followers.values()].map(({ node, dataCentre }) => ({ node, dataCentre }))
+  }
+
+  /** Completes a pending call with its answer, or with `undefined` if there is none. */
+  private resolveCall (call: number, answer: unknown): void {
     const pending = this.calls.get(call)
     this.calls.delete(call)
-    pending?.resolve(advice)
+    pending?.resolve(answer)
   }
 }
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -4,7 +4,7 @@
 import membershipChart from '../charts/membership.json' with { type: 'json' }
 import { CELL_EVENTS } from '../types/events.js'
 import { LINK_TIMEOUT_MS, SUCCESSION_STEP_MS, TERM_RECHECK_DELAY_MS } from '../types/limits.js'
-import type { RecordStore } from '../types/records.js'
+import type { RecordStore, Row, Transaction } from '../types/records.js'
 import { Follower } from './Follower.js'
 import type { FollowerCallbacks, DeciderConnector } from './Follower.js'
 import { hashFraction } from './hashText.js'
@@ -19,6 +19,8 @@
 const CLAIM_POLL_INTERVAL_MS = 50
 /** Delay after a claim that failed or got no answer. */
 const CLAIM_RETRY_DELAY_MS = 50
+/** Maximum number of immediate repeats of a claim that a commit of the offering decider has overtaken; about every second one succeeds. */
+const MAX_CLAIM_REPEATS = 10
 /**
  * Additional delay of a claim for an instance of strength 0, compared with one of at least a whole core. It applies only to nodes without
  * a rank, since ranks already take the strength into account.
@@ -177,7 +179,10 @@
     const former = this.term
     if (!await this.waitForTurn(former)) return 'lost'
     const term: Term = { fence: (this.term?.fence ?? 0) + 1, node, start, address, serial: 0 }
-    const outcome = await store.commit({ expect: [{ ...TERM_ROW, version: this.termRowVersion }], puts: [{ ...TERM_ROW, value: encodeTerm(term) }] })
+    let outcome = await store.commit(this.claimTransaction(term))
+    for (let repeats = 0; repeats < MAX_CLAIM_REPEATS && outcome.kind === 'conflict' && this.isOfferStillOpen(outcome.rows); repeats++) {
+      outcome = await store.commit(this.claimTransaction(term))
+    }
     if (outcome.kind === 'done') return this.acceptTerm(term, outcome.version, former)
     await clock.sleep(CLAIM_RETRY_DELAY_MS)
     // A claim that got no answer may have taken effect.
@@ -185,6 +190,23 @@
     return 'lost'
   }
 
+  private claimTransaction (term: Term): Transaction {
+    return { expect: [{ ...TERM_ROW, version: this.termRowVersion }], puts: [{ ...TERM_ROW, value: encodeTerm(term) }] }
+  }
+
+  /**
+   * Evaluates a conflict of a claim. A decider that offers its term goes on committing, so that a claim may find a newer version of its row.
+   *
+   * @param rows - the term row in its present state
+   * @returns whether the decider that has offered the term still holds it
+   */
+  private isOfferStillOpen (rows: Row[]): boolean {
+    const row = rows.find(each => each.key === TERM_ROW.key)
+    if (this.claimReason !== 'called' || row === undefined || decodeTerm(row.value)?.fence !== this.term?.fence) return false
+    this.termRowVersion = row.version
+    return true
+  }
+
   /** @returns whether the term is still vacant when it is this node's turn to claim it */
   private async waitForTurn (former: Term | undefined): Promise<boolean> {
     const { clock } = this.options
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -1,3 +1,4 @@
+import type { WorkerCall, WorkerCallResult } from './execution.js'
 import type { Job, JobPhase } from './job.js'
 import type { Advice } from './ports.js'
 import type { WriteRequest } from '../runtime/Gateway.js'
@@ -13,6 +14,7 @@
   /** Asks the decider's node to write a request to the store; `patience` is the timeout in ms. */
   | { kind: 'record', call: number, wish: WriteRequest, patience: number }
   | { kind: 'advised', call: number, advice: Advice }
+  | { kind: 'executed', call: number, result: WorkerCallResult }
 
 /** Reason for which the decider asks a follower to claim the term. */
 export type SuccessionReason = 'stopping' | 'store-unreachable' | 'stronger'
@@ -26,6 +28,8 @@
   | { kind: 'answer', call: number, answer: Answer }
   | { kind: 'recorded', call: number, outcome: WriteOutcome }
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
+  /** Has the receiver call a worker. */
+  | { kind: 'execute', call: number, order: WorkerCall }
   /** The receiver should claim the term now. */
   | { kind: 'succeed', reason: SuccessionReason }
 
--- a/packages/cell/src/types/ports.ts
+++ b/packages/cell/src/types/ports.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'ts-results-es'
-import type { OrderOutcome, StartOrder, WorkerList, WorkerReport } from './worker.js'
+import type { OrderOutcome, PollOrder, StartOrder, StopOrder, WorkerList, WorkerReport, WorkerTarget } from './worker.js'
 
 /** Reason for which a poll of a worker failed. */
 export interface PollFault {
@@ -10,20 +10,14 @@
 
 /** Sends orders and polls to workers. */
 export abstract class WorkerClient {
-  abstract start (worker: WorkerReport, order: StartOrder): Promise<OrderOutcome>
-  abstract stop (worker: WorkerReport, order: { task: string, run: number, fence: number }): Promise<OrderOutcome>
-
-  /**
-   * Renews the leases of all runs on a worker, acknowledges ends, and lists the worker's runs and ends.
-   *
-   * @param worker - the worker to poll
-   * @param order - `acknowledged`: number of the last recorded end; `leaseEnd`: new lease end in ms on the worker's clock, or absent to
-   * leave the leases unchanged; `wait`: maximum time in ms for which the worker may hold back its answer until a run ends
-   */
-  abstract poll (worker: WorkerReport, order: { fence: number, acknowledged: number, leaseEnd?: number, wait: number }): Promise<Result<WorkerList, PollFault>>
+  abstract start (worker: WorkerTarget, order: StartOrder): Promise<OrderOutcome>
+  abstract stop (worker: WorkerTarget, order: StopOrder): Promise<OrderOutcome>
+
+  /** Renews the leases of all runs on a worker, acknowledges ends, and lists the worker's runs and ends. */
+  abstract poll (worker: WorkerTarget, order: PollOrder): Promise<Result<WorkerList, PollFault>>
 
   /** Closes the connections to a worker that is no longer used. */
-  abstract disconnect (worker: WorkerReport): void
+  abstract disconnect (worker: WorkerTarget): void
 }
 
 /** Permission to run a step on a worker. */
--- a/packages/cell/src/types/worker.ts
+++ b/packages/cell/src/types/worker.ts
@@ -15,6 +15,9 @@
   born: number
 }
 
+/** What a call to a worker needs to know about it. */
+export type WorkerTarget = Pick<WorkerReport, 'id' | 'address' | 'born' | 'dataCentre'>
+
 /** A run that a worker lists as running. */
 export interface ListedRun {
   task: string
@@ -62,6 +65,24 @@
   ticket?: string
 }
 
+/** Order to stop a run. */
+export interface StopOrder {
+  task: string
+  run: number
+  fence: number
+}
+
+/** Order to renew leases and to list runs and ends. */
+export interface PollOrder {
+  fence: number
+  /** Number of the last recorded end. */
+  acknowledged: number
+  /** New end of the leases in ms on the worker's clock; absent to leave the leases unchanged. */
+  leaseEnd?: number
+  /** Maximum time in ms for which the worker may hold back its answer until a run ends. */
+  wait: number
+}
+
 /** Outcome of an order, as far as it is known. */
 export type OrderOutcome =
   | { kind: 'taken', clock: number }
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results-es'
 import type { Clock } from '@rattanstep/core'
 import { WorkerClient } from '../../src/index.js'
-import type { ListedEnd, PollFault, OrderOutcome, RunEnding, Size, StartOrder, WorkerList, WorkerReport } from '../../src/index.js'
+import type { ListedEnd, PollFault, OrderOutcome, PollOrder, RunEnding, Size, StartOrder, StopOrder, WorkerList, WorkerReport, WorkerTarget } from '../../src/index.js'
 import type { NodeClock } from './NodeClock.js'
 
 /** Duration of a call. */
@@ -209,16 +209,16 @@
     super()
   }
 
-  override async start (worker: WorkerReport, order: StartOrder): Promise<OrderOutcome> {
+  override async start (worker: WorkerTarget, order: StartOrder): Promise<OrderOutcome> {
     this.lastOrderAt = this.clock.now()
     return await this.order(worker, target => target.start(order))
   }
 
-  override async stop (worker: WorkerReport, order: { task: string, run: number, fence: number }): Promise<OrderOutcome> {
+  override async stop (worker: WorkerTarget, order: StopOrder): Promise<OrderOutcome> {
     return await this.order(worker, target => target.stop(order))
   }
 
-  override async poll (worker: WorkerReport, order: { fence: number, acknowledged: number, leaseEnd?: number, wait: number }): Promise<Result<WorkerList, PollFault>> {
+  override async poll (worker: WorkerTarget, order: PollOrder): Promise<Result<WorkerList, PollFault>> {
     this.polls++
     const target = this.findReachable(worker)
     if (target === undefined) return await this.clock.deliver(TIMEOUT_MS, () => Err({ code: 'silent', reason: 'no answer' }))
@@ -243,7 +243,7 @@
     this.clock.schedule(ANSWER_MS / 2, () => { resolve(value) })
   }
 
-  private async order (worker: WorkerReport, carryOut: (target: FakeWorker) => OrderOutcome): Promise<OrderOutcome> {
+  private async order (worker: WorkerTarget, carryOut: (target: FakeWorker) => OrderOutcome): Promise<OrderOutcome> {
     const target = this.findReachable(worker)
     if (target === undefined || target.orderDelay > 0) {
       if (target !== undefined) this.fleet.clock.schedule(target.orderDelay, () => { carryOut(target) })
@@ -257,7 +257,7 @@
     })
   }
 
-  private findReachable (worker: WorkerReport): FakeWorker | undefined {
+  private findReachable (worker: WorkerTarget): FakeWorker | undefined {
     const target = this.fleet.workers.get(worker.id)
     return target === undefined || target.isCutOff || this.unreachable.has(worker.id) ? undefined : target
   }
