Fewer heartbeats, and more patience after recent takeovers

Change: only the eight first in the order of succession exchange heartbeats every 120 ms, all others every 480 ms with a timeout in proportion; a node that claims the term tells the former followers, whose addresses the decider reports to the watchers. Each takeover of the last 10 s doubles the time that a silent decider has to show that it is alive, up to fourfold.

Ruled out: a longer timeout for all, which delays each takeover after a power cut.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -148,7 +148,10 @@
   /** Accepts a link from another node, which joins as a follower if this node is the decider. */
   acceptLink (link: FollowerLink): void {
     link.onMessage = message => {
-      if (message.kind === 'hello' && this.followers !== undefined) this.followers.add(link, message)
+      if (message.kind === 'claimed') {
+        this.membership.handleClaim(message.fence)
+        link.close()
+      } else if (message.kind === 'hello' && this.followers !== undefined) this.followers.add(link, message)
       else link.send({ kind: 'elsewhere' })
     }
   }
@@ -219,6 +222,7 @@
       this.yieldToStronger(decider)
     })
     detach(decider.start(), log, 'decider')
+    detach(this.membership.announceClaim(term.fence), log, 'announcement of the term')
     await termLost
     this.checkTimer.cancel()
     this.decider = undefined
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -2,7 +2,7 @@
 import type { Job } from '../types/job.js'
 import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
 import type { Answer, DeciderMessage, Question, FollowerMessage } from '../types/links.js'
-import { LINK_HEARTBEAT_MS, LINK_TIMEOUT_MS } from '../types/limits.js'
+import { LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO } from '../types/limits.js'
 import type { Advice } from '../types/ports.js'
 import type { WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
@@ -31,15 +31,22 @@
  * Reason for which a node stops following a decider.
  *
  * - `closed`: the link was closed
- * - `silent`: no message arrived on the link for `LINK_TIMEOUT_MS`
+ * - `silent`: no message arrived on the link for several intervals between heartbeats
  * - `called`: the decider has asked this node to claim the term
+ * - `superseded`: another node has claimed the term
  */
-export type FollowEndReason = 'closed' | 'silent' | 'called'
+export type FollowEndReason = 'closed' | 'silent' | 'called' | 'superseded'
 
 /** A follower's end of the link to the decider. */
 export class Follower {
   /** Place in the order of succession, from 0. */
   rank: number | undefined
+  /** Addresses of all followers, as last reported by the decider to those that watch it. */
+  members: string[] = []
+  /** ms between heartbeats. */
+  private interval = LINK_HEARTBEAT_MS
+  /** Monotonic ms. */
+  private lastHeartbeatAt = 0
   /** Monotonic ms. */
   private lastMessageAt: number
   /** ms since the store last answered the decider, as of its last message. */
@@ -59,6 +66,8 @@
     callbacks: FollowerCallbacks
     node: string
     dataCentre: string
+    /** `HOST:PORT` at which other nodes reach this one. */
+    address: string
     strength: number
     /** ms since the store last answered this node */
     storeSilence: () => number
@@ -80,8 +89,8 @@
    * `refused`: the link was closed; `silent`: no answer arrived in time
    */
   async join (timeout: number): Promise<'welcomed' | 'turned-away' | 'silent' | 'refused'> {
-    const { node, dataCentre, strength, age, clock } = this.options
-    this.link.send({ kind: 'hello', node, dataCentre, strength, age })
+    const { node, dataCentre, address, strength, age, clock } = this.options
+    this.link.send({ kind: 'hello', node, dataCentre, address, strength, age })
     const silent = clock.sleep(timeout).then(() => 'silent' as const)
     const closed = this.endPromise.then(() => 'refused' as const)
     const outcome = await Promise.race([this.welcomePromise, silent, closed])
@@ -145,6 +154,12 @@
     this.end('closed')
   }
 
+  /** Stops following, because another node has claimed the term. */
+  supersede (): void {
+    this.link.close()
+    this.end('superseded')
+  }
+
   private handleMessage (message: DeciderMessage): void {
     this.lastMessageAt = this.options.clock.now()
     switch (message.kind) {
@@ -152,6 +167,7 @@
       case 'elsewhere': return this.resolveWelcome('turned-away')
       case 'beat':
         this.rank = message.rank
+        this.interval = message.interval
         this.deciderStoreSilence = message.storeSilence
         return this.options.callbacks.onConfigurationVersion(message.configuration)
       case 'answer': return this.resolveCall(message.call, message.answer)
@@ -159,6 +175,9 @@
       case 'advise':
         return detach(this.advise(message), this.options.log, 'advice')
       case 'execute': return detach(this.execute(message), this.options.log, 'order for the decider')
+      case 'members':
+        this.members = message.addresses
+        return
       case 'succeed': this.end('called')
     }
   }
@@ -175,11 +194,14 @@
 
   private sendHeartbeat (): void {
     const { clock, storeSilence, callbacks, newestFence } = this.options
-    if (clock.now() - this.lastMessageAt > LINK_TIMEOUT_MS) {
+    const now = clock.now()
+    if (now - this.lastMessageAt > LINK_TIMEOUT_RATIO * this.interval) {
       this.end('silent')
       this.link.close()
       return
     }
+    if (now - this.lastHeartbeatAt < this.interval - LINK_HEARTBEAT_MS / 2) return
+    this.lastHeartbeatAt = now
     this.link.send({ kind: 'beat', storeSilence: Math.min(storeSilence(), Number.MAX_SAFE_INTEGER), term: newestFence(), configuration: callbacks.configurationVersion() })
   }
 
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -3,7 +3,7 @@
 import type { Job } from '../types/job.js'
 import type { Answer, DeciderMessage, Question, SuccessionReason, FollowerMessage } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
-import { LINK_HEARTBEAT_MS, LINK_TIMEOUT_MS } from '../types/limits.js'
+import { DISTANT_HEARTBEAT_MS, LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO, WATCHER_COUNT } from '../types/limits.js'
 import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
 import type { Advice } from '../types/ports.js'
 import type { Executor } from './ExecutorSelection.js'
@@ -27,6 +27,9 @@
 /** Time after the start of a process during which it answers slowly, because its code is not yet compiled; a start takes 0.3 to 0.8 s. */
 const WARM_UP_MS = 800
 
+/** Minimum interval between two reports of the followers' addresses to a watcher; in a rolling restart, followers change every second. */
+const MEMBERS_INTERVAL_MS = 1000
+
 /** Callbacks for messages from followers. */
 export interface FollowersCallbacks {
   onJob: (job: Job) => void
@@ -45,7 +48,14 @@
 interface FollowerState {
   node: string
   dataCentre: string
+  address: string
   link: FollowerLink
+  /** ms between heartbeats. */
+  interval: number
+  /** Monotonic ms of the last heartbeat sent to the follower. */
+  heartbeatAt: number
+  /** The last reported members, and the monotonic ms of the report. */
+  members: { executors: readonly Executor[], at: number }
   /** Monotonic ms. */
   lastMessageAt: number
   /** ms since the store last answered the follower. */
@@ -79,10 +89,13 @@
   }
 
   /** Adds a node that has asked to join. */
-  add (link: FollowerLink, { node, dataCentre, strength, age }: Omit<Extract<FollowerMessage, { kind: 'hello' }>, 'kind'>): void {
+  add (link: FollowerLink, { node, dataCentre, address, strength, age }: Omit<Extract<FollowerMessage, { kind: 'hello' }>, 'kind'>): void {
     const { clock, log, fence } = this.options
     this.followers.get(node)?.link.close()
-    const follower: FollowerState = { node, dataCentre, link, lastMessageAt: clock.now(), storeSilence: 0, strength, startedAt: clock.now() - age }
+    const now = clock.now()
+    const follower: FollowerState = {
+      node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, storeSilence: 0, strength, startedAt: now - age
+    }
     this.followers.set(node, follower)
     this.updateExecutors()
     link.onMessage = message => { this.handleMessage(follower, message) }
@@ -198,20 +211,40 @@
 
   private sendHeartbeats (): void {
     const { clock, callbacks } = this.options
+    const now = clock.now()
     let rank = 0
     const configuration = callbacks.configurationVersion()
     const storeSilence = Math.min(callbacks.storeSilence(), Number.MAX_SAFE_INTEGER)
     for (const follower of this.ranked()) {
-      if (clock.now() - follower.lastMessageAt > LINK_TIMEOUT_MS) {
+      if (now - follower.lastMessageAt > LINK_TIMEOUT_RATIO * follower.interval) {
         follower.link.close()
         this.remove(follower, 'silent')
         continue
       }
       const isEligible = follower.storeSilence < MAX_SUCCESSOR_STORE_SILENCE_MS
-      follower.link.send({ kind: 'beat', rank: isEligible ? rank++ : this.followers.size, configuration, storeSilence })
+      const place = isEligible ? rank++ : this.followers.size
+      this.updateInterval(follower, place < WATCHER_COUNT ? LINK_HEARTBEAT_MS : DISTANT_HEARTBEAT_MS, now)
+      if (now - follower.heartbeatAt < follower.interval - LINK_HEARTBEAT_MS / 2) continue
+      follower.heartbeatAt = now
+      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, storeSilence })
+      if (place < WATCHER_COUNT) this.reportMembers(follower, now)
     }
   }
 
+  private updateInterval (follower: FollowerState, interval: number, now: number): void {
+    if (follower.interval === interval) return
+    follower.interval = interval
+    // The follower is told at once; until then it sends heartbeats at the former interval, which must not count as silence.
+    follower.heartbeatAt = 0
+    follower.lastMessageAt = now
+  }
+
+  private reportMembers (follower: FollowerState, now: number): void {
+    if (follower.members.executors === this.executors || now - follower.members.at < MEMBERS_INTERVAL_MS) return
+    follower.members = { executors: this.executors, at: now }
+    follower.link.send({ kind: 'members', addresses: [...this.followers.values()].map(({ address }) => address) })
+  }
+
   private remove (follower: FollowerState, reason: string): void {
     if (this.followers.get(follower.node) !== follower) return
     this.followers.delete(follower.node)
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -29,6 +29,11 @@
 /** Period over which the claims of nodes without a rank are spread, by a hash of their names. */
 const UNRANKED_SPREAD_MS = 300
 
+/** Time for which a takeover counts as recent: the last one's backlog is worked off by then. */
+const TAKEOVER_MEMORY_MS = 10_000
+/** Maximum factor by which recent takeovers extend the time that a silent decider has. */
+const MAX_RECHECK_FACTOR = 4
+
 type MembershipRole = 'seeking' | 'connecting' | 'following' | 'suspecting' | 'claiming' | 'deciding' | 'stopped'
 type MembershipEvent = 'found' | 'vacant' | 'welcomed' | 'turned-away' | 'refused' | 'silent' | 'closed' | 'called' | 'alive' | 'dead' | 'changed' | 'won' | 'lost' | 'deposed' | 'stop'
 
@@ -59,7 +64,12 @@
   /** Term as last read from the store or claimed by this node. */
   term: Term | undefined
   follower: Follower | undefined
+  /** Addresses of the nodes that followed the former decider, if this node was told. */
+  private members: string[] = []
   private termRowVersion = 0
+  /** Monotonic ms at which this node learned of each of the last terms, by fencing token. */
+  private readonly termsSeenAt = new Map<number, number>()
+  private newestFence = 0
   /** Place in the order of succession, if the decider assigned one. */
   private rank: number | undefined
   private claimReason = 'no decider'
@@ -91,6 +101,22 @@
     this.isClaimingStopped = true
   }
 
+  /** Handles the announcement of another node that it has claimed the term with a fencing token. */
+  handleClaim (fence: number): void {
+    if (fence > (this.term?.fence ?? 0)) this.follower?.supersede()
+  }
+
+  /** Tells the nodes that followed the former decider that this node has claimed the term, since some of them don't watch the decider closely. */
+  async announceClaim (fence: number): Promise<void> {
+    const { connector, clock, address } = this.options
+    await Promise.all(this.members.filter(member => member !== address).map(async member => {
+      const link = await connector.connect(member, CONNECT_TIMEOUT_MS)
+      if (link.isErr()) return
+      link.value.send({ kind: 'claimed', fence })
+      clock.schedule(CONNECT_TIMEOUT_MS, () => { link.value.close() })
+    }))
+  }
+
   private isStopped (): boolean {
     return this.role === 'stopped'
   }
@@ -126,7 +152,7 @@
   }
 
   private async connect (): Promise<MembershipEvent> {
-    const { connector, clock, log, node, dataCentre, strength, follower, store } = this.options
+    const { connector, clock, log, node, dataCentre, address, strength, follower, store } = this.options
     const term = this.term!
     const link = await connector.connect(term.address, CONNECT_TIMEOUT_MS)
     if (link.isErr()) {
@@ -134,7 +160,7 @@
       this.claimReason = link.error
       return link.error
     }
-    this.follower = new Follower(link.value, { clock, log, callbacks: follower, node, dataCentre, strength, storeSilence: () => store.silentFor(), newestFence: () => this.term?.fence ?? 0, age: clock.now() - this.startedAt })
+    this.follower = new Follower(link.value, { clock, log, callbacks: follower, node, dataCentre, address, strength, storeSilence: () => store.silentFor(), newestFence: () => this.term?.fence ?? 0, age: clock.now() - this.startedAt })
     const joinOutcome = await this.follower.join(LINK_TIMEOUT_MS)
     if (joinOutcome !== 'welcomed') {
       this.follower.close()
@@ -150,8 +176,10 @@
     const follower = this.follower!
     const end = await follower.whenEnded()
     this.rank = follower.rank
+    this.members = follower.members
     this.follower = undefined
     this.claimReason = end
+    if (end === 'superseded') return 'changed'
     if (end === 'called') return 'called'
     const { log } = this.options
     log.write(CELL_EVENTS.deciderLost, { decider: this.term?.node, reason: end, fence: this.term?.fence })
@@ -166,7 +194,7 @@
     if (!await this.readTerm()) return 'alive'
     if (this.term?.fence !== fence) return 'changed'
     const versionSeen = this.termRowVersion
-    await clock.sleep(TERM_RECHECK_DELAY_MS)
+    await clock.sleep(this.recheckDelay())
     if (!await this.readTerm()) return 'alive'
     if (this.term?.fence !== fence) return 'changed'
     if (this.termRowVersion !== versionSeen || versionBefore === 0) return 'alive'
@@ -174,6 +202,23 @@
     return 'dead'
   }
 
+  /**
+   * A takeover makes the next decider busier than the last one was, so that it may be silent in turn. Each recent takeover therefore doubles
+   * the time that a decider has to show that it is alive.
+   */
+  private recheckDelay (): number {
+    const since = this.options.clock.now() - TAKEOVER_MEMORY_MS
+    for (const [fence, at] of this.termsSeenAt) if (at < since) this.termsSeenAt.delete(fence)
+    return TERM_RECHECK_DELAY_MS * Math.min(MAX_RECHECK_FACTOR, 2 ** this.termsSeenAt.size)
+  }
+
+  private noteTerm (): void {
+    const fence = this.term?.fence ?? 0
+    // The first term that a process sees may be old.
+    if (fence > this.newestFence && this.newestFence > 0) this.termsSeenAt.set(fence, this.options.clock.now())
+    this.newestFence = Math.max(this.newestFence, fence)
+  }
+
   private async claim (): Promise<MembershipEvent> {
     const { clock, store, node, start, address } = this.options
     const former = this.term
@@ -231,6 +276,7 @@
   private acceptTerm (term: Term, version: number, former: Term | undefined): MembershipEvent {
     this.term = term
     this.termRowVersion = version
+    this.noteTerm()
     this.options.log.write(CELL_EVENTS.termClaimed, { fence: term.fence, reason: this.claimReason, former: former?.node })
     return 'won'
   }
@@ -246,6 +292,7 @@
     const row = answer.value.rows.find(each => each.key === TERM_ROW.key)
     this.termRowVersion = row?.version ?? 0
     this.term = row === undefined ? undefined : decodeTerm(row.value)
+    this.noteTerm()
     return true
   }
 }
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -6,7 +6,7 @@
 
 /** Message from a follower to the decider. */
 export type FollowerMessage =
-  | { kind: 'hello', node: string, dataCentre: string, /** see `CellSettings.strength` */ strength: number, /** ms since the process started */ age: number }
+  | { kind: 'hello', node: string, dataCentre: string, /** `HOST:PORT` at which other nodes reach the sender */ address: string, /** see `CellSettings.strength` */ strength: number, /** ms since the process started */ age: number }
   | { kind: 'beat', /** ms since the store last answered this node */ storeSilence: number, term: number, configuration: number }
   | { kind: 'job', job: Job }
   | { kind: 'cancel', id: string }
@@ -14,6 +14,8 @@
   /** Asks the decider's node to write a request to the store; `patience` is the timeout in ms. */
   | { kind: 'record', call: number, wish: WriteRequest, patience: number }
   | { kind: 'advised', call: number, advice: Advice }
+  /** The sender has claimed the term with this fencing token. It is the only message on its link. */
+  | { kind: 'claimed', fence: number }
   | { kind: 'executed', call: number, result: WorkerCallResult }
 
 /** Reason for which the decider asks a follower to claim the term. */
@@ -24,10 +26,12 @@
   | { kind: 'welcome', term: number }
   /** Answer to `hello` from a node that is not the decider. */
   | { kind: 'elsewhere' }
-  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, configuration: number, /** ms since the store last answered the decider */ storeSilence: number }
+  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms since the store last answered the decider */ storeSilence: number }
   | { kind: 'answer', call: number, answer: Answer }
   | { kind: 'recorded', call: number, outcome: WriteOutcome }
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
+  /** Addresses of all followers, for the announcement of the receiver's term if it claims one. */
+  | { kind: 'members', addresses: string[] }
   /** Has the receiver call a worker. */
   | { kind: 'execute', call: number, order: WorkerCall }
   /** The receiver should claim the term now. */
--- a/packages/cell/test/runtime/takeover.test.ts
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -128,6 +128,51 @@
     expect(following.length).toEqual(8)
   })
 
+  // Guards against a series of takeovers without any fault: a decider under load is silent for longer than a link's timeout and is replaced,
+  // the backlog of the takeover makes its successor silent in turn, and nothing runs any more.
+  test('does not follow another while every decider is silent for most of each second', async () => {
+    const rig = await createSteadyRig({ nodes: 6 })
+    const fence = (): number => (JSON.parse(rig.tables.rows.get('term/d/term')!.value) as { fence: number }).fence
+    const first = fence()
+    for (let second = 0; second < 20; second++) {
+      const busy = rig.nodes.find(node => node.cell.activeDecider !== undefined)
+      busy?.clock.freeze()
+      await rig.run(750)
+      busy?.clock.thaw()
+      await rig.run(250)
+    }
+    // Two takeovers are forgotten after 10 s.
+    expect(fence() - first).toBeLessThan(6)
+    const { outcome } = await rig.submit(rig.nodes[0]!, [{}])
+    expect(outcome.kind).toEqual('accepted')
+  })
+
+  // Guards against followers beyond the watchers that learn of a takeover only when their own, longer timeout has passed.
+  test('is known to all followers soon after the claim, also after a power cut', async () => {
+    const rig = await createSteadyRig({ nodes: 20 })
+    await rig.run(3000)
+    const decider = rig.decider!
+    rig.powerOff(decider)
+    await rig.until(() => rig.decider !== undefined && rig.decider !== decider, 2000)
+    await rig.run(100)
+    const following = rig.nodes.filter(node => node.log.lines.filter(({ event }) => event.name === 'decider-followed').length > 1)
+    expect(following.length).toEqual(18)
+  })
+
+  // Guards against a decider whose processor and link are taken by heartbeats of many followers.
+  test('needs few heartbeats while there is none, however many nodes follow', async () => {
+    const count = async (nodes: number): Promise<number> => {
+      const rig = await createSteadyRig({ nodes, workers: 0 })
+      await rig.run(2000)
+      const before = rig.messages
+      await rig.run(10_000)
+      return (rig.messages - before) / 10
+    }
+    const [few, many] = [await count(10), await count(50)]
+    // Each further follower costs about two heartbeats a second in each direction, instead of eight.
+    expect((many - few) / 40).toBeLessThan(5)
+  })
+
   test('moves the term from a weak instance to a strong one in normal operation', async () => {
     const rig = new CellRig({ nodes: 1 })
     await rig.until(() => rig.decider !== undefined)
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -102,7 +102,7 @@
     const store = new FakeStore(this.tables, clock, this.clock)
     const workers = new FakeWorkerClient(this.fleet, clock)
     const log = new MemoryLog()
-    const endpoint: FakeEndpoint = { clock, isSilenced: false, links: new Set() }
+    const endpoint: FakeEndpoint = { clock, isSilenced: false, links: new Set(), sentMessages: 0 }
     const address = `${name}:1`
     const cell = new Cell({
       node: name,
@@ -148,6 +148,11 @@
     return this.nodes.find(node => !node.clock.isDead && node.cell.activeDecider?.isReady === true)
   }
 
+  /** @returns number of messages that the nodes have sent each other */
+  get messages (): number {
+    return this.nodes.reduce((sum, node) => sum + node.endpoint.sentMessages, 0)
+  }
+
   async run (duration: number): Promise<void> {
     await this.clock.advance(duration)
   }
--- a/packages/cell/test/support/FakeLinks.ts
+++ b/packages/cell/test/support/FakeLinks.ts
@@ -18,6 +18,7 @@
   }
 
   override send (message: Outgoing): void {
+    this.own.sentMessages++
     if (this.closed || this.own.isSilenced || this.other.isSilenced) return
     const text = JSON.stringify(message)
     this.other.clock.schedule(ONE_WAY_DELAY_MS, () => { if (!this.peer.closed) this.peer.onMessage(JSON.parse(text) as Outgoing) })
@@ -44,6 +45,8 @@
   /** Accepts a new link; absent if no process listens. */
   acceptLink?: (link: FollowerLink) => void
   links: Set<FakeLink<unknown, unknown>>
+  /** Number of messages that the node has sent. */
+  sentMessages: number
 }
 
 /** Establishes in-memory links. */
