A step's question to the advice service is split over idle nodes

Change: where at least eight nodes are idle, up to a quarter of them ask at the same time, each about 24 workers, 120 in all.

Ruled out: longer calls (100 workers take 1,547 ms, longer than a ticket lives).

Test fails first: a gang of 60 tasks among 120 workers of which a quarter is allowed starts after one short call.

--- a/packages/cell/src/runtime/AdviceScheduler.ts
+++ b/packages/cell/src/runtime/AdviceScheduler.ts
@@ -81,9 +81,16 @@
   }
 }
 
+/** A node with its queued work in ms. */
+interface AdviceNode {
+  node: string
+  backlog: number
+  takesLongCalls: boolean
+}
+
 /** Assigns calls to nodes within one round of planning. */
 export class AdviceRound {
-  constructor (private readonly nodes: Array<{ node: string, backlog: number, takesLongCalls: boolean }>, private readonly maxBacklog: number) {}
+  constructor (private readonly nodes: AdviceNode[], private readonly maxBacklog: number) {}
 
   /** @returns whether some node can take a call that names one worker, which is the shortest call */
   canAssign (terms: AdviceTerms): boolean {
@@ -105,11 +112,21 @@
     return { node: found.node, cost }
   }
 
-  private findNode (cost: number): { node: string, backlog: number } | undefined {
+  /** @returns number of nodes that can take a call that names `workers` workers */
+  countAvailable (terms: AdviceTerms, workers: number): number {
+    const isLong = costOf(terms, workers) >= LONG_CALL_MS
+    return this.nodes.filter(candidate => this.isAvailable(candidate, isLong)).length
+  }
+
+  private isAvailable ({ backlog, takesLongCalls }: AdviceNode, isLong: boolean): boolean {
+    return backlog <= this.maxBacklog && (takesLongCalls || !isLong)
+  }
+
+  private findNode (cost: number): AdviceNode | undefined {
     const isLong = cost >= LONG_CALL_MS
-    let best: { node: string, backlog: number, takesLongCalls: boolean } | undefined
+    let best: AdviceNode | undefined
     for (const candidate of this.nodes) {
-      if (candidate.backlog > this.maxBacklog || (isLong && !candidate.takesLongCalls)) continue
+      if (!this.isAvailable(candidate, isLong)) continue
       // Between equally loaded nodes, short calls prefer one that doesn't take long calls.
       if (best === undefined || candidate.backlog < best.backlog || (!isLong && candidate.backlog === best.backlog && best.takesLongCalls && !candidate.takesLongCalls)) best = candidate
     }
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -148,7 +148,7 @@
 function createStep (occurrence: JobOccurrence, index: number, definition: Step): StepState {
   const { id } = occurrence.job.job
   const step: StepState = {
-    name: stepName(id, occurrence.index, index), occurrence, index, definition, tasks: [], doneTasks: 0, allowedByWorker: new Map(), tickets: new Map(), isAdvicePending: false, nextAdviceAt: 0, lastFailedRun: 0
+    name: stepName(id, occurrence.index, index), occurrence, index, definition, tasks: [], doneTasks: 0, allowedByWorker: new Map(), tickets: new Map(), pendingAdviceCalls: 0, nextAdviceAt: 0, lastFailedRun: 0
   }
   for (let number = 0; number < definition.count; number++) {
     step.tasks.push({
--- a/packages/cell/src/runtime/StepAdvisor.ts
+++ b/packages/cell/src/runtime/StepAdvisor.ts
@@ -31,10 +31,10 @@
     const { scheduler, clock, log, ask, onChange } = this.options
     const sentAt = clock.now()
     scheduler.callSent(node, cost, sentAt)
-    step.isAdvicePending = true
+    step.pendingAdviceCalls++
     const answer = await ask(node, { step: step.name, workers: workers.map(worker => worker.report.id), timeout: cost + ANSWER_MARGIN_MS })
     const now = clock.now()
-    step.isAdvicePending = false
+    step.pendingAdviceCalls--
     scheduler.callEnded(node, cost, now)
     const allowed = answer.kind === 'answered' ? answer.tickets.length : 0
     log.write(CELL_EVENTS.advised, {
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -52,8 +52,8 @@
   /** Whether the advice service allows the step on a worker, by id of the worker. The service never changes its decision. */
   allowedByWorker: Map<string, boolean>
   tickets: Map<string, ValidTicket>
-  /** Whether a call to the advice service is in flight. */
-  isAdvicePending: boolean
+  /** Number of calls to the advice service in flight. */
+  pendingAdviceCalls: number
   /** Monotonic ms before which the advice service is not called again. */
   nextAdviceAt: number
   /** Number of the last run of the gang that was counted as a failure. */
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -1,4 +1,4 @@
-import type { Route } from '../types/configuration.js'
+import type { AdviceTerms, Route } from '../types/configuration.js'
 import type { AdviceRound } from './AdviceScheduler.js'
 import type { RankedStep } from './rankSteps.js'
 import type { StepState, Task, WorkerState } from './model.js'
@@ -7,6 +7,12 @@
 
 /** Maximum number of workers named in a call to the advice service. The service accepts 100, but every named worker makes the call longer. */
 const MAX_NAMED_WORKERS = 60
+/** Maximum number of workers named for a step in calls that several nodes make at the same time. */
+const MAX_NAMED_WORKERS_IN_PARALLEL = 120
+/** Number of workers from which a step's question is split, if nodes are idle. */
+const WORKERS_PER_PARALLEL_CALL = 24
+/** Maximum share of the idle nodes that make the calls of one step; the rest remains for steps of lower rank. */
+const MAX_PARALLEL_NODE_SHARE = 0.25
 /** Minimum remaining validity of a ticket when a task is placed: covers a commit and the order to the worker. */
 const MIN_TICKET_VALIDITY_MS = 60
 /** Accepted probability that the advice service allows none of the named workers, which costs a second call. */
@@ -80,7 +86,7 @@
   const canReserve = step.definition.gang && lateness < 2 && !servicesWithReservation.has(route.service)
   if (!canReserve && !capacity.mayFit(step.definition)) return false
   if (route.advice === undefined || step.allowedByWorker.size > 0) return true
-  return !step.isAdvicePending && step.nextAdviceAt <= now && adviceRound.canAssign(route.advice)
+  return step.pendingAdviceCalls === 0 && step.nextAdviceAt <= now && adviceRound.canAssign(route.advice)
 }
 
 interface PlanContext {
@@ -103,7 +109,7 @@
     if (placedCount === 0 && step.definition.gang) reserveForGang(rankedStep, eligible, context)
     return
   }
-  if (step.isAdvicePending || step.nextAdviceAt > context.now || !context.adviceRound.canAssign(route.advice)) return reserveForPendingAdvice(waiting.length - placedCount, eligible, step)
+  if (step.pendingAdviceCalls > 0 || step.nextAdviceAt > context.now || !context.adviceRound.canAssign(route.advice)) return reserveForPendingAdvice(waiting.length - placedCount, eligible, step)
   planAdviceRequest(rankedStep, waiting.length - placedCount, eligible, context)
 }
 
@@ -197,31 +203,58 @@
     if (step.definition.gang) reserveForGang(rankedStep, eligible, context)
     return
   }
-  const workers = selectWorkers(allowed, unknown, step, missing, context.allowedShare)
-  if (step.definition.gang) addTicketHolders(workers, eligible, step)
-  const assignment = route.advice === undefined ? undefined : context.adviceRound.assign(route.advice, workers.length)
-  if (assignment !== undefined) context.plan.adviceRequests.push({ step, route, workers: workers.map(slot => slot.worker), ...assignment })
+  if (route.advice !== undefined) planCalls(rankedStep, route.advice, maxNamed => {
+    const workers = selectWorkers(allowed, unknown, { step, missing, allowedShare: context.allowedShare, maxNamed })
+    if (step.definition.gang) addTicketHolders(workers, eligible, step, maxNamed)
+    return workers
+  }, context)
   reserveForPendingAdvice(missing, allowed, step)
 }
 
+/**
+ * Plans the calls for a step. If nodes are idle, several of them call at the same time, each for a part of the workers: the answers arrive
+ * sooner, and all tickets of a wide gang are valid together.
+ *
+ * @param select - returns the workers to name, at most as many as its argument says
+ */
+function planCalls ({ step, route }: RankedStep, terms: AdviceTerms, select: (maxNamed: number) => Slot[], { adviceRound, plan }: PlanContext): void {
+  const maxCalls = Math.max(1, Math.floor(adviceRound.countAvailable(terms, WORKERS_PER_PARALLEL_CALL) * MAX_PARALLEL_NODE_SHARE))
+  const workers = select(Math.max(MAX_NAMED_WORKERS, Math.min(MAX_NAMED_WORKERS_IN_PARALLEL, maxCalls * WORKERS_PER_PARALLEL_CALL)))
+  const calls = Math.min(maxCalls, Math.ceil(workers.length / WORKERS_PER_PARALLEL_CALL))
+  for (let call = 0; call < calls; call++) {
+    const part = workers.filter((_, index) => index % calls === call).map(slot => slot.worker)
+    const assignment = adviceRound.assign(terms, part.length)
+    if (assignment === undefined) return
+    plan.adviceRequests.push({ step, route, workers: part, ...assignment })
+  }
+}
+
 /** Adds the workers for which the gang has tickets. All its tickets must be valid at the same time, so they are renewed with the missing ones. */
-function addTicketHolders (workers: Slot[], eligible: Slot[], step: StepState): void {
+function addTicketHolders (workers: Slot[], eligible: Slot[], step: StepState, maxNamed: number): void {
   for (const slot of eligible) {
-    if (workers.length >= MAX_NAMED_WORKERS) return
+    if (workers.length >= maxNamed) return
     if (step.tickets.has(slot.worker.report.id) && taskCapacity(slot, step) > 0 && !workers.includes(slot)) workers.push(slot)
   }
 }
 
+interface Selection {
+  step: StepState
+  /** Number of tasks that lack a worker. */
+  missing: number
+  allowedShare: number
+  maxNamed: number
+}
+
 /**
  * Selects workers that are known to be allowed first, then workers for which the decision is unknown, until the expected capacity is twice
  * what is missing and it is unlikely that none of the unknown workers is allowed.
  */
-function selectWorkers (allowed: Slot[], unknown: Slot[], step: StepState, missing: number, allowedShare: number): Slot[] {
-  const selected = [...allowed].sort((a, b) => taskCapacity(b, step) - taskCapacity(a, step)).slice(0, MAX_NAMED_WORKERS)
+function selectWorkers (allowed: Slot[], unknown: Slot[], { step, missing, allowedShare, maxNamed }: Selection): Slot[] {
+  const selected = [...allowed].sort((a, b) => taskCapacity(b, step) - taskCapacity(a, step)).slice(0, maxNamed)
   let expectedCapacity = selected.reduce((sum, slot) => sum + taskCapacity(slot, step), 0)
   let unknownCount = 0
   for (const slot of [...unknown].sort((a, b) => taskCapacity(b, step) - taskCapacity(a, step))) {
-    if (selected.length >= MAX_NAMED_WORKERS || (expectedCapacity >= 2 * missing && Math.pow(1 - allowedShare, unknownCount) < MAX_NONE_ALLOWED_RISK)) break
+    if (selected.length >= maxNamed || (expectedCapacity >= 2 * missing && Math.pow(1 - allowedShare, unknownCount) < MAX_NONE_ALLOWED_RISK)) break
     selected.push(slot)
     unknownCount++
     expectedCapacity += allowedShare * taskCapacity(slot, step)
--- a/packages/cell/test/runtime/advice.test.ts
+++ b/packages/cell/test/runtime/advice.test.ts
@@ -86,3 +86,34 @@
     await Promise.all(submissions)
   })
 })
+
+// Guards against gangs that need several calls for advice one after the other, whose first tickets expire before the last ones arrive.
+describe('a gang that is wider than the workers of one call', () => {
+  const terms = { base: 637, perWorker: 9.1, validity: 1500 }
+  const size = { cpu: 4500, memory: 100, accelerators: 0 }
+
+  async function firstStart (nodes: number): Promise<number> {
+    const rig = await createSteadyRig({
+      nodes,
+      workers: 120,
+      cpu: 16_000,
+      route: { priority: 1, advice: terms },
+      advice: (_step, named) => terms.base + named * terms.perWorker,
+      allows: worker => Number(worker.slice(1)) % 4 === 0,
+      behaviour: () => ({ duration: 4000, ending: 'done', size })
+    })
+    const since = rig.clock.now()
+    const { id } = await rig.submit(rig.nodes[0]!, [{ count: 60, gang: true, size, estimate: 4000 }])
+    await rig.until(() => rig.fleet.firstStart.has(`${id}.0.0.0`))
+    expect(rig.fleet.violations).toEqual([])
+    return rig.fleet.firstStart.get(`${id}.0.0.0`)! - since
+  }
+
+  test('starts after the duration of one short call if nodes are idle', async () => {
+    expect(await firstStart(40)).toBeLessThan(terms.base + 24 * terms.perWorker + 100)
+  })
+
+  test('asks with a few long calls if there are few nodes', async () => {
+    expect(await firstStart(5)).toBeLessThan(4 * (terms.base + 60 * terms.perWorker))
+  })
+})
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -29,11 +29,11 @@
   }
 }
 
-/** Advice service that allows every worker and handles one call of a node at a time; `duration` returns the duration of a call in ms. */
+/** Advice service that handles one call of a node at a time; `duration` returns the duration of a call in ms. */
 class SerialAdvisor extends Advisor {
   private idleAt = 0
 
-  constructor (private readonly clock: NodeClock, private readonly duration: (step: string, workers: number) => number) {
+  constructor (private readonly clock: NodeClock, private readonly duration: (step: string, workers: number) => number, private readonly allows: (worker: string) => boolean) {
     super()
   }
 
@@ -41,7 +41,7 @@
     const now = this.clock.now()
     this.idleAt = Math.max(now, this.idleAt) + this.duration(step, workers.length)
     await this.clock.sleep(this.idleAt - now)
-    return { kind: 'answered', tickets: workers.map(worker => ({ worker, text: 'ticket' })), validity: 1500 }
+    return { kind: 'answered', tickets: workers.filter(this.allows).map(worker => ({ worker, text: 'ticket' })), validity: 1500 }
   }
 }
 
@@ -57,6 +57,8 @@
   others?: Array<Partial<Route> & { name: string }>
   /** Returns the duration of a call to the advice service in ms. */
   advice?: (step: string, workers: number) => number
+  /** Returns whether the advice service allows a worker. */
+  allows?: (worker: string) => boolean
 }
 
 /** Several nodes of a cell with a fake clock, store, workers and links. */
@@ -113,7 +115,7 @@
       leaseMax: 10_000,
       store,
       workers,
-      advisor: new SerialAdvisor(clock, this.options.advice ?? (() => 0)),
+      advisor: new SerialAdvisor(clock, this.options.advice ?? (() => 0), this.options.allows ?? (() => true)),
       reader: new JsonReader(),
       connector: new FakeLinkConnector(endpoint, this.endpoints),
       readConfiguration: value => Ok(JSON.parse(value) as Configuration),
