A query for a job that is about to end waits up to 100 ms for its end

Change: while every task of a job is done or runs, or its end is being recorded, a query waits for the end, 100 ms at most. Jobs with tasks that wait are answered at once.

Ruled out: showing the end before it is on record; it could go back after the loss of the worker and the decider.

Tests fail first ('running' instead of 'completed' at 20, 5 and 0 ms before the end).

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -157,7 +157,7 @@
   }
 
   override async query (question: Question, timeout: number): Promise<Answer | undefined> {
-    if (this.decider !== undefined) return this.decider.isReady ? this.decider.answer(question) : undefined
+    if (this.decider !== undefined) return this.decider.isReady ? await this.decider.answer(question) : undefined
     return await this.membership.follower?.ask(question, timeout)
   }
 
@@ -187,7 +187,7 @@
       callbacks: {
         onJob: job => { if (decider.isReady) decider.addJob(job, 'link') },
         onCancel: id => { decider.cancel(id) },
-        answer: question => decider.isReady ? decider.answer(question) : unknownAnswer(question),
+        answer: async question => decider.isReady ? await decider.answer(question) : unknownAnswer(question),
         configurationVersion: () => this.configuration?.version ?? 0,
         onNewerTerm: () => { decider.confirmTerm() },
         write: async (request, timeout) => await this.gateway.write(request, clock.now() + timeout - FORWARD_RESERVE_MS),
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -9,6 +9,7 @@
 import type { RecordStore } from '../types/records.js'
 import type { WorkerReport } from '../types/worker.js'
 import { AdviceScheduler } from './AdviceScheduler.js'
+import { PhaseWaiters } from './PhaseWaiters.js'
 import { Registry } from './Registry.js'
 import { SubmissionFeed } from './SubmissionFeed.js'
 import { InstanceFeed } from './InstanceFeed.js'
@@ -67,6 +68,7 @@
   private readonly poller: WorkerPoller
   private readonly lifecycle: TaskLifecycle
   private readonly adviceScheduler = new AdviceScheduler()
+  private readonly phaseWaiters: PhaseWaiters
   private readonly advisor: StepAdvisor
   private readonly routes = new Map<string, Route>()
   private lastConfiguration: Configuration | undefined
@@ -92,6 +94,7 @@
 
   constructor (private readonly options: DeciderOptions) {
     const { store, clock, log, term, workers } = options
+    this.phaseWaiters = new PhaseWaiters(clock)
     this.recorder = new Recorder({
       store, clock, log, term, version: options.termRowVersion, encode: key => this.encode(key), callbacks: { onRecorded: keys => { this.handleRecorded(keys) }, onTermLost: ({ term: next }) => { this.loseTerm(next?.node) } }
     })
@@ -106,6 +109,7 @@
       sendStart: (task, ticket) => { detach(this.sendStart(task, ticket), log, 'order') },
       sendStop: task => { detach(this.poller.stopRun(task), log, 'stop') },
       maxAttempts: job => this.routes.get(job.job.route)?.maxAttempts ?? 1,
+      onEndVisible: job => { this.phaseWaiters.release(job) },
       onChange: () => { this.requestRound() }
     })
     this.poller.setLifecycle(this.lifecycle)
@@ -207,10 +211,12 @@
     if (state !== undefined) this.lifecycle.endJob(state, 'cancelled')
   }
 
-  /** Answers a query from the decider's state. */
-  answer (question: Question): Answer {
+  /** Answers a query from the decider's state; a query for a job that is about to end waits a moment for its end. */
+  async answer (question: Question): Promise<Answer> {
     if (question.about === 'queue') return { about: 'queue', waiting: this.registry.countWaiting(question.route) }
     const { id } = question
+    const job = this.registry.jobs.get(id)
+    if (job !== undefined) await this.phaseWaiters.wait(job)
     return { about: 'job', phase: this.registry.jobs.get(id)?.visiblePhase ?? this.registry.endedJobs.get(id)?.phase ?? 'unknown' }
   }
 
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -34,7 +34,7 @@
 export interface FollowersCallbacks {
   onJob: (job: Job) => void
   onCancel: (id: string) => void
-  answer: (question: Question) => Answer
+  answer: (question: Question) => Promise<Answer>
   /** Returns the version of the configuration in force at the decider. */
   configurationVersion: () => number
   /** Writes a request to the store on behalf of a follower; `timeout` in ms. */
@@ -197,7 +197,7 @@
         return
       case 'job': return callbacks.onJob(message.job)
       case 'cancel': return callbacks.onCancel(message.id)
-      case 'ask': return follower.link.send({ kind: 'answer', call: message.call, answer: callbacks.answer(message.question) })
+      case 'ask': return detach(this.answerFollower(follower, message), this.options.log, 'query of a follower')
       case 'record': return detach(this.writeForFollower(follower, message), this.options.log, 'record for a follower')
       case 'advised': return this.resolveCall(message.call, message.advice)
       case 'executed': return this.resolveCall(message.call, message.result)
@@ -205,6 +205,10 @@
     }
   }
 
+  private async answerFollower (follower: FollowerState, { call, question }: Extract<FollowerMessage, { kind: 'ask' }>): Promise<void> {
+    follower.link.send({ kind: 'answer', call, answer: await this.options.callbacks.answer(question) })
+  }
+
   private async writeForFollower (follower: FollowerState, message: Extract<FollowerMessage, { kind: 'record' }>): Promise<void> {
     follower.link.send({ kind: 'recorded', call: message.call, outcome: await this.options.callbacks.write(message.wish, message.patience) })
   }
--- a/packages/cell/test/runtime/workers.test.ts
+++ b/packages/cell/test/runtime/workers.test.ts
@@ -1,6 +1,7 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
 import { createSteadyRig } from '../support/CellRig.js'
+import type { CellRig } from '../support/CellRig.js'
 
 const SIZE = { cpu: 1000, memory: 100, accelerators: 0 }
 
@@ -141,3 +142,38 @@
     expect(Math.max(...starts) - Math.min(...starts)).toBeLessThan(50)
   })
 })
+
+// Guards against callers who ask in the moment in which a job ends, are told that it runs, and ask again only a few hundred ms later.
+describe('a query for a job', () => {
+  const LAST_RUN_MS = 500
+
+  async function askAt (delay: number, steps: Parameters<CellRig['submit']>[1]): Promise<{ phase: string, waited: number }> {
+    const rig = await createSteadyRig({ behaviour: () => ({ duration: LAST_RUN_MS, ending: 'done', size: SIZE }) })
+    const node = rig.nodes.find(each => each !== rig.decider)!
+    const { id } = await rig.submit(node, steps)
+    await rig.until(() => rig.fleet.firstStart.has(`${id}.0.0.0`))
+    await rig.run(delay)
+    const since = rig.clock.now()
+    return { phase: await rig.phase(node, id), waited: rig.clock.now() - since }
+  }
+
+  for (const early of [20, 5, 0]) {
+    test(`that arrives ${early} ms before its last run ends is answered with the end`, async () => {
+      const { phase, waited } = await askAt(LAST_RUN_MS - early, [{ count: 3 }])
+      expect(phase).toEqual('completed')
+      expect(waited).toBeLessThan(101)
+    })
+  }
+
+  test('that has long to run is answered within a tenth of a second', async () => {
+    const { phase, waited } = await askAt(100, [{ count: 3 }])
+    expect(phase).toEqual('running')
+    expect(waited).toBeLessThan(120)
+  })
+
+  test('of which tasks wait is answered at once', async () => {
+    const { phase, waited } = await askAt(LAST_RUN_MS - 50, [{ count: 1 }, { after: [0] }])
+    expect(phase).toEqual('running')
+    expect(waited).toBeLessThan(20)
+  })
+})
