--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -203,11 +203,13 @@
     if (step.definition.gang) reserveForGang(rankedStep, eligible, context)
     return
   }
-  if (route.advice !== undefined) planCalls(rankedStep, route.advice, maxNamed => {
-    const workers = selectWorkers(allowed, unknown, { step, missing, allowedShare: context.allowedShare, maxNamed })
-    if (step.definition.gang) addTicketHolders(workers, eligible, step, maxNamed)
-    return workers
-  }, context)
+  if (route.advice !== undefined) {
+    planCalls(rankedStep, route.advice, maxNamed => {
+      const workers = selectWorkers(allowed, unknown, { step, missing, allowedShare: context.allowedShare, maxNamed })
+      if (step.definition.gang) addTicketHolders(workers, eligible, step, maxNamed)
+      return workers
+    }, context)
+  }
   reserveForPendingAdvice(missing, allowed, step)
 }
 
