--- a/packages/node/test/node/TestCell.ts
+++ b/packages/node/test/node/TestCell.ts
@@ -31,6 +31,8 @@
   incarnation: string
   /** Parsed log lines written so far. */
   log: Array<Record<string, unknown>>
+  /** Lines of the error output written so far. */
+  errorOutput: string[]
 }
 
 /** Starts and stops the processes of one cell: a stand-in platform, stand-in workers and nodes. */
@@ -91,8 +93,10 @@
     const child = spawn(process.execPath, [DAEMON, file], { stdio: ['ignore', 'pipe', 'pipe'] })
     const log: NodeProcess['log'] = []
     readLines(child.stdout, line => { log.push(JSON.parse(line) as Record<string, unknown>) })
+    const errorOutput: string[] = []
+    readLines(child.stderr, line => { errorOutput.push(line) })
     const ready = await waitForReady(child, child.stderr) as unknown as { addresses: NodeAddresses, incarnation: string }
-    const node: NodeProcess = { id, process: child, exited: waitForExit(child), log, ...ready }
+    const node: NodeProcess = { id, process: child, exited: waitForExit(child), log, errorOutput, ...ready }
     this.running.push(node)
     this.nodes.push(node)
     return node
@@ -108,6 +112,13 @@
     await post(`${this.platformUrl}/faults`, { target, faults })
   }
 
+  /** @returns for each node how its process ended, if it has, with the last lines that it wrote */
+  describeNodes (): string {
+    return this.nodes.map(({ id, process: child, log, errorOutput }) => JSON.stringify({
+      id, exitCode: child.exitCode, signal: child.signalCode, errorOutput: errorOutput.slice(-20), log: log.slice(-10)
+    })).join('\n')
+  }
+
   /** Kills every process that was started and removes the settings files. */
   async close (): Promise<void> {
     for (const { process: child } of this.running) {
--- a/packages/node/test/node/faults.test.ts
+++ b/packages/node/test/node/faults.test.ts
@@ -13,6 +13,10 @@
 const MIN_RUNS = 500
 /** The test takes 32 to 68 s while other tests load the machine. */
 const TEST_TIMEOUT_MS = 120_000
+/** Time until all nodes serve again above which their state is printed. */
+const SLOW_RECOVERY_MS = 10_000
+/** Time after the last fault within which every node serves again; the state of the nodes is printed if one doesn't. */
+const RECOVERY_LIMIT_MS = 45_000
 
 before(async () => {
   await cell.startPlatform()
@@ -97,7 +101,12 @@
   }).toEqual({ lost: [], doubled: [], misdelivered: [], falseNotRun: [], violations: [] })
   expect(silenced > 0).toEqual(true)
   expect(counts.run >= MIN_RUNS).toEqual(true)
+  const recoverySince = Date.now()
   for (const front of runningFronts()) {
-    while ((await fetch(`${front}/after`)).status !== 200) await sleep(100)
+    while ((await fetch(`${front}/after`)).status !== 200) {
+      if (Date.now() - recoverySince > RECOVERY_LIMIT_MS) throw new Error(`${front} does not serve again\n${cell.describeNodes()}`)
+      await sleep(100)
+    }
   }
+  if (Date.now() - recoverySince > SLOW_RECOVERY_MS) console.log(`the nodes served again only after ${Date.now() - recoverySince} ms\n${cell.describeNodes()}`)
 })
