Steps that ask for advice at the same time name different workers

Change: workers with equal capacity are in a different order for each step.

Test fails first: both gangs named the same 54 of 200 workers.

--- a/packages/cell/src/runtime/ExecutorSelection.ts
+++ b/packages/cell/src/runtime/ExecutorSelection.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@rattanstep/core'
-import { hashText } from './hashText.js'
+import { hashText, mixHashes } from './hashText.js'
 
 /** A node that can call workers for the decider. */
 export interface Executor {
@@ -11,8 +11,6 @@
 const SUSPENSION_MS = 2000
 /** Time for which the decider itself calls a worker that could not be reached through its executor. */
 const DETOUR_MS = 3000
-/** Odd multiplier that mixes the bits of two hashes. */
-const MIX_MULTIPLIER = 0x9E3779B1
 
 /**
  * Selects the executor of each worker by rendezvous hashing among the followers of the worker's data centre, so that a change of the
@@ -82,10 +80,3 @@
     return best
   }
 }
-
-/** Each bit of the result depends on all bits of both hashes, since hashes of names that differ in one character are close. */
-function mixHashes (first: number, second: number): number {
-  let mixed = Math.imul(first ^ Math.imul(second, MIX_MULTIPLIER), MIX_MULTIPLIER)
-  mixed = Math.imul(mixed ^ (mixed >>> 15), MIX_MULTIPLIER)
-  return (mixed ^ (mixed >>> 13)) >>> 0
-}
--- a/packages/cell/src/runtime/hashText.ts
+++ b/packages/cell/src/runtime/hashText.ts
@@ -18,3 +18,14 @@
 export function hashFraction (text: string): number {
   return (Math.imul(hashText(text), HASH_MULTIPLIER) >>> 0) / 2 ** 32
 }
+
+/**
+ * @param first - an integer hash
+ * @param second - an integer hash
+ * @returns an integer from 0 to 2³² - 1, of which each bit depends on both hashes, even if the hashed names differ in one character only
+ */
+export function mixHashes (first: number, second: number): number {
+  let mixed = Math.imul(first ^ Math.imul(second, HASH_MULTIPLIER), HASH_MULTIPLIER)
+  mixed = Math.imul(mixed ^ (mixed >>> 15), HASH_MULTIPLIER)
+  return (mixed ^ (mixed >>> 13)) >>> 0
+}
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -1,5 +1,6 @@
 import type { AdviceTerms, Route } from '../types/configuration.js'
 import type { AdviceRound } from './AdviceScheduler.js'
+import { hashText, mixHashes } from './hashText.js'
 import type { RankedStep } from './rankSteps.js'
 import type { StepState, Task, WorkerState } from './model.js'
 import { CapacitySnapshot, taskCapacity, countFitting, reserveCapacity } from './CapacitySnapshot.js'
@@ -255,7 +256,7 @@
   const selected = [...allowed].sort((a, b) => taskCapacity(b, step) - taskCapacity(a, step)).slice(0, maxNamed)
   let expectedCapacity = selected.reduce((sum, slot) => sum + taskCapacity(slot, step), 0)
   let unknownCount = 0
-  for (const slot of [...unknown].sort((a, b) => taskCapacity(b, step) - taskCapacity(a, step))) {
+  for (const slot of sortByCapacity(unknown, step)) {
     if (selected.length >= maxNamed || (expectedCapacity >= 2 * missing && Math.pow(1 - allowedShare, unknownCount) < MAX_NONE_ALLOWED_RISK)) break
     selected.push(slot)
     unknownCount++
@@ -264,6 +265,18 @@
   return selected
 }
 
+/**
+ * Sorts workers by the number of tasks that fit. Workers with equal capacity are in a different order for each step, since steps that ask
+ * at the same time would otherwise name the same workers, of which only the first answer can make use.
+ */
+function sortByCapacity (slots: Slot[], step: StepState): Slot[] {
+  const stepHash = hashText(step.name)
+  return slots
+    .map(slot => ({ slot, capacity: taskCapacity(slot, step), order: mixHashes(stepHash, hashText(slot.worker.report.id)) }))
+    .sort((a, b) => b.capacity - a.capacity || a.order - b.order)
+    .map(({ slot }) => slot)
+}
+
 /** Reserves capacity on allowed workers for a step while a call for its tickets is in flight or planned. */
 function reserveForPendingAdvice (missing: number, eligible: Slot[], step: StepState): void {
   let remaining = missing
--- a/packages/cell/test/runtime/rounds.test.ts
+++ b/packages/cell/test/runtime/rounds.test.ts
@@ -44,6 +44,27 @@
   return registry
 }
 
+// Guards against gangs that ask at the same time about the same workers: the first answer takes them, and all others ask again.
+describe('gangs that ask for advice in the same round', () => {
+  test('name different workers if many have the same capacity', () => {
+    const registry = new Registry()
+    for (let index = 0; index < 200; index++) {
+      registry.ensureWorker({ id: `i-${(index * 7919).toString(16)}`, service: 's', address: '', dataCentre: 'd', state: 'ready', capacity: { cpu: 16_000, memory: 1000, accelerators: 0 }, labels: [], born: 1 })
+    }
+    for (let index = 0; index < 2; index++) {
+      const id = index.toString(16).padStart(16, '0')
+      registry.addJob({ id, route: 'crowd', spec: '', steps: [stepOf({ count: 20, gang: true, size: { cpu: 4500, memory: 1, accelerators: 0 } })], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 })
+    }
+    const workers = [...registry.workers.values()]
+    const round = planRound(rankSteps(registry.readySteps, { routeOf: name => ROUTES[name], now: 0 }), { workersOf: () => workers, now: 0, adviceRound: new AdviceScheduler().startRound(['a', 'b', 'c'], 0), allowedShare: () => 0.25 })
+    const [first, second] = round.adviceRequests.map(request => new Set(request.workers))
+    const shared = [...first!].filter(worker => second!.has(worker)).length
+    // Of 54 workers, a quarter of 200 are shared by chance.
+    expect(first!.size).toBeGreaterThan(50)
+    expect(shared).toBeLessThan(first!.size / 2)
+  })
+})
+
 // Guards against rounds that become slow when thousands of tasks wait at peak load and no worker has capacity for them.
 describe('a round of planning in a full cell', () => {
   test('examines no worker for steps that fit nowhere, and still places tasks that fit', () => {
