A job whose placement is on record is shown as running

A node that gets no answer from the decider reads the job's record, where an open job with a record counts as running, while the decider shows running only when a worker has taken the order. Ruled out: showing a recorded placement as queued; that goes back when the decider is lost after a start. Change: the decider shows running from the record of the placement on. The count of waiting jobs still changes with the first start. Test fails first (queued after running).

--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -63,6 +63,8 @@
     record(job, () => {
       if (task.phase !== 'placed' || task.run !== run) return
       task.phase = 'ordered'
+      // Any node can read the placement now, so that the job must not be shown as queued any more.
+      if (job.visiblePhase === 'queued') job.visiblePhase = 'running'
       sendStart(task, ticket)
     })
   }
--- a/packages/cell/test/runtime/submission.test.ts
+++ b/packages/cell/test/runtime/submission.test.ts
@@ -51,6 +51,22 @@
     expect(await rig.phase(follower, id)).toEqual('completed')
   })
 
+  // A node that gets no answer from the decider reads the job's record, which says that a start was ordered.
+  test('is not shown as queued by the decider after a record has shown it as running', async () => {
+    const rig = await createSteadyRig({ workers: 1 })
+    const worker = rig.fleet.workers.get('w0')!
+    const follower = rig.nodes.find(node => node !== rig.decider)!
+    worker.orderDelay = 5000
+    const { id } = await rig.submit(follower, [{}])
+    await rig.run(50)
+    const decider = rig.decider!
+    decider.endpoint.isSilenced = true
+    const fromRecord = await rig.phase(follower, id)
+    decider.endpoint.isSilenced = false
+    expect(fromRecord).toEqual('running')
+    expect(await rig.phase(decider, id)).toEqual('running')
+  })
+
   test('is accepted at once at a node that the store has just started to refuse', async () => {
     const rig = await createSteadyRig()
     const follower = rig.nodes.find(node => node !== rig.decider)!
