A decider that the store refuses offers its term after 0.1 s

The decider waited for 1.2 s without an answer, although each refusal had come at once. Ruled out: a shorter limit for silence, since a slow store is silent too. Change: after 100 ms in which every call was refused the term is offered to a follower that the store answers. Followers report whether the store refuses them, and one that is called reads the term first, so that an outage for all interrupts nobody.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -3,7 +3,7 @@
 import type { Result } from 'ts-results-es'
 import type { Configuration } from '../types/configuration.js'
 import type { Job } from '../types/job.js'
-import { LEASE_MS, LINK_TIMEOUT_MS, STORE_ADVANTAGE_MS, STORE_TIMEOUT_MS } from '../types/limits.js'
+import { LEASE_MS, LINK_TIMEOUT_MS, STORE_ADVANTAGE_MS, STORE_REFUSAL_TIMEOUT_MS, STORE_TIMEOUT_MS } from '../types/limits.js'
 import type { Answer, Question } from '../types/links.js'
 import type { Advice, Advisor, RowReader, WorkerClient } from '../types/ports.js'
 import type { RecordStore } from '../types/records.js'
@@ -238,9 +238,10 @@
     const { clock, store } = this.options
     const now = clock.now()
     const storeSilence = Math.min(store.silentFor(), now - decider.confirmedAt)
-    if (storeSilence < STORE_TIMEOUT_MS || now - this.lastOfferAt < LINK_TIMEOUT_MS) return
+    const isRefused = store.failingFor() >= STORE_REFUSAL_TIMEOUT_MS
+    if ((storeSilence < STORE_TIMEOUT_MS && !isRefused) || now - this.lastOfferAt < LINK_TIMEOUT_MS) return
     this.lastOfferAt = now
-    this.followers?.nominateSuccessor('store-unreachable', this.offerCount++, storeSilence - STORE_ADVANTAGE_MS)
+    this.followers?.nominateSuccessor('store-unreachable', this.offerCount++, isRefused ? undefined : storeSilence - STORE_ADVANTAGE_MS)
   }
 
   /** Hands the term over to a much stronger follower, if there is one. */
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -76,6 +76,10 @@
     strength: number
     /** ms since the store last answered this node */
     storeSilence: () => number
+    /** ms for which the store has refused this node's calls */
+    storeFailing: () => number
+    /** Returns whether the store answers this node. */
+    checkStore: () => Promise<boolean>
     /** Highest fencing token known to this node. */
     newestFence: () => number
     /** ms since this process started. */
@@ -186,10 +190,15 @@
       case 'members':
         this.members = message.addresses
         return
-      case 'succeed': this.end('called')
+      case 'succeed': detach(this.succeed(), this.options.log, 'succession')
     }
   }
 
+  /** Stops following to claim the term, unless the store doesn't answer: without the store, the claim would fail and the decider would lose a follower. */
+  private async succeed (): Promise<void> {
+    if (await this.options.checkStore()) this.end('called')
+  }
+
   private async advise (message: Extract<DeciderMessage, { kind: 'advise' }>): Promise<void> {
     const advice = await this.options.callbacks.advise(message)
     if (!this.hasEnded) this.link.send({ kind: 'advised', call: message.call, advice })
@@ -200,7 +209,7 @@
   }
 
   private sendHeartbeat (): void {
-    const { clock, storeSilence, callbacks, newestFence } = this.options
+    const { clock, storeSilence, storeFailing, callbacks, newestFence } = this.options
     const now = clock.now()
     if (now - this.lastMessageAt > LINK_TIMEOUT_RATIO * this.interval) {
       this.end('silent')
@@ -209,7 +218,7 @@
     }
     if (now - this.lastHeartbeatAt < this.interval - LINK_HEARTBEAT_MS / 2) return
     this.lastHeartbeatAt = now
-    this.link.send({ kind: 'beat', storeSilence: Math.min(storeSilence(), Number.MAX_SAFE_INTEGER), term: newestFence(), configuration: callbacks.configurationVersion() })
+    this.link.send({ kind: 'beat', storeSilence: Math.min(storeSilence(), Number.MAX_SAFE_INTEGER), storeFailing: storeFailing(), term: newestFence(), configuration: callbacks.configurationVersion() })
   }
 
   /** Completes a pending call with its answer, or with `undefined` if there is none. */
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -66,6 +66,8 @@
   orders: Batch<{ call: number, order: WorkerCall }>
   /** ms since the store last answered the follower. */
   storeSilence: number
+  /** ms for which the store has refused the follower's calls. */
+  storeFailing: number
   strength: number
   /** Monotonic ms, on this node's clock, at which the process there started. */
   startedAt: number
@@ -100,7 +102,7 @@
     this.followers.get(node)?.link.close()
     const now = clock.now()
     const follower: FollowerState = {
-      node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, orders: new Batch({ clock, delay: ORDER_BATCH_MS, flush: calls => { link.send({ kind: 'execute', calls }) } }), storeSilence: 0, strength, startedAt: now - age
+      node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, orders: new Batch({ clock, delay: ORDER_BATCH_MS, flush: calls => { link.send({ kind: 'execute', calls }) } }), storeSilence: 0, storeFailing: 0, strength, startedAt: now - age
     }
     this.followers.set(node, follower)
     this.updateExecutors()
@@ -158,7 +160,7 @@
    * @returns name of the nominated follower, or `undefined` if none is eligible
    */
   nominateSuccessor (reason: SuccessionReason, attempt: number, maxStoreSilence = MAX_SUCCESSOR_STORE_SILENCE_MS): string | undefined {
-    const eligible = (reason === 'stopping' ? this.rankedForPlannedStop() : this.ranked()).filter(follower => follower.storeSilence < maxStoreSilence)
+    const eligible = (reason === 'stopping' ? this.rankedForPlannedStop() : this.ranked()).filter(follower => follower.storeSilence < maxStoreSilence && follower.storeFailing === 0)
     const follower = eligible[attempt % Math.max(1, eligible.length)]
     follower?.link.send({ kind: 'succeed', reason })
     return follower?.node
@@ -199,6 +201,7 @@
     switch (message.kind) {
       case 'beat':
         follower.storeSilence = message.storeSilence
+        follower.storeFailing = message.storeFailing ?? 0
         if (message.term > fence) callbacks.onNewerTerm()
         return
       case 'job': return callbacks.onJob(message.job)
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -160,7 +160,20 @@
       this.claimReason = link.error
       return link.error
     }
-    this.follower = new Follower(link.value, { clock, log, callbacks: follower, node, dataCentre, address, strength, storeSilence: () => store.silentFor(), newestFence: () => this.term?.fence ?? 0, age: clock.now() - this.startedAt })
+    this.follower = new Follower(link.value, {
+      clock,
+      log,
+      callbacks: follower,
+      node,
+      dataCentre,
+      address,
+      strength,
+      storeSilence: () => store.silentFor(),
+      storeFailing: () => store.failingFor(),
+      checkStore: async () => await this.readTerm(),
+      newestFence: () => this.term?.fence ?? 0,
+      age: clock.now() - this.startedAt
+    })
     const joinOutcome = await this.follower.join(LINK_TIMEOUT_MS)
     if (joinOutcome !== 'welcomed') {
       this.follower.close()
--- a/packages/cell/src/types/limits.ts
+++ b/packages/cell/src/types/limits.ts
@@ -24,6 +24,8 @@
 export const SUCCESSION_STEP_MS = 150
 /** Time without an answer from the store after which a decider offers its term to a follower. A long poll and its answer take less. */
 export const STORE_TIMEOUT_MS = 1200
+/** Time for which the store must refuse every call before a decider offers its term: unlike silence, a refusal is certain. */
+export const STORE_REFUSAL_TIMEOUT_MS = 100
 /** A follower qualifies as successor if the store answered it this much more recently than it answered the decider. */
 export const STORE_ADVANTAGE_MS = 500
 /** Duration of a transaction above which the store counts as slow; 8 to 13 ms are usual. */
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -7,7 +7,7 @@
 /** Message from a follower to the decider. */
 export type FollowerMessage =
   | { kind: 'hello', node: string, dataCentre: string, /** `HOST:PORT` at which other nodes reach the sender */ address: string, /** see `CellSettings.strength` */ strength: number, /** ms since the process started */ age: number }
-  | { kind: 'beat', /** ms since the store last answered this node */ storeSilence: number, term: number, configuration: number }
+  | { kind: 'beat', /** ms since the store last answered this node */ storeSilence: number, /** ms for which the store has refused this node's calls */ storeFailing?: number, term: number, configuration: number }
   | { kind: 'job', job: Job }
   | { kind: 'cancel', id: string }
   | { kind: 'ask', call: number, question: Question }
--- a/packages/cell/test/runtime/takeover.test.ts
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -173,6 +173,27 @@
     expect((many - few) / 40).toBeLessThan(5)
   })
 
+  // Urgent jobs that wait for a decider which the store turns away are late; its followers could be served at once.
+  test('follows within half a second when the store refuses the decider alone', async () => {
+    const rig = await createSteadyRig()
+    const decider = rig.decider!
+    decider.store.condition = 'refusing'
+    const since = rig.clock.now()
+    await rig.until(() => rig.nodes.some(node => node !== decider && node.cell.activeDecider?.isReady === true), 5000)
+    expect(rig.clock.now() - since).toBeLessThan(500)
+  })
+
+  test('interrupts no follower when the store refuses all nodes', async () => {
+    const rig = await createSteadyRig({ nodes: 5 })
+    const decider = rig.decider!
+    for (const node of rig.nodes) node.store.condition = 'refusing'
+    await rig.run(6000)
+    for (const node of rig.nodes) node.store.condition = 'normal'
+    await rig.run(1000)
+    expect(rig.decider).toEqual(decider)
+    expect(decider.log.lines.filter(line => line.event.name === 'follower-lost')).toEqual([])
+  })
+
   test('moves the term from a weak instance to a strong one in normal operation', async () => {
     const rig = new CellRig({ nodes: 1 })
     await rig.until(() => rig.decider !== undefined)
