--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -41,7 +41,7 @@
       node: settings.node,
       dataCentre: settings.dataCentre,
       strength: settings.strength,
-      address: `${settings.ip}:${settings.listen.linkPort}`,
+      address: settings.listen.linkAddress,
       retention: settings.bounds.finishedJobRetention,
       leaseMax: settings.bounds.leaseMax,
       connector: new TcpLinkConnector<DeciderMessage, FollowerMessage>()
--- a/packages/cell/src/runtime/resolveSettings.ts
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -22,15 +22,18 @@
   const findings: Finding[] = document.errors.map(error => ({ code: 'bad-yaml', message: error.message, place: { file, line: error.linePos?.[0].line ?? 1, column: error.linePos?.[0].col ?? 1 } }))
   if (findings.length > 0) return Err(findings)
   const read = new SettingsReader(document, lines, file, findings)
+  const ip = read.text('ip')
+  const linkPort = read.count('listen', 'linkPort')
   const settings: CellSettings = {
     node: read.text('node'),
     dataCentre: read.text('dataCentre'),
     strength: strengthOf(read.count('capacity', 'cores') * read.count('capacity', 'coreShare'), read.count('capacity', 'linkRate')),
-    ip: read.text('ip'),
+    ip,
     listen: {
       callers: read.address('listen', 'callers'),
       readiness: read.address('listen', 'readiness'),
-      linkPort: read.count('listen', 'linkPort'),
+      linkPort,
+      linkAddress: read.addressOr(`${ip}:${linkPort}`, 'listen', 'linkAddress'),
       metricsPort: read.count('listen', 'metricsPort')
     },
     store: { address: read.address('store', 'address') },
@@ -73,6 +76,11 @@
     return this.addFinding(path, value, 'an address such as 10.1.0.13:8161', '')
   }
 
+  addressOr (fallback: string, ...path: string[]): string {
+    const value = this.document.getIn(path)
+    return value === undefined || value === null ? fallback : this.address(...path)
+  }
+
   count (...path: string[]): number {
     const value = this.document.getIn(path)
     if (typeof value === 'number' && value >= 0) return value
--- a/packages/cell/src/types/settings.ts
+++ b/packages/cell/src/types/settings.ts
@@ -11,6 +11,8 @@
     readiness: string
     /** Port for links between nodes. */
     linkPort: number
+    /** `HOST:PORT` at which other nodes reach this node's links: `ip` and `linkPort`, unless ports are mapped. */
+    linkAddress: string
     metricsPort: number
   }
   store: { address: string }
--- /dev/null
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -0,0 +1,270 @@
+import { SeededRandom } from '@rattanstep/core'
+import { AdviceScheduler } from '../../src/runtime/AdviceScheduler.js'
+import { Registry } from '../../src/runtime/Registry.js'
+import type { JobState, StepState, Task } from '../../src/runtime/model.js'
+import { planRound } from '../../src/runtime/planRound.js'
+import { objectiveSpan, rankSteps } from '../../src/runtime/rankSteps.js'
+import type { Route } from '../../src/index.js'
+import { stepOf } from '../support/CellRig.js'
+
+/** Jobs of one kind in a load. */
+export interface JobKind {
+  route: Route
+  /** Share of the workers that the advice service allows for a step. */
+  allowedShare: number
+  /** Mean number of jobs a second. */
+  rate: number
+  /** Mean number of tasks of a step, and the most. */
+  width: [mean: number, max: number]
+  /** Mean number of thousandths of a core of a task, and the most. */
+  cpu: [mean: number, max: number]
+  /** Mean memory of a task in MB. */
+  memory: number
+  /** Mean duration of a task in ms. */
+  duration: number
+  /** Share of the jobs whose tasks only work together. */
+  gangShare: number
+  /** Mean number of steps. */
+  steps: number
+  /** Worth of a job of mean size that ends within its objective; a late one is worth a fifth. */
+  worth: number
+}
+
+/** A load on a cell. */
+export interface Load {
+  kinds: JobKind[]
+  nodes: number
+  workers: number
+  /** Thousandths of a core, and MB of memory, of each worker. */
+  capacity: { cpu: number, memory: number }
+  /** ms in which jobs arrive; jobs that have not ended three times as late as they should count as failed. */
+  duration: number
+  /** Periods in which a kind arrives at a multiple of its rate. */
+  bursts: Array<{ kind: number, from: number, until: number, factor: number }>
+}
+
+/** What the callers of a kind got. */
+export interface KindResult {
+  name: string
+  jobs: number
+  inTime: number
+  late: number
+  failed: number
+  /** Worth earned / worth owed. */
+  worth: number
+  /** Worth earned / worth owed of the largest tenth of the jobs and of the fifth below it. */
+  largest: number
+  large: number
+}
+
+/** Time from a placement to the start of the run, from its end to the next round, and between rounds, in ms. */
+const START_MS = 25
+const END_MS = 30
+const ROUND_MS = 5
+/** Time that the message to and from a node adds to a call for advice, in ms. */
+const ADVICE_TRANSFER_MS = 10
+/** Spread of the widths and sizes of tasks: standard deviation of the logarithm. */
+const SPREAD = 0.7
+/** How far declared durations are off. */
+const ESTIMATE_ERROR = 0.2
+
+interface Event {
+  at: number
+  run: () => void
+}
+
+interface Outcome {
+  kind: number
+  work: number
+  submittedAt: number
+  span: number
+  endedAt: number
+}
+
+/**
+ * Plays a load against the cell's planning, without processes, links or store.
+ *
+ * @param load - the load
+ * @param seed - seed of the jobs
+ * @returns what the callers of each kind got
+ */
+export function simulateLoad (load: Load, seed: number): KindResult[] {
+  const random = new SeededRandom(seed)
+  const registry = new Registry()
+  const scheduler = new AdviceScheduler()
+  const routes = new Map(load.kinds.map(({ route }) => [route.name, route]))
+  const nodes = Array.from({ length: load.nodes }, (_, index) => `n${index}`)
+  for (let index = 0; index < load.workers; index++) {
+    registry.ensureWorker({ id: `w${index}`, service: 's', address: '', dataCentre: 'd', state: 'ready', capacity: { ...load.capacity, accelerators: 0 }, labels: [`r1-${Math.floor(index / 12)}`], born: 1 })
+  }
+  const workers = [...registry.workers.values()]
+  const events = new EventQueue()
+  const outcomes: Outcome[] = []
+  const nodeIdleAt = new Map<string, number>()
+  let now = 0
+  let roundAt = -1
+
+  const requestRound = (): void => {
+    if (roundAt >= now) return
+    roundAt = now + ROUND_MS
+    events.add(roundAt, plan)
+  }
+  const finishJob = (job: JobState, outcome: Outcome): void => {
+    outcome.endedAt = now
+    registry.archive(job.job.id, 'completed', now)
+  }
+  const endTask = (task: Task, outcome: Outcome): void => {
+    registry.release(task)
+    task.phase = 'done'
+    const { step } = task
+    step.doneTasks++
+    registry.updateReadySteps(step.occurrence)
+    if (step.occurrence.steps.every(each => each.doneTasks === each.tasks.length)) finishJob(step.occurrence.job, outcome)
+    requestRound()
+  }
+  const outcomeOf = new Map<string, Outcome>()
+  function plan (): void {
+    const ranked = rankSteps(registry.readySteps, { routeOf: name => routes.get(name), now })
+    const result = planRound(ranked, { workersOf: () => workers, now, adviceRound: scheduler.startRound(nodes, now), allowedShare: route => scheduler.allowedShare(route) })
+    for (const { task, worker } of result.placements) {
+      task.run++
+      task.phase = 'running'
+      registry.assign(task, worker)
+      registry.updateReadySteps(task.step.occurrence)
+      const outcome = outcomeOf.get(task.step.occurrence.job.job.id)!
+      events.add(now + START_MS + durationOf(task.step, random) + END_MS, () => { endTask(task, outcome) })
+    }
+    for (const { step, route, workers: named, node, cost } of result.adviceRequests) {
+      scheduler.callSent(node, cost, now)
+      step.pendingAdviceCalls++
+      const startsAt = Math.max(now, nodeIdleAt.get(node) ?? 0)
+      nodeIdleAt.set(node, startsAt + cost)
+      const share = load.kinds.find(kind => kind.route === route)!.allowedShare
+      events.add(startsAt + cost + ADVICE_TRANSFER_MS, () => {
+        step.pendingAdviceCalls--
+        scheduler.callEnded(node, cost, now)
+        let allowed = 0
+        for (const worker of named) {
+          const isAllowed = isAllowedFor(step, worker.report.id, share)
+          step.allowedByWorker.set(worker.report.id, isAllowed)
+          if (!isAllowed) continue
+          allowed++
+          step.tickets.set(worker.report.id, { text: 't', validUntil: now + route.advice!.validity })
+        }
+        scheduler.updateAllowedShare(route.name, allowed, named.length)
+        requestRound()
+      })
+    }
+  }
+
+  load.kinds.forEach((kind, index) => {
+    let number = 0
+    for (let at = 0; at < load.duration;) {
+      const burst = load.bursts.find(each => each.kind === index && at >= each.from && at < each.until)
+      at += random.exponential(1000 / (kind.rate * (burst?.factor ?? 1)))
+      const id = index.toString(16) + (number++).toString(16).padStart(15, '0')
+      const job = drawJob(kind, id, random)
+      events.add(at, () => {
+        const state = registry.addJob(job, { now, age: 0, wall: 0 })
+        const outcome = { kind: index, work: job.steps.reduce((sum, step) => sum + step.count * step.size.cpu * step.estimate, 0), submittedAt: now, span: objectiveSpan(job.steps, kind.route), endedAt: Infinity }
+        outcomeOf.set(id, outcome)
+        outcomes.push(outcome)
+        if (state.phase === 'open') requestRound()
+      })
+    }
+  })
+  const end = load.duration + 3 * Math.max(...outcomesSpan(load))
+  for (let event = events.next(); event !== undefined && event.at < end; event = events.next()) {
+    now = event.at
+    event.run()
+  }
+  return load.kinds.map((kind, index) => evaluate(kind, outcomes.filter(outcome => outcome.kind === index)))
+}
+
+function outcomesSpan (load: Load): number[] {
+  return load.kinds.map(kind => objectiveSpan([stepOf({ estimate: 2 * kind.duration })], kind.route))
+}
+
+function drawJob (kind: JobKind, id: string, random: SeededRandom): { id: string, route: string, spec: string, acceptedAt: number, steps: Array<ReturnType<typeof stepOf>> } {
+  const gang = random.next() < kind.gangShare
+  const count = random.next() < kind.steps - 1 ? 2 : 1
+  const steps = Array.from({ length: count }, (_, index) => stepOf({
+    count: Math.max(1, Math.round(drawAround(kind.width[0], kind.width[1], random))),
+    size: { cpu: Math.round(drawAround(kind.cpu[0], kind.cpu[1], random)), memory: kind.memory, accelerators: 0 },
+    estimate: Math.round(kind.duration * (0.5 + random.next())),
+    after: index === 0 ? [] : [index - 1],
+    gang
+  }))
+  return { id, route: kind.route.name, spec: '', acceptedAt: 0, steps }
+}
+
+/** Draws from a log-normal distribution with a mean, cut at a maximum. */
+function drawAround (mean: number, max: number, random: SeededRandom): number {
+  const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
+  return Math.min(max, mean * Math.exp(SPREAD * normal - SPREAD * SPREAD / 2))
+}
+
+function durationOf (step: StepState, random: SeededRandom): number {
+  // The members of a gang end together.
+  const offset = step.definition.gang ? (step.name.charCodeAt(3) % 10) / 10 : random.next()
+  return step.definition.estimate * (1 - ESTIMATE_ERROR + 2 * ESTIMATE_ERROR * offset)
+}
+
+function isAllowedFor (step: StepState, worker: string, share: number): boolean {
+  let hash = 0x811c9dc5
+  for (const character of `${step.name} ${worker}`) hash = Math.imul(hash ^ character.charCodeAt(0), 0x01000193)
+  return ((hash ^ (hash >>> 13)) >>> 0) % 1000 < share * 1000
+}
+
+function evaluate (kind: JobKind, outcomes: Outcome[]): KindResult {
+  const meanWork = outcomes.reduce((sum, outcome) => sum + outcome.work, 0) / Math.max(1, outcomes.length)
+  const worthOf = (outcome: Outcome): number => Math.min(4, 0.3 + 0.7 * outcome.work / meanWork)
+  const earned = (outcome: Outcome): number => {
+    const ratio = (outcome.endedAt - outcome.submittedAt) / outcome.span
+    return worthOf(outcome) * (ratio <= 1 ? 1 : ratio <= 3 ? 0.2 : 0)
+  }
+  const share = (some: Outcome[]): number => some.reduce((sum, each) => sum + earned(each), 0) / Math.max(1e-9, some.reduce((sum, each) => sum + worthOf(each), 0))
+  const bySize = [...outcomes].sort((a, b) => b.work - a.work)
+  const count = (holds: (ratio: number) => boolean): number => outcomes.filter(each => holds((each.endedAt - each.submittedAt) / each.span)).length
+  return {
+    name: kind.route.name,
+    jobs: outcomes.length,
+    inTime: count(ratio => ratio <= 1),
+    late: count(ratio => ratio > 1 && ratio <= 3),
+    failed: count(ratio => !(ratio <= 3)),
+    worth: share(outcomes),
+    largest: share(bySize.slice(0, Math.ceil(outcomes.length * 0.1))),
+    large: share(bySize.slice(Math.ceil(outcomes.length * 0.1), Math.ceil(outcomes.length * 0.3)))
+  }
+}
+
+/** Events in order of time, as a binary heap. */
+class EventQueue {
+  private readonly heap: Event[] = []
+
+  add (at: number, run: () => void): void {
+    const { heap } = this
+    heap.push({ at, run })
+    for (let index = heap.length - 1; index > 0;) {
+      const parent = (index - 1) >> 1
+      if (heap[parent]!.at <= heap[index]!.at) return
+      ;[heap[parent], heap[index]] = [heap[index]!, heap[parent]!]
+      index = parent
+    }
+  }
+
+  next (): Event | undefined {
+    const { heap } = this
+    const first = heap[0]
+    const last = heap.pop()
+    if (first === undefined || last === undefined || heap.length === 0) return first
+    heap[0] = last
+    for (let index = 0; ;) {
+      let smallest = index
+      for (const child of [2 * index + 1, 2 * index + 2]) if (child < heap.length && heap[child]!.at < heap[smallest]!.at) smallest = child
+      if (smallest === index) return first
+      ;[heap[smallest], heap[index]] = [heap[index]!, heap[smallest]!]
+      index = smallest
+    }
+  }
+}
