A silent decider gets up to 4.8 s after recent takeovers from silent ones

A new decider reads the records for 1 to 2.7 s over a slow link, its commits and heartbeats wait behind those bytes, and its followers wait 1.2 s at most before they replace it in turn. Ruled out: counting every takeover: hand-overs of a rolling restart would slow down the answer to a power cut. Change: the term says whether it was claimed from a silent decider; each such takeover of the last 10 s doubles the patience, up to sixteenfold. The term is read every 300 ms meanwhile, so that a decider that commits is seen to live at once. Test fails first: 12 takeovers in 20 s where every new decider needs 2.5 s to catch up; under 6 now.

--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -31,8 +31,8 @@
 
 /** Time for which a takeover counts as recent: the last one's backlog is worked off by then. */
 const TAKEOVER_MEMORY_MS = 10_000
-/** Maximum factor by which recent takeovers extend the time that a silent decider has. */
-const MAX_RECHECK_FACTOR = 4
+/** Maximum factor by which recent takeovers extend the time that a silent decider has; on the slowest links, a new decider reads the records for 2.5 s. */
+const MAX_RECHECK_FACTOR = 16
 
 type MembershipRole = 'seeking' | 'connecting' | 'following' | 'suspecting' | 'claiming' | 'deciding' | 'stopped'
 type MembershipEvent = 'found' | 'vacant' | 'welcomed' | 'turned-away' | 'refused' | 'silent' | 'closed' | 'called' | 'alive' | 'dead' | 'changed' | 'won' | 'lost' | 'deposed' | 'stop'
@@ -67,8 +67,8 @@
   /** Addresses of the nodes that followed the former decider, if this node was told. */
   private members: string[] = []
   private termRowVersion = 0
-  /** Monotonic ms at which this node learned of each of the last terms, by fencing token. */
-  private readonly termsSeenAt = new Map<number, number>()
+  /** Monotonic ms at which this node learned of each of the last terms that were claimed from a silent decider, by fencing token. */
+  private readonly suspicionsSeenAt = new Map<number, number>()
   private newestFence = 0
   /** Place in the order of succession, if the decider assigned one. */
   private rank: number | undefined
@@ -207,28 +207,30 @@
     if (!await this.readTerm()) return 'alive'
     if (this.term?.fence !== fence) return 'changed'
     const versionSeen = this.termRowVersion
-    await clock.sleep(this.recheckDelay())
-    if (!await this.readTerm()) return 'alive'
-    if (this.term?.fence !== fence) return 'changed'
-    if (this.termRowVersion !== versionSeen || versionBefore === 0) return 'alive'
+    for (const deadline = clock.now() + this.recheckDelay(); clock.now() < deadline;) {
+      await clock.sleep(Math.min(TERM_RECHECK_DELAY_MS, deadline - clock.now()))
+      if (!await this.readTerm()) return 'alive'
+      if (this.term?.fence !== fence) return 'changed'
+      if (this.termRowVersion !== versionSeen || versionBefore === 0) return 'alive'
+    }
     this.claimReason = 'silent'
     return 'dead'
   }
 
   /**
-   * A takeover makes the next decider busier than the last one was, so that it may be silent in turn. Each recent takeover therefore doubles
-   * the time that a decider has to show that it is alive.
+   * A takeover makes the next decider busier than the last one was, so that it may be silent in turn. Each recent takeover from a silent decider
+   * therefore doubles the time that a decider has to show that it is alive. Hand-overs and takeovers from dead processes don't count.
    */
   private recheckDelay (): number {
     const since = this.options.clock.now() - TAKEOVER_MEMORY_MS
-    for (const [fence, at] of this.termsSeenAt) if (at < since) this.termsSeenAt.delete(fence)
-    return TERM_RECHECK_DELAY_MS * Math.min(MAX_RECHECK_FACTOR, 2 ** this.termsSeenAt.size)
+    for (const [fence, at] of this.suspicionsSeenAt) if (at < since) this.suspicionsSeenAt.delete(fence)
+    return TERM_RECHECK_DELAY_MS * Math.min(MAX_RECHECK_FACTOR, 2 ** this.suspicionsSeenAt.size)
   }
 
   private noteTerm (): void {
     const fence = this.term?.fence ?? 0
     // The first term that a process sees may be old.
-    if (fence > this.newestFence && this.newestFence > 0) this.termsSeenAt.set(fence, this.options.clock.now())
+    if (fence > this.newestFence && this.newestFence > 0 && this.term?.isSuspicion === true) this.suspicionsSeenAt.set(fence, this.options.clock.now())
     this.newestFence = Math.max(this.newestFence, fence)
   }
 
@@ -236,7 +238,7 @@
     const { clock, store, node, start, address } = this.options
     const former = this.term
     if (!await this.waitForTurn(former)) return 'lost'
-    const term: Term = { fence: (this.term?.fence ?? 0) + 1, node, start, address, serial: 0 }
+    const term: Term = { fence: (this.term?.fence ?? 0) + 1, node, start, address, serial: 0, isSuspicion: this.claimReason === 'silent' }
     let outcome = await store.commit(this.claimTransaction(term))
     for (let repeats = 0; repeats < MAX_CLAIM_REPEATS && outcome.kind === 'conflict' && this.isOfferStillOpen(outcome.rows); repeats++) {
       outcome = await store.commit(this.claimTransaction(term))
--- a/packages/cell/src/runtime/Term.ts
+++ b/packages/cell/src/runtime/Term.ts
@@ -9,6 +9,8 @@
   address: string
   /** Sequence number of the decider's last transaction. */
   serial: number
+  /** Whether the former decider was only silent when the term was claimed, so that it may have been alive. */
+  isSuspicion: boolean
 }
 
 /** Name of the term row. It is in the same part as the job records, so that one transaction can cover both. */
@@ -24,7 +26,7 @@
   try {
     const term = JSON.parse(value) as Partial<Term> | null
     if (term === null || typeof term.fence !== 'number' || typeof term.node !== 'string' || typeof term.address !== 'string') return undefined
-    return { fence: term.fence, node: term.node, start: String(term.start), address: term.address, serial: Number(term.serial) }
+    return { fence: term.fence, node: term.node, start: String(term.start), address: term.address, serial: Number(term.serial), isSuspicion: term.isSuspicion === true }
   } catch {
     // A row that is not JSON counts as no term; the caller can claim a new one.
     return undefined
--- a/packages/cell/test/runtime/takeover.test.ts
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -147,6 +147,27 @@
     expect(outcome.kind).toEqual('accepted')
   })
 
+  // The same on slow links: a decider that has just claimed the term is silent while it reads the records, for longer than its followers wait.
+  test('does not follow another while every new decider needs 2.5 s to catch up', async () => {
+    const rig = await createSteadyRig({ nodes: 6 })
+    const fence = (): number => (JSON.parse(rig.tables.rows.get('term/d/term')!.value) as { fence: number }).fence
+    const first = fence()
+    let caughtUp = 0
+    for (let step = 0; step < 400; step++) {
+      const term = fence()
+      const decider = rig.nodes.find(node => node.cell.activeDecider !== undefined && (JSON.parse(rig.tables.rows.get('term/d/term')!.value) as { node: string }).node === node.name)
+      if (decider !== undefined && term > caughtUp) {
+        caughtUp = term
+        decider.clock.freeze()
+        rig.clock.schedule(2500, () => { decider.clock.thaw() })
+      }
+      await rig.run(50)
+    }
+    expect(fence() - first).toBeLessThan(6)
+    await rig.run(1000)
+    expect((await rig.submit(rig.decider!, [{}])).outcome.kind).toEqual('accepted')
+  })
+
   // Guards against followers beyond the watchers that learn of a takeover only when their own, longer timeout has passed.
   test('is known to all followers soon after the claim, also after a power cut', async () => {
     const rig = await createSteadyRig({ nodes: 20 })
