A decider that hears from none of its followers keeps them for 2 s

Its own reads of the records fill its link of 2 Mbit/s, so that heartbeats arrive late. Ruled out: smaller pages; the records of all jobs are 0.8 MB and more, which is 3 to 4 s of that link however they are cut. Change: while most followers are silent, none is given up before 2 s of silence. Tests: five followers given up in 6 s in which everything reaches the decider 1.5 s late, none now; a single follower that lost power still goes after its timeout.

--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -34,6 +34,12 @@
 /** Time for which an order waits for others to the same executor, so that the decider sends fewer messages. */
 const ORDER_BATCH_MS = 2
 
+/**
+ * Time for which silent followers are kept while most followers are silent. Then not they but this node is likely to be behind: on the slowest
+ * links, the records that a new decider reads delay everything else by 1 to 1.5 s.
+ */
+const OWN_DELAY_LIMIT_MS = 2000
+
 /** Callbacks for messages from followers. */
 export interface FollowersCallbacks {
   onJob: (job: Job) => void
@@ -230,8 +236,10 @@
     let rank = 0
     const configuration = callbacks.configurationVersion()
     const storeSilence = Math.min(callbacks.storeSilence(), Number.MAX_SAFE_INTEGER)
+    const isSilent = (follower: FollowerState, limit = 0): boolean => now - follower.lastMessageAt > Math.max(limit, LINK_TIMEOUT_RATIO * follower.interval)
+    const isBehind = 2 * [...this.followers.values()].filter(follower => isSilent(follower)).length > this.followers.size
     for (const follower of this.ranked()) {
-      if (now - follower.lastMessageAt > LINK_TIMEOUT_RATIO * follower.interval) {
+      if (isSilent(follower, isBehind ? OWN_DELAY_LIMIT_MS : 0)) {
         follower.link.close()
         this.remove(follower, 'silent')
         continue
--- a/packages/cell/test/runtime/takeover.test.ts
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -168,6 +168,28 @@
     expect((await rig.submit(rig.decider!, [{}])).outcome.kind).toEqual('accepted')
   })
 
+  // A decider that reads the records over a slow link receives everything else late. If it then takes its followers for dead and closes their
+  // links, they take it for dead.
+  test('does not happen while everything reaches the decider 1.5 s late, and no follower is given up', async () => {
+    const rig = await createSteadyRig({ nodes: 6 })
+    const decider = rig.decider!
+    decider.endpoint.inboundDelay = 1500
+    await rig.run(6000)
+    decider.endpoint.inboundDelay = 0
+    await rig.run(1000)
+    expect(decider.log.lines.filter(line => line.event.name === 'follower-lost')).toEqual([])
+    expect(rig.decider).toEqual(decider)
+  })
+
+  // A single dead follower is given up soon, so that it gets no calls.
+  test('leaves a follower that lost power out after its timeout', async () => {
+    const rig = await createSteadyRig({ nodes: 6 })
+    const decider = rig.decider!
+    rig.powerOff(rig.nodes.find(node => node !== decider)!)
+    await rig.run(600)
+    expect(decider.log.lines.filter(line => line.event.name === 'follower-lost').length).toEqual(1)
+  })
+
   // Guards against followers beyond the watchers that learn of a takeover only when their own, longer timeout has passed.
   test('is known to all followers soon after the claim, also after a power cut', async () => {
     const rig = await createSteadyRig({ nodes: 20 })
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -104,7 +104,7 @@
     const store = new FakeStore(this.tables, clock, this.clock)
     const workers = new FakeWorkerClient(this.fleet, clock)
     const log = new MemoryLog()
-    const endpoint: FakeEndpoint = { clock, isSilenced: false, links: new Set(), sentMessages: 0 }
+    const endpoint: FakeEndpoint = { clock, isSilenced: false, inboundDelay: 0, links: new Set(), sentMessages: 0 }
     const address = `${name}:1`
     const cell = new Cell({
       node: name,
--- a/packages/cell/test/support/FakeLinks.ts
+++ b/packages/cell/test/support/FakeLinks.ts
@@ -21,7 +21,7 @@
     this.own.sentMessages++
     if (this.closed || this.own.isSilenced || this.other.isSilenced) return
     const text = JSON.stringify(message)
-    this.other.clock.schedule(ONE_WAY_DELAY_MS, () => { if (!this.peer.closed) this.peer.onMessage(JSON.parse(text) as Outgoing) })
+    this.other.clock.schedule(ONE_WAY_DELAY_MS + this.other.inboundDelay, () => { if (!this.peer.closed) this.peer.onMessage(JSON.parse(text) as Outgoing) })
   }
 
   override close (): void {
@@ -42,6 +42,8 @@
   clock: NodeClock
   /** Whether all messages from and to the node are lost. */
   isSilenced: boolean
+  /** ms by which messages to the node are late. */
+  inboundDelay: number
   /** Accepts a new link; absent if no process listens. */
   acceptLink?: (link: FollowerLink) => void
   links: Set<FakeLink<unknown, unknown>>
