--- a/packages/cell/src/runtime/Recovery.ts
+++ b/packages/cell/src/runtime/Recovery.ts
@@ -11,6 +11,12 @@
 /** Delay between attempts while the store does not answer. */
 const RETRY_DELAY_MS = 100
 
+/**
+ * Maximum number of parts that are read at the same time. With their pages, this much stands before every heartbeat and commit on the link of a
+ * new decider.
+ */
+const MAX_CONCURRENT_READS = 3
+
 /** State of the jobs as read from the store. */
 export interface RecoveredState {
   jobs: Job[]
@@ -35,7 +41,7 @@
   async read (isAbandoned: () => boolean): Promise<RecoveredState | undefined> {
     // Records are read before submissions, so that for each job whose record is read the submission is read too.
     const records = await this.readPart('tasks', 'd', isAbandoned)
-    const parts = await Promise.all(submissionParts.map(async part => await this.readPart('jobs', part, isAbandoned)))
+    const parts = await this.readSubmissions(isAbandoned)
     if (records === undefined || parts.some(part => part === undefined)) return undefined
     const state: RecoveredState = { jobs: [], cancelled: [], ended: new Map(), records: new Map(), version: Math.min(...parts.map(part => part!.version)) }
     for (const row of records.rows) this.addRecord(row, state)
@@ -45,6 +51,16 @@
     return state
   }
 
+  private async readSubmissions (isAbandoned: () => boolean): Promise<Array<{ rows: Row[], version: number } | undefined>> {
+    const read: Array<{ rows: Row[], version: number } | undefined> = []
+    const remaining = [...submissionParts]
+    const readNext = async (): Promise<void> => {
+      for (let part = remaining.shift(); part !== undefined; part = remaining.shift()) read.push(await this.readPart('jobs', part, isAbandoned))
+    }
+    await Promise.all(Array.from({ length: MAX_CONCURRENT_READS }, readNext))
+    return read
+  }
+
   private async readPart (table: string, part: string, isAbandoned: () => boolean): Promise<{ rows: Row[], version: number } | undefined> {
     while (!isAbandoned()) {
       const answer = await this.options.store.range({ table, part })
--- a/packages/cell/test/runtime/takeover.test.ts
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -181,6 +181,16 @@
     expect(rig.decider).toEqual(decider)
   })
 
+  // Reading all parts at once fills a slow link for seconds, so that the store's answers to commits come late and the new decider offers the
+  // term to another, which starts over.
+  test('reads at most three parts of the records at the same time', async () => {
+    const { rig, decider, ids } = await createBusyRig()
+    rig.kill(decider)
+    await rig.until(() => rig.decider !== undefined)
+    expect(Math.max(...rig.nodes.map(node => node.store.mostConcurrentReads))).toBeLessThan(6)
+    await expectCompletion(rig, ids)
+  })
+
   // A single dead follower is given up soon, so that it gets no calls.
   test('leaves a follower that lost power out after its timeout', async () => {
     const rig = await createSteadyRig({ nodes: 6 })
--- a/packages/cell/test/support/FakeStore.ts
+++ b/packages/cell/test/support/FakeStore.ts
@@ -73,6 +73,9 @@
 export class FakeStore extends RecordStore {
   condition: StoreCondition = 'normal'
   calls = 0
+  private concurrentReads = 0
+  /** Largest number of reads of rows that were open at the same time. */
+  mostConcurrentReads = 0
   private answeredAt = -Infinity
   private failingSince: number | undefined
 
@@ -115,10 +118,11 @@
   }
 
   override async range ({ table, part, from = '', until }: RangeQuery): Promise<Result<{ rows: Row[], version: number }, ReadFault>> {
+    this.mostConcurrentReads = Math.max(this.mostConcurrentReads, ++this.concurrentReads)
     return await this.read(() => Ok({
       rows: [...this.tables.rows.values()].filter(row => row.table === table && row.part === part && row.key >= from && (until === undefined || row.key < until)).sort((a, b) => a.key < b.key ? -1 : 1),
       version: this.tables.version
-    }))
+    })).finally(() => { this.concurrentReads-- })
   }
 
   override async changes ({ table, after, wait }: { table: string, after: number, wait: number }): Promise<Result<{ rows: RowChange[], version: number }, ReadFault>> {
