--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -10,6 +10,7 @@
 import { InstrumentedStore } from '../runtime/InstrumentedStore.js'
 import { CallerServer } from './CallerServer.js'
 import { TcpLinkConnector, listenForLinks } from './TcpLink.js'
+import { TrafficMeter } from './TrafficMeter.js'
 
 /** Time after the start of a planned stop during which new connections may still arrive: two failed readiness checks and a margin. */
 const DEREGISTRATION_DELAY_MS = 2300
@@ -30,10 +31,12 @@
   private readonly cell: Cell
   private readonly callers: CallerServer
   private readonly servers: Array<{ close: () => unknown }> = []
+  private readonly linkTraffic: TrafficMeter
   private isStopping = false
 
   constructor (private readonly options: CellNodeOptions) {
     const { settings, clock, log, metrics, codec } = options
+    this.linkTraffic = new TrafficMeter({ metrics, name: 'link' })
     const store = new InstrumentedStore({ store: options.store, clock, log, metrics })
     this.cell = new Cell({
       ...options,
@@ -44,7 +47,7 @@
       address: settings.listen.linkAddress,
       retention: settings.bounds.finishedJobRetention,
       leaseMax: settings.bounds.leaseMax,
-      connector: new TcpLinkConnector<DeciderMessage, FollowerMessage>()
+      connector: new TcpLinkConnector<DeciderMessage, FollowerMessage>(this.linkTraffic)
     })
     this.callers = new CallerServer({
       gateway: this.cell.gateway, codec, clock, log, metrics, configuration: () => this.cell.configuration, storeTime: () => store.now(), storeSilence: () => store.silentFor()
@@ -52,6 +55,7 @@
     metrics.gauge('deciding', () => this.cell.activeDecider === undefined ? 0 : 1)
     metrics.gauge('store_silence_ms', () => Math.min(store.silentFor(), Number.MAX_SAFE_INTEGER))
     metrics.gauge('open_requests', () => this.callers.openRequests)
+    metrics.gauge('processor_seconds', readProcessorSeconds)
     metrics.gauge('commits', () => this.cell.activeDecider?.commits ?? 0)
   }
 
@@ -65,7 +69,7 @@
     const { settings, log, metrics } = this.options
     this.callers.listen(...parseEndpoint(settings.listen.callers))
     this.servers.push(
-      listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }),
+      listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic),
       serveText(parseEndpoint(settings.listen.readiness), () => ({ status: this.isReady ? 200 : 503, text: '' })),
       serveText([settings.ip, settings.listen.metricsPort], () => ({ status: 200, text: metrics.render() })))
     this.cell.start()
@@ -91,6 +95,12 @@
   }
 }
 
+/** @returns processor time that this process has used, in s */
+function readProcessorSeconds (): number {
+  const { user, system } = process.cpuUsage()
+  return (user + system) / 1e6
+}
+
 function parseEndpoint (address: string): [string, number] {
   const [host, port] = address.split(':')
   return [host!, Number(port)]
--- a/packages/cell/src/node/TcpLink.ts
+++ b/packages/cell/src/node/TcpLink.ts
@@ -4,16 +4,22 @@
 import type { Result } from 'ts-results-es'
 import { Link, LinkConnector } from '../runtime/Link.js'
 import type { LinkFailure } from '../runtime/Link.js'
+import type { TrafficMeter } from './TrafficMeter.js'
 
 /** Maximum length of a message; several times the largest job submission. */
 const MAX_MESSAGE_CHARS = 1_000_000
 
+/** Any message on a link. */
+interface Message {
+  kind: string
+}
+
 /** A link over TCP. Each message is one line of JSON. */
-export class TcpLink<Incoming, Outgoing> extends Link<Incoming, Outgoing> {
+export class TcpLink<Incoming extends Message, Outgoing extends Message> extends Link<Incoming, Outgoing> {
   private partialLine = ''
   private isClosed = false
 
-  constructor (private readonly socket: Socket) {
+  constructor (private readonly socket: Socket, private readonly traffic?: TrafficMeter) {
     super()
     socket.setNoDelay(true)
     socket.setEncoding('utf8')
@@ -29,7 +35,9 @@
       this.socket.cork()
       process.nextTick(() => { this.socket.uncork() })
     }
-    this.socket.write(JSON.stringify(message) + '\n')
+    const line = JSON.stringify(message) + '\n'
+    this.traffic?.record('sent', message.kind, line.length)
+    this.socket.write(line)
   }
 
   override close (): void {
@@ -49,6 +57,7 @@
       } catch (error) {
         return this.fail(String(error))
       }
+      this.traffic?.record('received', message.kind, line.length + 1)
       this.onMessage(message)
     }
   }
@@ -66,7 +75,11 @@
 }
 
 /** Establishes links over TCP. */
-export class TcpLinkConnector<Incoming, Outgoing> extends LinkConnector<Incoming, Outgoing> {
+export class TcpLinkConnector<Incoming extends Message, Outgoing extends Message> extends LinkConnector<Incoming, Outgoing> {
+  constructor (private readonly traffic?: TrafficMeter) {
+    super()
+  }
+
   override async connect (address: string, timeout: number): Promise<Result<Link<Incoming, Outgoing>, LinkFailure>> {
     const [host, port] = address.split(':')
     return await new Promise(resolve => {
@@ -82,7 +95,7 @@
       socket.once('connect', () => {
         clearTimeout(timer)
         socket.removeAllListeners('error')
-        resolve(Ok(new TcpLink<Incoming, Outgoing>(socket)))
+        resolve(Ok(new TcpLink<Incoming, Outgoing>(socket, this.traffic)))
       })
     })
   }
@@ -93,9 +106,10 @@
  *
  * @param address - host and port on which to listen
  * @param onLink - called for each new link
+ * @param traffic - counts the messages
  * @returns the server
  */
-export function listenForLinks<Incoming, Outgoing> (address: { host: string, port: number }, onLink: (link: Link<Incoming, Outgoing>) => void): Server {
-  const server = createServer(socket => { onLink(new TcpLink<Incoming, Outgoing>(socket)) })
+export function listenForLinks<Incoming extends Message, Outgoing extends Message> (address: { host: string, port: number }, onLink: (link: Link<Incoming, Outgoing>) => void, traffic?: TrafficMeter): Server {
+  const server = createServer(socket => { onLink(new TcpLink<Incoming, Outgoing>(socket, traffic)) })
   return server.listen(address.port, address.host)
 }
--- a/packages/telemetry/src/runtime/Metrics.ts
+++ b/packages/telemetry/src/runtime/Metrics.ts
@@ -1,8 +1,8 @@
 // Imported directly: the index of the package also loads its WebAssembly and compression code, which doubles the start-up
 // time of a process.
-import histogramModule from 'hdr-histogram-js/dist/PackedHistogram.js'
+import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js'
 
-const { default: PackedHistogram } = histogramModule
+const { default: Int32Histogram } = histogramModule
 
 /** Labels that identify a series within a metric. */
 export type Labels = Record<string, string>
@@ -29,8 +29,8 @@
 /** Quantiles of each latency histogram in the Prometheus text format. */
 const QUANTILES = [0.5, 0.9, 0.99]
 
-function createHistogram (): InstanceType<typeof PackedHistogram> {
-  const histogram = new PackedHistogram(1, HIGHEST_TRACKABLE_US, SIGNIFICANT_DIGITS)
+function createHistogram (): InstanceType<typeof Int32Histogram> {
+  const histogram = new Int32Histogram(1, HIGHEST_TRACKABLE_US, SIGNIFICANT_DIGITS)
   histogram.autoResize = false
   return histogram
 }
@@ -57,6 +57,11 @@
     return this.histogram.getValueAtPercentile(fraction * 100) / MICROSECONDS_PER_MS
   }
 
+  /** @returns number of durations recorded so far */
+  get count (): number {
+    return this.histogram.totalCount
+  }
+
   /** @returns statistics of the durations recorded so far */
   summary (): LatencySummary {
     return {
@@ -139,11 +144,10 @@
     for (const { name, labels, metric } of this.counters.values()) lines.push(`${name}_total${formatLabels(labels)} ${metric.value}`)
     for (const { name, labels, metric } of this.gauges.values()) lines.push(`${name}${formatLabels(labels)} ${metric()}`)
     for (const { name, labels, metric } of this.timers.values()) {
-      const summary = metric.summary()
       for (const quantile of QUANTILES) {
         lines.push(`${name}_ms${formatLabels({ ...labels, quantile: String(quantile) })} ${metric.quantile(quantile)}`)
       }
-      lines.push(`${name}_ms_count${formatLabels(labels)} ${summary.count}`)
+      lines.push(`${name}_ms_count${formatLabels(labels)} ${metric.count}`)
     }
     return lines.map(line => line + '\n').join('')
   }
