A gang that waits for tickets is planned again when runs on its workers end

Change: while its calls for advice are in flight, a gang is planned again only after a run on an allowed worker has ended, or after a twentieth of its duration.

--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -82,7 +82,9 @@
     const worker = task.worker
     if (worker === undefined) return
     task.worker = undefined
-    if (worker.tasks.delete(task.name)) addSize(worker.used, reservedSize(task.step.definition), -1)
+    if (!worker.tasks.delete(task.name)) return
+    addSize(worker.used, reservedSize(task.step.definition), -1)
+    worker.releases++
   }
 
   /** @returns the state of a worker, which is created if the worker is new */
@@ -100,6 +102,7 @@
       lastEndNumber: 0,
       tasks: new Map(),
       used: { cpu: 0, memory: 0, accelerators: 0 },
+      releases: 0,
       unknownRuns: 0,
       suspendedUntil: 0,
       isSlow: false,
@@ -148,7 +151,7 @@
 function createStep (occurrence: JobOccurrence, index: number, definition: Step): StepState {
   const { id } = occurrence.job.job
   const step: StepState = {
-    name: stepName(id, occurrence.index, index), occurrence, index, definition, tasks: [], doneTasks: 0, allowedByWorker: new Map(), tickets: new Map(), askedWorkers: new Set(), nextAdviceAt: 0, lastFailedRun: 0
+    name: stepName(id, occurrence.index, index), occurrence, index, definition, tasks: [], doneTasks: 0, allowedWorkers: new Set(), rejectedWorkers: new Set(), tickets: new Map(), askedWorkers: new Set(), nextAdviceAt: 0, nextPlanAt: 0, plannedReleases: 0, lastFailedRun: 0
   }
   for (let number = 0; number < definition.count; number++) {
     step.tasks.push({
--- a/packages/cell/src/runtime/StepAdvisor.ts
+++ b/packages/cell/src/runtime/StepAdvisor.ts
@@ -36,6 +36,7 @@
     const answer = await ask(node, { step: step.name, workers: ids, timeout: cost + ANSWER_MARGIN_MS })
     const now = clock.now()
     for (const id of ids) step.askedWorkers.delete(id)
+    step.nextPlanAt = 0
     scheduler.callEnded(node, cost, now)
     const allowed = answer.kind === 'answered' ? answer.tickets.length : 0
     log.write(CELL_EVENTS.advised, {
@@ -50,9 +51,9 @@
 }
 
 function applyAdvice (step: StepState, workers: WorkerState[], advice: Extract<Advice, { kind: 'answered' }>, now: number): void {
-  for (const worker of workers) step.allowedByWorker.set(worker.report.id, false)
   for (const { worker, text } of advice.tickets) {
-    step.allowedByWorker.set(worker, true)
+    step.allowedWorkers.add(worker)
     step.tickets.set(worker, { text, validUntil: now + advice.validity })
   }
+  for (const { report } of workers) if (!step.allowedWorkers.has(report.id)) step.rejectedWorkers.add(report.id)
 }
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -59,13 +59,18 @@
   definition: Step
   tasks: Task[]
   doneTasks: number
-  /** Whether the advice service allows the step on a worker, by id of the worker. The service never changes its decision. */
-  allowedByWorker: Map<string, boolean>
+  /** Ids of the workers on which the advice service allows the step, and of those on which it doesn't. The service never changes its decision. */
+  allowedWorkers: Set<string>
+  rejectedWorkers: Set<string>
   tickets: Map<string, ValidTicket>
   /** Ids of the workers that are named in calls to the advice service in flight. */
   askedWorkers: Set<string>
   /** Monotonic ms before which the advice service is not called again. */
   nextAdviceAt: number
+  /** Monotonic ms before which a gang is not planned again, unless the advice service answers or runs on its workers end. */
+  nextPlanAt: number
+  /** Number of runs that had ended on the gang's workers when it was last planned. */
+  plannedReleases: number
   /** Number of the last run of the gang that was counted as a failure. */
   lastFailedRun: number
 }
@@ -112,6 +117,8 @@
   lastEndNumber: number
   tasks: Map<string, Task>
   used: Size
+  /** Number of runs that have released their resources. */
+  releases: number
   /** Number of runs on the worker that are not on record. No tasks are placed on the worker while there are any. */
   unknownRuns: number
   /** Monotonic ms before which no tasks are placed on the worker. */
--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -1,7 +1,6 @@
 import type { AdviceTerms } from '../types/configuration.js'
 import { emptyTaskCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
-import type { StepState } from './model.js'
 import { hasTicket, isEligible, placeTasks } from './placeTasks.js'
 import { expectedCallDuration, MAX_NONE_ALLOWED_RISK, planAdviceCalls, sortByCapacity } from './planAdviceCalls.js'
 import type { RoundContext } from './planRound.js'
@@ -18,6 +17,8 @@
  * that end in time.
  */
 const MAX_HOLD_RATIO = 0.3
+/** Interval at which a gang that waits is planned again although nothing has ended on its workers, as a share of its duration. */
+const REPLAN_RATIO = 0.05
 /** Ratio of the tasks that fit on the allowed workers, were they empty, to the tasks of the gang below which more workers are named. */
 const MIN_ALLOWED_RATIO = 2
 /** Share of a gang's tasks for which workers beyond the held ones are named, because some of these will be late. */
@@ -50,6 +51,11 @@
   const { capacity, now, plan } = context
   const start = { now, priority: route.priority }
   const allowed = allowedSlots(rankedStep, context)
+  const releases = allowed.reduce((sum, { worker }) => sum + worker.releases, 0)
+  if (step.nextPlanAt > now && step.plannedReleases === releases) return
+  step.plannedReleases = releases
+  // While it waits for an answer, a gang can only be placed or held elsewhere after runs on its workers have ended.
+  step.nextPlanAt = step.askedWorkers.size === 0 ? now : now + REPLAN_RATIO * step.definition.estimate
   const placements = placeTasks(step.tasks, route.advice === undefined ? allowed : allowed.filter(slot => hasTicket(step, slot, now)), step, start)
   if (placements.length > 0) {
     releaseHold(step, capacity.slots)
@@ -64,11 +70,7 @@
 
 function allowedSlots ({ step, route }: RankedStep, { capacity }: RoundContext): Slot[] {
   if (route.advice === undefined) return capacity.slots.filter(slot => isEligible(slot, step))
-  return capacity.slotsOf(idsOfAllowed(step))
-}
-
-function idsOfAllowed (step: StepState): string[] {
-  return [...step.allowedByWorker].flatMap(([id, isAllowed]) => isAllowed ? [id] : [])
+  return capacity.slotsOf(step.allowedWorkers)
 }
 
 /** Schedules a gang on workers with tickets if these are valid long enough, or else on workers for which tickets are or can be asked for. */
@@ -132,10 +134,10 @@
  */
 function selectUnknown ({ rankedStep: { step }, eligible, allowed }: GangState, { isLate, allowedShare, start }: { isLate: boolean, allowedShare: number, start: { now: number, priority: number } }): Slot[] {
   const count = step.tasks.length
-  const unknown = eligible.filter(slot => isEligible(slot, step) && !step.allowedByWorker.has(slot.worker.report.id) && emptyTaskCapacity(slot, step) > 0)
+  const unknown = eligible.filter(slot => isEligible(slot, step) && !step.allowedWorkers.has(slot.worker.report.id) && emptyTaskCapacity(slot, step) > 0)
   const sum = (slots: Slot[], capacityOf: (slot: Slot) => number): number => slots.reduce((total, slot) => total + capacityOf(slot), 0)
   const capacityNow = (slot: Slot): number => taskCapacity(slot, step, start)
-  const fitsNow = step.allowedByWorker.size === 0 || (isLate && sum(unknown, capacityNow) * allowedShare >= count)
+  const fitsNow = step.allowedWorkers.size + step.rejectedWorkers.size === 0 || (isLate && sum(unknown, capacityNow) * allowedShare >= count)
   const capacityOf = fitsNow ? capacityNow : (slot: Slot): number => emptyTaskCapacity(slot, step)
   let missing = MIN_ALLOWED_RATIO * count - (fitsNow ? 0 : sum(allowed, capacityOf))
   if (missing <= 0) return []
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -104,7 +104,7 @@
 function canProgress ({ step, route, lateness }: RankedStep, { capacity, adviceRound, now, plan, servicesWithLongHold }: RoundContext): boolean {
   const mayHold = step.definition.gang && lateness < 2 && (route.advice !== undefined || plan.holds.has(step) || !servicesWithLongHold.has(route.service))
   if (!mayHold && !capacity.mayFit(step.definition)) return false
-  if (route.advice === undefined || step.allowedByWorker.size > 0) return true
+  if (route.advice === undefined || step.allowedWorkers.size + step.rejectedWorkers.size > 0) return true
   return step.askedWorkers.size === 0 && step.nextAdviceAt <= now && adviceRound.canAssign(route.advice)
 }
 
@@ -133,8 +133,8 @@
   const start = { now, priority: route.priority }
   const candidates = eligible.filter(slot => taskCapacity(slot, step, start) > 0 && !hasTicket(step, slot, now))
   if (candidates.length === 0) return
-  const allowed = candidates.filter(slot => step.allowedByWorker.get(slot.worker.report.id) === true)
-  const unknown = candidates.filter(slot => !step.allowedByWorker.has(slot.worker.report.id))
+  const allowed = candidates.filter(slot => step.allowedWorkers.has(slot.worker.report.id))
+  const unknown = candidates.filter(slot => !step.allowedWorkers.has(slot.worker.report.id))
   plan.adviceRequests.push(...planAdviceCalls(rankedStep, terms, maxNamed => selectWorkers(allowed, unknown, { step, start, missing, allowedShare: allowedShare(route.name), maxNamed }), adviceRound))
   reserveForPendingAdvice(missing, allowed, step)
 }
@@ -171,7 +171,7 @@
   let remaining = missing
   for (const slot of eligible) {
     if (remaining <= 0) return
-    if (step.allowedByWorker.get(slot.worker.report.id) !== true) continue
+    if (!step.allowedWorkers.has(slot.worker.report.id)) continue
     const count = Math.min(remaining, taskCapacity(slot, step))
     reserveCapacity(slot, step.definition, count)
     remaining -= count
--- a/packages/cell/test/bench/measureRound.ts
+++ b/packages/cell/test/bench/measureRound.ts
@@ -25,7 +25,7 @@
     if (index % 2 === 1) continue
     const step = state.occurrences[0]!.steps[0]!
     for (let worker = 0; worker < Math.min(20, workers); worker++) {
-      step.allowedByWorker.set(`w${(worker * 7 + index) % workers}`, worker % 2 === 0)
+      (worker % 2 === 0 ? step.allowedWorkers : step.rejectedWorkers).add(`w${(worker * 7 + index) % workers}`)
       step.tickets.set(`w${(worker * 7 + index) % workers}`, { text: 't', validUntil: Infinity })
     }
   }
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -155,11 +155,12 @@
       const share = load.kinds.find(kind => kind.route === route)!.allowedShare
       events.add(startsAt + cost + ADVICE_TRANSFER_MS, () => {
         scheduler.callEnded(node, cost, now)
+        step.nextPlanAt = 0
         let allowed = 0
         for (const worker of named) {
           step.askedWorkers.delete(worker.report.id)
           const isAllowed = isAllowedFor(step, worker.report.id, share)
-          step.allowedByWorker.set(worker.report.id, isAllowed)
+          ;(isAllowed ? step.allowedWorkers : step.rejectedWorkers).add(worker.report.id)
           if (!isAllowed) continue
           allowed++
           step.tickets.set(worker.report.id, { text: 't', validUntil: now + route.advice!.validity })
--- a/packages/cell/test/runtime/gangs.test.ts
+++ b/packages/cell/test/runtime/gangs.test.ts
@@ -71,7 +71,7 @@
 }
 
 function allow (step: StepState, workers: number): void {
-  for (let index = 0; index < workers; index++) step.allowedByWorker.set(`w${index}`, true)
+  for (let index = 0; index < workers; index++) step.allowedWorkers.add(`w${index}`)
 }
 
 // Guards against gangs that wait for ever in a full cell: each time they ask for tickets, other work takes the free capacity before the answer
@@ -136,7 +136,7 @@
     const gang = rig.add('gang', { count: 3, cpu: 4000 })
     allow(gang, 2)
     const [request] = rig.plan(0).adviceRequests
-    expect(request?.workers.every(worker => !gang.allowedByWorker.has(worker.report.id))).toEqual(true)
+    expect(request?.workers.every(worker => !gang.allowedWorkers.has(worker.report.id))).toEqual(true)
   })
 })
 
--- a/packages/cell/test/runtime/rounds.test.ts
+++ b/packages/cell/test/runtime/rounds.test.ts
@@ -73,7 +73,7 @@
     for (let index = 0; index < 400; index++) {
       const step = addStep(registry, index, 'crowd', 900)
       step.tickets = tickets
-      for (let worker = 0; worker < 10; worker++) step.allowedByWorker.set(`w${worker}`, true)
+      for (let worker = 0; worker < 10; worker++) step.allowedWorkers.add(`w${worker}`)
     }
     addStep(registry, 1000, 'small', 400)
     const round = plan(registry)
