A job is not shown as queued while the answer to the commit of its record is lost

The placement's record was there, nodes that the decider doesn't answer read it, and the decider, which had no answer to its commit, still showed the job as queued. The same could happen with an end. Ruled out: showing the phase before the commit is answered; it goes back if the commit never takes effect. Change: a query for a job whose phase the commit in flight may change waits for it, 100 ms at most, and is then answered from the store. Test fails first (queued instead of running).

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timer } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { Configuration, Route } from '../types/configuration.js'
-import type { Job } from '../types/job.js'
+import type { Job, JobPhase } from '../types/job.js'
 import type { Answer, Question } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { MIN_CLOCK_RATE, CONFIRMATION_WINDOW_MS, IDLE_COMMIT_INTERVAL_MS, LEASE_MARGIN_MS } from '../types/limits.js'
@@ -13,7 +13,7 @@
 import { Registry } from './Registry.js'
 import { SubmissionFeed } from './SubmissionFeed.js'
 import { InstanceFeed } from './InstanceFeed.js'
-import { applyRecord, hasRuns, encodeJobRecord } from './jobRecord.js'
+import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { planRound } from './planRound.js'
 import { rankSteps } from './rankSteps.js'
@@ -76,6 +76,8 @@
   private readonly pendingCallbacks = new Map<string, Array<() => void>>()
   /** Callbacks that run once the commit in flight is done, by id of the job. */
   private readonly committingCallbacks = new Map<string, Array<() => void>>()
+  /** Phases that the commit in flight records, by id of the job. */
+  private readonly committingPhases = new Map<string, JobPhase>()
   private readonly submissionFeed: SubmissionFeed
   private readonly instanceFeed: InstanceFeed
   private readonly archiver: JobArchiver
@@ -111,7 +113,6 @@
       sendStart: (task, ticket) => { detach(this.sendStart(task, ticket), log, 'order') },
       sendStop: task => { detach(this.poller.stopRun(task), log, 'stop') },
       maxAttempts: job => this.routes.get(job.job.route)?.maxAttempts ?? 1,
-      onEndVisible: job => { this.phaseWaiters.release(job) },
       onChange: () => { this.requestRound() }
     })
     this.poller.setLifecycle(this.lifecycle)
@@ -218,10 +219,20 @@
     if (question.about === 'queue') return { about: 'queue', waiting: this.registry.countWaiting(question.route) }
     const { id } = question
     const job = this.registry.jobs.get(id)
-    if (job !== undefined) await this.phaseWaiters.wait(job)
+    if (job !== undefined) {
+      await this.phaseWaiters.wait(job, this.isPhaseUncertain(job))
+      // Any node may have read the record of a commit whose answer is lost. Reading the store tells which phase is true.
+      if (this.isPhaseUncertain(job)) return { about: 'job', phase: 'unknown' }
+    }
     return { about: 'job', phase: this.registry.jobs.get(id)?.visiblePhase ?? this.registry.endedJobs.get(id)?.phase ?? 'unknown' }
   }
 
+  /** @returns whether a commit in flight may have recorded another phase than the visible one */
+  private isPhaseUncertain ({ job, visiblePhase }: JobState): boolean {
+    const committing = this.committingPhases.get(job.id)
+    return committing !== undefined && committing !== visiblePhase
+  }
+
   /** Schedules a round of planning, unless one is scheduled already. */
   requestRound (): void {
     if (this.isRoundScheduled || this.isStopped) return
@@ -341,7 +352,10 @@
     this.committingCallbacks.set(key, this.pendingCallbacks.get(key) ?? [])
     this.pendingCallbacks.delete(key)
     const state = this.registry.jobs.get(key)
-    if (state !== undefined) return { kind: 'put', value: encodeJobRecord(state) }
+    if (state !== undefined) {
+      this.committingPhases.set(key, recordedPhase(state))
+      return { kind: 'put', value: encodeJobRecord(state) }
+    }
     return this.deletableRecords.delete(key) ? { kind: 'delete' } : null
   }
 
@@ -349,7 +363,11 @@
     for (const key of keys) {
       const actions = this.committingCallbacks.get(key) ?? []
       this.committingCallbacks.delete(key)
+      this.committingPhases.delete(key)
+      const state = this.registry.jobs.get(key)
+      const phaseBefore = state?.visiblePhase
       for (const action of actions) action()
+      if (state?.visiblePhase !== phaseBefore) this.phaseWaiters.release(key)
       this.archiveEnded(key)
     }
     this.pruneEnded()
--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -1,12 +1,13 @@
 import type { Clock } from '@rattanstep/core'
 import type { PhaseOutcome, RequestOutcome } from '../types/callers.js'
-import type { Job, JobPhase } from '../types/job.js'
+import type { Job } from '../types/job.js'
 import type { Answer, Question } from '../types/links.js'
 import type { RecordStore } from '../types/records.js'
 import type { EndedPhase } from './Registry.js'
 import { encodeSubmission } from './submissionRow.js'
 import { SubmissionWriter } from './SubmissionWriter.js'
 import type { SubmissionRow, WriteOutcome } from './SubmissionWriter.js'
+import { recordedPhase } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
 import { CANCELLATION_SUFFIX, endRowName, submissionRowName, submissionPart } from './rowNames.js'
 
@@ -167,7 +168,7 @@
     const keys = submission.value.rows.map(row => row.key)
     if (!keys.includes(id)) return { kind: 'unknown-job' }
     const row = record.value.rows[0]
-    if (row !== undefined) return { kind: 'phase', phase: phaseOf(JSON.parse(row.value) as JobRecord) }
+    if (row !== undefined) return { kind: 'phase', phase: recordedPhase(JSON.parse(row.value) as JobRecord) }
     return { kind: 'phase', phase: keys.includes(id + CANCELLATION_SUFFIX) ? 'cancelled' : 'queued' }
   }
 }
@@ -180,10 +181,6 @@
   return { name: { ...submissionRowName(request.id), key: request.id + CANCELLATION_SUFFIX }, value: '{}', absent: [] }
 }
 
-function phaseOf (record: JobRecord): JobPhase {
-  return record.phase === 'open' ? 'running' : record.phase
-}
-
 /** @returns the response for a request that is not known to be on record, or `undefined` if it is on record */
 function explainFailure (outcome: PersistOutcome): RequestOutcome | undefined {
   switch (outcome) {
--- a/packages/cell/src/runtime/PhaseWaiters.ts
+++ b/packages/cell/src/runtime/PhaseWaiters.ts
@@ -7,15 +7,15 @@
  */
 const MAX_WAIT_MS = 100
 
-/** Lets queries for jobs that are about to end wait a moment for the end. */
+/** Lets queries for jobs that are about to end, or whose record is being written, wait a moment for the new phase. */
 export class PhaseWaiters {
   private readonly waiters = new Map<string, Array<() => void>>()
 
   constructor (private readonly clock: Clock) {}
 
-  /** Waits until a job's end is visible, if it is expected soon. */
-  async wait (job: JobState): Promise<void> {
-    if (!mayEndSoon(job)) return
+  /** Waits until a job's next phase is visible, if it is expected soon. `isChanging`: whether the next phase is being recorded. */
+  async wait (job: JobState, isChanging: boolean): Promise<void> {
+    if (!isChanging && !mayEndSoon(job)) return
     const { id } = job.job
     await new Promise<void>(resolve => {
       const timer = this.clock.schedule(MAX_WAIT_MS, resolve)
@@ -29,15 +29,15 @@
     })
   }
 
-  /** Ends the waits for a job whose end is visible now. */
-  release (job: JobState): void {
-    const waiters = this.waiters.get(job.job.id) ?? []
-    this.waiters.delete(job.job.id)
+  /** Ends the waits for a job whose new phase is visible now. */
+  release (id: string): void {
+    const waiters = this.waiters.get(id) ?? []
+    this.waiters.delete(id)
     for (const waiter of waiters) waiter()
   }
 }
 
-/** @returns whether the job's end is being recorded, or all its tasks are done or run */
+/** @returns whether the job has ended and this is not visible yet, or all its tasks are done or run */
 function mayEndSoon (job: JobState): boolean {
   if (job.visiblePhase !== 'running') return false
   if (job.phase !== 'open') return true
--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -28,8 +28,6 @@
   sendStop: (task: Task) => void
   /** Returns the number of failed runs after which a task of the job fails for good. */
   maxAttempts: (job: JobState) => number
-  /** Called when the end of a job has become visible to callers. */
-  onEndVisible: (job: JobState) => void
   /** Called after changes that may allow other tasks to start. */
   onChange: () => void
 }
@@ -174,13 +172,12 @@
   }
 
   private closeJob (job: JobState): void {
-    const { registry, clock, log, record, onEndVisible } = this.options
+    const { registry, clock, log, record } = this.options
     const { phase } = job
     job.endedAt = clock.now()
     registry.markStarted(job)
     record(job, () => {
       job.visiblePhase = phase === 'open' ? job.visiblePhase : phase
-      onEndVisible(job)
       log.write(CELL_EVENTS.jobSettled, { job: job.job.id, phase, age: Math.round(clock.now() - job.submittedAt) })
     })
   }
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -1,3 +1,4 @@
+import type { JobPhase } from '../types/job.js'
 import type { Registry } from './Registry.js'
 import type { JobState, Task } from './model.js'
 
@@ -24,6 +25,11 @@
   return JSON.stringify(record)
 }
 
+/** @returns the phase that a job's record shows: any record of an open job shows it as running */
+export function recordedPhase ({ phase }: { phase: JobState['phase'] }): JobPhase {
+  return phase === 'open' ? 'running' : phase
+}
+
 /**
  * Restores the recorded state of a job.
  *
--- a/packages/cell/test/runtime/submission.test.ts
+++ b/packages/cell/test/runtime/submission.test.ts
@@ -67,6 +67,21 @@
     expect(await rig.phase(decider, id)).toEqual('running')
   })
 
+  // A node that the decider doesn't answer reads the record, which may be there before the decider has heard of it.
+  test('is not shown as queued by the decider while the answer to the commit of its record is lost', async () => {
+    const rig = await createSteadyRig({ workers: 1 })
+    const decider = rig.decider!
+    const follower = rig.nodes.find(node => node !== decider)!
+    decider.store.condition = 'losing-answers'
+    const { id } = await rig.submit(follower, [{}])
+    await rig.run(200)
+    decider.endpoint.isSilenced = true
+    const fromRecord = await rig.phase(follower, id)
+    decider.endpoint.isSilenced = false
+    expect(fromRecord).toEqual('running')
+    expect(await rig.phase(decider, id)).toEqual('running')
+  })
+
   test('is accepted at once at a node that the store has just started to refuse', async () => {
     const rig = await createSteadyRig()
     const follower = rig.nodes.find(node => node !== rig.decider)!
