Orders are sent as tuples, workers described once a link, and records hold a digit for tasks that wait or are done

Change: WorkerCallEncoder and WorkerCallDecoder for each link; records omit defaults. Records of earlier builds are read. Found by the property test: a worker that changes its address within one message; it gets a new number.

--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -8,6 +8,8 @@
 import type { WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
 import type { Link, LinkConnector } from './Link.js'
+import { WorkerCallDecoder } from './WorkerCallCodec.js'
+import type { NumberedCall } from './WorkerCallCodec.js'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
 
@@ -58,6 +60,7 @@
   private readonly calls = new Map<number, (answer: unknown) => void>()
   private nextCall = 1
   private timer: Timer | undefined
+  private readonly callDecoder = new WorkerCallDecoder()
   private readonly results: Batch<{ call: number, result: WorkerCallResult }>
   private hasEnded = false
   private resolveEnd!: (end: FollowEndReason) => void
@@ -185,7 +188,7 @@
       case 'advise':
         return detach(this.advise(message), this.options.log, 'advice')
       case 'execute':
-        for (const call of message.calls) detach(this.execute(call), this.options.log, 'order for the decider')
+        for (const call of this.callDecoder.decode(message)) detach(this.execute(call), this.options.log, 'order for the decider')
         return
       case 'members':
         this.members = message.addresses
@@ -204,7 +207,7 @@
     if (!this.hasEnded) this.link.send({ kind: 'advised', call: message.call, advice })
   }
 
-  private async execute ({ call, order }: { call: number, order: WorkerCall }): Promise<void> {
+  private async execute ({ call, order }: NumberedCall): Promise<void> {
     this.results.add({ call, result: await this.options.callbacks.execute(order) })
   }
 
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -12,6 +12,8 @@
 import type { WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
 import type { Link } from './Link.js'
+import { WorkerCallEncoder } from './WorkerCallCodec.js'
+import type { NumberedCall } from './WorkerCallCodec.js'
 
 /** Link from the decider to a follower. */
 export type FollowerLink = Link<FollowerMessage, DeciderMessage>
@@ -69,7 +71,7 @@
   /** Monotonic ms. */
   lastMessageAt: number
   /** Calls to workers that wait to be sent to the follower. */
-  orders: Batch<{ call: number, order: WorkerCall }>
+  orders: Batch<NumberedCall>
   /** ms since the store last answered the follower. */
   storeSilence: number
   /** ms for which the store has refused the follower's calls. */
@@ -107,8 +109,9 @@
     const { clock, log, fence } = this.options
     this.followers.get(node)?.link.close()
     const now = clock.now()
+    const encoder = new WorkerCallEncoder()
     const follower: FollowerState = {
-      node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, orders: new Batch({ clock, delay: ORDER_BATCH_MS, flush: calls => { link.send({ kind: 'execute', calls }) } }), storeSilence: 0, storeFailing: 0, strength, startedAt: now - age
+      node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, orders: new Batch({ clock, delay: ORDER_BATCH_MS, flush: calls => { link.send(encoder.encode(fence, calls)) } }), storeSilence: 0, storeFailing: 0, strength, startedAt: now - age
     }
     this.followers.set(node, follower)
     this.updateExecutors()
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -2,8 +2,11 @@
 import type { Registry } from './Registry.js'
 import type { JobState, Task } from './model.js'
 
-/** Recorded state of a task: number of the last run, worker or '', failures, 1 if done or else 0, checkpoint. */
-type TaskRecord = [number, string, number, number, string]
+/**
+ * Recorded state of a task: 0 if it has not run, 1 if it is done, or else number of the last run, worker or '', failures, 0, checkpoint. Trailing
+ * elements that are 0 or empty are omitted. Records of earlier versions contain all elements, and 1 as the fourth if the task is done.
+ */
+type TaskRecord = 0 | 1 | [run: number, worker?: string, failures?: number, done?: number, checkpoint?: string]
 
 /** Recorded state of a job. */
 export interface JobRecord {
@@ -19,12 +22,19 @@
 export function encodeJobRecord (state: JobState): string {
   const record: JobRecord = { phase: state.phase }
   if (state.phase === 'open' || hasRuns(state)) {
-    record.tasks = state.occurrences.map(occurrence => occurrence.steps.map(step => step.tasks.map(task =>
-      [task.run, task.worker?.report.id ?? '', task.failures, task.phase === 'done' ? 1 : 0, task.checkpoint])))
+    record.tasks = state.occurrences.map(occurrence => occurrence.steps.map(step => step.tasks.map(encodeTask)))
   }
   return JSON.stringify(record)
 }
 
+function encodeTask ({ phase, run, worker, failures, checkpoint }: Task): TaskRecord {
+  if (phase === 'done' && worker === undefined) return 1
+  if (run === 0) return 0
+  const record: TaskRecord = [run, worker?.report.id ?? '', failures, phase === 'done' ? 1 : 0, checkpoint]
+  while (record.at(-1) === 0 || record.at(-1) === '') record.pop()
+  return record
+}
+
 /** @returns the phase that a job's record shows: any record of an open job shows it as running */
 export function recordedPhase ({ phase }: { phase: JobState['phase'] }): JobPhase {
   return phase === 'open' ? 'running' : phase
@@ -43,7 +53,7 @@
   record.tasks?.forEach((steps, occurrence) => steps.forEach((tasks, step) => tasks.forEach((taskRecord, index) => {
     const task = state.occurrences[occurrence]?.steps[step]?.tasks[index]
     if (task === undefined) return
-    const [run, worker, failures, done, checkpoint] = taskRecord
+    const [run, worker = '', failures = 0, done = 0, checkpoint = ''] = typeof taskRecord === 'number' ? [taskRecord, '', 0, taskRecord] : taskRecord
     Object.assign(task, { run, failures, checkpoint })
     if (run > 0) registry.markStarted(state)
     if (done === 1) {
--- a/packages/cell/src/types/execution.ts
+++ b/packages/cell/src/types/execution.ts
@@ -7,6 +7,26 @@
   | { kind: 'stop', worker: WorkerTarget, order: StopOrder }
   | { kind: 'poll', worker: WorkerTarget, order: PollOrder }
 
+/**
+ * A call as a tuple: kind, number of the call, number of the worker on this link, then the fields of the order but for its fencing token. `text` is
+ * the index of the job's text in the message.
+ */
+export type CallTuple =
+  | [kind: 'poll', call: number, worker: number, acknowledged: number, leaseEnd: number | null, wait: number]
+  | [kind: 'start', call: number, worker: number, task: string, run: number, text: number, leaseEnd: number, checkpoint: string, ticket: string | null]
+  | [kind: 'stop', call: number, worker: number, task: string, run: number]
+
+/** Has the receiver call workers. */
+export interface ExecuteMessage {
+  kind: 'execute'
+  fence: number
+  /** Workers that this link has not carried yet, or that have changed, with the numbers under which calls refer to them from now on. */
+  workers: Array<[number: number, target: WorkerTarget]>
+  /** Texts of the jobs of which tasks are started. */
+  texts: string[]
+  calls: CallTuple[]
+}
+
 /** A run as a tuple, because lists of runs are most of what the decider receives. */
 export type RunTuple = [ListedRun['task'], ListedRun['run'], ListedRun['checkpoint'], ListedRun['percent']]
 /** An end as a tuple. */
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -1,4 +1,4 @@
-import type { WorkerCall, WorkerCallResult } from './execution.js'
+import type { ExecuteMessage, WorkerCallResult } from './execution.js'
 import type { Job, JobPhase } from './job.js'
 import type { Advice } from './ports.js'
 import type { WriteRequest } from '../runtime/Gateway.js'
@@ -33,8 +33,7 @@
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
   /** Addresses of all followers, for the announcement of the receiver's term if it claims one. */
   | { kind: 'members', addresses: string[] }
-  /** Has the receiver call workers. */
-  | { kind: 'execute', calls: Array<{ call: number, order: WorkerCall }> }
+  | ExecuteMessage
   /** The receiver should claim the term now. */
   | { kind: 'succeed', reason: SuccessionReason }
 
