An ask for which a worker in hand-over was chosen goes to another worker instead of being refused

Cause of the last entry of KNOWN-RED.txt (cell.test.ts, 503 not-owner at n2): reproduced in 3 of 24 runs beside load 10 to 24, always 8 to 18 requests after the second node joined, while workers are handed over to it. An owner closes such a worker at its next tick; until then it chooses it for grants that it may no longer give, and refused the ask though its other workers had room. The asking node has not got its own worker yet, so the refusal was final. Not shown by a trace: the three failed runs kept no node logs, and with logs it did not recur. The test prints them now. Change: the ask is asked again at the owner itself, with the time it has waited; it goes to another worker or waits.

--- a/packages/admission/src/runtime/AdmissionService.ts
+++ b/packages/admission/src/runtime/AdmissionService.ts
@@ -298,11 +298,12 @@
   }
 
   private withdraw (decision: GrantDecision): void {
-    const { ask, front, permit, worker } = decision
+    const { ask, front, permit, worker, waited } = decision
     this.options.log.write(EVENTS.grantWithdrawn, { ask: ask.id, worker })
     this.admission.setOpen(worker, false)
     this.publish(this.admission.release({ permit, worker, ending: 'unsent', serviceTime: 0 }, front, this.now))
-    this.publisher.refuse({ kind: 'refuse', ask, front, reason: 'not-owner', retryAfter: NOT_OWNER_RETRY_MS, redirect: '' })
+    // The worker is closed now, so the ask goes to another one or waits.
+    this.ask({ ...ask, waited: ask.waited + waited, patience: Math.max(0, ask.patience - waited) }, front)
   }
 
   /** Closes workers that are being handed over to another owner, and reopens them when the hand-over did not happen. */
--- a/packages/admission/test/runtime/AdmissionService.test.ts
+++ b/packages/admission/test/runtime/AdmissionService.test.ts
@@ -63,15 +63,17 @@
   holders: [holder(SELF), holder(FRONT)],
   owners: { 'worker/w1': SELF }
 }
+const TWO_WORKERS: Assignment = { ...ASSIGNMENT, owners: { 'worker/w1': SELF, 'worker/w2': SELF } }
 
 class ServiceHarness {
   readonly clock = new FakeClock()
   readonly network = new RecordingNetwork()
-  readonly state = { lease: 1000, mayAdmit: true }
+  /** `closing`: the worker that is being handed over, if any. */
+  readonly state = { lease: 1000, mayAdmit: true, closing: '' }
   readonly service: AdmissionService
   private asks = 0
 
-  constructor () {
+  constructor (private readonly assignment: Assignment = ASSIGNMENT) {
     const { clock, network, state } = this
     this.service = new AdmissionService({
       self: SELF,
@@ -80,15 +82,15 @@
       random: new SeededRandom(1),
       log: new MemoryLog(),
       metrics: new Metrics(),
-      assignment: () => ASSIGNMENT,
-      mayAdmit: () => state.lease > 0 && state.mayAdmit,
+      assignment: () => assignment,
+      mayAdmit: resource => state.lease > 0 && state.mayAdmit && resource !== `worker/${state.closing}`,
       leaseLeft: () => state.lease,
       peers: () => [],
-      instance: () => WORKER
+      instance: id => ({ ...WORKER, id })
     })
     this.service.start()
     this.service.configure(RULES)
-    this.service.handleAssignmentChange(ASSIGNMENT, EMPTY_ASSIGNMENT)
+    this.service.handleAssignmentChange(assignment, EMPTY_ASSIGNMENT)
   }
 
   /**
@@ -108,13 +110,14 @@
    */
   finishTakeover (requests = 0): void {
     this.reportNoPermits()
-    this.service.markTasksCounted('w1')
+    const workers = Object.keys(this.assignment.owners).map(resource => resource.slice('worker/'.length))
+    for (const worker of workers) this.service.markTasksCounted(worker)
     this.clock.tick(PERMIT_VALIDITY_MS)
-    this.report(requests, 0)
+    for (const worker of workers) this.report(requests, 0, worker)
   }
 
-  report (requests: number, lag: number): void {
-    this.service.handleReport({ worker: 'w1', lag, tasks: [], requests, connections: 0 })
+  report (requests: number, lag: number, worker = 'w1'): void {
+    this.service.handleReport({ worker, lag, tasks: [], requests, connections: 0 })
   }
 
   ask (): string {
@@ -196,6 +199,32 @@
   expect(harness.answers().filter(answer => answer.endsWith('granted')).length > 0).toEqual(true)
 })
 
+// Guards against requests that are refused while a worker is handed over, although other workers of the same owner have room. The owner closes the
+// worker at its next tick, and until then chooses it for grants that it may no longer give.
+test('an ask for which a worker in hand-over was chosen goes to another worker', () => {
+  const harness = new ServiceHarness(TWO_WORKERS)
+  harness.finishTakeover()
+  const asks: string[] = []
+  for (const closing of ['w1', 'w2']) {
+    harness.state.closing = closing
+    asks.push(harness.ask(), harness.ask())
+    harness.state.closing = ''
+    harness.clock.tick(100)
+  }
+  expect(harness.answers()).toEqual(asks.map(ask => `${ask} granted`))
+})
+
+test('an ask waits while all workers of its owner are in hand-over', () => {
+  const harness = new ServiceHarness()
+  harness.finishTakeover()
+  harness.state.mayAdmit = false
+  const ask = harness.ask()
+  expect(harness.answers()).toEqual([])
+  harness.state.mayAdmit = true
+  harness.clock.tick(100)
+  expect(harness.answers()).toEqual([`${ask} granted`])
+})
+
 test('a node in a planned stop refuses new asks', () => {
   const harness = new ServiceHarness()
   harness.finishTakeover()
--- a/packages/cell/test/bench/loads.ts
+++ b/packages/cell/test/bench/loads.ts
@@ -49,3 +49,9 @@
   ],
   bursts: [{ kind: 0, from: 12_000, until: 15_000, factor: 1.7 }]
 }
+
+/** The same while batches and gangs arrive at a multiple of their rate: for some seconds much more is asked for than fits. */
+export const CREST_ON_LARGE_WORKERS: Load = {
+  ...GANGS_ON_LARGE_WORKERS,
+  bursts: [{ kind: 2, from: 5000, until: 11_000, factor: 2.4 }, { kind: 0, from: 12_000, until: 15_000, factor: 1.7 }, { kind: 1, from: 20_000, until: 24_000, factor: 1.9 }]
+}
--- a/packages/node/test/node/TestCell.ts
+++ b/packages/node/test/node/TestCell.ts
@@ -115,7 +115,7 @@
   /** @returns for each node how its process ended, if it has, with the last lines that it wrote */
   describeNodes (): string {
     return this.nodes.map(({ id, process: child, log, errorOutput }) => JSON.stringify({
-      id, exitCode: child.exitCode, signal: child.signalCode, errorOutput: errorOutput.slice(-20), log: log.slice(-10)
+      id, exitCode: child.exitCode, signal: child.signalCode, errorOutput: errorOutput.slice(-20), log: log.slice(-40)
     })).join('\n')
   }
 
--- a/packages/node/test/node/cell.test.ts
+++ b/packages/node/test/node/cell.test.ts
@@ -47,7 +47,9 @@
     await until(async () => (await send(node, 'probe')).status === 200)
     for (let number = 0; number < 20; number++) {
       const body = `${node.id} asks ${number}`
-      expect(await send(node, body)).toEqual({ status: 200, outcome: 'run', body })
+      const answer = await send(node, body)
+      if (answer.status !== 200) console.log(cell.describeNodes())
+      expect(answer).toEqual({ status: 200, outcome: 'run', body })
     }
   }
 })
