--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -17,8 +17,10 @@
  * that end in time.
  */
 const MAX_HOLD_RATIO = 0.3
-/** Interval at which a gang that waits is planned again although nothing has ended on its workers, as a share of its duration. */
+/** Interval at which a gang is planned again while it waits for tickets and nothing ends on its workers, as a share of its duration. */
 const REPLAN_RATIO = 0.05
+/** Interval at which a gang that holds no workers is planned again, as a share of its duration: many such gangs wait in a full cell. */
+const UNHELD_REPLAN_RATIO = 0.01
 /** Ratio of the tasks that fit on the allowed workers, were they empty, to the tasks of the gang below which more workers are named. */
 const MIN_ALLOWED_RATIO = 2
 /** Share of a gang's tasks for which workers beyond the held ones are named, because some of these will be late. */
@@ -52,7 +54,8 @@
   const start = { now, priority: route.priority }
   const allowed = allowedSlots(rankedStep, context)
   const releases = allowed.reduce((sum, { worker }) => sum + worker.releases, 0)
-  if (step.nextPlanAt > now && step.plannedReleases === releases) return
+  const holdsOrAsks = plan.holds.has(step) || step.askedWorkers.size > 0
+  if (step.nextPlanAt > now && (!holdsOrAsks || step.plannedReleases === releases)) return
   step.plannedReleases = releases
   // While it waits for an answer, a gang can only be placed or held elsewhere after runs on its workers have ended.
   step.nextPlanAt = step.askedWorkers.size === 0 ? now : now + REPLAN_RATIO * step.definition.estimate
@@ -65,6 +68,7 @@
   }
   const gang = scheduleWithTickets(rankedStep, allowed, context)
   updateHold(gang, context)
+  if (!plan.holds.has(step)) step.nextPlanAt = Math.max(step.nextPlanAt, now + UNHELD_REPLAN_RATIO * step.definition.estimate)
   if (route.advice !== undefined && step.askedWorkers.size === 0 && step.nextAdviceAt <= now) askForTickets(gang, route.advice, context)
 }
 
