--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -32,7 +32,7 @@
   private readonly callers: CallerServer
   private readonly servers: Array<{ close: () => unknown }> = []
   private readonly linkTraffic: TrafficMeter
-  private isStopping = false
+  private stopped: Promise<void> | undefined
 
   constructor (private readonly options: CellNodeOptions) {
     const { settings, clock, log, metrics, codec } = options
@@ -61,7 +61,7 @@
 
   /** @returns whether this node can serve callers */
   get isReady (): boolean {
-    return !this.isStopping && this.cell.isReady
+    return this.stopped === undefined && this.cell.isReady
   }
 
   /** Opens the ports and joins the cell. */
@@ -76,13 +76,16 @@
     log.write(CELL_EVENTS.started, { addresses: settings.listen, dataCentre: settings.dataCentre })
   }
 
-  /** Performs a planned stop: hands the term over, completes the requests in flight, then closes all sockets. */
+  /** Performs a planned stop: hands the term over, completes the requests in flight, then closes all sockets. Later calls wait for the first. */
   async stop (): Promise<void> {
-    if (this.isStopping) return
+    this.stopped ??= this.performStop()
+    await this.stopped
+  }
+
+  private async performStop (): Promise<void> {
     const { clock, log, settings } = this.options
     const startedAt = clock.now()
     const timeout = settings.bounds.grace - SHUTDOWN_RESERVE_MS
-    this.isStopping = true
     log.write(CELL_EVENTS.stopping, { open: this.callers.openRequests })
     this.callers.startClosing()
     await this.cell.handOver(timeout)
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -130,6 +130,7 @@
     const deadline = clock.now() + timeout
     for (let attempt = 0; this.decider !== undefined && clock.now() < deadline; attempt++) {
       this.decider.pausePlacement()
+      this.decider.noteOffer()
       if (this.followers?.nominateSuccessor('stopping', attempt) === undefined) return
       const retryAt = clock.now() + SUCCESSION_TIMEOUT_MS
       while (this.decider !== undefined && clock.now() < retryAt) await clock.sleep(SUCCESSION_POLL_INTERVAL_MS)
@@ -241,6 +242,7 @@
     const isRefused = store.failingFor() >= STORE_REFUSAL_TIMEOUT_MS
     if ((storeSilence < STORE_TIMEOUT_MS && !isRefused) || now - this.lastOfferAt < LINK_TIMEOUT_MS) return
     this.lastOfferAt = now
+    decider.noteOffer()
     this.followers?.nominateSuccessor('store-unreachable', this.offerCount++, isRefused ? undefined : storeSilence - STORE_ADVANTAGE_MS)
   }
 
@@ -251,6 +253,7 @@
     if (!decider.isReady || this.followers === undefined || now - this.lastOfferAt < YIELD_INTERVAL_MS) return
     if (this.followers.maxStrength < HANDOVER_STRENGTH_RATIO * strength) return
     this.lastOfferAt = now
+    decider.noteOffer()
     this.followers.nominateSuccessor('stronger', 0)
   }
 
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -35,6 +35,8 @@
 const ROUND_INTERVAL_MS = 100
 /** Maximum age of the last confirmed commit at which tasks are still placed. */
 const MAX_COMMIT_AGE_MS = 1000
+/** Maximum age of the last confirmed commit at which phases are answered from memory; an idle decider commits more often than twice in this time. */
+const MAX_ANSWER_AGE_MS = 500
 
 /** Options of a decider. */
 export interface DeciderOptions {
@@ -93,6 +95,8 @@
   private roundDuration = 0
   private isStopped = false
   private isPaused = false
+  /** Monotonic ms at which the term was last offered to a follower. */
+  private offeredAt = -Infinity
   /** Whether the records have been read. */
   isReady = false
 
@@ -173,6 +177,11 @@
     this.recorder.commitSoon()
   }
 
+  /** Records that the term was offered to a follower, which may hold it from now on. */
+  noteOffer (): void {
+    this.offeredAt = this.options.clock.now()
+  }
+
   /** Stops placing tasks, before a hand-over. */
   pausePlacement (): void {
     this.isPaused = true
@@ -221,12 +230,18 @@
     const job = this.registry.jobs.get(id)
     if (job !== undefined) {
       await this.phaseWaiters.wait(job, this.isPhaseUncertain(job))
-      // Any node may have read the record of a commit whose answer is lost. Reading the store tells which phase is true.
-      if (this.isPhaseUncertain(job)) return { about: 'job', phase: 'unknown' }
+      // Callers may have been told of a record whose commit got no answer, or of what another decider has done since. The store tells which phase is true.
+      if (this.isPhaseUncertain(job) || this.mayBeDeposed()) return { about: 'job', phase: 'unknown', assumed: job.visiblePhase }
     }
     return { about: 'job', phase: this.registry.jobs.get(id)?.visiblePhase ?? this.registry.endedJobs.get(id)?.phase ?? 'unknown' }
   }
 
+  /** @returns whether another node may hold the term: it was offered, or not confirmed for a while */
+  private mayBeDeposed (): boolean {
+    const { confirmedAt } = this.recorder
+    return confirmedAt <= this.offeredAt || this.options.clock.now() - confirmedAt > MAX_ANSWER_AGE_MS
+  }
+
   /** @returns whether a commit in flight may have recorded another phase than the visible one */
   private isPhaseUncertain ({ job, visiblePhase }: JobState): boolean {
     const committing = this.committingPhases.get(job.id)
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -44,6 +44,7 @@
 
 /** Answer of the decider to a query. */
 export type Answer =
-  | { about: 'job', phase: JobPhase | 'unknown' }
+  /** `phase`: `unknown` if only the store can tell; `assumed`: the last phase that the decider knew then */
+  | { about: 'job', phase: JobPhase | 'unknown', assumed?: JobPhase }
   /** `waiting`: number of accepted jobs of which no task has started, or -1 if it is not known */
   | { about: 'queue', waiting: number }
--- a/packages/cell/test/runtime/submission.test.ts
+++ b/packages/cell/test/runtime/submission.test.ts
@@ -82,6 +82,34 @@
     expect(await rig.phase(decider, id)).toEqual('running')
   })
 
+  // The former decider of a planned stop learns only from the store that its successor decides, and callers go on using their connections to it.
+  test('is not shown as queued by a decider that has handed over while the store loses the answers to its commits', async () => {
+    const rig = await createSteadyRig({ workers: 1, nodes: 3, cpu: 1000 })
+    const former = rig.decider!
+    const other = rig.nodes.find(node => node !== former)!
+    await rig.submit(other, [{ estimate: 400 }])
+    const { id } = await rig.submit(other, [{}])
+    await rig.run(50)
+    expect(await rig.phase(former, id)).toEqual('queued')
+    former.store.condition = 'losing-answers'
+    const done = former.cell.handOver(3000)
+    await rig.until(() => rig.fleet.firstStart.has(`${id}.0.0.0`), 3000)
+    const successor = rig.nodes.find(node => node !== former && node.cell.activeDecider !== undefined)!
+    expect(await rig.phase(successor, id)).toEqual('running')
+    expect(await rig.phase(former, id)).toEqual('running')
+    await rig.run(3000)
+    await done
+  })
+
+  test('is still shown as running while the store refuses all nodes', async () => {
+    const rig = await createSteadyRig()
+    const { id } = await rig.submit(rig.nodes[0]!, [{ estimate: 5000 }])
+    await rig.until(() => rig.fleet.firstStart.has(`${id}.0.0.0`), 1000)
+    for (const node of rig.nodes) node.store.condition = 'refusing'
+    await rig.run(1000)
+    for (const node of rig.nodes) expect(await rig.phase(node, id)).toEqual('running')
+  })
+
   test('is accepted at once at a node that the store has just started to refuse', async () => {
     const rig = await createSteadyRig()
     const follower = rig.nodes.find(node => node !== rig.decider)!
