--- a/packages/node/test/node/faults.test.ts
+++ b/packages/node/test/node/faults.test.ts
@@ -87,7 +87,9 @@
   await sleep(2000)
   await cell.setFaults('table', { down: false })
   await sleep(4000)
+  const stoppedAt = Date.now()
   await load.stop()
+  if (Date.now() - stoppedAt > SLOW_RECOVERY_MS) console.log(`the last request ended only after ${Date.now() - stoppedAt} ms\n${JSON.stringify(load.slowest(5))}\n${cell.describeNodes()}`)
   const { tags, violations } = await readRuns()
   const runs = (id: string): number => tags.get(id) ?? 0
   const counts = load.counts()
