Stand-in workers of the cell's tests crash under a task, come back after a while, and report changing capacity

Change: a task's behaviour may crash its worker some time after the start; the worker refuses calls for 3 s and then runs a new incarnation under its id. A worker's capacity can be changed; a smaller one counts for starts 4.5 s later (contact time and one heartbeat, as the platform has it). The third start of a task after three workers have crashed under it is the violation over-budget.

--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -97,6 +97,13 @@
     this.tables.put({ table: 'servers', part: '', key: report.id }, JSON.stringify(report))
   }
 
+  /** Changes the processor capacity that a worker reports, in thousandths of a core. */
+  setCapacity (id: string, cpu: number): void {
+    const worker = this.fleet.workers.get(id)!
+    worker.setCapacity(cpu)
+    this.putInstance(worker.report)
+  }
+
   /** Starts a node, or a new process of a node that was killed. */
   addNode (name: string, strength = this.strengths.get(name) ?? 1): RigNode {
     this.strengths.set(name, strength)
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -13,6 +13,13 @@
 const STOP_MS = 100
 /** Interval at which workers check for ends of runs and expired leases. */
 const TICK_MS = 10
+/** Time after a worker has reported less capacity from which starts must respect it, as specified by the platform: contact time and one heartbeat. */
+const SHRINK_GRACE_MS = 4500
+/** Number of workers that may crash under a task, and number of later starts with which the task exceeds its crash budget, as specified by the platform. */
+const MAX_CRASHES = 3
+const STARTS_OVER_BUDGET = 3
+/** Time for which a worker is down after a task has crashed it. */
+const CRASH_DOWNTIME_MS = 3000
 
 interface Run {
   task: string
@@ -21,15 +28,16 @@
   duration: number
   size: Size
   isStopping: boolean
+  crashesAt?: number
 }
 
 /** Violation of a guarantee of the cell by an order. */
 export interface Violation {
   /**
    * `twice`: the task already runs on a worker; `over-capacity`: the runs need more than the worker's capacity; `after-done`: the task has
-   * been completed.
+   * been completed; `over-budget`: too many workers have crashed under the task.
    */
-  rule: 'twice' | 'over-capacity' | 'after-done' | 'unasked'
+  rule: 'twice' | 'over-capacity' | 'after-done' | 'unasked' | 'over-budget'
   task: string
   worker: string
   /** Time of the violation in ms. */
@@ -41,6 +49,8 @@
   duration: number
   ending: RunEnding
   size: Size
+  /** Time in ms after the start at which the run crashes its worker. */
+  crashAfter?: number
 }
 
 /** A worker that follows the platform's published rules. */
@@ -59,6 +69,10 @@
   orderDelay = 0
   /** Whether all runs on the worker are stalled. */
   isHung = false
+  /** Whether the worker has crashed and is not back. */
+  isDown = false
+  /** Former capacities, with the time in ms until which each counts for starts. */
+  private readonly formerCapacities: Array<{ cpu: number, until: number }> = []
   private tickedAt = 0
   starts = 0
 
@@ -87,7 +101,7 @@
     this.leaseEnd = Math.max(this.leaseEnd, order.leaseEnd)
     this.starts++
     this.fleet.recordStart(order.task, this)
-    this.running.set(order.task, { task: order.task, run: order.run, endsAt: this.now + behaviour.duration, duration: behaviour.duration, size: behaviour.size, isStopping: false })
+    this.running.set(order.task, { task: order.task, run: order.run, endsAt: this.now + behaviour.duration, duration: behaviour.duration, size: behaviour.size, isStopping: false, ...(behaviour.crashAfter === undefined ? {} : { crashesAt: this.now + behaviour.crashAfter }) })
     this.fleet.checkCapacity(order.task, this)
     return { kind: 'taken', clock: this.now }
   }
@@ -113,7 +127,9 @@
   }
 
   tick (): void {
+    if (this.isDown) return
     this.tickedAt = this.now
+    if ([...this.running.values()].some(run => run.crashesAt !== undefined && this.now >= run.crashesAt)) return this.crash()
     if (this.now >= this.leaseEnd) this.discardUnacknowledgedEnds()
     for (const run of [...this.running.values()]) {
       if (this.isHung && !run.isStopping) run.endsAt += TICK_MS
@@ -122,6 +138,32 @@
     }
   }
 
+  /** Ends the worker without a word, and starts a new incarnation under the same id after a while; `downtime` in ms. */
+  crash (downtime = CRASH_DOWNTIME_MS): void {
+    if (this.isDown) return
+    for (const task of this.running.keys()) this.fleet.recordCrash(task)
+    this.discardUnacknowledgedEnds()
+    this.running.clear()
+    this.ended = []
+    this.isDown = true
+    this.fleet.clock.schedule(downtime, () => {
+      this.isDown = false
+      this.restart()
+    })
+  }
+
+  /** Changes the processor capacity that the worker reports; what runs is not affected. */
+  setCapacity (cpu: number): void {
+    this.formerCapacities.push({ cpu: this.report.capacity.cpu, until: this.fleet.clock.now() + SHRINK_GRACE_MS })
+    this.report = { ...this.report, capacity: { ...this.report.capacity, cpu } }
+  }
+
+  /** @returns the capacity that a start must respect, in thousandths of a core */
+  get bindingCapacity (): number {
+    const now = this.fleet.clock.now()
+    return Math.max(this.report.capacity.cpu, ...this.formerCapacities.filter(former => former.until > now).map(former => former.cpu))
+  }
+
   /** Starts a new incarnation under the same id. */
   restart (): void {
     this.discardUnacknowledgedEnds()
@@ -165,6 +207,9 @@
   readonly starts = new Map<string, number>()
   /** Time in ms of the first start of each task. */
   readonly firstStart = new Map<string, number>()
+  /** Number of workers that have crashed under each task, and number of its starts since the last one that its budget allows. */
+  readonly crashes = new Map<string, number>()
+  private readonly startsOverBudget = new Map<string, number>()
   /** Time in ms of the last start of any task. */
   lastStart = 0
 
@@ -183,14 +228,25 @@
     this.starts.set(task, (this.starts.get(task) ?? 0) + 1)
     if (!this.firstStart.has(task)) this.firstStart.set(task, at)
     this.lastStart = at
+    if ((this.crashes.get(task) ?? 0) >= MAX_CRASHES) this.countStartOverBudget(task, worker)
     if (this.done.has(task)) this.addViolation('after-done', task, worker)
     for (const other of this.workers.values()) if (other.running.has(task)) this.addViolation('twice', task, worker)
   }
 
+  recordCrash (task: string): void {
+    this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1)
+  }
+
+  private countStartOverBudget (task: string, worker: FakeWorker): void {
+    const starts = (this.startsOverBudget.get(task) ?? 0) + 1
+    this.startsOverBudget.set(task, starts)
+    if (starts >= STARTS_OVER_BUDGET) this.addViolation('over-budget', task, worker)
+  }
+
   checkCapacity (task: string, worker: FakeWorker): void {
     let cpu = 0
     for (const run of worker.running.values()) cpu += run.size.cpu
-    if (cpu > worker.report.capacity.cpu) this.addViolation('over-capacity', task, worker)
+    if (cpu > worker.bindingCapacity) this.addViolation('over-capacity', task, worker)
   }
 
   private addViolation (rule: Violation['rule'], task: string, worker: FakeWorker): void {
@@ -222,8 +278,10 @@
     this.polls++
     const target = this.findReachable(worker)
     if (target === undefined) return await this.clock.deliver(TIMEOUT_MS, () => Err({ code: 'silent', reason: 'no answer' }))
+    if (target.isDown) return await this.clock.deliver(ANSWER_MS, () => Err({ code: 'silent', reason: 'the connection was refused' }))
     return await new Promise(resolve => {
       this.fleet.clock.schedule(ANSWER_MS / 2, () => {
+        if (target.isDown) return this.answer(resolve, () => Err({ code: 'silent', reason: 'the connection was closed' }))
         const first = target.poll(order)
         if (first.isErr() || order.wait === 0) return this.answer(resolve, () => first)
         this.waitForEnd(target, order.acknowledged, this.fleet.clock.now() + order.wait, resolve)
@@ -234,6 +292,7 @@
   override disconnect (): void {}
 
   private waitForEnd (target: FakeWorker, acknowledged: number, until: number, resolve: (list: Result<WorkerList, PollFault>) => void): void {
+    if (target.isDown) return this.answer(resolve, () => Err({ code: 'silent', reason: 'the connection was closed' }))
     if (target.ended.some(end => end.number > acknowledged) || this.fleet.clock.now() >= until) return this.answer(resolve, () => Ok(target.list()))
     this.fleet.clock.schedule(TICK_MS, () => { this.waitForEnd(target, acknowledged, until, resolve) })
   }
@@ -245,13 +304,14 @@
 
   private async order (worker: WorkerTarget, carryOut: (target: FakeWorker) => OrderOutcome): Promise<OrderOutcome> {
     const target = this.findReachable(worker)
+    if (target?.isDown === true) return await this.clock.deliver(ANSWER_MS, () => ({ kind: 'unwell' }))
     if (target === undefined || target.orderDelay > 0) {
-      if (target !== undefined) this.fleet.clock.schedule(target.orderDelay, () => { carryOut(target) })
+      if (target !== undefined) this.fleet.clock.schedule(target.orderDelay, () => { if (!target.isDown) carryOut(target) })
       return await this.clock.deliver(TIMEOUT_MS, () => ({ kind: 'unknown', reason: 'no answer' }))
     }
     return await new Promise(resolve => {
       this.fleet.clock.schedule(ANSWER_MS / 2, () => {
-        const outcome = carryOut(target)
+        const outcome: OrderOutcome = target.isDown ? { kind: 'unknown', reason: 'the connection was closed' } : carryOut(target)
         this.clock.schedule(ANSWER_MS / 2, () => { resolve(outcome) })
       })
     })
