Log why a ready step is not placed

What callers saw: a job was accepted and stood still, and no log line told it apart from a full cell. Cause: the decider logged placements and answers of the advice service, but nothing about a step that neither is placed nor asked about.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -7,6 +7,7 @@
 import type { CellSettings } from '../types/settings.js'
 import { Cell } from '../runtime/Cell.js'
 import type { CellOptions } from '../runtime/Cell.js'
+import { WAIT_REASONS } from '../runtime/explainWait.js'
 import { InstrumentedStore } from '../runtime/InstrumentedStore.js'
 import { CallerServer } from './CallerServer.js'
 import { TcpLinkConnector, listenForLinks } from './TcpLink.js'
@@ -56,6 +57,7 @@
     metrics.gauge('store_silence_ms', () => Math.min(store.silentFor(), Number.MAX_SAFE_INTEGER))
     metrics.gauge('open_requests', () => this.callers.openRequests)
     metrics.gauge('processor_seconds', readProcessorSeconds)
+    for (const reason of WAIT_REASONS) metrics.gauge('waiting_steps', () => this.cell.activeDecider?.waits.counts.get(reason) ?? 0, { reason })
     metrics.gauge('commits', () => this.cell.activeDecider?.commits ?? 0)
   }
 
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -24,6 +24,7 @@
 import { TaskLifecycle } from './TaskLifecycle.js'
 import { StepAdvisor } from './StepAdvisor.js'
 import type { Term } from './Term.js'
+import { WaitMonitor } from './WaitMonitor.js'
 import { WorkerPoller } from './WorkerPoller.js'
 import { detach } from './detach.js'
 
@@ -38,6 +39,9 @@
 /** Maximum age of the last confirmed commit at which phases are answered from memory; an idle decider commits more often than twice in this time. */
 const MAX_ANSWER_AGE_MS = 500
 
+/** Interval between checks for steps that are ready and are not placed. */
+const WAIT_CHECK_INTERVAL_MS = 1000
+
 /** Options of a decider. */
 export interface DeciderOptions {
   store: RecordStore
@@ -72,6 +76,8 @@
   private readonly adviceScheduler = new AdviceScheduler()
   private readonly phaseWaiters: PhaseWaiters
   private readonly advisor: StepAdvisor
+  /** Steps that are ready and are not placed. */
+  readonly waits: WaitMonitor
   private readonly routes = new Map<string, Route>()
   private lastConfiguration: Configuration | undefined
   /** Callbacks that run once the next record of a job is written, by id of the job. */
@@ -103,6 +109,7 @@
   constructor (private readonly options: DeciderOptions) {
     const { store, clock, log, term, workers } = options
     this.phaseWaiters = new PhaseWaiters(clock)
+    this.waits = new WaitMonitor({ clock, log })
     this.recorder = new Recorder({
       store, clock, log, term, version: options.termRowVersion, encode: key => this.encode(key), callbacks: { onRecorded: keys => { this.handleRecorded(keys) }, onTermLost: ({ term: next }) => { this.loseTerm(next?.node) } }
     })
@@ -141,7 +148,7 @@
   async start (): Promise<void> {
     const { clock, log, term, store } = this.options
     const startedAt = clock.now()
-    this.timers.push(clock.repeat(IDLE_COMMIT_INTERVAL_MS, () => { this.recorder.commitSoon() }), clock.repeat(ROUND_INTERVAL_MS, () => { this.requestRound() }))
+    this.timers.push(clock.repeat(IDLE_COMMIT_INTERVAL_MS, () => { this.recorder.commitSoon() }), clock.repeat(ROUND_INTERVAL_MS, () => { this.requestRound() }), clock.repeat(WAIT_CHECK_INTERVAL_MS, () => { this.checkWaits() }))
     const recovery = new Recovery({ store, clock, log })
     const [recovered] = await Promise.all([recovery.read(() => this.isStopped), this.instanceFeed.start(() => this.isStopped)])
     if (recovered === undefined || this.isStopped) return
@@ -270,8 +277,7 @@
     this.updateRoutes()
     const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now })
     if (ranked.length === 0) return
-    const usable = new Map<string, WorkerState[]>()
-    for (const worker of this.registry.workers.values()) if (isUsable(worker, now)) push(usable, worker.report.service, worker)
+    const usable = this.usableWorkers(now)
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
     const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds })
     this.holds = plan.holds
@@ -279,6 +285,23 @@
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
   }
 
+  /** @returns the workers on which tasks may be placed, by service */
+  private usableWorkers (now: number): Map<string, WorkerState[]> {
+    const usable = new Map<string, WorkerState[]>()
+    for (const worker of this.registry.workers.values()) if (isUsable(worker, now)) push(usable, worker.report.service, worker)
+    return usable
+  }
+
+  private checkWaits (): void {
+    if (!this.isReady) return
+    const now = this.options.clock.now()
+    const usable = this.usableWorkers(now)
+    this.waits.check(this.registry.readySteps, step => {
+      const route = this.routes.get(step.occurrence.job.job.route)
+      return { route, workers: usable.get(route?.service ?? '') ?? [], holds: this.holds, now }
+    })
+  }
+
   private async sendStart (task: Task, ticket?: string): Promise<void> {
     const { worker, run } = task
     if (worker === undefined || this.isStopped) return
--- /dev/null
+++ b/packages/cell/src/runtime/explainWait.ts
@@ -0,0 +1,90 @@
+import { countFitting, freeCapacity } from './CapacitySnapshot.js'
+import { isEligible } from './placeTasks.js'
+import type { GangHold, StepState, TaskPhase, WorkerState } from './model.js'
+import type { Route } from '../types/configuration.js'
+
+/**
+ * What holds up a ready step:
+ *
+ * - `no-route`: the decider doesn't know the route of the job
+ * - `member-busy`: a gang of which some members are not waiting, so that it can't be placed
+ * - `delayed`: all waiting tasks have a time before which they are not placed
+ * - `no-worker`: the step may run on none of the usable workers, as far as known
+ * - `no-room`: no worker on which the step may run has room for one task, or for all tasks of a gang
+ * - `held`: there is room only where it is held for gangs
+ * - `advice-pending`: a call to the advice service is in flight or about to be repeated
+ * - `no-advice`: there is room, but no worker with a valid ticket
+ * - `other`: none of these, for example because the next round of planning is due
+ */
+export type WaitReason = 'no-route' | 'member-busy' | 'delayed' | 'no-worker' | 'no-room' | 'held' | 'advice-pending' | 'no-advice' | 'other'
+
+/** All reasons, for metrics. */
+export const WAIT_REASONS: readonly WaitReason[] = ['no-route', 'member-busy', 'delayed', 'no-worker', 'no-room', 'held', 'advice-pending', 'no-advice', 'other']
+
+/** What a decider knows about a ready step that isn't placed. */
+export interface WaitFacts {
+  reason: WaitReason
+  waiting: number
+  /** Number of the step's tasks in each other phase that occurs. */
+  phases: Partial<Record<TaskPhase, number>>
+  /** Number of workers of the service on which tasks may be placed. */
+  usable: number
+  /** Number of those that the step may use as far as known. */
+  eligible: number
+  /** Numbers of workers on which the advice service allows the step, doesn't allow it, and about which a call is in flight. */
+  allowed: number
+  rejected: number
+  asked: number
+  /** Number of tasks that fit now on the workers that the step may use, with and without what is held for other gangs. */
+  fitting: number
+  unheld: number
+  /** Number of usable workers with a valid ticket. */
+  tickets: number
+}
+
+/** Input of an explanation. */
+export interface WaitContext {
+  route: Route | undefined
+  /** Workers of the route's service on which tasks may be placed. */
+  workers: WorkerState[]
+  /** Holds of the last round of planning. */
+  holds: ReadonlyMap<StepState, GangHold>
+  /** Monotonic ms. */
+  now: number
+}
+
+/** @returns why a ready step isn't placed, as far as the decider's state tells */
+export function explainWait (step: StepState, context: WaitContext): WaitFacts {
+  const { route, workers, holds, now } = context
+  const facts: WaitFacts = { reason: 'other', waiting: 0, phases: {}, usable: workers.length, eligible: 0, allowed: step.allowedWorkers.size, rejected: step.rejectedWorkers.size, asked: step.askedWorkers.size, fitting: 0, unheld: 0, tickets: 0 }
+  for (const { phase } of step.tasks) {
+    if (phase === 'waiting') facts.waiting++
+    else facts.phases[phase] = (facts.phases[phase] ?? 0) + 1
+  }
+  const held = new Set([...holds].flatMap(([owner, { tasksByWorker }]) => owner === step ? [] : [...tasksByWorker.keys()]))
+  for (const worker of workers) {
+    if (!isEligible({ worker }, step)) continue
+    facts.eligible++
+    const ticket = step.tickets.get(worker.report.id)
+    if (ticket !== undefined && ticket.validUntil > now) facts.tickets++
+    const fitting = countFitting(freeCapacity(worker), step.definition)
+    facts.fitting += fitting
+    if (!held.has(worker.report.id)) facts.unheld += fitting
+  }
+  facts.reason = findReason(step, facts, { route, now })
+  return facts
+}
+
+function findReason (step: StepState, facts: WaitFacts, { route, now }: { route: Route | undefined, now: number }): WaitReason {
+  const { gang } = step.definition
+  if (route === undefined) return 'no-route'
+  if (gang && facts.waiting < step.tasks.length) return 'member-busy'
+  if (step.tasks.every(task => task.phase !== 'waiting' || task.notBefore > now)) return 'delayed'
+  if (facts.eligible === 0) return 'no-worker'
+  const needed = gang ? step.tasks.length : 1
+  if (facts.fitting < needed) return 'no-room'
+  if (facts.unheld < needed) return 'held'
+  if (route.advice === undefined) return 'other'
+  if (facts.asked > 0 || step.nextAdviceAt > now) return 'advice-pending'
+  return facts.tickets === 0 ? 'no-advice' : 'other'
+}
--- a/packages/cell/src/runtime/placeTasks.ts
+++ b/packages/cell/src/runtime/placeTasks.ts
@@ -11,7 +11,7 @@
  * @param step - a step
  * @returns whether the step may run on the worker, as far as known
  */
-export function isEligible ({ worker }: Slot, { definition, rejectedWorkers }: StepState): boolean {
+export function isEligible ({ worker }: Pick<Slot, 'worker'>, { definition, rejectedWorkers }: StepState): boolean {
   if (definition.label !== undefined && !worker.report.labels.includes(definition.label)) return false
   return !rejectedWorkers.has(worker.report.id)
 }
