Jobs of a removed route are completed after a takeover

What callers saw: a job that was accepted before its route was removed from the configuration stayed `running` (or `queued`) for good once another node had become the decider, with free workers and nothing in the log.

Cause: only the decider that had seen the route kept its definition, in its memory. A decider that claims the term after the removal never knew it, so `rankSteps` left the steps of such jobs out, and `maxAttempts` fell to 1.

Fix: the node that accepts a job stores the terms of the route that scheduling needs with the submission. The configuration in force goes first, then the last definition that the decider knows, then the stored terms. Only services to which a configuration sent the queue are used, since the terms are copied from one.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -4,9 +4,9 @@
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import type { CallerCodec, RequestOutcome } from '../types/callers.js'
 import type { Configuration, Route } from '../types/configuration.js'
-import type { Job } from '../types/job.js'
 import { CELL_EVENTS } from '../types/events.js'
 import type { Gateway } from '../runtime/Gateway.js'
+import { createJob } from '../runtime/createJob.js'
 import { findRoute } from '../runtime/findRoute.js'
 import { detach } from '../runtime/detach.js'
 
@@ -112,7 +112,7 @@
     if (!JOB_ID.test(request.job)) return this.refuse(request.id, 400, 'the id is not 16 hexadecimal digits')
     const submission = codec.decodeSubmission(request.body)
     if (submission.isErr()) return this.refuse(request.id, 400, submission.error)
-    const job: Job = { id: request.job, route: request.route.name, acceptedAt: Math.round(storeTime()), ...submission.value }
+    const job = createJob(request.job, request.route, submission.value, Math.round(storeTime()))
     return this.replyTo(request.id, request.job, request.receivedAt, request.route, await gateway.submit(job, request.deadline))
   }
 
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -15,6 +15,7 @@
 import { InstanceFeed } from './InstanceFeed.js'
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
+import { findScheduledRoute } from './findScheduledRoute.js'
 import { planRound } from './planRound.js'
 import { rankSteps } from './rankSteps.js'
 import { JobArchiver } from './JobArchiver.js'
@@ -116,7 +117,7 @@
       record: (job, then) => { this.record(job, then) },
       sendStart: (task, ticket) => { detach(this.sendStart(task, ticket), log, 'order') },
       sendStop: task => { detach(this.poller.stopRun(task), log, 'stop') },
-      maxAttempts: job => this.routes.get(job.job.route)?.maxAttempts ?? 1,
+      maxAttempts: job => findScheduledRoute(job.job, name => this.routes.get(name))?.maxAttempts ?? 1,
       onChange: () => { this.requestRound() }
     })
     this.poller.setLifecycle(this.lifecycle)
@@ -212,6 +213,7 @@
     const age = store.now() === 0 ? 0 : Math.max(0, store.now() - job.acceptedAt)
     if (source !== 'record') log.write(CELL_EVENTS.jobKnown, { job: job.id, source })
     this.updateRoutes()
+    if (findScheduledRoute(job, name => this.routes.get(name)) === undefined) log.write(CELL_EVENTS.routeUnknown, { job: job.id, route: job.route })
     const state = this.registry.addJob(job, { now: clock.now(), age, wall: clock.wall() })
     this.requestRound()
     return state
@@ -349,7 +351,7 @@
     const configuration = this.options.configuration()
     if (configuration === this.lastConfiguration) return
     this.lastConfiguration = configuration
-    // Jobs of a removed route continue with the route's last definition.
+    // Jobs of a removed route continue with the route's last definition, as far as this decider knows it, or with the terms stored with them.
     for (const route of configuration?.routes ?? []) this.routes.set(route.name, route)
   }
 
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -1,4 +1,4 @@
-import type { AdviceTerms, Route } from '../types/configuration.js'
+import type { AdviceTerms, ScheduledRoute } from '../types/configuration.js'
 import type { AdviceRound } from './AdviceScheduler.js'
 import { CapacitySnapshot, reserveCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
@@ -23,7 +23,7 @@
 /** A planned call to the advice service. */
 export interface AdviceRequest {
   step: StepState
-  route: Route
+  route: ScheduledRoute
   workers: WorkerState[]
   /** Node that makes the call. */
   node: string
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -1,4 +1,5 @@
-import type { Route } from '../types/configuration.js'
+import type { RouteTerms, ScheduledRoute } from '../types/configuration.js'
+import { findScheduledRoute } from './findScheduledRoute.js'
 import type { StepState } from './model.js'
 
 /** Ratio of a job's duration to its objective above which the job's result is of no use to the caller, as specified by the platform. */
@@ -7,7 +8,7 @@
 /** A step with the criteria of its rank. */
 export interface RankedStep {
   step: StepState
-  route: Route
+  route: ScheduledRoute
   /** 0: the job can still meet its objective; 1: it will be late; 2: it will be too late to be of use. */
   lateness: 0 | 1 | 2
   /** Monotonic ms by which the step's occurrence of the job should have ended. */
@@ -19,20 +20,20 @@
  * will be too late to be of use. Within each group, steps are ranked by the route's priority and then by the time left.
  *
  * @param steps - steps with waiting tasks
- * @param options - `routeOf`: returns the route with a name; `now`: monotonic ms
- * @returns the steps in rank order, without steps whose route is unknown or whose occurrence is not yet due
+ * @param options - `routeOf`: returns the configured route with a name; `now`: monotonic ms
+ * @returns the steps in rank order, without steps whose route is not known or whose occurrence is not yet due
  */
-export function rankSteps (steps: Iterable<StepState>, options: { routeOf: (name: string) => Route | undefined, now: number }): RankedStep[] {
+export function rankSteps (steps: Iterable<StepState>, options: { routeOf: (name: string) => ScheduledRoute | undefined, now: number }): RankedStep[] {
   const ranked: RankedStep[] = []
   for (const step of steps) {
-    const route = options.routeOf(step.occurrence.job.job.route)
+    const route = findScheduledRoute(step.occurrence.job.job, options.routeOf)
     if (route === undefined || step.occurrence.dueAt > options.now) continue
     ranked.push(rankStep(step, route, options.now))
   }
   return ranked.sort((a, b) => a.lateness - b.lateness || a.route.priority - b.route.priority || a.objectiveAt - b.objectiveAt)
 }
 
-function rankStep (step: StepState, route: Route, now: number): RankedStep {
+function rankStep (step: StepState, route: ScheduledRoute, now: number): RankedStep {
   const { occurrence } = step
   const start = Math.max(occurrence.dueAt, occurrence.job.submittedAt)
   const span = objectiveSpan(occurrence.steps.map(each => each.definition), route)
@@ -43,10 +44,10 @@
 
 /**
  * @param steps - steps of a job
- * @param route - route of the job
+ * @param route - terms of the job's route
  * @returns the job's objective: ms within which an occurrence should end after it is due, or after the submission if that is later
  */
-export function objectiveSpan (steps: StepState['definition'][], route: Route): number {
+export function objectiveSpan (steps: StepState['definition'][], route: RouteTerms): number {
   const advice = route.advice === undefined ? 0 : route.advice.base + OBJECTIVE_ADVICE_WORKERS * route.advice.perWorker
   return route.stretch * chainLength(steps, 0, advice) + route.latencyObjective
 }
--- a/packages/cell/src/types/configuration.ts
+++ b/packages/cell/src/types/configuration.ts
@@ -8,11 +8,8 @@
   validity: number
 }
 
-/** A queue of jobs. */
-export interface Route {
-  name: string
-  host: string
-  prefix: string
+/** Terms under which the jobs of a route are scheduled. */
+export interface RouteTerms {
   /** Pool whose workers run the route's tasks. */
   service: string
   /** 0 is the highest priority. */
@@ -26,6 +23,17 @@
   advice?: AdviceTerms
 }
 
+/** A route as far as scheduling is concerned. */
+export interface ScheduledRoute extends RouteTerms {
+  name: string
+}
+
+/** A queue of jobs. */
+export interface Route extends ScheduledRoute {
+  host: string
+  prefix: string
+}
+
 /** Configuration of the routes, as set by the operators. */
 export interface Configuration {
   version: number
--- a/packages/cell/src/types/job.ts
+++ b/packages/cell/src/types/job.ts
@@ -1,3 +1,5 @@
+import type { RouteTerms } from './configuration.js'
+
 /** Resources that a task needs or a worker has. */
 export interface Size {
   /** Thousandths of a core. */
@@ -39,6 +41,8 @@
   id: string
   /** Name of the route to which the job was submitted. */
   route: string
+  /** Terms of the route at the submission, which apply once the route is removed. Jobs accepted by earlier versions lack them. */
+  terms?: RouteTerms
   /** Opaque text that is passed to the worker unchanged. */
   spec: string
   steps: Step[]
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -3,7 +3,8 @@
 import { FakeClock } from '@rattanstep/core'
 import { MemoryLog } from '@rattanstep/telemetry'
 import { Advisor, Cell, RowReader } from '../../src/index.js'
-import type { Advice, Configuration, Job, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
+import { createJob } from '../../src/runtime/createJob.js'
+import type { Advice, Configuration, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
 import { FakeLinkConnector } from './FakeLinks.js'
 import type { FakeEndpoint } from './FakeLinks.js'
 import { FakeStore, FakeTables } from './FakeStore.js'
@@ -80,9 +81,9 @@
     for (let index = 0; index < nodes; index++) this.addNode(`n${index}`)
   }
 
-  configure (version: number, route: Partial<Route> = {}): void {
+  configure (version: number, route: Partial<Route> = {}, others = this.options.others ?? []): void {
     const configuration: Configuration = {
-      version, routes: [{ name: 'r', ...route }, ...this.options.others ?? []].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), maxBody: 1000
+      version, routes: [{ name: 'r', ...route }, ...others].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), maxBody: 1000
     }
     this.tables.put({ table: 'op', part: '', key: 'config' }, JSON.stringify(configuration))
   }
@@ -178,7 +179,7 @@
   /** Submits a job at a node, and advances the clock until the outcome is known. */
   async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r'): Promise<{ id: string, outcome: RequestOutcome }> {
     const id = (this.nextJob++).toString(16).padStart(16, '0')
-    const job: Job = { id, route, spec: 'x', steps: steps.map(stepOf), acceptedAt: node.store.now() }
+    const job = createJob(id, node.cell.configuration!.routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now())
     const pending = node.cell.gateway.submit(job, this.clock.now() + 2000)
     let outcome: RequestOutcome | undefined
     pending.then(value => { outcome = value }, error => { throw error })
