The report of waiting steps uses the terms that are stored with a job

Change: findScheduledRoute for both; the test writes a row of an earlier version, and expects the same line.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -299,7 +299,7 @@
     const now = this.options.clock.now()
     const usable = this.usableWorkers(now)
     this.waits.check(this.registry.readySteps, step => {
-      const route = this.routes.get(step.occurrence.job.job.route)
+      const route = findScheduledRoute(step.occurrence.job.job, name => this.routes.get(name))
       return { route, workers: usable.get(route?.service ?? '') ?? [], holds: this.holds, now }
     })
   }
--- a/packages/cell/src/runtime/explainWait.ts
+++ b/packages/cell/src/runtime/explainWait.ts
@@ -1,7 +1,7 @@
 import { countFitting, freeCapacity } from './CapacitySnapshot.js'
 import { isEligible } from './placeTasks.js'
 import type { GangHold, StepState, TaskPhase, WorkerState } from './model.js'
-import type { Route } from '../types/configuration.js'
+import type { ScheduledRoute } from '../types/configuration.js'
 
 /**
  * What holds up a ready step:
@@ -44,7 +44,7 @@
 
 /** Input of an explanation. */
 export interface WaitContext {
-  route: Route | undefined
+  route: ScheduledRoute | undefined
   /** Workers of the route's service on which tasks may be placed. */
   workers: WorkerState[]
   /** Holds of the last round of planning. */
@@ -75,7 +75,7 @@
   return facts
 }
 
-function findReason (step: StepState, facts: WaitFacts, { route, now }: { route: Route | undefined, now: number }): WaitReason {
+function findReason (step: StepState, facts: WaitFacts, { route, now }: { route: ScheduledRoute | undefined, now: number }): WaitReason {
   const { gang } = step.definition
   if (route === undefined) return 'no-route'
   if (gang && facts.waiting < step.tasks.length) return 'member-busy'
--- a/packages/cell/test/runtime/waits.test.ts
+++ b/packages/cell/test/runtime/waits.test.ts
@@ -1,17 +1,27 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
 import type { Step } from '../../src/index.js'
-import { createSteadyRig } from '../support/CellRig.js'
+import { submissionRowName } from '../../src/runtime/rowNames.js'
+import { createSteadyRig, stepOf } from '../support/CellRig.js'
 import type { CellRig, RigOptions } from '../support/CellRig.js'
 
 const ADVICE = { base: 20, perWorker: 0, validity: 1500 }
 
-/** Submits a job that can't start, waits, and returns what the decider logged about the wait. */
-async function reportWait (options: RigOptions, step: Partial<Step>, { prepare = async () => {}, route }: { prepare?: (rig: CellRig) => Promise<void>, route?: string } = {}): Promise<{ reason: unknown, waiting: unknown, fitting: unknown }> {
+interface ReportedWait {
+  reason: unknown
+  waiting: unknown
+  fitting: unknown
+}
+
+/** Submits a job that can't start, and returns what the decider logs about the wait. */
+async function reportWait (options: RigOptions, step: Partial<Step>): Promise<ReportedWait> {
   const rig = await createSteadyRig(options)
-  await prepare(rig)
-  await rig.submit(rig.nodes[0]!, [step], route)
-  await rig.run(3500)
+  await rig.submit(rig.nodes[0]!, [step])
+  return await reportedWait(rig)
+}
+
+async function reportedWait (rig: CellRig): Promise<ReportedWait> {
+  await rig.run(5000)
   const line = rig.decider!.log.lines.find(({ event }) => event.name === 'step-waits')
   return { reason: line?.fields?.reason, waiting: line?.fields?.waiting, fitting: line?.fields?.fitting }
 }
@@ -35,7 +45,11 @@
   })
 
   test('because no decider has known its route is reported with the reason no-route', async () => {
-    expect(await reportWait({ workers: 2 }, {}, { route: 'unknown' })).toEqual({ reason: 'no-route', waiting: 1, fitting: 0 })
+    const rig = await createSteadyRig({ workers: 2 })
+    const id = 'a'.repeat(16)
+    // A row of an earlier version, which lacks the terms of its route.
+    rig.tables.put(submissionRowName(id), JSON.stringify({ id, route: 'unknown', spec: 'x', steps: [stepOf({})], acceptedAt: 1 }))
+    expect(await reportedWait(rig)).toEqual({ reason: 'no-route', waiting: 1, fitting: 0 })
   })
 
   test('is reported ever less often', async () => {
