Background loops go on after a fault

What callers saw (by test; no such fault is on record): accepted jobs that stay `queued` or `running` for good while the decider renews its term and answers, workers that are never polled again, runs of cancelled jobs that aren't stopped, a configuration that is never in force, and after a takeover a decider that never becomes ready because of one row.

Cause: each background loop ended with the first error that was thrown in it, and each call was awaited without a bound of its own. Affected were the recorder (`isRunning` stayed true; the callbacks of the keys were lost, so placed tasks were never ordered), the poller, orders to start (the task stayed `ordered`) and to stop, the feeds of submissions, instances and configuration, the archiver (`isFlushing` stayed true), the step advisor (`askedWorkers` was never cleared), the membership and the recovery. Rows of submissions with a malformed step passed the decoder and threw in the loops, at the same row again after each takeover.

Fix: `repeatWhile` repeats a loop, logs the fault (8090) and goes on; `settle`, through BoundedStore and BoundedWorkerClient, gives every call an outcome even if it throws or never ends; `runLogged` keeps one item from stopping those after it; state is cleaned up in `finally`. A commit that threw is sent as a new one; the version of the term row tells whether the former took effect.

Ruled out by reading only: that the platform's clients throw or hang; PlatformClient catches errors and has a timeout for every call.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -7,6 +7,8 @@
 import type { Answer, Question } from '../types/links.js'
 import type { Advice, Advisor, RowReader, WorkerClient } from '../types/ports.js'
 import type { RecordStore } from '../types/records.js'
+import { BoundedStore } from './BoundedStore.js'
+import { BoundedWorkerClient } from './BoundedWorkerClient.js'
 import { ConfigurationFeed } from './ConfigurationFeed.js'
 import { Decider } from './Decider.js'
 import { DelegatingWorkerClient } from './DelegatingWorkerClient.js'
@@ -68,10 +70,13 @@
   private checkTimer: Timer | undefined
   private offerCount = 0
   private lastOfferAt = 0
+  private readonly options: CellOptions
 
-  constructor (private readonly options: CellOptions) {
+  constructor (options: CellOptions) {
     super()
-    const { store, clock, log, advisor } = options
+    const { clock, log, advisor } = options
+    const store = new BoundedStore({ store: options.store, clock, log })
+    this.options = { ...options, store }
     this.configurationFeed = new ConfigurationFeed({ store, clock, log, parse: options.readConfiguration })
     this.gateway = new Gateway({ store, clock, decider: this })
     this.membership = new Membership({
@@ -197,11 +202,15 @@
     })
     const decider: Decider = new Decider({
       store,
-      workers: new DelegatingWorkerClient({
-        direct: workers,
+      workers: new BoundedWorkerClient({
+        workers: new DelegatingWorkerClient({
+          direct: workers,
+          clock,
+          executors: () => followers.executors,
+          execute: async (executor, call, timeout) => await followers.execute(executor, call, timeout)
+        }),
         clock,
-        executors: () => followers.executors,
-        execute: async (executor, call, timeout) => await followers.execute(executor, call, timeout)
+        log
       }),
       reader,
       clock,
--- a/packages/cell/src/runtime/ConfigurationFeed.ts
+++ b/packages/cell/src/runtime/ConfigurationFeed.ts
@@ -5,6 +5,7 @@
 import { CELL_EVENTS } from '../types/events.js'
 import type { RecordStore, Row } from '../types/records.js'
 import { detach } from './detach.js'
+import { repeatWhile } from './repeatWhile.js'
 
 /** Duration of a long poll for changes. A feed can stop delivering changes without an error, and a new version must be in force within 2 s. */
 const FEED_WAIT_MS = 1000
@@ -22,11 +23,13 @@
 
   /** Reads the configuration, with retries until there is one, then follows it in the background. */
   async start (): Promise<void> {
-    while (!this.isStopped && this.current === undefined) {
+    const { clock, log } = this.options
+    const options = { clock, log, step: 'configuration' }
+    await repeatWhile(() => !this.isStopped && this.current === undefined, async () => {
       await this.refresh()
-      if (this.current === undefined) await this.options.clock.sleep(RETRY_DELAY_MS)
-    }
-    detach(this.follow(), this.options.log, 'configuration')
+      if (this.current === undefined) await clock.sleep(RETRY_DELAY_MS)
+    }, options)
+    detach(repeatWhile(() => !this.isStopped, async () => { await this.follow() }, options), log, 'configuration')
   }
 
   stop (): void {
@@ -42,20 +45,19 @@
     for (const row of answer.value.rows) this.applyRow(row)
   }
 
+  /** Handles the next changes of the configuration. */
   private async follow (): Promise<void> {
     const { store, clock } = this.options
-    while (!this.isStopped) {
-      // While the store is lost, the poll returns immediately, so that its return is noticed at once.
-      const answer = await store.changes({ table: 'op', after: this.version, wait: this.isStoreLost ? 0 : FEED_WAIT_MS })
-      if (answer.isOk()) {
-        this.updateStoreState(undefined)
-        this.version = answer.value.version
-        for (const row of answer.value.rows) if (!row.deleted) this.applyRow(row)
-      } else if (answer.error.code === 'history-lost') await this.refresh()
-      else {
-        this.updateStoreState(answer.error.reason)
-        await clock.sleep(RETRY_DELAY_MS)
-      }
+    // While the store is lost, the poll returns immediately, so that its return is noticed at once.
+    const answer = await store.changes({ table: 'op', after: this.version, wait: this.isStoreLost ? 0 : FEED_WAIT_MS })
+    if (answer.isOk()) {
+      this.updateStoreState(undefined)
+      this.version = answer.value.version
+      for (const row of answer.value.rows) if (!row.deleted) this.applyRow(row)
+    } else if (answer.error.code === 'history-lost') await this.refresh()
+    else {
+      this.updateStoreState(answer.error.reason)
+      await clock.sleep(RETRY_DELAY_MS)
     }
   }
 
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -14,10 +14,12 @@
 import { SubmissionFeed } from './SubmissionFeed.js'
 import { InstanceFeed } from './InstanceFeed.js'
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
+import type { JobRecord } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
 import { planRound } from './planRound.js'
 import { rankSteps } from './rankSteps.js'
+import { runLogged } from './runLogged.js'
 import { JobArchiver } from './JobArchiver.js'
 import { Recorder } from './Recorder.js'
 import type { RecordChange } from './Recorder.js'
@@ -151,11 +153,7 @@
       this.archiver.add(id, phase)
     }
     let assumed = 0
-    for (const job of recovered.jobs) {
-      const state = this.addJob(job, 'record')
-      const record = recovered.records.get(job.id)
-      if (record !== undefined && state !== undefined) assumed += this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
-    }
+    for (const job of recovered.jobs) runLogged(() => { assumed += this.restoreJob(job, recovered.records.get(job.id), startedAt) }, log, 'recovery of a job')
     for (const id of recovered.cancelled) this.cancel(id)
     this.submissionFeed.start(recovered.version, () => this.isStopped)
     this.archiver.start(() => this.isStopped)
@@ -165,6 +163,12 @@
     this.requestRound()
   }
 
+  /** @returns number of the job's recorded runs that are not known to have ended */
+  private restoreJob (job: Job, record: JobRecord | undefined, startedAt: number): number {
+    const state = this.addJob(job, 'record')
+    return record === undefined || state === undefined ? 0 : this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
+  }
+
   /** Stops deciding, without waiting for orders in flight. */
   stop (): void {
     this.isStopped = true
@@ -258,7 +262,7 @@
       this.isRoundScheduled = false
       if (this.isStopped) return
       const startedAt = this.options.clock.now()
-      this.plan()
+      runLogged(() => { this.plan() }, this.options.log, 'round of planning')
       const now = this.options.clock.now()
       this.roundDuration = now - startedAt
       this.nextRoundAt = now + ROUND_PAUSE_RATIO * this.roundDuration
@@ -366,7 +370,9 @@
    * @returns the change of the record, or `null` to leave it unchanged
    */
   private encode (key: string): RecordChange | null {
-    this.committingCallbacks.set(key, this.pendingCallbacks.get(key) ?? [])
+    // Callbacks that still wait for an earlier commit whose handling has failed.
+    const waiting = this.committingCallbacks.get(key) ?? []
+    this.committingCallbacks.set(key, [...waiting, ...this.pendingCallbacks.get(key) ?? []])
     this.pendingCallbacks.delete(key)
     const state = this.registry.jobs.get(key)
     if (state !== undefined) {
@@ -383,7 +389,7 @@
       this.committingPhases.delete(key)
       const state = this.registry.jobs.get(key)
       const phaseBefore = state?.visiblePhase
-      for (const action of actions) action()
+      for (const action of actions) runLogged(action, this.options.log, 'recorded change')
       if (state?.visiblePhase !== phaseBefore) this.phaseWaiters.release(key)
       this.archiveEnded(key)
     }
--- a/packages/cell/src/runtime/InstanceFeed.ts
+++ b/packages/cell/src/runtime/InstanceFeed.ts
@@ -5,6 +5,8 @@
 import type { WorkerReport } from '../types/worker.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { detach } from './detach.js'
+import { repeatWhile } from './repeatWhile.js'
+import { runLogged } from './runLogged.js'
 
 /** Duration of a long poll for changes. It is short, because a feed can stop delivering changes without an error. */
 const FEED_WAIT_MS = 1000
@@ -35,24 +37,24 @@
 
   /** Reads the list, with retries until it succeeds, then follows it in the background. */
   async start (isStopped: () => boolean): Promise<void> {
-    while (!isStopped() && !await this.readAll()) await this.options.clock.sleep(RETRY_DELAY_MS)
-    detach(this.follow(isStopped), this.options.log, 'instance list')
+    const { clock, log } = this.options
+    while (!isStopped() && !await this.readAll()) await clock.sleep(RETRY_DELAY_MS)
+    detach(repeatWhile(() => !isStopped(), async () => { await this.follow(isStopped) }, { clock, log, step: 'instance list' }), log, 'instance list')
   }
 
+  /** Handles the next changes of the list. */
   private async follow (isStopped: () => boolean): Promise<void> {
-    const { store, clock } = this.options
-    while (!isStopped()) {
-      const storeSilence = store.silentFor()
-      const answer = await store.changes({ table: 'servers', after: this.version, wait: FEED_WAIT_MS })
-      if (isStopped()) return
-      if (answer.isOk()) {
-        if (storeSilence > FEED_WAIT_MS + MIN_OUTAGE_MS) this.outageEndedAt = clock.now()
-        for (const row of answer.value.rows) this.handleChange(row)
-        this.version = answer.value.version
-        if (answer.value.rows.length > 0) await clock.sleep(BATCH_DELAY_MS)
-      } else if (answer.error.code === 'history-lost') await this.readAll()
-      else await clock.sleep(RETRY_DELAY_MS)
-    }
+    const { store, clock, log } = this.options
+    const storeSilence = store.silentFor()
+    const answer = await store.changes({ table: 'servers', after: this.version, wait: FEED_WAIT_MS })
+    if (isStopped()) return
+    if (answer.isOk()) {
+      if (storeSilence > FEED_WAIT_MS + MIN_OUTAGE_MS) this.outageEndedAt = clock.now()
+      for (const row of answer.value.rows) runLogged(() => { this.handleChange(row) }, log, 'instance')
+      this.version = answer.value.version
+      if (answer.value.rows.length > 0) await clock.sleep(BATCH_DELAY_MS)
+    } else if (answer.error.code === 'history-lost') await this.readAll()
+    else await clock.sleep(RETRY_DELAY_MS)
   }
 
   private async readAll (): Promise<boolean> {
@@ -60,7 +62,7 @@
     if (answer.isErr()) return false
     const present = new Set(answer.value.rows.map(row => row.key))
     for (const id of [...this.states.keys()]) if (!present.has(id)) this.remove(id)
-    for (const row of answer.value.rows) this.handleRow(row)
+    for (const row of answer.value.rows) runLogged(() => { this.handleRow(row) }, this.options.log, 'instance')
     this.version = answer.value.version
     return true
   }
--- a/packages/cell/src/runtime/JobArchiver.ts
+++ b/packages/cell/src/runtime/JobArchiver.ts
@@ -44,8 +44,11 @@
   /** Writes one part after the other, so that a store that becomes slow has only one of these transactions in flight, not one for each part. */
   private async flushAll (): Promise<void> {
     this.isFlushing = true
-    for (const part of this.pending.keys()) if (this.options.clock.now() >= this.pausedUntil) await this.flush(part)
-    this.isFlushing = false
+    try {
+      for (const part of this.pending.keys()) if (this.options.clock.now() >= this.pausedUntil) await this.flush(part)
+    } finally {
+      this.isFlushing = false
+    }
   }
 
   private async flush (part: string): Promise<void> {
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -8,6 +8,7 @@
 import { Follower } from './Follower.js'
 import type { FollowerCallbacks, DeciderConnector } from './Follower.js'
 import { hashFraction } from './hashText.js'
+import { repeatWhile } from './repeatWhile.js'
 import { decodeTerm, TERM_ROW, encodeTerm } from './Term.js'
 import type { Term } from './Term.js'
 
@@ -84,11 +85,25 @@
 
   /** Runs until `stop` is called. */
   async run (): Promise<void> {
-    while (this.role !== 'stopped') {
-      const event = await this.runRole()
-      if (this.isStopped()) return
-      this.transition(event)
+    const { clock, log } = this.options
+    await repeatWhile(() => !this.isStopped(), async () => { await this.runOnce() }, { clock, log, step: 'membership' })
+  }
+
+  private async runOnce (): Promise<void> {
+    let event: MembershipEvent | undefined
+    try {
+      event = await this.runRole()
+    } finally {
+      if (event === undefined) this.reset()
     }
+    if (!this.isStopped()) this.transition(event)
+  }
+
+  /** Starts anew after a fault, since the state that the present role relies on may be incomplete. */
+  private reset (): void {
+    this.follower?.close()
+    this.follower = undefined
+    if (!this.isStopped()) this.role = chart.initial
   }
 
   stop (): void {
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -4,6 +4,7 @@
 import { decodeTerm, TERM_ROW, encodeTerm } from './Term.js'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
+import { repeatWhile } from './repeatWhile.js'
 
 /** The store accepts 100 entries in a transaction, of which the term row uses two. */
 const MAX_ROWS_PER_TRANSACTION = 98
@@ -74,14 +75,27 @@
   }
 
   private async writeDirtyKeys (): Promise<void> {
-    do {
-      const keys = [...this.dirtyKeys].slice(0, MAX_ROWS_PER_TRANSACTION)
-      for (const key of keys) this.dirtyKeys.delete(key)
-      await this.write(keys)
-    } while (this.dirtyKeys.size > 0 && !this.isStopped)
+    const { clock, log } = this.options
+    let isConfirmed = false
+    await repeatWhile(() => (!isConfirmed || this.dirtyKeys.size > 0) && !this.isStopped, async () => {
+      await this.writeNext()
+      isConfirmed = true
+    }, { clock, log, step: 'commit' })
     this.isRunning = false
   }
 
+  private async writeNext (): Promise<void> {
+    const keys = [...this.dirtyKeys].slice(0, MAX_ROWS_PER_TRANSACTION)
+    for (const key of keys) this.dirtyKeys.delete(key)
+    let isWritten = false
+    try {
+      await this.write(keys)
+      isWritten = true
+    } finally {
+      if (!isWritten) for (const key of keys) this.dirtyKeys.add(key)
+    }
+  }
+
   private async write (keys: string[]): Promise<void> {
     const { store, clock, term, encode, callbacks } = this.options
     const serial = ++this.serial
--- a/packages/cell/src/runtime/StepAdvisor.ts
+++ b/packages/cell/src/runtime/StepAdvisor.ts
@@ -5,9 +5,12 @@
 import type { AdviceScheduler } from './AdviceScheduler.js'
 import type { StepState, WorkerState } from './model.js'
 import type { AdviceRequest } from './planRound.js'
+import { settle } from './settle.js'
 
 /** Added to the expected duration of a call to obtain its timeout. */
 const ANSWER_MARGIN_MS = 1500
+/** Added to the timeout of a call to obtain the time after which a call that ignores its timeout is given up. */
+const GIVE_UP_MARGIN_MS = 500
 /** Delay before the next call for a step after a call that was not answered. */
 const RETRY_DELAY_MS = 100
 
@@ -33,7 +36,8 @@
     scheduler.callSent(node, cost, sentAt)
     const ids = workers.map(worker => worker.report.id)
     for (const id of ids) step.askedWorkers.add(id)
-    const answer = await ask(node, { step: step.name, workers: ids, timeout: cost + ANSWER_MARGIN_MS })
+    const timeout = cost + ANSWER_MARGIN_MS
+    const answer = await settle<Advice>(async () => await ask(node, { step: step.name, workers: ids, timeout }), { clock, log, step: 'advice', timeout: timeout + GIVE_UP_MARGIN_MS, outcomeOf: reason => ({ kind: 'failed', reason }) })
     const now = clock.now()
     for (const id of ids) step.askedWorkers.delete(id)
     step.nextPlanAt = 0
--- a/packages/cell/src/runtime/SubmissionFeed.ts
+++ b/packages/cell/src/runtime/SubmissionFeed.ts
@@ -5,6 +5,8 @@
 import { submissionParts } from './rowNames.js'
 import { partitionSubmissions } from './partitionSubmissions.js'
 import { detach } from './detach.js'
+import { repeatWhile } from './repeatWhile.js'
+import { runLogged } from './runLogged.js'
 
 /** Interval between polls. Most submissions arrive over links; polling finds those of nodes that died immediately after accepting them. */
 const POLL_INTERVAL_MS = 800
@@ -30,10 +32,12 @@
   }
 
   private async pollRepeatedly (isStopped: () => boolean): Promise<void> {
-    for (let polls = 0; !isStopped(); polls++) {
-      await this.options.clock.sleep(polls < INITIAL_POLLS ? INITIAL_POLL_INTERVAL_MS : POLL_INTERVAL_MS)
+    const { clock, log } = this.options
+    let polls = 0
+    await repeatWhile(() => !isStopped(), async () => {
+      await clock.sleep(polls++ < INITIAL_POLLS ? INITIAL_POLL_INTERVAL_MS : POLL_INTERVAL_MS)
       if (!isStopped()) await this.poll()
-    }
+    }, { clock, log, step: 'hand-ins' })
   }
 
   private async poll (): Promise<void> {
@@ -55,7 +59,7 @@
   private handleRows (rows: Row[]): void {
     const { log, onJob, onCancel } = this.options
     const { jobs, cancelled } = partitionSubmissions(rows, log)
-    for (const job of jobs) onJob(job)
-    for (const id of cancelled) onCancel(id)
+    for (const job of jobs) runLogged(() => { onJob(job) }, log, 'hand-in')
+    for (const id of cancelled) runLogged(() => { onCancel(id) }, log, 'cancellation')
   }
 }
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -9,6 +9,7 @@
 import { ProgressMonitor } from './ProgressMonitor.js'
 import type { TaskLifecycle } from './TaskLifecycle.js'
 import { detach } from './detach.js'
+import { repeatWhile } from './repeatWhile.js'
 
 /** Time for which a worker with tasks may hold back its answer to a poll until a run ends. A stalled run is detected after three polls. */
 const POLL_WAIT_MS = 600
@@ -105,11 +106,11 @@
   }
 
   private async pollRepeatedly (worker: WorkerState): Promise<void> {
-    while (!this.isStopped && this.isNeeded(worker)) {
+    const { clock, log } = this.options
+    await repeatWhile(() => !this.isStopped && this.isNeeded(worker), async () => {
       const pause = await this.poll(worker)
-      if (this.isStopped) return
-      await this.waitForNextPoll(worker, pause)
-    }
+      if (!this.isStopped) await this.waitForNextPoll(worker, pause)
+    }, { clock, log, step: 'look' })
     this.polled.delete(worker)
     if (this.isStopped) return
     this.options.registry.workers.delete(worker.report.id)
--- a/packages/cell/src/runtime/detach.ts
+++ b/packages/cell/src/runtime/detach.ts
@@ -1,5 +1,5 @@
 import type { Log } from '@rattanstep/telemetry'
-import { CELL_EVENTS } from '../types/events.js'
+import { logFault } from './logFault.js'
 
 /**
  * Lets an operation continue in the background, and logs an error that it throws.
@@ -9,5 +9,5 @@
  * @param step - name of the operation in the log
  */
 export function detach (work: Promise<unknown>, log: Log, step: string): void {
-  work.catch((error: unknown) => { log.write(CELL_EVENTS.fault, { step, error: error instanceof Error ? error.stack : String(error) }) })
+  work.catch((error: unknown) => { logFault(log, step, error) })
 }
