Answers of the advice service hold for the incarnation and the presence of the workers that were asked about

This commit removes one way into that state; the record doesn't show that it was the one taken.

Cause: a step kept the ids of the workers for which the advice service gave no ticket, for good. A worker that had crashed during the call, or whose entry the platform had removed, was never asked about again, and a new incarnation under the same id inherited the answer for the former one. Workers that were allowed once stayed allowed in the same way, also when the service gave no ticket for them any more: a gang was scheduled on them and asked for their tickets without end, and since their capacity counted, other workers were never asked about.

Fix: an allowed worker and its ticket belong to the incarnation that was asked about. A rejection holds while the worker stays present (a number that is replaced when the worker is found unreachable, unlisted or in a new incarnation). A named worker without a ticket is no longer allowed. A step that has no worker left to ask about reviews its rejections after 2 s, with growing intervals up to 16 s: at once if no allowed worker holds it, else only while most nodes are idle, since most rejections are final. Lookups stay one map access per worker. The simulated load now applies answers with the same function.

The rig's advice service now knows the incarnations, gives no tickets for workers that are down, and workers check their tickets.

Before the fix (adviceFaults.test.ts): not ok - is asked about again if it was down during the call: 'the condition was not met within 5000 ms' not ok - is asked about again in its next incarnation, which may be of another kind: 'the condition was not met within 5000 ms' not ok - is asked about again if the platform removed its entry and it returned: 'the condition was not met within 5000 ms' not ok - is asked about again after a while if the step has no other worker: 'the condition was not met within 10000 ms' not ok - is asked about further workers after new incarnations of the former ones: 'the condition was not met within 5000 ms' not ok - is asked about further workers if the service gives no more tickets: 'the condition was not met within 5000 ms' Ruled out: a gang of which one member's ticket is of a former incarnation converges ("a ticket is asked for again ...", passed before and after).

Tests that set allowed workers and tickets directly name the incarnation now; no expectation was changed.

--- a/packages/cell/src/runtime/AdviceScheduler.ts
+++ b/packages/cell/src/runtime/AdviceScheduler.ts
@@ -112,6 +112,11 @@
     return { node: found.node, cost }
   }
 
+  /** Whether most nodes have no queued work. */
+  get isMostlyIdle (): boolean {
+    return 2 * this.nodes.filter(({ backlog }) => backlog === 0).length > this.nodes.length
+  }
+
   /** @returns number of nodes that can take a call that names `workers` workers */
   countAvailable (terms: AdviceTerms, workers: number): number {
     const isLong = costOf(terms, workers) >= LONG_CALL_MS
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -343,6 +343,7 @@
     if (worker === undefined) return
     worker.isListed = false
     worker.report = { ...worker.report, state: 'draining' }
+    this.registry.endPresence(worker)
   }
 
   private updateRoutes (): void {
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -16,6 +16,7 @@
   readonly readySteps = new Set<StepState>()
   /** Number of jobs of which no task has started, by route. */
   private readonly waitingByRoute = new Map<string, number>()
+  private nextPresence = 1
 
   /**
    * Adds a job, unless it is known already.
@@ -96,6 +97,7 @@
       isListed: true,
       hasAnswered: false,
       isReachable: false,
+      presence: this.nextPresence++,
       clock: { value: 0, at: 0 },
       leasesExpireAt: 0,
       unrecordedEnds: new Set(),
@@ -112,6 +114,11 @@
     return state
   }
 
+  /** Records that a worker is absent or has a new incarnation. */
+  endPresence (worker: WorkerState): void {
+    worker.presence = this.nextPresence++
+  }
+
   /**
    * @param name - name of a task
    * @returns the task, or `undefined` if its job is not known
@@ -151,7 +158,7 @@
 function createStep (occurrence: JobOccurrence, index: number, definition: Step): StepState {
   const { id } = occurrence.job.job
   const step: StepState = {
-    name: stepName(id, occurrence.index, index), occurrence, index, definition, tasks: [], doneTasks: 0, allowedWorkers: new Set(), rejectedWorkers: new Set(), tickets: new Map(), askedWorkers: new Set(), nextAdviceAt: 0, nextPlanAt: 0, plannedReleases: 0, lastFailedRun: 0
+    name: stepName(id, occurrence.index, index), occurrence, index, definition, tasks: [], doneTasks: 0, allowedWorkers: new Map(), rejectedWorkers: new Map(), nextReviewAt: 0, reviewDelay: 0, tickets: new Map(), askedWorkers: new Set(), nextAdviceAt: 0, nextPlanAt: 0, plannedReleases: 0, lastFailedRun: 0
   }
   for (let number = 0; number < definition.count; number++) {
     step.tasks.push({
--- a/packages/cell/src/runtime/StepAdvisor.ts
+++ b/packages/cell/src/runtime/StepAdvisor.ts
@@ -3,7 +3,7 @@
 import { CELL_EVENTS } from '../types/events.js'
 import type { Advice } from '../types/ports.js'
 import type { AdviceScheduler } from './AdviceScheduler.js'
-import type { StepState, WorkerState } from './model.js'
+import { applyAdvice, asAsked } from './applyAdvice.js'
 import type { AdviceRequest } from './planRound.js'
 
 /** Added to the expected duration of a call to obtain its timeout. */
@@ -31,6 +31,7 @@
     const { scheduler, clock, log, ask, onChange } = this.options
     const sentAt = clock.now()
     scheduler.callSent(node, cost, sentAt)
+    const asked = workers.map(asAsked)
     const ids = workers.map(worker => worker.report.id)
     for (const id of ids) step.askedWorkers.add(id)
     const answer = await ask(node, { step: step.name, workers: ids, timeout: cost + ANSWER_MARGIN_MS })
@@ -43,17 +44,9 @@
       step: step.name, asker: node, named: workers.length, allowed, duration: Math.round(now - sentAt), expected: Math.round(cost), outcome: answer.kind, ...('reason' in answer ? { reason: answer.reason } : {})
     })
     if (answer.kind === 'answered') {
-      applyAdvice(step, workers, answer, now)
+      applyAdvice(step, asked, answer, now)
       scheduler.updateAllowedShare(route.name, allowed, workers.length)
     } else step.nextAdviceAt = now + RETRY_DELAY_MS
     onChange()
   }
 }
-
-function applyAdvice (step: StepState, workers: WorkerState[], advice: Extract<Advice, { kind: 'answered' }>, now: number): void {
-  for (const { worker, text } of advice.tickets) {
-    step.allowedWorkers.add(worker)
-    step.tickets.set(worker, { text, validUntil: now + advice.validity })
-  }
-  for (const { report } of workers) if (!step.allowedWorkers.has(report.id)) step.rejectedWorkers.add(report.id)
-}
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -160,6 +160,7 @@
     if (worker.isReachable || !worker.hasAnswered) {
       if (worker.isReachable) log.write(CELL_EVENTS.workerUnreachable, { worker: worker.report.id, reason, tasks: worker.tasks.size, leaseLeft: Math.round(worker.leasesExpireAt - now) })
       worker.isReachable = false
+      this.options.registry.endPresence(worker)
     }
     if (now < worker.leasesExpireAt || worker.tasks.size === 0) return
     for (const task of [...worker.tasks.values()]) this.lifecycle.handleLostRun(task, 'lease ran out')
@@ -265,6 +266,7 @@
     const isFirstAnswer = worker.report.born === 0
     worker.report = { ...worker.report, born }
     if (isFirstAnswer) return
+    this.options.registry.endPresence(worker)
     this.options.log.write(CELL_EVENTS.workerRestarted, { worker: worker.report.id, born })
     worker.lastEndNumber = 0
     worker.unrecordedEnds.clear()
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -41,6 +41,8 @@
   text: string
   /** Monotonic ms. */
   validUntil: number
+  /** Incarnation of the worker that accepts the ticket. */
+  born: number
 }
 
 /** Capacity that is held for a gang until it starts. */
@@ -59,9 +61,13 @@
   definition: Step
   tasks: Task[]
   doneTasks: number
-  /** Ids of the workers on which the advice service allows the step, and of those on which it doesn't. The service never changes its decision. */
-  allowedWorkers: Set<string>
-  rejectedWorkers: Set<string>
+  /** Incarnations of the workers on which the advice service allows the step, by id of the worker. */
+  allowedWorkers: Map<string, number>
+  /** Periods of presence of the workers for which the advice service gave no ticket, by id of the worker. */
+  rejectedWorkers: Map<string, number>
+  /** Monotonic ms from which rejected workers may be asked about again if the step has no others, and ms to add for the time after that. */
+  nextReviewAt: number
+  reviewDelay: number
   tickets: Map<string, ValidTicket>
   /** Ids of the workers that are named in calls to the advice service in flight. */
   askedWorkers: Set<string>
@@ -107,6 +113,11 @@
   /** Whether the worker has answered under the current fencing token. */
   hasAnswered: boolean
   isReachable: boolean
+  /**
+   * Number of the period since the worker was last found absent or in a new incarnation, unique among all workers. The advice service gives no ticket
+   * for a worker that it misses, which says nothing about the time when the worker is back.
+   */
+  presence: number
   /** Last known value of the worker's clock, and the monotonic ms at which the value arrived. */
   clock: { value: number, at: number }
   /** Monotonic ms at which all leases granted to the worker have expired. */
--- a/packages/cell/src/runtime/placeTasks.ts
+++ b/packages/cell/src/runtime/placeTasks.ts
@@ -13,7 +13,16 @@
  */
 export function isEligible ({ worker }: Slot, { definition, rejectedWorkers }: StepState): boolean {
   if (definition.label !== undefined && !worker.report.labels.includes(definition.label)) return false
-  return !rejectedWorkers.has(worker.report.id)
+  return rejectedWorkers.get(worker.report.id) !== worker.presence
+}
+
+/**
+ * @param slot - a worker
+ * @param step - a step whose route needs advice
+ * @returns whether the advice service allows the step on the worker's incarnation
+ */
+export function isAllowed ({ worker: { report } }: Slot, { allowedWorkers }: StepState): boolean {
+  return allowedWorkers.get(report.id) === report.born
 }
 
 /**
@@ -24,7 +33,7 @@
  */
 export function hasTicket (step: StepState, { worker }: Slot, at: number): boolean {
   const ticket = step.tickets.get(worker.report.id)
-  return ticket !== undefined && ticket.validUntil > at + MIN_TICKET_VALIDITY_MS
+  return ticket?.born === worker.report.born && ticket.validUntil > at + MIN_TICKET_VALIDITY_MS
 }
 
 /**
--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -1,8 +1,9 @@
 import type { AdviceTerms } from '../types/configuration.js'
 import { emptyTaskCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
-import { hasTicket, isEligible, placeTasks } from './placeTasks.js'
+import { hasTicket, isAllowed, isEligible, placeTasks } from './placeTasks.js'
 import { expectedCallDuration, MAX_NONE_ALLOWED_RISK, planAdviceCalls, sortByCapacity } from './planAdviceCalls.js'
+import { reviewRejections } from './reviewRejections.js'
 import type { RoundContext } from './planRound.js'
 import type { RankedStep } from './rankSteps.js'
 import { holdSchedule, releaseHold, scheduleGang } from './scheduleGang.js'
@@ -74,7 +75,7 @@
 
 function allowedSlots ({ step, route }: RankedStep, { capacity }: RoundContext): Slot[] {
   if (route.advice === undefined) return capacity.slots.filter(slot => isEligible(slot, step))
-  return capacity.slotsOf(step.allowedWorkers)
+  return capacity.slotsOf(step.allowedWorkers.keys()).filter(slot => isAllowed(slot, step))
 }
 
 /** Schedules a gang on workers with tickets if these are valid long enough, or else on workers for which tickets are or can be asked for. */
@@ -121,6 +122,7 @@
   if (hasTickets && !isLate) return
   const scheduled = schedule !== undefined && !hasTickets && schedule.startAt <= ticketsAt ? [...schedule.shares.map(({ slot }) => slot), ...selectSpares(gang, now)] : []
   const named = [...scheduled, ...selectUnknown(gang, { isLate, allowedShare: allowedShare(route.name), start: { now, priority: route.priority } })]
+  if (named.length === 0 && isLate) reviewRejections(rankedStep.step, { now, isUrgent: schedule === undefined, adviceRound })
   if (named.length > 0) plan.adviceRequests.push(...planAdviceCalls(rankedStep, terms, maxNamed => named.slice(0, maxNamed), adviceRound))
 }
 
@@ -138,7 +140,7 @@
  */
 function selectUnknown ({ rankedStep: { step }, eligible, allowed }: GangState, { isLate, allowedShare, start }: { isLate: boolean, allowedShare: number, start: { now: number, priority: number } }): Slot[] {
   const count = step.tasks.length
-  const unknown = eligible.filter(slot => isEligible(slot, step) && !step.allowedWorkers.has(slot.worker.report.id) && emptyTaskCapacity(slot, step) > 0)
+  const unknown = eligible.filter(slot => isEligible(slot, step) && !isAllowed(slot, step) && emptyTaskCapacity(slot, step) > 0)
   const sum = (slots: Slot[], capacityOf: (slot: Slot) => number): number => slots.reduce((total, slot) => total + capacityOf(slot), 0)
   const capacityNow = (slot: Slot): number => taskCapacity(slot, step, start)
   const fitsNow = step.allowedWorkers.size + step.rejectedWorkers.size === 0 || (isLate && sum(unknown, capacityNow) * allowedShare >= count)
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -3,9 +3,10 @@
 import { CapacitySnapshot, reserveCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
 import type { GangHold, StepState, Task, WorkerState } from './model.js'
-import { hasTicket, isEligible, placeTasks } from './placeTasks.js'
+import { hasTicket, isAllowed, isEligible, placeTasks } from './placeTasks.js'
 import { MAX_NONE_ALLOWED_RISK, planAdviceCalls, sortByCapacity } from './planAdviceCalls.js'
 import { planGang } from './planGang.js'
+import { reviewRejections } from './reviewRejections.js'
 import type { RankedStep } from './rankSteps.js'
 import { holdSchedule } from './scheduleGang.js'
 
@@ -132,9 +133,9 @@
   const { step, route } = rankedStep
   const start = { now, priority: route.priority }
   const candidates = eligible.filter(slot => taskCapacity(slot, step, start) > 0 && !hasTicket(step, slot, now))
-  if (candidates.length === 0) return
-  const allowed = candidates.filter(slot => step.allowedWorkers.has(slot.worker.report.id))
-  const unknown = candidates.filter(slot => !step.allowedWorkers.has(slot.worker.report.id))
+  if (candidates.length === 0) return reviewRejections(step, { now, isUrgent: !eligible.some(slot => isAllowed(slot, step)), adviceRound })
+  const allowed = candidates.filter(slot => isAllowed(slot, step))
+  const unknown = candidates.filter(slot => !isAllowed(slot, step))
   plan.adviceRequests.push(...planAdviceCalls(rankedStep, terms, maxNamed => selectWorkers(allowed, unknown, { step, start, missing, allowedShare: allowedShare(route.name), maxNamed }), adviceRound))
   reserveForPendingAdvice(missing, allowed, step)
 }
@@ -171,7 +172,7 @@
   let remaining = missing
   for (const slot of eligible) {
     if (remaining <= 0) return
-    if (!step.allowedWorkers.has(slot.worker.report.id)) continue
+    if (!isAllowed(slot, step)) continue
     const count = Math.min(remaining, taskCapacity(slot, step))
     reserveCapacity(slot, step.definition, count)
     remaining -= count
--- a/packages/cell/test/bench/measureRound.ts
+++ b/packages/cell/test/bench/measureRound.ts
@@ -25,8 +25,10 @@
     if (index % 2 === 1) continue
     const step = state.occurrences[0]!.steps[0]!
     for (let worker = 0; worker < Math.min(20, workers); worker++) {
-      (worker % 2 === 0 ? step.allowedWorkers : step.rejectedWorkers).add(`w${(worker * 7 + index) % workers}`)
-      step.tickets.set(`w${(worker * 7 + index) % workers}`, { text: 't', validUntil: Infinity })
+      const { report, presence } = registry.workers.get(`w${(worker * 7 + index) % workers}`)!
+      if (worker % 2 === 0) step.allowedWorkers.set(report.id, report.born)
+      else step.rejectedWorkers.set(report.id, presence)
+      step.tickets.set(report.id, { text: 't', validUntil: Infinity, born: report.born })
     }
   }
   return registry
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -1,5 +1,6 @@
 import { SeededRandom } from '@rattanstep/core'
 import { AdviceScheduler } from '../../src/runtime/AdviceScheduler.js'
+import { applyAdvice, asAsked } from '../../src/runtime/applyAdvice.js'
 import { Registry } from '../../src/runtime/Registry.js'
 import { hashFraction } from '../../src/runtime/hashText.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from '../../src/runtime/model.js'
@@ -156,16 +157,10 @@
       events.add(startsAt + cost + ADVICE_TRANSFER_MS, () => {
         scheduler.callEnded(node, cost, now)
         step.nextPlanAt = 0
-        let allowed = 0
-        for (const worker of named) {
-          step.askedWorkers.delete(worker.report.id)
-          const isAllowed = isAllowedFor(step, worker.report.id, share)
-          ;(isAllowed ? step.allowedWorkers : step.rejectedWorkers).add(worker.report.id)
-          if (!isAllowed) continue
-          allowed++
-          step.tickets.set(worker.report.id, { text: 't', validUntil: now + route.advice!.validity })
-        }
-        scheduler.updateAllowedShare(route.name, allowed, named.length)
+        for (const { report } of named) step.askedWorkers.delete(report.id)
+        const tickets = named.filter(({ report }) => isAllowedFor(step, report.id, share)).map(({ report }) => ({ worker: report.id, text: 't' }))
+        applyAdvice(step, named.map(asAsked), { tickets, validity: route.advice!.validity }, now)
+        scheduler.updateAllowedShare(route.name, tickets.length, named.length)
         requestRound()
       })
     }
--- a/packages/cell/test/runtime/gangs.test.ts
+++ b/packages/cell/test/runtime/gangs.test.ts
@@ -71,7 +71,7 @@
 }
 
 function allow (step: StepState, workers: number): void {
-  for (let index = 0; index < workers; index++) step.allowedWorkers.add(`w${index}`)
+  for (let index = 0; index < workers; index++) step.allowedWorkers.set(`w${index}`, 1)
 }
 
 // Guards against gangs that wait for ever in a full cell: each time they ask for tickets, other work takes the free capacity before the answer
@@ -113,10 +113,10 @@
     for (const id of ['w0', 'w1']) first.askedWorkers.add(id)
     const second = rig.add('gang', { count: 2, cpu: 4000, estimate: 1000, now: 10 })
     allow(second, 2)
-    for (const id of ['w0', 'w1']) second.tickets.set(id, { text: 't', validUntil: 1500 })
+    for (const id of ['w0', 'w1']) second.tickets.set(id, { text: 't', validUntil: 1500, born: 1 })
     expect(rig.plan(10).placements).toEqual([])
     first.askedWorkers.clear()
-    for (const id of ['w0', 'w1']) first.tickets.set(id, { text: 't', validUntil: 2500 })
+    for (const id of ['w0', 'w1']) first.tickets.set(id, { text: 't', validUntil: 2500, born: 1 })
     expect(rig.plan(CALL_MS).placements.map(({ task }) => task.step)).toEqual([first, first])
   })
 
@@ -125,7 +125,7 @@
     rig.run(rig.add('batch', { cpu: 4000, estimate: 1500 }), rig.worker(0), 1)
     const gang = rig.add('gang', { count: 2, cpu: 4000 })
     allow(gang, 2)
-    for (const id of ['w0', 'w1']) gang.tickets.set(id, { text: 't', validUntil: 2400 })
+    for (const id of ['w0', 'w1']) gang.tickets.set(id, { text: 't', validUntil: 2400, born: 1 })
     const plan = rig.plan(1000)
     expect([plan.adviceRequests.length, plan.holds.get(gang)?.startAt]).toEqual([0, 1501])
   })
--- a/packages/cell/test/runtime/rounds.test.ts
+++ b/packages/cell/test/runtime/rounds.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl'
 import { AdviceScheduler } from '../../src/runtime/AdviceScheduler.js'
 import { Registry } from '../../src/runtime/Registry.js'
-import type { StepState } from '../../src/runtime/model.js'
+import type { StepState, ValidTicket } from '../../src/runtime/model.js'
 import { planRound } from '../../src/runtime/planRound.js'
 import type { RoundPlan } from '../../src/runtime/planRound.js'
 import { rankSteps } from '../../src/runtime/rankSteps.js'
@@ -69,11 +69,11 @@
 describe('a round of planning in a full cell', () => {
   test('examines no worker for steps that fit nowhere, and still places tasks that fit', () => {
     const registry = createFullRegistry(50)
-    const tickets = new CountingMap<string, { text: string, validUntil: number }>()
+    const tickets = new CountingMap<string, ValidTicket>()
     for (let index = 0; index < 400; index++) {
       const step = addStep(registry, index, 'crowd', 900)
       step.tickets = tickets
-      for (let worker = 0; worker < 10; worker++) step.allowedWorkers.add(`w${worker}`)
+      for (let worker = 0; worker < 10; worker++) step.allowedWorkers.set(`w${worker}`, 1)
     }
     addStep(registry, 1000, 'small', 400)
     const round = plan(registry)
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -2,8 +2,10 @@
 import type { Result } from 'ts-results-es'
 import { FakeClock } from '@rattanstep/core'
 import { MemoryLog } from '@rattanstep/telemetry'
-import { Advisor, Cell, RowReader } from '../../src/index.js'
-import type { Advice, Configuration, Job, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
+import { Cell, RowReader } from '../../src/index.js'
+import type { Configuration, Job, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
+import { FakeAdvisor } from './FakeAdvisor.js'
+import type { AdviceFault } from './FakeAdvisor.js'
 import { FakeLinkConnector } from './FakeLinks.js'
 import type { FakeEndpoint } from './FakeLinks.js'
 import { FakeStore, FakeTables } from './FakeStore.js'
@@ -29,22 +31,6 @@
   }
 }
 
-/** Advice service that handles one call of a node at a time; `duration` returns the duration of a call in ms. */
-class SerialAdvisor extends Advisor {
-  private idleAt = 0
-
-  constructor (private readonly clock: NodeClock, private readonly duration: (step: string, workers: number) => number, private readonly allows: (worker: string) => boolean) {
-    super()
-  }
-
-  override async advise ({ step, workers }: { step: string, workers: string[] }): Promise<Advice> {
-    const now = this.clock.now()
-    this.idleAt = Math.max(now, this.idleAt) + this.duration(step, workers.length)
-    await this.clock.sleep(this.idleAt - now)
-    return { kind: 'answered', tickets: workers.filter(this.allows).map(worker => ({ worker, text: 'ticket' })), validity: 1500 }
-  }
-}
-
 /** Options of a rig. */
 export interface RigOptions {
   nodes?: number
@@ -57,8 +43,10 @@
   others?: Array<Partial<Route> & { name: string }>
   /** Returns the duration of a call to the advice service in ms. */
   advice?: (step: string, workers: number) => number
-  /** Returns whether the advice service allows a worker. */
-  allows?: (worker: string) => boolean
+  /** Returns whether the advice service allows a worker; `born` is the start of the worker's incarnation. It gives no tickets for workers that are down. */
+  allows?: (worker: string, born: number) => boolean
+  /** Returns what is wrong with a node's connection to the advice service, if anything. */
+  adviceFault?: (node: string) => AdviceFault | undefined
 }
 
 /** Several nodes of a cell with a fake clock, store, workers and links. */
@@ -97,6 +85,11 @@
     this.tables.put({ table: 'servers', part: '', key: report.id }, JSON.stringify(report))
   }
 
+  /** Removes a worker from the list of instances; the worker itself continues. */
+  removeInstance (id: string): void {
+    this.tables.drop({ table: 'servers', part: '', key: id })
+  }
+
   /** Changes the processor capacity that a worker reports, in thousandths of a core. */
   setCapacity (id: string, cpu: number): void {
     const worker = this.fleet.workers.get(id)!
@@ -122,7 +115,7 @@
       leaseMax: 10_000,
       store,
       workers,
-      advisor: new SerialAdvisor(clock, this.options.advice ?? (() => 0), this.options.allows ?? (() => true)),
+      advisor: new FakeAdvisor({ node: name, clock, fleet: this.fleet, duration: this.options.advice, allows: this.options.allows, fault: this.options.adviceFault }),
       reader: new JsonReader(),
       connector: new FakeLinkConnector(endpoint, this.endpoints),
       readConfiguration: value => Ok(JSON.parse(value) as Configuration),
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -182,14 +182,21 @@
     for (const end of this.ended) if (end.ending === 'done') this.fleet.done.delete(end.task)
   }
 
-  private findRefusal (order: StartOrder): 'fence' | 'old' | 'late' | undefined {
+  private findRefusal (order: StartOrder): 'fence' | 'old' | 'late' | 'ticket' | undefined {
     if (order.fence < this.fence) return 'fence'
     this.fence = order.fence
     if (order.leaseEnd <= this.now) return 'late'
     if (order.run <= (this.highestClosedRun.get(order.task) ?? 0)) return 'old'
+    if (order.ticket !== undefined && !this.acceptsTicket(order.task, order.ticket)) return 'ticket'
     return undefined
   }
 
+  /** Tickets name their step, the worker and its incarnation, and the time in ms until which they are valid. */
+  private acceptsTicket (task: string, ticket: string): boolean {
+    const [step, id, born, validUntil] = JSON.parse(ticket) as [string, string, number, number]
+    return task.startsWith(`${step}.`) && id === this.report.id && born === this.report.born && this.fleet.clock.now() <= validUntil
+  }
+
   private finish (run: Run, ending: RunEnding): void {
     this.running.delete(run.task)
     this.highestClosedRun.set(run.task, Math.max(run.run, this.highestClosedRun.get(run.task) ?? 0))
