A node whose calls to the advice service fail gets no more questions for a while

This commit removes one way into that state; the record doesn't show that it was the one taken.

Cause: calls go to the node with the least queued work, and between equal ones to the first by name. A node whose calls are refused has no queued work again at once, and after a timeout too. While few steps wait, all nodes are idle, so one broken node, if it is the first by name, got every question of every step, and none of them was answered as long as that node stayed.

Fix: a node is avoided for 2 s after a failed call, doubled up to 16 s with each further one, until it gets an answer. If all nodes are avoided, all are used, the one whose time ends first before others, and the first answer ends the avoidance of all, since then the service had failed and not the nodes. The share of nodes that make long calls is taken of the nodes that aren't avoided, so that long calls don't wait for broken nodes.

Before the fix (adviceFaults.test.ts): not ok - does not keep a step from its workers if the calls of n0 are: refused: 'the condition was not met within 5000 ms' not ok - does not keep a step from its workers if the calls of n0 are: silent: 'the condition was not met within 5000 ms' not ok - does not keep a step from its workers if only a node that makes no long calls is left: 'the condition was not met within 5000 ms' With n1, n2 or n3 broken instead, the test passed before too: a single step prefers the first node.

packages/cell/test/runtime: 141 of 141 pass, eslint passes.

--- a/packages/cell/src/runtime/AdviceScheduler.ts
+++ b/packages/cell/src/runtime/AdviceScheduler.ts
@@ -9,6 +9,17 @@
 /** Weight of the newest answer in the moving average of the share of allowed workers. */
 const SHARE_SMOOTHING = 0.1
 
+/** Time for which a node is given no call after a failed one; doubled with each further failure up to the maximum. */
+const MIN_AVOIDANCE_MS = 2000
+const MAX_AVOIDANCE_MS = 16_000
+
+/** Failed calls of one node since its last answer. */
+interface Failures {
+  count: number
+  /** Monotonic ms until which the node is given no call, if there are others. */
+  avoidedUntil: number
+}
+
 /** Unanswered calls of one node, in the order in which the advice service handles them. */
 interface CallQueue {
   costs: number[]
@@ -19,10 +30,11 @@
 /**
  * Distributes calls to the advice service over the nodes; the service handles one call of each node at a time. A node is given a call
  * only when it is about to become idle. All other calls wait at the decider in rank order, where a more urgent call can still overtake
- * them.
+ * them. A node whose calls fail would look idle most of the time, so it is avoided for a while, unless all nodes are.
  */
 export class AdviceScheduler {
   private readonly queues = new Map<string, CallQueue>()
+  private readonly failures = new Map<string, Failures>()
   private readonly allowedShares = new Map<string, number>()
 
   /**
@@ -34,8 +46,9 @@
    * @returns the nodes with their queued work
    */
   startRound (nodes: string[], now: number, roundInterval = 0): AdviceRound {
-    for (const node of this.queues.keys()) if (!nodes.includes(node)) this.queues.delete(node)
-    const sorted = [...nodes].sort()
+    for (const map of [this.queues, this.failures]) for (const node of map.keys()) if (!nodes.includes(node)) map.delete(node)
+    const preferred = nodes.filter(node => this.avoidedUntil(node) <= now)
+    const sorted = preferred.length > 0 ? preferred.sort() : [...nodes].sort((a, b) => this.avoidedUntil(a) - this.avoidedUntil(b))
     const longMax = Math.max(1, Math.floor(sorted.length * LONG_CALL_NODE_SHARE))
     return new AdviceRound(sorted.map((node, index) => ({ node, backlog: this.backlog(node, now), takesLongCalls: index < longMax })), Math.max(MIN_QUEUED_WORK_MS, roundInterval))
   }
@@ -47,6 +60,20 @@
     else queue.costs.push(cost)
   }
 
+  /** Records that a node got an answer to a call. */
+  callAnswered (node: string, now: number): void {
+    // If no node had got an answer for a while, the service had failed and not the nodes.
+    const hadServiceFailed = [...this.queues.keys()].every(each => this.avoidedUntil(each) > now)
+    if (hadServiceFailed) this.failures.clear()
+    else this.failures.delete(node)
+  }
+
+  /** Records that a node got no answer to a call. */
+  callFailed (node: string, now: number): void {
+    const count = (this.failures.get(node)?.count ?? 0) + 1
+    this.failures.set(node, { count, avoidedUntil: now + Math.min(MIN_AVOIDANCE_MS * 2 ** (count - 1), MAX_AVOIDANCE_MS) })
+  }
+
   /** Records that a call has ended, with or without an answer. */
   callEnded (node: string, cost: number, now: number): void {
     const queue = this.queues.get(node)
@@ -72,6 +99,10 @@
     this.allowedShares.set(route, previous === undefined ? newestShare : previous + SHARE_SMOOTHING * (newestShare - previous))
   }
 
+  private avoidedUntil (node: string): number {
+    return this.failures.get(node)?.avoidedUntil ?? -Infinity
+  }
+
   /** Estimates the queued work of a node in ms. An overdue first call counts as many ms as it is late. */
   private backlog (node: string, now: number): number {
     const queue = this.queues.get(node)
--- a/packages/cell/src/runtime/StepAdvisor.ts
+++ b/packages/cell/src/runtime/StepAdvisor.ts
@@ -39,6 +39,8 @@
     for (const id of ids) step.askedWorkers.delete(id)
     step.nextPlanAt = 0
     scheduler.callEnded(node, cost, now)
+    if (answer.kind === 'answered') scheduler.callAnswered(node, now)
+    else scheduler.callFailed(node, now)
     const allowed = answer.kind === 'answered' ? answer.tickets.length : 0
     log.write(CELL_EVENTS.advised, {
       step: step.name, asker: node, named: workers.length, allowed, duration: Math.round(now - sentAt), expected: Math.round(cost), outcome: answer.kind, ...('reason' in answer ? { reason: answer.reason } : {})
--- a/packages/cell/test/runtime/advice.test.ts
+++ b/packages/cell/test/runtime/advice.test.ts
@@ -36,6 +36,32 @@
     expect(scheduler.startRound(['a'], 160).canAssign(SHORT)).toEqual(true)
   })
 
+  test('avoids a node whose call has failed, for longer after each failure, until it gets an answer', () => {
+    const scheduler = new AdviceScheduler()
+    const nodeAt = (now: number): string | undefined => scheduler.startRound(['a', 'b'], now).assign(LONG, 1)?.node
+    expect(nodeAt(0)).toEqual('a')
+    scheduler.callFailed('a', 0)
+    expect([nodeAt(1999), nodeAt(2000)]).toEqual(['b', 'a'])
+    scheduler.callFailed('a', 2000)
+    expect([nodeAt(5999), nodeAt(6000)]).toEqual(['b', 'a'])
+    scheduler.callAnswered('a', 6100)
+    scheduler.callFailed('a', 6200)
+    expect([nodeAt(8199), nodeAt(8200)]).toEqual(['b', 'a'])
+  })
+
+  test('uses all nodes again after the first answer if the calls of all had failed', () => {
+    const scheduler = new AdviceScheduler()
+    for (const node of ['a', 'b', 'c']) {
+      scheduler.callSent(node, 80, 0)
+      scheduler.callEnded(node, 80, 10)
+      scheduler.callFailed(node, 10)
+    }
+    const round = scheduler.startRound(['a', 'b', 'c'], 20)
+    expect(round.countAvailable(MIDDLE, 1)).toEqual(3)
+    scheduler.callAnswered('b', 100)
+    expect(scheduler.startRound(['a', 'b', 'c'], 110).countAvailable(MIDDLE, 1)).toEqual(3)
+  })
+
   test('distributes calls evenly over the nodes when answers take longer than expected', () => {
     const scheduler = new AdviceScheduler()
     const nodes = ['a', 'b', 'c', 'd']
--- a/packages/cell/test/runtime/adviceFaults.test.ts
+++ b/packages/cell/test/runtime/adviceFaults.test.ts
@@ -105,3 +105,32 @@
     expect(rig.fleet.violations).toEqual([])
   })
 })
+
+// Guards against a step that gives all its questions to the one node that can't call the advice service, because that node always looks idle.
+describe('a node whose calls to the advice service fail', () => {
+  for (const fault of ['refused', 'silent'] as const) {
+    for (const node of ['n0', 'n1', 'n2', 'n3']) {
+      test(`does not keep a step from its workers if the calls of ${node} are: ${fault}`, async () => {
+        const rig = await createAdvisedRig({ nodes: 5, workers: 8, adviceFault: each => each === node ? fault : undefined })
+        const single = await rig.submit(rig.nodes[0]!, [{ size: SIZE }])
+        const gang = await rig.submit(rig.nodes[0]!, [{ size: SIZE, count: 4, gang: true }])
+        await rig.until(() => rig.fleet.firstStart.has(`${single.id}.0.0.0`) && rig.fleet.firstStart.has(`${gang.id}.0.0.3`), START_LIMIT_MS)
+      })
+    }
+  }
+
+  test('is given calls again once it can call', async () => {
+    let isBroken = true
+    const rig = await createAdvisedRig({ nodes: 1, workers: 8, adviceFault: () => isBroken ? 'refused' : undefined })
+    const { id } = await rig.submit(rig.nodes[0]!, [{ size: SIZE }])
+    await rig.run(3000)
+    isBroken = false
+    await rig.until(() => rig.fleet.firstStart.has(`${id}.0.0.0`), START_LIMIT_MS)
+  })
+
+  test('does not keep a step from its workers if only a node that makes no long calls is left', async () => {
+    const rig = await createAdvisedRig({ nodes: 5, workers: 8, adviceFault: node => node === 'n4' ? undefined : 'refused' })
+    const { id } = await rig.submit(rig.nodes[0]!, [{ size: SIZE }])
+    await rig.until(() => rig.fleet.firstStart.has(`${id}.0.0.0`), START_LIMIT_MS)
+  })
+})
