An order is checked against its worker's present state before it is sent

What callers saw (by test): a task was started on a worker that didn't have the capacity for it any more, was draining or gone by then, or with a ticket that had expired, when the commit of its placement had taken long.

Cause: a placement was checked only in the round that made it. Its order waits for the commit, and while the store is slow or loses answers that takes seconds, in which a worker's capacity may shrink and the reduced one comes to count.

Fix: before an order is sent, its task is checked again against the worker's present report, reachability and ticket, a gang with all its members; what can't start returns to `waiting` and is placed again. The order carries the newest ticket. After an outage the commit may be answered before the instance list, so nothing is placed or started while the list is older than 3 s; the feed polls a lost store without waiting, so that it notices its return at once.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -17,6 +17,7 @@
 import type { JobRecord } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
+import { findStartObstacle, isUsable } from './findStartObstacle.js'
 import { planRound } from './planRound.js'
 import { rankSteps } from './rankSteps.js'
 import { runLogged } from './runLogged.js'
@@ -38,6 +39,11 @@
 const ROUND_INTERVAL_MS = 100
 /** Maximum age of the last confirmed commit at which tasks are still placed. */
 const MAX_COMMIT_AGE_MS = 1000
+/**
+ * Maximum age of the instance list at which tasks are placed and started: less than the time after which a reduced capacity of a worker counts,
+ * more than a lost poll of the list takes until its repeat is answered.
+ */
+const MAX_INSTANCE_LIST_AGE_MS = 3000
 /** Maximum age of the last confirmed commit at which phases are answered from memory; an idle decider commits more often than twice in this time. */
 const MAX_ANSWER_AGE_MS = 500
 
@@ -118,6 +124,7 @@
       log,
       record: (job, then) => { this.record(job, then) },
       sendStart: (task, ticket) => { detach(this.sendStart(task, ticket), log, 'order') },
+      findStartObstacle: (task, needsTicket) => this.isInstanceListOutdated() ? 'the instance list is outdated' : findStartObstacle(task, { now: clock.now(), needsTicket }),
       sendStop: task => { detach(this.poller.stopRun(task), log, 'stop') },
       maxAttempts: job => findScheduledRoute(job.job, name => this.routes.get(name))?.maxAttempts ?? 1,
       onChange: () => { this.requestRound() }
@@ -272,7 +279,7 @@
   private plan (): void {
     const { clock } = this.options
     const now = clock.now()
-    if (!this.isReady || this.isPaused || now - this.recorder.confirmedAt > MAX_COMMIT_AGE_MS) return
+    if (!this.isReady || this.isPaused || now - this.recorder.confirmedAt > MAX_COMMIT_AGE_MS || this.isInstanceListOutdated()) return
     this.updateRoutes()
     const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now })
     if (ranked.length === 0) return
@@ -285,12 +292,16 @@
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
   }
 
+  private isInstanceListOutdated (): boolean {
+    return this.options.clock.now() - this.instanceFeed.confirmedAt > MAX_INSTANCE_LIST_AGE_MS
+  }
+
   private async sendStart (task: Task, ticket?: string): Promise<void> {
     const { worker, run } = task
     if (worker === undefined || this.isStopped) return
     const leaseEnd = this.poller.extendLease(worker)
     const outcome = await this.options.workers.start(worker.report, {
-      task: task.name, run, spec: task.step.occurrence.job.job.spec, leaseEnd, fence: this.options.term.fence, checkpoint: task.checkpoint, ticket
+      task: task.name, run, spec: task.step.occurrence.job.job.spec, leaseEnd, fence: this.options.term.fence, checkpoint: task.checkpoint, ticket: ticket === undefined ? undefined : task.step.tickets.get(worker.report.id)?.text ?? ticket
     })
     if (this.isStopped) return
     if (outcome.kind === 'refused' && outcome.reason === 'fence') return this.loseTerm(undefined)
@@ -419,10 +430,6 @@
   }
 }
 
-function isUsable (worker: WorkerState, now: number): boolean {
-  return worker.isListed && worker.hasAnswered && worker.isReachable && worker.report.state === 'ready' && worker.unknownRuns === 0 && worker.suspendedUntil <= now
-}
-
 function push<Key, Value> (map: Map<Key, Value[]>, key: Key, value: Value): void {
   const list = map.get(key)
   if (list === undefined) map.set(key, [value])
--- a/packages/cell/src/runtime/InstanceFeed.ts
+++ b/packages/cell/src/runtime/InstanceFeed.ts
@@ -25,6 +25,9 @@
   private readonly states = new Map<string, WorkerReport['state']>()
   /** Monotonic ms. */
   private outageEndedAt = -Infinity
+  private isStoreLost = false
+  /** Monotonic ms at which the list was last known to be up to date. */
+  confirmedAt = -Infinity
 
   constructor (private readonly options: {
     store: RecordStore
@@ -46,12 +49,15 @@
   private async follow (isStopped: () => boolean): Promise<void> {
     const { store, clock, log } = this.options
     const storeSilence = store.silentFor()
-    const answer = await store.changes({ table: 'servers', after: this.version, wait: FEED_WAIT_MS })
+    // While the store is lost, the poll returns immediately, so that its return is noticed at once.
+    const answer = await store.changes({ table: 'servers', after: this.version, wait: this.isStoreLost ? 0 : FEED_WAIT_MS })
     if (isStopped()) return
+    this.isStoreLost = answer.isErr() && answer.error.code !== 'history-lost'
     if (answer.isOk()) {
       if (storeSilence > FEED_WAIT_MS + MIN_OUTAGE_MS) this.outageEndedAt = clock.now()
       for (const row of answer.value.rows) runLogged(() => { this.handleChange(row) }, log, 'instance')
       this.version = answer.value.version
+      this.confirmedAt = clock.now()
       if (answer.value.rows.length > 0) await clock.sleep(BATCH_DELAY_MS)
     } else if (answer.error.code === 'history-lost') await this.readAll()
     else await clock.sleep(RETRY_DELAY_MS)
@@ -64,6 +70,7 @@
     for (const id of [...this.states.keys()]) if (!present.has(id)) this.remove(id)
     for (const row of answer.value.rows) runLogged(() => { this.handleRow(row) }, this.options.log, 'instance')
     this.version = answer.value.version
+    this.confirmedAt = this.options.clock.now()
     return true
   }
 
--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -24,6 +24,8 @@
   record: (job: JobState, then?: () => void) => void
   /** Sends the order to start a placed task. */
   sendStart: (task: Task, ticket?: string) => void
+  /** Returns why a placed task must not be started on its worker any more, or `undefined` if it may be. */
+  findStartObstacle: (task: Task, needsTicket: boolean) => string | undefined
   /** Orders a run to stop, with retries until it is known to have ended. */
   sendStop: (task: Task) => void
   /** Returns the number of failed runs after which a task of the job fails for good. */
@@ -61,6 +63,11 @@
     })
     record(job, () => {
       if (task.phase !== 'placed' || task.run !== run) return
+      const obstacle = this.findStartObstacle(task, ticket !== undefined)
+      if (obstacle !== undefined) {
+        log.write(CELL_EVENTS.startNotTaken, { task: task.name, run, worker: worker.report.id, outcome: `not sent: ${obstacle}` })
+        return this.resetToWaiting(task)
+      }
       task.phase = 'ordered'
       // Any node can read the placement now, so that the job must not be shown as queued any more.
       if (job.visiblePhase === 'queued') job.visiblePhase = 'running'
@@ -68,6 +75,16 @@
     })
   }
 
+  /** Of a gang, all placed members must be able to start. */
+  private findStartObstacle (task: Task, needsTicket: boolean): string | undefined {
+    const members = task.step.definition.gang ? task.step.tasks.filter(member => member.phase === 'placed') : [task]
+    for (const member of members) {
+      const obstacle = this.options.findStartObstacle(member, needsTicket)
+      if (obstacle !== undefined) return obstacle
+    }
+    return undefined
+  }
+
   /** Handles the outcome of an order to start a run. */
   handleStartOutcome (task: Task, run: number, worker: WorkerState, outcome: OrderOutcome): void {
     if (task.run !== run || task.worker !== worker) return
--- /dev/null
+++ b/packages/cell/src/runtime/findStartObstacle.ts
@@ -0,0 +1,23 @@
+import type { Task, WorkerState } from './model.js'
+import { reservedSize } from './Registry.js'
+
+/** @returns whether tasks may be placed on a worker, as far as is known at `now` (monotonic ms) */
+export function isUsable (worker: WorkerState, now: number): boolean {
+  return worker.isListed && worker.hasAnswered && worker.isReachable && worker.report.state === 'ready' && worker.unknownRuns === 0 && worker.suspendedUntil <= now
+}
+
+/**
+ * Checks a placement immediately before its order is sent. While it was recorded, the worker may have changed and the ticket may have expired.
+ *
+ * @param task - a task that is assigned to its worker
+ * @param options - `now`: monotonic ms; `needsTicket`: whether the order must carry a ticket
+ * @returns why the task must not be started on the worker, or `undefined` if it may be
+ */
+export function findStartObstacle ({ worker, step }: Task, { now, needsTicket }: { now: number, needsTicket: boolean }): string | undefined {
+  if (worker === undefined || !isUsable(worker, now)) return 'the worker is not usable any more'
+  if (needsTicket && (step.tickets.get(worker.report.id)?.validUntil ?? 0) <= now) return 'the ticket has expired'
+  const size = reservedSize(step.definition)
+  const { used, report: { capacity } } = worker
+  const exceeds = (resource: keyof typeof size): boolean => size[resource] > 0 && used[resource] > capacity[resource]
+  return exceeds('cpu') || exceeds('memory') || exceeds('accelerators') ? 'the capacity of the worker has shrunk' : undefined
+}
