A failed run of a gang counts once across a takeover

What callers saw (by test): a job with a gang was shown as `failed` although its route allows another attempt, when two members failed in the same run and a new decider saw the end of the second.

Cause: which run of a gang was last counted as a failure (`lastFailedRun`) was known only to the decider that counted it. The next one counted the same run again.

Fix: the number is part of the job's record, as `failedRuns`, if there is one.

--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -13,6 +13,8 @@
   phase: JobState['phase']
   /** Indexed by occurrence, step and task. Absent if the job has ended and all its runs are known to have ended. */
   tasks?: TaskRecord[][][]
+  /** Number of the last run of each gang that was counted as a failure, by occurrence and step. Absent if there is none. */
+  failedRuns?: number[][]
 }
 
 /**
@@ -23,6 +25,8 @@
   const record: JobRecord = { phase: state.phase }
   if (state.phase === 'open' || hasRuns(state)) {
     record.tasks = state.occurrences.map(occurrence => occurrence.steps.map(step => step.tasks.map(encodeTask)))
+    const failedRuns = state.occurrences.map(occurrence => occurrence.steps.map(step => step.lastFailedRun))
+    if (failedRuns.flat().some(run => run > 0)) record.failedRuns = failedRuns
   }
   return JSON.stringify(record)
 }
@@ -61,6 +65,10 @@
       task.step.doneTasks++
     } else if (worker !== '') runs.push({ task, worker })
   })))
+  record.failedRuns?.forEach((steps, occurrence) => steps.forEach((run, index) => {
+    const step = state.occurrences[occurrence]?.steps[index]
+    if (step !== undefined) step.lastFailedRun = run
+  }))
   state.phase = record.phase
   if (record.phase !== 'open') {
     registry.markStarted(state)
