An error in a call to the advice service ends the call

Cause: if the client of the advice service throws, the step's workers count as asked about and the node as busy for as long as the decider runs: the step is never asked about again, and the node, once its call is overdue, is given no further one.

Fix: the error is logged and counts as a failed call, so that all that a call changes is undone in one place.

Before the fix: not ok - does not keep a step from its workers after an error in the decider: 'the condition was not met within 5000 ms'. If a follower's client throws, the decider's call times out, as before ("... if the calls of n0 are: throws" and the same for n1 to n3 pass with and without this commit).

Tests advice, adviceFaults, gangs, rounds and takeover pass, eslint passes.

--- a/packages/cell/src/runtime/StepAdvisor.ts
+++ b/packages/cell/src/runtime/StepAdvisor.ts
@@ -27,14 +27,15 @@
   constructor (private readonly options: StepAdvisorOptions) {}
 
   /** Makes a planned call. */
-  async advise ({ step, route, workers, node, cost }: AdviceRequest): Promise<void> {
-    const { scheduler, clock, log, ask, onChange } = this.options
+  async advise (request: AdviceRequest): Promise<void> {
+    const { step, route, workers, node, cost } = request
+    const { scheduler, clock, log, onChange } = this.options
     const sentAt = clock.now()
     scheduler.callSent(node, cost, sentAt)
     const asked = workers.map(asAsked)
     const ids = workers.map(worker => worker.report.id)
     for (const id of ids) step.askedWorkers.add(id)
-    const answer = await ask(node, { step: step.name, workers: ids, timeout: cost + ANSWER_MARGIN_MS })
+    const answer = await this.ask(request, ids)
     const now = clock.now()
     for (const id of ids) step.askedWorkers.delete(id)
     step.nextPlanAt = 0
@@ -51,4 +52,15 @@
     } else step.nextAdviceAt = now + RETRY_DELAY_MS
     onChange()
   }
+
+  /** An error counts as a failed call: the workers would otherwise count as asked about, and the node as busy, for as long as the decider runs. */
+  private async ask ({ step, node, cost }: AdviceRequest, workers: string[]): Promise<Advice> {
+    const { ask, log } = this.options
+    try {
+      return await ask(node, { step: step.name, workers, timeout: cost + ANSWER_MARGIN_MS })
+    } catch (error) {
+      log.write(CELL_EVENTS.fault, { step: 'advice', error: error instanceof Error ? error.stack : String(error) })
+      return { kind: 'failed', reason: 'the client failed' }
+    }
+  }
 }
--- a/packages/cell/test/runtime/adviceFaults.test.ts
+++ b/packages/cell/test/runtime/adviceFaults.test.ts
@@ -108,7 +108,7 @@
 
 // Guards against a step that gives all its questions to the one node that can't call the advice service, because that node always looks idle.
 describe('a node whose calls to the advice service fail', () => {
-  for (const fault of ['refused', 'silent'] as const) {
+  for (const fault of ['refused', 'silent', 'throws'] as const) {
     for (const node of ['n0', 'n1', 'n2', 'n3']) {
       test(`does not keep a step from its workers if the calls of ${node} are: ${fault}`, async () => {
         const rig = await createAdvisedRig({ nodes: 5, workers: 8, adviceFault: each => each === node ? fault : undefined })
@@ -119,6 +119,16 @@
     }
   }
 
+  test('does not keep a step from its workers after an error in the decider', async () => {
+    let isBroken = true
+    const rig = await createAdvisedRig({ nodes: 1, workers: 8, adviceFault: () => isBroken ? 'throws' : undefined })
+    const { id } = await rig.submit(rig.nodes[0]!, [{ size: SIZE }])
+    await rig.run(3000)
+    isBroken = false
+    await rig.until(() => rig.fleet.firstStart.has(`${id}.0.0.0`), START_LIMIT_MS)
+    expect(rig.nodes[0]!.log.lines.some(({ event }) => event.name === 'cell-fault')).toEqual(true)
+  })
+
   test('is given calls again once it can call', async () => {
     let isBroken = true
     const rig = await createAdvisedRig({ nodes: 1, workers: 8, adviceFault: () => isBroken ? 'refused' : undefined })
