Random model run: in calm times each task that has room for its step twice over starts within 3 s

The present model run looks at violations and at the end state only; its workers always come back under their ids, none changes its capacity, and no route needs advice. Change: a second model run with routes with and without advice, gangs, steps after steps, tasks that need half a worker, and faults of workers that crash, are replaced under new ids, leave and come back, shrink and grow, and of the advice service. Every 100 ms it checks that each task whose turn has come starts within 3 s if all has been calm for 8 s, its step fits twice on workers that it may use, and less than half of the capacity is in use. The stand-in workers play gangs (broken, alone) and check tickets. The faults and the order of random numbers of the present run are unchanged.

--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -2,8 +2,9 @@
 import type { Result } from 'ts-results-es'
 import { FakeClock } from '@rattanstep/core'
 import { MemoryLog } from '@rattanstep/telemetry'
-import { Advisor, Cell, RowReader } from '../../src/index.js'
-import type { Advice, Configuration, Job, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
+import { Cell, RowReader } from '../../src/index.js'
+import type { Configuration, Job, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
+import { FakeAdvisor } from './FakeAdvisor.js'
 import { FakeLinkConnector } from './FakeLinks.js'
 import type { FakeEndpoint } from './FakeLinks.js'
 import { FakeStore, FakeTables } from './FakeStore.js'
@@ -17,6 +18,7 @@
   clock: NodeClock
   store: FakeStore
   workers: FakeWorkerClient
+  advisor: FakeAdvisor
   log: MemoryLog
   cell: Cell
   endpoint: FakeEndpoint
@@ -29,22 +31,6 @@
   }
 }
 
-/** Advice service that handles one call of a node at a time; `duration` returns the duration of a call in ms. */
-class SerialAdvisor extends Advisor {
-  private idleAt = 0
-
-  constructor (private readonly clock: NodeClock, private readonly duration: (step: string, workers: number) => number, private readonly allows: (worker: string) => boolean) {
-    super()
-  }
-
-  override async advise ({ step, workers }: { step: string, workers: string[] }): Promise<Advice> {
-    const now = this.clock.now()
-    this.idleAt = Math.max(now, this.idleAt) + this.duration(step, workers.length)
-    await this.clock.sleep(this.idleAt - now)
-    return { kind: 'answered', tickets: workers.filter(this.allows).map(worker => ({ worker, text: 'ticket' })), validity: 1500 }
-  }
-}
-
 /** Options of a rig. */
 export interface RigOptions {
   nodes?: number
@@ -57,8 +43,8 @@
   others?: Array<Partial<Route> & { name: string }>
   /** Returns the duration of a call to the advice service in ms. */
   advice?: (step: string, workers: number) => number
-  /** Returns whether the advice service allows a worker. */
-  allows?: (worker: string) => boolean
+  /** Returns whether the advice service allows a worker to run a step. */
+  allows?: (worker: string, step: string) => boolean
 }
 
 /** Several nodes of a cell with a fake clock, store, workers and links. */
@@ -110,6 +96,7 @@
     const clock = new NodeClock(this.clock)
     const store = new FakeStore(this.tables, clock, this.clock)
     const workers = new FakeWorkerClient(this.fleet, clock)
+    const advisor = new FakeAdvisor({ clock, fleet: this.fleet, duration: this.options.advice ?? (() => 0), allows: this.options.allows ?? (() => true) })
     const log = new MemoryLog()
     const endpoint: FakeEndpoint = { clock, isSilenced: false, inboundDelay: 0, links: new Set(), sentMessages: 0 }
     const address = `${name}:1`
@@ -122,7 +109,7 @@
       leaseMax: 10_000,
       store,
       workers,
-      advisor: new SerialAdvisor(clock, this.options.advice ?? (() => 0), this.options.allows ?? (() => true)),
+      advisor,
       reader: new JsonReader(),
       connector: new FakeLinkConnector(endpoint, this.endpoints),
       readConfiguration: value => Ok(JSON.parse(value) as Configuration),
@@ -131,7 +118,7 @@
     })
     endpoint.acceptLink = link => { cell.acceptLink(link) }
     this.endpoints.set(address, endpoint)
-    const node: RigNode = { name, clock, store, workers, log, cell, endpoint }
+    const node: RigNode = { name, clock, store, workers, advisor, log, cell, endpoint }
     const index = this.nodes.findIndex(each => each.name === name)
     if (index < 0) this.nodes.push(node)
     else this.nodes[index] = node
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -18,6 +18,8 @@
 /** Number of workers that may crash under a task, and number of later starts with which the task exceeds its crash budget, as specified by the platform. */
 const MAX_CRASHES = 3
 const STARTS_OVER_BUDGET = 3
+/** Time for which the members of a gang wait for each other, as specified by the platform. */
+const GANG_WAIT_MS = 3000
 /** Time for which a worker is down after a task has crashed it. */
 const CRASH_DOWNTIME_MS = 3000
 
@@ -28,6 +30,10 @@
   duration: number
   size: Size
   isStopping: boolean
+  startedAt: number
+  gang?: number
+  /** Whether all members of the gang have been present. */
+  isGangComplete: boolean
   crashesAt?: number
 }
 
@@ -51,6 +57,8 @@
   size: Size
   /** Time in ms after the start at which the run crashes its worker. */
   crashAfter?: number
+  /** Number of members of the task's gang, which work only together. */
+  gang?: number
 }
 
 /** A worker that follows the platform's published rules. */
@@ -101,7 +109,8 @@
     this.leaseEnd = Math.max(this.leaseEnd, order.leaseEnd)
     this.starts++
     this.fleet.recordStart(order.task, this)
-    this.running.set(order.task, { task: order.task, run: order.run, endsAt: this.now + behaviour.duration, duration: behaviour.duration, size: behaviour.size, isStopping: false, ...(behaviour.crashAfter === undefined ? {} : { crashesAt: this.now + behaviour.crashAfter }) })
+    const { duration, size, crashAfter, gang } = behaviour
+    this.running.set(order.task, { task: order.task, run: order.run, startedAt: this.now, endsAt: this.now + duration, duration, size, isStopping: false, isGangComplete: false, ...(gang === undefined ? {} : { gang }), ...(crashAfter === undefined ? {} : { crashesAt: this.now + crashAfter }) })
     this.fleet.checkCapacity(order.task, this)
     return { kind: 'taken', clock: this.now }
   }
@@ -133,11 +142,25 @@
     if (this.now >= this.leaseEnd) this.discardUnacknowledgedEnds()
     for (const run of [...this.running.values()]) {
       if (this.isHung && !run.isStopping) run.endsAt += TICK_MS
+      const gangEnding = this.advanceGang(run)
       if (this.now >= this.leaseEnd) this.finish(run, 'lapsed')
+      else if (gangEnding !== undefined) this.finish(run, gangEnding)
       else if (this.now >= run.endsAt) this.finish(run, run.isStopping ? 'stopped' : this.fleet.behaviour(run.task).ending)
     }
   }
 
+  /** Has a member of a gang wait for the others; returns how it ends if one of them is missing for good or is done. */
+  private advanceGang (run: Run): RunEnding | undefined {
+    if (run.gang === undefined || run.isStopping) return undefined
+    const { present, done } = this.fleet.countMembers(run.task, { run: run.run, gang: run.gang })
+    if (done > 0) return 'done'
+    if (run.isGangComplete) return present < run.gang ? 'broken' : undefined
+    if (present < run.gang && this.now >= run.startedAt + GANG_WAIT_MS) return 'alone'
+    run.endsAt = this.now + run.duration
+    run.isGangComplete = present === run.gang
+    return undefined
+  }
+
   /** Ends the worker without a word, and starts a new incarnation under the same id after a while; `downtime` in ms. */
   crash (downtime = CRASH_DOWNTIME_MS): void {
     if (this.isDown) return
@@ -146,7 +169,9 @@
     this.running.clear()
     this.ended = []
     this.isDown = true
+    if (downtime === Infinity) return
     this.fleet.clock.schedule(downtime, () => {
+      if (this.fleet.workers.get(this.report.id) !== this) return
       this.isDown = false
       this.restart()
     })
@@ -158,6 +183,17 @@
     this.report = { ...this.report, capacity: { ...this.report.capacity, cpu } }
   }
 
+  /** @returns the capacity that the present runs use */
+  get usedCapacity (): Size {
+    const used = { cpu: 0, memory: 0, accelerators: 0 }
+    for (const { size } of this.running.values()) {
+      used.cpu += size.cpu
+      used.memory += size.memory
+      used.accelerators += size.accelerators
+    }
+    return used
+  }
+
   /** @returns the capacity that a start must respect, in thousandths of a core */
   get bindingCapacity (): number {
     const now = this.fleet.clock.now()
@@ -182,11 +218,12 @@
     for (const end of this.ended) if (end.ending === 'done') this.fleet.done.delete(end.task)
   }
 
-  private findRefusal (order: StartOrder): 'fence' | 'old' | 'late' | undefined {
+  private findRefusal (order: StartOrder): 'fence' | 'old' | 'late' | 'ticket' | undefined {
     if (order.fence < this.fence) return 'fence'
     this.fence = order.fence
     if (order.leaseEnd <= this.now) return 'late'
     if (order.run <= (this.highestClosedRun.get(order.task) ?? 0)) return 'old'
+    if (!this.fleet.acceptsTicket(order, this)) return 'ticket'
     return undefined
   }
 
@@ -212,6 +249,8 @@
   private readonly startsOverBudget = new Map<string, number>()
   /** Time in ms of the last start of any task. */
   lastStart = 0
+  /** Returns whether a worker may start a task with the ticket that the order carries, if any. */
+  acceptsTicket: (order: StartOrder, worker: FakeWorker) => boolean = () => true
 
   constructor (readonly clock: Clock, readonly behaviour: (task: string) => TaskBehaviour) {
     clock.repeat(TICK_MS, () => { for (const worker of this.workers.values()) worker.tick() })
@@ -223,6 +262,22 @@
     return worker
   }
 
+  /** Removes a worker for good. What runs on it ends without a word. */
+  remove (id: string): void {
+    this.workers.get(id)?.crash(Infinity)
+    this.workers.delete(id)
+  }
+
+  /** Counts the members of a task's gang that are present with a run, and those that have ended as done. */
+  countMembers (task: string, { run, gang }: { run: number, gang: number }): { present: number, done: number } {
+    const members = Array.from({ length: gang }, (_, index) => task.slice(0, task.lastIndexOf('.') + 1) + String(index))
+    const workers = [...this.workers.values()]
+    return {
+      present: members.filter(member => workers.some(worker => worker.running.get(member)?.run === run)).length,
+      done: members.filter(member => this.done.has(member)).length
+    }
+  }
+
   recordStart (task: string, worker: FakeWorker): void {
     const at = this.clock.now()
     this.starts.set(task, (this.starts.get(task) ?? 0) + 1)
@@ -244,9 +299,7 @@
   }
 
   checkCapacity (task: string, worker: FakeWorker): void {
-    let cpu = 0
-    for (const run of worker.running.values()) cpu += run.size.cpu
-    if (cpu > worker.bindingCapacity) this.addViolation('over-capacity', task, worker)
+    if (worker.usedCapacity.cpu > worker.bindingCapacity) this.addViolation('over-capacity', task, worker)
   }
 
   private addViolation (rule: Violation['rule'], task: string, worker: FakeWorker): void {
