--- a/packages/cell/test/support/RandomJobs.ts
+++ b/packages/cell/test/support/RandomJobs.ts
@@ -46,6 +46,7 @@
     if (choice < 0.4) return { kind: 'gangs', route: advised, steps: [stepOf({ count: 4, gang: true, estimate, size: HALF_WORKER }), stepOf({ count, estimate }), stepOf({ count: 4, gang: true, estimate, size: HALF_WORKER, after: [0, 1] })] }
     if (choice < 0.55) return { kind: 'halves', route: advised, steps: [stepOf({ count, estimate, size: HALF_WORKER }), stepOf({ count: 4, estimate, size: HALF_WORKER, after: [0] })] }
     if (choice < 0.6) return { kind: 'long', route: advised, steps: [stepOf({ count, estimate: 12_000, size: HALF_WORKER })] }
+    if (choice < 0.62) return { kind: 'endless gang', route: advised, steps: [stepOf({ count: 2, gang: true, estimate: 400_000, size: HALF_WORKER })] }
     if (choice < 0.65) return { kind: 'long gang', route: advised, steps: [stepOf({ count: 4, gang: true, estimate: 15_000, size: HALF_WORKER })] }
     if (choice < 0.68) return { kind: 'lasting', route: 'free', steps: [stepOf({ count, lasting: true, estimate: 20_000, size: { cpu: 3000, memory: 1000, accelerators: 0 } })] }
     return { kind: 'plain', route: 'free', steps: [stepOf({ count, estimate }), stepOf({ count: 2, estimate, after: [0] })] }
