A gang asks about further workers when it would fit twice on these and on the allowed ones

Cause: a gang whose allowed workers are busy asked about others only if the expected share of these alone could take it now, or if the allowed ones would be too few even when empty. With five allowed workers, four of them busy for 30 s, and three free ones about which it had not asked, it asked nobody, although it fits twice: the free allowed worker was not counted, and a share below the average was taken for certain. Evidence: before, 'The value [] is not equal to ["w5", "w6", "w7"], but it was expected to be equal.' Fix: it also asks if the free capacity of both together would do twice over, the platform's own condition. Run: gangs.test.ts passes, with the loads of gangs beside batches.

--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -134,14 +134,18 @@
 
 /**
  * Selects workers for which the advice service's decision is not known: if the gang could start on them sooner than on the allowed ones, or if
- * too few are allowed.
+ * too few are allowed. The platform expects a gang that fits twice over to start, so it may then be worth a call even if the usual share of allowed
+ * workers wouldn't do.
  */
 function selectUnknown ({ rankedStep: { step }, eligible, allowed }: GangState, { isLate, allowedShare, start }: { isLate: boolean, allowedShare: number, start: { now: number, priority: number } }): Slot[] {
   const count = step.tasks.length
   const unknown = eligible.filter(slot => isEligible(slot, step) && !step.allowedWorkers.has(slot.worker.report.id) && emptyTaskCapacity(slot, step) > 0)
   const sum = (slots: Slot[], capacityOf: (slot: Slot) => number): number => slots.reduce((total, slot) => total + capacityOf(slot), 0)
   const capacityNow = (slot: Slot): number => taskCapacity(slot, step, start)
-  const fitsNow = step.allowedWorkers.size + step.rejectedWorkers.size === 0 || (isLate && sum(unknown, capacityNow) * allowedShare >= count)
+  const isFirst = step.allowedWorkers.size + step.rejectedWorkers.size === 0
+  const unknownNow = sum(unknown, capacityNow)
+  const mayFitTwice = unknownNow > 0 && unknownNow + sum(allowed, capacityNow) >= 2 * count
+  const fitsNow = isFirst || (isLate && (unknownNow * allowedShare >= count || mayFitTwice))
   const capacityOf = fitsNow ? capacityNow : (slot: Slot): number => emptyTaskCapacity(slot, step)
   let missing = MIN_ALLOWED_RATIO * count - (fitsNow ? 0 : sum(allowed, capacityOf))
   if (missing <= 0) return []
--- a/packages/cell/test/runtime/gangs.test.ts
+++ b/packages/cell/test/runtime/gangs.test.ts
@@ -192,6 +192,18 @@
   })
 })
 
+// Guards against gangs that never ask about workers: neither the allowed ones nor the expected share of the others suffice alone.
+describe('a gang whose allowed workers are busy', () => {
+  test('asks about other workers if it fits twice on them and the allowed ones', () => {
+    const rig = new PlanningRig(12)
+    const gang = rig.add('gang', { count: 2, cpu: 4000, estimate: 4000 })
+    allow(gang, 5)
+    for (let index = 1; index < 5; index++) rig.run(rig.add('batch', { cpu: 4000, estimate: 30_000 }), rig.worker(index), 1)
+    for (let index = 8; index < 12; index++) gang.rejectedWorkers.add(`w${index}`)
+    expect(rig.plan(100, { allowedShare: 0.25 }).adviceRequests.flatMap(({ workers }) => workers.map(({ report }) => report.id)).sort()).toEqual(['w5', 'w6', 'w7'])
+  })
+})
+
 describe('the widest gang of a full cell', () => {
   test('starts although tasks of lesser urgency arrive without end', () => {
     const rig = new PlanningRig(4)
