A gang is planned again at least once a second, however long its tasks take

Cause: a gang that fits nowhere was planned again after a hundredth of its declared duration, and one that waits for an answer after a twentieth; runs that end don't change this for one without workers. With ten minutes declared, it was looked at every 6 s; the platform allows a wait of 3 s. Evidence: before, 'The value [] is not equal to ["0000000...", "0000000..."], but it was expected to be equal.' Fix: both intervals are a second at most.

--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -4,6 +4,7 @@
 import { hasTicket, isEligible, placeTasks } from './placeTasks.js'
 import { expectedCallDuration, MAX_NONE_ALLOWED_RISK, planAdviceCalls, sortByCapacity } from './planAdviceCalls.js'
 import type { RoundContext } from './planRound.js'
+import type { StepState } from './model.js'
 import type { RankedStep } from './rankSteps.js'
 import { holdSchedule, releaseHold, scheduleGang } from './scheduleGang.js'
 import type { GangSchedule } from './scheduleGang.js'
@@ -21,6 +22,8 @@
 const REPLAN_RATIO = 0.05
 /** Interval at which a gang that holds no workers is planned again, as a share of its duration: many such gangs wait in a full cell. */
 const UNHELD_REPLAN_RATIO = 0.01
+/** Maximum interval at which a gang is planned again, whatever its duration. The platform allows a wait of 3 s, of which a call for advice takes one. */
+const MAX_REPLAN_INTERVAL_MS = 1000
 /** Ratio of the tasks that fit on the allowed workers, were they empty, to the tasks of the gang below which more workers are named. */
 const MIN_ALLOWED_RATIO = 2
 /** Share of a gang's tasks for which workers beyond the held ones are named, because some of these will be late. */
@@ -58,7 +61,7 @@
   if (step.nextPlanAt > now && (!holdsOrAsks || step.plannedReleases === releases)) return
   step.plannedReleases = releases
   // While it waits for an answer, a gang can only be placed or held elsewhere after runs on its workers have ended.
-  step.nextPlanAt = step.askedWorkers.size === 0 ? now : now + REPLAN_RATIO * step.definition.estimate
+  step.nextPlanAt = step.askedWorkers.size === 0 ? now : now + replanInterval(step, REPLAN_RATIO)
   const placements = placeTasks(step.tasks, route.advice === undefined ? allowed : allowed.filter(slot => hasTicket(step, slot, now)), step, start)
   if (placements.length > 0) {
     releaseHold(step, capacity.slots)
@@ -68,10 +71,14 @@
   }
   const gang = scheduleWithTickets(rankedStep, allowed, context)
   updateHold(gang, context)
-  if (!plan.holds.has(step)) step.nextPlanAt = Math.max(step.nextPlanAt, now + UNHELD_REPLAN_RATIO * step.definition.estimate)
+  if (!plan.holds.has(step)) step.nextPlanAt = Math.max(step.nextPlanAt, now + replanInterval(step, UNHELD_REPLAN_RATIO))
   if (route.advice !== undefined && step.askedWorkers.size === 0 && step.nextAdviceAt <= now) askForTickets(gang, route.advice, context)
 }
 
+function replanInterval ({ definition }: StepState, ratio: number): number {
+  return Math.min(MAX_REPLAN_INTERVAL_MS, ratio * definition.estimate)
+}
+
 function allowedSlots ({ step, route }: RankedStep, { capacity }: RoundContext): Slot[] {
   if (route.advice === undefined) return capacity.slots.filter(slot => isEligible(slot, step))
   return capacity.slotsOf(step.allowedWorkers)
--- a/packages/cell/test/runtime/gangs.test.ts
+++ b/packages/cell/test/runtime/gangs.test.ts
@@ -29,9 +29,11 @@
   private jobs = 0
 
   constructor (workers: number) {
-    for (let index = 0; index < workers; index++) {
-      this.registry.ensureWorker({ id: `w${index}`, service: 's', address: '', dataCentre: 'd', state: 'ready', capacity: { cpu: 4000, memory: 1000, accelerators: 0 }, labels: [], born: 1 })
-    }
+    for (let index = 0; index < workers; index++) this.addWorker(index)
+  }
+
+  addWorker (index: number): void {
+    this.registry.ensureWorker({ id: `w${index}`, service: 's', address: '', dataCentre: 'd', state: 'ready', capacity: { cpu: 4000, memory: 1000, accelerators: 0 }, labels: [], born: 1 })
   }
 
   worker (index: number): WorkerState {
@@ -204,6 +206,17 @@
   })
 })
 
+// Guards against gangs of long tasks that wait long after their workers have come: the interval at which they are planned grew with their duration.
+describe('a gang that no workers fit', () => {
+  test('starts within a second after further workers have joined, however long its tasks take', () => {
+    const rig = new PlanningRig(1)
+    const gang = rig.add('free', { count: 2, cpu: 4000, estimate: 600_000 })
+    expect(rig.plan(10).placements).toEqual([])
+    rig.addWorker(1)
+    expect(rig.plan(1010).placements.map(({ task }) => task.name)).toEqual(gang.tasks.map(({ name }) => name))
+  })
+})
+
 describe('the widest gang of a full cell', () => {
   test('starts although tasks of lesser urgency arrive without end', () => {
     const rig = new PlanningRig(4)
