--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -5,6 +5,7 @@
 import { expectedCallDuration, MAX_NONE_ALLOWED_RISK, planAdviceCalls, sortByCapacity } from './planAdviceCalls.js'
 import { reviewRejections } from './reviewRejections.js'
 import type { RoundContext } from './planRound.js'
+import type { StepState } from './model.js'
 import type { RankedStep } from './rankSteps.js'
 import { holdSchedule, releaseHold, scheduleGang } from './scheduleGang.js'
 import type { GangSchedule } from './scheduleGang.js'
@@ -22,6 +23,8 @@
 const REPLAN_RATIO = 0.05
 /** Interval at which a gang that holds no workers is planned again, as a share of its duration: many such gangs wait in a full cell. */
 const UNHELD_REPLAN_RATIO = 0.01
+/** Maximum interval at which a gang is planned again, whatever its duration. The platform allows a wait of 3 s, of which a call for advice takes one. */
+const MAX_REPLAN_INTERVAL_MS = 1000
 /** Ratio of the tasks that fit on the allowed workers, were they empty, to the tasks of the gang below which more workers are named. */
 const MIN_ALLOWED_RATIO = 2
 /** Share of a gang's tasks for which workers beyond the held ones are named, because some of these will be late. */
@@ -59,7 +62,7 @@
   if (step.nextPlanAt > now && (!holdsOrAsks || step.plannedReleases === releases)) return
   step.plannedReleases = releases
   // While it waits for an answer, a gang can only be placed or held elsewhere after runs on its workers have ended.
-  step.nextPlanAt = step.askedWorkers.size === 0 ? now : now + REPLAN_RATIO * step.definition.estimate
+  step.nextPlanAt = step.askedWorkers.size === 0 ? now : now + replanInterval(step, REPLAN_RATIO)
   const placements = placeTasks(step.tasks, route.advice === undefined ? allowed : allowed.filter(slot => hasTicket(step, slot, now)), step, start)
   if (placements.length > 0) {
     releaseHold(step, capacity.slots)
@@ -69,10 +72,14 @@
   }
   const gang = scheduleWithTickets(rankedStep, allowed, context)
   updateHold(gang, context)
-  if (!plan.holds.has(step)) step.nextPlanAt = Math.max(step.nextPlanAt, now + UNHELD_REPLAN_RATIO * step.definition.estimate)
+  if (!plan.holds.has(step)) step.nextPlanAt = Math.max(step.nextPlanAt, now + replanInterval(step, UNHELD_REPLAN_RATIO))
   if (route.advice !== undefined && step.askedWorkers.size === 0 && step.nextAdviceAt <= now) askForTickets(gang, route.advice, context)
 }
 
+function replanInterval ({ definition }: StepState, ratio: number): number {
+  return Math.min(MAX_REPLAN_INTERVAL_MS, ratio * definition.estimate)
+}
+
 function allowedSlots ({ step, route }: RankedStep, { capacity }: RoundContext): Slot[] {
   if (route.advice === undefined) return capacity.slots.filter(slot => isEligible(slot, step))
   return capacity.slotsOf(step.allowedWorkers.keys()).filter(slot => isAllowed(slot, step))
@@ -136,14 +143,18 @@
 
 /**
  * Selects workers for which the advice service's decision is not known: if the gang could start on them sooner than on the allowed ones, or if
- * too few are allowed.
+ * too few are allowed. The platform expects a gang that fits twice over to start, so it may then be worth a call even if the usual share of allowed
+ * workers wouldn't do.
  */
 function selectUnknown ({ rankedStep: { step }, eligible, allowed }: GangState, { isLate, allowedShare, start }: { isLate: boolean, allowedShare: number, start: { now: number, priority: number } }): Slot[] {
   const count = step.tasks.length
   const unknown = eligible.filter(slot => isEligible(slot, step) && !isAllowed(slot, step) && emptyTaskCapacity(slot, step) > 0)
   const sum = (slots: Slot[], capacityOf: (slot: Slot) => number): number => slots.reduce((total, slot) => total + capacityOf(slot), 0)
   const capacityNow = (slot: Slot): number => taskCapacity(slot, step, start)
-  const fitsNow = step.allowedWorkers.size + step.rejectedWorkers.size === 0 || (isLate && sum(unknown, capacityNow) * allowedShare >= count)
+  const isFirst = step.allowedWorkers.size + step.rejectedWorkers.size === 0
+  const unknownNow = sum(unknown, capacityNow)
+  const mayFitTwice = unknownNow > 0 && unknownNow + sum(allowed, capacityNow) >= 2 * count
+  const fitsNow = isFirst || (isLate && (unknownNow * allowedShare >= count || mayFitTwice))
   const capacityOf = fitsNow ? capacityNow : (slot: Slot): number => emptyTaskCapacity(slot, step)
   let missing = MIN_ALLOWED_RATIO * count - (fitsNow ? 0 : sum(allowed, capacityOf))
   if (missing <= 0) return []
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -6,7 +6,7 @@
 import { createJob } from '../../src/runtime/createJob.js'
 import type { Configuration, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
 import { FakeAdvisor } from './FakeAdvisor.js'
-import type { AdviceFault } from './FakeAdvisor.js'
+import type { AdviceCondition } from './FakeAdvisor.js'
 import { FakeLinkConnector } from './FakeLinks.js'
 import type { FakeEndpoint } from './FakeLinks.js'
 import { FakeStore, FakeTables } from './FakeStore.js'
@@ -20,6 +20,7 @@
   clock: NodeClock
   store: FakeStore
   workers: FakeWorkerClient
+  advisor: FakeAdvisor
   log: MemoryLog
   cell: Cell
   endpoint: FakeEndpoint
@@ -44,10 +45,10 @@
   others?: Array<Partial<Route> & { name: string }>
   /** Returns the duration of a call to the advice service in ms. */
   advice?: (step: string, workers: number) => number
-  /** Returns whether the advice service allows a worker; `born` is the start of the worker's incarnation. It gives no tickets for workers that are down. */
-  allows?: (worker: string, born: number) => boolean
-  /** Returns what is wrong with a node's connection to the advice service, if anything. */
-  adviceFault?: (node: string) => AdviceFault | undefined
+  /** Returns whether the advice service allows a worker to run a step; `born` is the start of the worker's incarnation. It gives no tickets for workers that are down. */
+  allows?: (worker: string, born: number, step: string) => boolean
+  /** Returns the condition of the advice service for a node, if it is disturbed. */
+  adviceFault?: (node: string) => AdviceCondition | undefined
 }
 
 /** Several nodes of a cell with a fake clock, store, workers and links. */
@@ -104,6 +105,7 @@
     const clock = new NodeClock(this.clock)
     const store = new FakeStore(this.tables, clock, this.clock)
     const workers = new FakeWorkerClient(this.fleet, clock)
+    const advisor = new FakeAdvisor({ node: name, clock, fleet: this.fleet, duration: this.options.advice, allows: this.options.allows, fault: this.options.adviceFault })
     const log = new MemoryLog()
     const endpoint: FakeEndpoint = { clock, isSilenced: false, inboundDelay: 0, links: new Set(), sentMessages: 0 }
     const address = `${name}:1`
@@ -116,7 +118,7 @@
       leaseMax: 10_000,
       store,
       workers,
-      advisor: new FakeAdvisor({ node: name, clock, fleet: this.fleet, duration: this.options.advice, allows: this.options.allows, fault: this.options.adviceFault }),
+      advisor,
       reader: new JsonReader(),
       connector: new FakeLinkConnector(endpoint, this.endpoints),
       readConfiguration: value => Ok(JSON.parse(value) as Configuration),
@@ -125,7 +127,7 @@
     })
     endpoint.acceptLink = link => { cell.acceptLink(link) }
     this.endpoints.set(address, endpoint)
-    const node: RigNode = { name, clock, store, workers, log, cell, endpoint }
+    const node: RigNode = { name, clock, store, workers, advisor, log, cell, endpoint }
     const index = this.nodes.findIndex(each => each.name === name)
     if (index < 0) this.nodes.push(node)
     else this.nodes[index] = node
