The first poll of a worker that restarted under its id acknowledges nothing of its former incarnation

Cause: ends are numbered anew in each incarnation. The decider started a run on a worker that had restarted since its last poll, and the next poll acknowledged the former incarnation's last number, so that the worker forgot ends that nobody had read; the runs then counted as vanished. Fix: the number is forgotten as soon as the instance list shows a newer incarnation, or the answer to an order carries a clock that has started anew. A clock that is up to 1 s older belongs to an answer that was overtaken, and changes nothing. Open: an incarnation that starts within 1 s of the former one's start, and whose entry is not yet read, isn't told apart by its clock.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -328,6 +328,7 @@
     })
     if (this.isStopped) return
     if (outcome.kind === 'refused' && outcome.reason === 'fence') return this.loseTerm(undefined)
+    if (outcome.kind === 'taken') this.poller.noteClock(worker, outcome.clock)
     this.lifecycle.handleStartOutcome(task, run, worker, outcome)
     // Until now the worker may have been idle and polled rarely; polling it now makes the end of the run known immediately.
     this.poller.pollNow(worker)
@@ -372,6 +373,7 @@
       this.requestRound()
       return
     }
+    this.poller.noteListed(existing, report.born)
     // The next poll updates the incarnation and handles the runs of the former one.
     existing.report = { ...report, born: existing.report.born }
     existing.isListed = true
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -23,6 +23,8 @@
 const MIN_POLL_GAP_MS = 10
 /** Time for which no tasks are placed on a worker after a stalled run; workers hang for about five seconds. */
 const STALL_SUSPENSION_MS = 3000
+/** Maximum time by which the answer to an order is older than the last list: answers overtake each other, and orders have a timeout of less than this. */
+const MAX_ANSWER_DELAY_MS = 1000
 /** Delay between attempts to stop a run. */
 const STOP_RETRY_DELAY_MS = 300
 
@@ -87,6 +89,16 @@
     return Math.floor(worker.clock.value + (now - worker.clock.at) * MIN_CLOCK_RATE + lease)
   }
 
+  /** Handles an entry of the instance list; `born` is the start of the incarnation that wrote it, in ms since 1970. */
+  noteListed (worker: WorkerState, born: number): void {
+    if (born > worker.report.born && worker.report.born > 0) this.forgetEnds(worker)
+  }
+
+  /** Handles the value of a worker's clock in the answer to an order. The clock of a new incarnation starts anew. */
+  noteClock (worker: WorkerState, value: number): void {
+    if (value > 0 && value < worker.clock.value - MAX_ANSWER_DELAY_MS) this.forgetEnds(worker)
+  }
+
   /** Stops a run, with retries until its worker takes the order or the run is known to have ended. */
   async stopRun (task: Task): Promise<void> {
     const { worker, run } = task
@@ -269,9 +281,14 @@
     if (isFirstAnswer) return
     this.options.registry.endPresence(worker)
     this.options.log.write(CELL_EVENTS.workerRestarted, { worker: worker.report.id, born })
+    this.forgetEnds(worker)
+    worker.clock = { value: 0, at: 0 }
+  }
+
+  /** Numbers of ends start anew in each incarnation: the next poll must not acknowledge ends of a new one that it has not listed yet. */
+  private forgetEnds (worker: WorkerState): void {
     worker.lastEndNumber = 0
     worker.unrecordedEnds.clear()
-    worker.clock = { value: 0, at: 0 }
   }
 }
 
