A malformed message on a link doesn't end the process

What callers saw (by test; no such message is on record): a message with a malformed job ended the decider's process, or stopped its planning for good if only the size of a step was missing; a malformed order ended a follower's process, and a line `null` any process.

Cause: messages were handled in the event handler of the socket, where a thrown error is uncaught, and jobs on links weren't checked, unlike those in rows.

--- a/packages/cell/src/node/TcpLink.ts
+++ b/packages/cell/src/node/TcpLink.ts
@@ -51,12 +51,13 @@
     if (this.partialLine.length > MAX_MESSAGE_CHARS) return this.fail('message too long')
     for (const line of lines) {
       if (this.isClosed) return
-      let message: Incoming
+      let message: Incoming | null
       try {
-        message = JSON.parse(line) as Incoming
+        message = JSON.parse(line) as Incoming | null
       } catch (error) {
         return this.fail(String(error))
       }
+      if (typeof message?.kind !== 'string') return this.fail('the message has no kind')
       this.traffic?.record('received', message.kind, line.length + 1)
       this.onMessage(message)
     }
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -12,6 +12,7 @@
 import type { NumberedCall } from './WorkerCallCodec.js'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
+import { runLogged } from './runLogged.js'
 
 /** Time for which the result of a call to a worker waits for others, so that the decider receives fewer messages. */
 const RESULT_BATCH_MS = 3
@@ -90,7 +91,7 @@
   }) {
     this.lastMessageAt = options.clock.now()
     this.results = new Batch({ clock: options.clock, delay: RESULT_BATCH_MS, flush: results => { if (!this.hasEnded) link.send({ kind: 'executed', results }) } })
-    link.onMessage = message => { this.handleMessage(message) }
+    link.onMessage = message => { runLogged(() => { this.handleMessage(message) }, options.log, 'message of the decider') }
     link.onClose = () => { this.end('closed') }
   }
 
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -12,6 +12,8 @@
 import type { WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
 import type { Link } from './Link.js'
+import { runLogged } from './runLogged.js'
+import { findJobProblem } from './submissionRow.js'
 import { WorkerCallEncoder } from './WorkerCallCodec.js'
 import type { NumberedCall } from './WorkerCallCodec.js'
 
@@ -115,7 +117,7 @@
     }
     this.followers.set(node, follower)
     this.updateExecutors()
-    link.onMessage = message => { this.handleMessage(follower, message) }
+    link.onMessage = message => { runLogged(() => { this.handleMessage(follower, message) }, log, 'message of a follower') }
     link.onClose = reason => { this.remove(follower, reason) }
     link.send({ kind: 'welcome', term: fence })
     log.write(CELL_EVENTS.followerGained, { follower: node })
@@ -213,7 +215,7 @@
         follower.storeFailing = message.storeFailing ?? 0
         if (message.term > fence) callbacks.onNewerTerm()
         return
-      case 'job': return callbacks.onJob(message.job)
+      case 'job': return this.handleJob(follower, message.job)
       case 'cancel': return callbacks.onCancel(message.id)
       case 'ask': return detach(this.answerFollower(follower, message), this.options.log, 'query of a follower')
       case 'record': return detach(this.writeForFollower(follower, message), this.options.log, 'record for a follower')
@@ -225,6 +227,13 @@
     }
   }
 
+  private handleJob (follower: FollowerState, job: Job): void {
+    const { log, callbacks } = this.options
+    const problem = findJobProblem(job)
+    if (problem === undefined) callbacks.onJob(job)
+    else log.write(CELL_EVENTS.badMessage, { from: follower.node, problem })
+  }
+
   private async answerFollower (follower: FollowerState, { call, question }: Extract<FollowerMessage, { kind: 'ask' }>): Promise<void> {
     follower.link.send({ kind: 'answer', call, answer: await this.options.callbacks.answer(question) })
   }
