The limit of tasks per worker counts only what is placed

What callers saw: a gang with a limit of tasks per worker starts late.

Cause: a slot counts the tasks that the round places on it, without saying of which step. An attempt to place a gang on the workers with tickets that failed left its counts behind, and so did other steps. The gang's schedule then took these workers for full: it asked for no ticket until those it had expired, and never while steps with tasks on its workers were placed in each round.

Fix: the count belongs to its step, and a failed attempt takes it back.

Before the fix: not ok - asks for the others although only one task may run on a worker: 'The value 0 is not greater than 0, but it was expected to be.' not ok - asks for the others although another step has placed tasks on its workers in the same round: 'The value [4, 0] is not equal to [4, 1] ...'

--- a/packages/cell/src/runtime/CapacitySnapshot.ts
+++ b/packages/cell/src/runtime/CapacitySnapshot.ts
@@ -25,8 +25,8 @@
 /** Free capacity of a worker during one round of planning. */
 export class Slot {
   free: Size
-  /** Number of tasks of the current step that this round places on the worker. */
-  placedTasks = 0
+  /** Number of tasks of a step that this round places on the worker. */
+  placed?: { step: StepState, tasks: number }
   hold?: SlotHold
   private forecast: Release[] | undefined
 
@@ -134,7 +134,8 @@
   if (perWorker === undefined || fitting === 0) return fitting
   let present = 0
   for (const task of slot.worker.tasks.values()) if (task.step === step) present++
-  return Math.max(0, Math.min(fitting, perWorker - present - slot.placedTasks))
+  if (slot.placed?.step === step) present += slot.placed.tasks
+  return Math.max(0, Math.min(fitting, perWorker - present))
 }
 
 /**
--- a/packages/cell/src/runtime/placeTasks.ts
+++ b/packages/cell/src/runtime/placeTasks.ts
@@ -46,7 +46,6 @@
  * @returns the placements, whose capacity is reserved in the slots
  */
 export function placeTasks (waiting: Task[], slots: Slot[], step: StepState, start: { now: number, priority: number }): Placement[] {
-  for (const slot of slots) slot.placedTasks = 0
   const ordered = orderSlots(slots, step)
   const chosen: Array<{ task: Task, slot: Slot }> = []
   for (const task of waiting) {
@@ -56,11 +55,14 @@
       continue
     }
     reserveCapacity(slot, step.definition)
-    slot.placedTasks++
+    slot.placed = { step, tasks: slot.placed?.step === step ? slot.placed.tasks + 1 : 1 }
     chosen.push({ task, slot })
   }
   if (step.definition.gang && chosen.length < waiting.length) {
-    for (const { slot } of chosen) reserveCapacity(slot, step.definition, -1)
+    for (const { slot } of chosen) {
+      reserveCapacity(slot, step.definition, -1)
+      slot.placed = undefined
+    }
     return []
   }
   return chosen.map(({ task, slot }) => ({ task, worker: slot.worker, ticket: step.tickets.get(slot.worker.report.id)?.text }))
--- a/packages/cell/test/runtime/gangs.test.ts
+++ b/packages/cell/test/runtime/gangs.test.ts
@@ -6,7 +6,7 @@
 import { planRound } from '../../src/runtime/planRound.js'
 import type { RoundPlan } from '../../src/runtime/planRound.js'
 import { rankSteps } from '../../src/runtime/rankSteps.js'
-import type { Route } from '../../src/index.js'
+import type { Route, Step } from '../../src/index.js'
 import { GANGS_ON_LARGE_WORKERS, GANGS_ON_NINE_NODES } from '../bench/loads.js'
 import { simulateLoad } from '../bench/simulateLoad.js'
 import { stepOf } from '../support/CellRig.js'
@@ -27,7 +27,7 @@
   private holds: Map<StepState, GangHold> | undefined
   private jobs = 0
 
-  constructor (workers: number) {
+  constructor (workers: number, private readonly allowedShare = 1) {
     for (let index = 0; index < workers; index++) {
       this.registry.ensureWorker({ id: `w${index}`, service: 's', address: '', dataCentre: 'd', state: 'ready', capacity: { cpu: 4000, memory: 1000, accelerators: 0 }, labels: [], born: 1 })
     }
@@ -38,10 +38,10 @@
   }
 
   /** Adds a job of one step of tasks with one core each, unless `cpu` says otherwise. */
-  add (route: string, { count = 1, cpu = 1000, estimate = 2000, now = 0 }: { count?: number, cpu?: number, estimate?: number, now?: number } = {}): StepState {
+  add (route: string, { count = 1, cpu = 1000, estimate = 2000, now = 0, ...rest }: Partial<Pick<Step, 'count' | 'estimate' | 'lasting' | 'perWorker'>> & { cpu?: number, now?: number } = {}): StepState {
     const id = (this.jobs++).toString(16).padStart(16, '0')
     const gang = route === 'gang' || route === 'free'
-    const job = this.registry.addJob({ id, route, spec: '', steps: [stepOf({ count, gang, estimate, size: { cpu, memory: 1, accelerators: 0 } })], acceptedAt: 0 }, { now, age: 0, wall: 0 })
+    const job = this.registry.addJob({ id, route, spec: '', steps: [stepOf({ count, gang, estimate, size: { cpu, memory: 1, accelerators: 0 }, ...rest })], acceptedAt: 0 }, { now, age: 0, wall: 0 })
     return job.occurrences[0]!.steps[0]!
   }
 
@@ -64,7 +64,7 @@
 
   plan (now: number): RoundPlan {
     const workers = [...this.registry.workers.values()]
-    const plan = planRound(rankSteps(this.registry.readySteps, { routeOf: name => ROUTES[name], now }), { workersOf: () => workers, now, adviceRound: this.scheduler.startRound(['a', 'b', 'c', 'd'], now), allowedShare: () => 1, holds: this.holds })
+    const plan = planRound(rankSteps(this.registry.readySteps, { routeOf: name => ROUTES[name], now }), { workersOf: () => workers, now, adviceRound: this.scheduler.startRound(['a', 'b', 'c', 'd'], now), allowedShare: () => this.allowedShare, holds: this.holds })
     this.holds = plan.holds
     return plan
   }
@@ -140,6 +140,27 @@
   })
 })
 
+// Guards against a gang with a limit of tasks per worker that doesn't ask for its last ticket, because an attempt to place it on those with tickets
+// counts as placed tasks.
+describe('a gang with tickets for some of its workers', () => {
+  test('asks for the others although only one task may run on a worker', () => {
+    const rig = new PlanningRig(6)
+    const gang = rig.add('gang', { count: 4, perWorker: 1 })
+    allow(gang, 6)
+    for (const id of ['w0', 'w1', 'w2']) gang.tickets.set(id, { text: 't', validUntil: 1500, born: 1 })
+    expect(rig.plan(0).adviceRequests.length).toBeGreaterThan(0)
+  })
+
+  test('asks for the others although another step has placed tasks on its workers in the same round', () => {
+    const rig = new PlanningRig(4)
+    const gang = rig.add('gang', { count: 4, perWorker: 1 })
+    allow(gang, 4)
+    rig.add('urgent', { count: 4, perWorker: 1 })
+    const plan = rig.plan(0)
+    expect([plan.placements.length, plan.adviceRequests.length]).toEqual([4, 1])
+  })
+})
+
 describe('the widest gang of a full cell', () => {
   test('starts although tasks of lesser urgency arrive without end', () => {
     const rig = new PlanningRig(4)
