A gang whose allowed workers are in use for long is asked about others while nodes are idle

Cause: a gang asks about further workers if those known to be allowed, were they empty, hold it less than twice, or if it expects to fit at once on the others. Neither holds if the allowed workers run tasks that have no end, or that end late, while the free workers about which the service wasn't asked are few, or few of them are expected to be allowed. Nothing then changes until those tasks end.

Fix: while most nodes are idle, a gang that would wait for longer than it runs, or for ever, counts only what is free now on its allowed workers. A worker is asked about once, so the number of such calls is bounded.

Before the fix, for tasks without end and for three of four needed workers free: not ok - is asked about others if the tasks on them have no end: 'The value [] is not equal to ["w10", "w11", "w8", "w9"] ...' not ok - is asked about others if too few are free for a long time: 'The value [] is not equal to ["w10", "w11", "w8", "w9"] ...'

--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -121,7 +121,7 @@
   const isLate = schedule === undefined || schedule.startAt > ticketsAt + START_TOLERANCE_MS
   if (hasTickets && !isLate) return
   const scheduled = schedule !== undefined && !hasTickets && schedule.startAt <= ticketsAt ? [...schedule.shares.map(({ slot }) => slot), ...selectSpares(gang, now)] : []
-  const named = [...scheduled, ...selectUnknown(gang, { isLate, allowedShare: allowedShare(route.name), start: { now, priority: route.priority } })]
+  const named = [...scheduled, ...selectUnknown(gang, { isLate, isCheap: adviceRound.isMostlyIdle, allowedShare: allowedShare(route.name), start: { now, priority: route.priority } })]
   if (named.length === 0 && isLate) reviewRejections(rankedStep.step, { now, isUrgent: schedule === undefined, adviceRound })
   if (named.length > 0) plan.adviceRequests.push(...planAdviceCalls(rankedStep, terms, maxNamed => named.slice(0, maxNamed), adviceRound))
 }
@@ -136,16 +136,18 @@
 
 /**
  * Selects workers for which the advice service's decision is not known: if the gang could start on them sooner than on the allowed ones, or if
- * too few are allowed.
+ * too few are allowed. While most nodes are idle, a gang that would otherwise wait longer than it runs asks even if it is unlikely that enough of
+ * them are allowed.
  */
-function selectUnknown ({ rankedStep: { step }, eligible, allowed }: GangState, { isLate, allowedShare, start }: { isLate: boolean, allowedShare: number, start: { now: number, priority: number } }): Slot[] {
+function selectUnknown ({ rankedStep: { step }, eligible, allowed, schedule }: GangState, { isLate, isCheap, allowedShare, start }: { isLate: boolean, isCheap: boolean, allowedShare: number, start: { now: number, priority: number } }): Slot[] {
   const count = step.tasks.length
   const unknown = eligible.filter(slot => isEligible(slot, step) && !isAllowed(slot, step) && emptyTaskCapacity(slot, step) > 0)
   const sum = (slots: Slot[], capacityOf: (slot: Slot) => number): number => slots.reduce((total, slot) => total + capacityOf(slot), 0)
   const capacityNow = (slot: Slot): number => taskCapacity(slot, step, start)
+  const waitsLong = isCheap && (schedule === undefined || schedule.startAt > start.now + step.definition.estimate)
   const fitsNow = step.allowedWorkers.size + step.rejectedWorkers.size === 0 || (isLate && sum(unknown, capacityNow) * allowedShare >= count)
   const capacityOf = fitsNow ? capacityNow : (slot: Slot): number => emptyTaskCapacity(slot, step)
-  let missing = MIN_ALLOWED_RATIO * count - (fitsNow ? 0 : sum(allowed, capacityOf))
+  let missing = MIN_ALLOWED_RATIO * count - (fitsNow ? 0 : sum(allowed, waitsLong ? capacityNow : capacityOf))
   if (missing <= 0) return []
   const selected: Slot[] = []
   let noneAllowedRisk = 1
--- a/packages/cell/test/runtime/gangs.test.ts
+++ b/packages/cell/test/runtime/gangs.test.ts
@@ -140,6 +140,31 @@
   })
 })
 
+// Guards against gangs that wait for workers in use although others are free, about which the advice service is never asked.
+describe('a gang whose allowed workers are in use', () => {
+  function createRig (blocker: { lasting?: boolean, estimate: number }, freeAllowed: number): { rig: PlanningRig, gang: StepState } {
+    const rig = new PlanningRig(12, 0.25)
+    for (let index = freeAllowed; index < 8; index++) rig.run(rig.add('batch', { cpu: 4000, ...blocker }), rig.worker(index), 1)
+    const gang = rig.add('gang', { count: 4, cpu: 4000 })
+    allow(gang, 8)
+    return { rig, gang }
+  }
+
+  function namedUnknown (plan: RoundPlan, gang: StepState): string[] {
+    return plan.adviceRequests.flatMap(({ workers }) => workers.map(({ report }) => report.id)).filter(id => !gang.allowedWorkers.has(id)).sort()
+  }
+
+  test('is asked about others if the tasks on them have no end', () => {
+    const { rig, gang } = createRig({ lasting: true, estimate: 2000 }, 0)
+    expect(namedUnknown(rig.plan(10), gang)).toEqual(['w10', 'w11', 'w8', 'w9'])
+  })
+
+  test('is asked about others if too few are free for a long time', () => {
+    const { rig, gang } = createRig({ estimate: 60_000 }, 3)
+    expect(namedUnknown(rig.plan(10), gang)).toEqual(['w10', 'w11', 'w8', 'w9'])
+  })
+})
+
 // Guards against a gang with a limit of tasks per worker that doesn't ask for its last ticket, because an attempt to place it on those with tickets
 // counts as placed tasks.
 describe('a gang with tickets for some of its workers', () => {
