A waiting gang is planned again at least twice a second

What callers saw: a late gang of a very long declared duration doesn't start for minutes after its workers have become free.

Cause: a gang that holds no workers is planned again after a hundredth of its declared duration, and one that waits for an answer after a twentieth, both without a limit. With a duration of an hour that is 36 s and three minutes.

Fix: both intervals are at most 500 ms, which is more than a hundredth of the durations for which they were introduced (up to 50 s).

Before the fix: not ok - starts soon after its workers are free: 'The value [] is not equal to [{ 16 entries }, { 16 entries }] ...'

--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -22,6 +22,8 @@
 const REPLAN_RATIO = 0.05
 /** Interval at which a gang that holds no workers is planned again, as a share of its duration: many such gangs wait in a full cell. */
 const UNHELD_REPLAN_RATIO = 0.01
+/** Maximum interval at which a waiting gang is planned again: durations of hours are declared too. */
+const MAX_REPLAN_INTERVAL_MS = 500
 /** Ratio of the tasks that fit on the allowed workers, were they empty, to the tasks of the gang below which more workers are named. */
 const MIN_ALLOWED_RATIO = 2
 /** Share of a gang's tasks for which workers beyond the held ones are named, because some of these will be late. */
@@ -59,7 +61,7 @@
   if (step.nextPlanAt > now && (!holdsOrAsks || step.plannedReleases === releases)) return
   step.plannedReleases = releases
   // While it waits for an answer, a gang can only be placed or held elsewhere after runs on its workers have ended.
-  step.nextPlanAt = step.askedWorkers.size === 0 ? now : now + REPLAN_RATIO * step.definition.estimate
+  step.nextPlanAt = step.askedWorkers.size === 0 ? now : now + Math.min(REPLAN_RATIO * step.definition.estimate, MAX_REPLAN_INTERVAL_MS)
   const placements = placeTasks(step.tasks, route.advice === undefined ? allowed : allowed.filter(slot => hasTicket(step, slot, now)), step, start)
   if (placements.length > 0) {
     releaseHold(step, capacity.slots)
@@ -69,7 +71,7 @@
   }
   const gang = scheduleWithTickets(rankedStep, allowed, context)
   updateHold(gang, context)
-  if (!plan.holds.has(step)) step.nextPlanAt = Math.max(step.nextPlanAt, now + UNHELD_REPLAN_RATIO * step.definition.estimate)
+  if (!plan.holds.has(step)) step.nextPlanAt = Math.max(step.nextPlanAt, now + Math.min(UNHELD_REPLAN_RATIO * step.definition.estimate, MAX_REPLAN_INTERVAL_MS))
   if (route.advice !== undefined && step.askedWorkers.size === 0 && step.nextAdviceAt <= now) askForTickets(gang, route.advice, context)
 }
 
--- a/packages/cell/test/runtime/gangs.test.ts
+++ b/packages/cell/test/runtime/gangs.test.ts
@@ -186,6 +186,19 @@
   })
 })
 
+// Guards against a gang that is not looked at for minutes after its workers have become free, because its declared duration is hours.
+describe('a gang of a very long duration', () => {
+  test('starts soon after its workers are free', () => {
+    const rig = new PlanningRig(2)
+    const blocker = rig.add('batch', { cpu: 4000 })
+    rig.run(blocker, rig.worker(0), 1)
+    const gang = rig.add('free', { count: 2, cpu: 4000, estimate: 3_600_000, now: -100_000_000 })
+    expect(rig.plan(100).placements).toEqual([])
+    rig.end(blocker)
+    expect(rig.plan(1100).placements.map(({ task }) => task.step)).toEqual([gang, gang])
+  })
+})
+
 describe('the widest gang of a full cell', () => {
   test('starts although tasks of lesser urgency arrive without end', () => {
     const rig = new PlanningRig(4)
