--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -23,8 +23,11 @@
 const REPLAN_RATIO = 0.05
 /** Interval at which a gang that holds no workers is planned again, as a share of its duration: many such gangs wait in a full cell. */
 const UNHELD_REPLAN_RATIO = 0.01
-/** Maximum interval at which a gang is planned again, whatever its duration. The platform allows a wait of 3 s, of which a call for advice takes one. */
-const MAX_REPLAN_INTERVAL_MS = 1000
+/**
+ * Maximum interval at which a waiting gang is planned again, whatever its duration: durations of hours are declared too. The platform allows a wait of
+ * 3 s, of which a call for advice takes one.
+ */
+const MAX_REPLAN_INTERVAL_MS = 500
 /** Ratio of the tasks that fit on the allowed workers, were they empty, to the tasks of the gang below which more workers are named. */
 const MIN_ALLOWED_RATIO = 2
 /** Share of a gang's tasks for which workers beyond the held ones are named, because some of these will be late. */
@@ -128,7 +131,7 @@
   const isLate = schedule === undefined || schedule.startAt > ticketsAt + START_TOLERANCE_MS
   if (hasTickets && !isLate) return
   const scheduled = schedule !== undefined && !hasTickets && schedule.startAt <= ticketsAt ? [...schedule.shares.map(({ slot }) => slot), ...selectSpares(gang, now)] : []
-  const named = [...scheduled, ...selectUnknown(gang, { isLate, allowedShare: allowedShare(route.name), start: { now, priority: route.priority } })]
+  const named = [...scheduled, ...selectUnknown(gang, { isLate, isCheap: adviceRound.isMostlyIdle, allowedShare: allowedShare(route.name), start: { now, priority: route.priority } })]
   if (named.length === 0 && isLate) reviewRejections(rankedStep.step, { now, isUrgent: schedule === undefined, adviceRound })
   if (named.length > 0) plan.adviceRequests.push(...planAdviceCalls(rankedStep, terms, maxNamed => named.slice(0, maxNamed), adviceRound))
 }
@@ -144,9 +147,10 @@
 /**
  * Selects workers for which the advice service's decision is not known: if the gang could start on them sooner than on the allowed ones, or if
  * too few are allowed. The platform expects a gang that fits twice over to start, so it may then be worth a call even if the usual share of allowed
- * workers wouldn't do.
+ * workers wouldn't do. While most nodes are idle, a gang that would otherwise wait longer than it runs asks even if it is unlikely that enough of
+ * them are allowed.
  */
-function selectUnknown ({ rankedStep: { step }, eligible, allowed }: GangState, { isLate, allowedShare, start }: { isLate: boolean, allowedShare: number, start: { now: number, priority: number } }): Slot[] {
+function selectUnknown ({ rankedStep: { step }, eligible, allowed, schedule }: GangState, { isLate, isCheap, allowedShare, start }: { isLate: boolean, isCheap: boolean, allowedShare: number, start: { now: number, priority: number } }): Slot[] {
   const count = step.tasks.length
   const unknown = eligible.filter(slot => isEligible(slot, step) && !isAllowed(slot, step) && emptyTaskCapacity(slot, step) > 0)
   const sum = (slots: Slot[], capacityOf: (slot: Slot) => number): number => slots.reduce((total, slot) => total + capacityOf(slot), 0)
@@ -154,9 +158,10 @@
   const isFirst = step.allowedWorkers.size + step.rejectedWorkers.size === 0
   const unknownNow = sum(unknown, capacityNow)
   const mayFitTwice = unknownNow > 0 && unknownNow + sum(allowed, capacityNow) >= 2 * count
+  const waitsLong = isCheap && (schedule === undefined || schedule.startAt > start.now + step.definition.estimate)
   const fitsNow = isFirst || (isLate && (unknownNow * allowedShare >= count || mayFitTwice))
   const capacityOf = fitsNow ? capacityNow : (slot: Slot): number => emptyTaskCapacity(slot, step)
-  let missing = MIN_ALLOWED_RATIO * count - (fitsNow ? 0 : sum(allowed, capacityOf))
+  let missing = MIN_ALLOWED_RATIO * count - (fitsNow ? 0 : sum(allowed, waitsLong ? capacityNow : capacityOf))
   if (missing <= 0) return []
   const selected: Slot[] = []
   let noneAllowedRisk = 1
--- a/packages/cell/test/runtime/gangs.test.ts
+++ b/packages/cell/test/runtime/gangs.test.ts
@@ -6,7 +6,7 @@
 import { planRound } from '../../src/runtime/planRound.js'
 import type { RoundPlan } from '../../src/runtime/planRound.js'
 import { rankSteps } from '../../src/runtime/rankSteps.js'
-import type { Route } from '../../src/index.js'
+import type { Route, Step } from '../../src/index.js'
 import { GANGS_ON_LARGE_WORKERS, GANGS_ON_NINE_NODES } from '../bench/loads.js'
 import { simulateLoad } from '../bench/simulateLoad.js'
 import { stepOf } from '../support/CellRig.js'
@@ -28,7 +28,7 @@
   private holds: Map<StepState, GangHold> | undefined
   private jobs = 0
 
-  constructor (workers: number) {
+  constructor (workers: number, private readonly allowedShare = 1) {
     for (let index = 0; index < workers; index++) this.addWorker(index)
   }
 
@@ -41,10 +41,10 @@
   }
 
   /** Adds a job of one step of tasks with one core each, unless `cpu` says otherwise. */
-  add (route: string, { count = 1, cpu = 1000, estimate = 2000, now = 0 }: { count?: number, cpu?: number, estimate?: number, now?: number } = {}): StepState {
+  add (route: string, { count = 1, cpu = 1000, estimate = 2000, now = 0, ...rest }: Partial<Pick<Step, 'count' | 'estimate' | 'lasting' | 'perWorker'>> & { cpu?: number, now?: number } = {}): StepState {
     const id = (this.jobs++).toString(16).padStart(16, '0')
     const gang = route === 'gang' || route === 'urgentGang' || route === 'free'
-    const job = this.registry.addJob({ id, route, spec: '', steps: [stepOf({ count, gang, estimate, size: { cpu, memory: 1, accelerators: 0 } })], acceptedAt: 0 }, { now, age: 0, wall: 0 })
+    const job = this.registry.addJob({ id, route, spec: '', steps: [stepOf({ count, gang, estimate, size: { cpu, memory: 1, accelerators: 0 }, ...rest })], acceptedAt: 0 }, { now, age: 0, wall: 0 })
     return job.occurrences[0]!.steps[0]!
   }
 
@@ -65,7 +65,7 @@
     }
   }
 
-  plan (now: number, { allowedShare = 1 } = {}): RoundPlan {
+  plan (now: number, { allowedShare = this.allowedShare } = {}): RoundPlan {
     const workers = [...this.registry.workers.values()]
     const plan = planRound(rankSteps(this.registry.readySteps, { routeOf: name => ROUTES[name], now }), { workersOf: () => workers, now, adviceRound: this.scheduler.startRound(['a', 'b', 'c', 'd'], now), allowedShare: () => allowedShare, holds: this.holds })
     this.holds = plan.holds
@@ -217,6 +217,65 @@
   })
 })
 
+// Guards against gangs that wait for workers in use although others are free, about which the advice service is never asked.
+describe('a gang whose allowed workers are in use', () => {
+  function createRig (blocker: { lasting?: boolean, estimate: number }, freeAllowed: number): { rig: PlanningRig, gang: StepState } {
+    const rig = new PlanningRig(12, 0.25)
+    for (let index = freeAllowed; index < 8; index++) rig.run(rig.add('batch', { cpu: 4000, ...blocker }), rig.worker(index), 1)
+    const gang = rig.add('gang', { count: 4, cpu: 4000 })
+    allow(gang, 8)
+    return { rig, gang }
+  }
+
+  function namedUnknown (plan: RoundPlan, gang: StepState): string[] {
+    return plan.adviceRequests.flatMap(({ workers }) => workers.map(({ report }) => report.id)).filter(id => !gang.allowedWorkers.has(id)).sort()
+  }
+
+  test('is asked about others if the tasks on them have no end', () => {
+    const { rig, gang } = createRig({ lasting: true, estimate: 2000 }, 0)
+    expect(namedUnknown(rig.plan(10), gang)).toEqual(['w10', 'w11', 'w8', 'w9'])
+  })
+
+  test('is asked about others if too few are free for a long time', () => {
+    const { rig, gang } = createRig({ estimate: 60_000 }, 3)
+    expect(namedUnknown(rig.plan(10), gang)).toEqual(['w10', 'w11', 'w8', 'w9'])
+  })
+})
+
+// Guards against a gang with a limit of tasks per worker that doesn't ask for its last ticket, because an attempt to place it on those with tickets
+// counts as placed tasks.
+describe('a gang with tickets for some of its workers', () => {
+  test('asks for the others although only one task may run on a worker', () => {
+    const rig = new PlanningRig(6)
+    const gang = rig.add('gang', { count: 4, perWorker: 1 })
+    allow(gang, 6)
+    for (const id of ['w0', 'w1', 'w2']) gang.tickets.set(id, { text: 't', validUntil: 1500, born: 1 })
+    expect(rig.plan(0).adviceRequests.length).toBeGreaterThan(0)
+  })
+
+  test('asks for the others although another step has placed tasks on its workers in the same round', () => {
+    const rig = new PlanningRig(4)
+    const gang = rig.add('gang', { count: 4, perWorker: 1 })
+    allow(gang, 4)
+    rig.add('urgent', { count: 4, perWorker: 1 })
+    const plan = rig.plan(0)
+    expect([plan.placements.length, plan.adviceRequests.length]).toEqual([4, 1])
+  })
+})
+
+// Guards against a gang that is not looked at for minutes after its workers have become free, because its declared duration is hours.
+describe('a gang of a very long duration', () => {
+  test('starts soon after its workers are free', () => {
+    const rig = new PlanningRig(2)
+    const blocker = rig.add('batch', { cpu: 4000 })
+    rig.run(blocker, rig.worker(0), 1)
+    const gang = rig.add('free', { count: 2, cpu: 4000, estimate: 3_600_000, now: -100_000_000 })
+    expect(rig.plan(100).placements).toEqual([])
+    rig.end(blocker)
+    expect(rig.plan(1100).placements.map(({ task }) => task.step)).toEqual([gang, gang])
+  })
+})
+
 describe('the widest gang of a full cell', () => {
   test('starts although tasks of lesser urgency arrive without end', () => {
     const rig = new PlanningRig(4)
