A task that crashes its workers is given up after two proven crashes, and its job fails

Cause: a run whose worker vanished only went back to waiting. Nothing counted such ends, and a record had no place for a count.

Change: a crash is attributed to the tasks whose runs may have been executing. It is confirmed by another incarnation under the same id, by a worker that answers in its place (421, so far taken for silence), or by the entry of another worker at its address. It is presumed when the leases ran out in silence and the entry is gone without an announced stop, and taken back when the same incarnation answers again. Lapsed leases of listed workers, announced stops and runs that were never ordered don't count. A task is given up after two confirmed crashes, or three in all, if only its job ran on one of these workers, and after four in any case. Why it works: a start follows the commit of its placement, which is the record that holds the crashes; a successor that finds a run on record compares incarnations. Ruled out as proof: refused connections, which a worker that is cut off shows too.

Suspects are not yet kept apart from other jobs.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -56,6 +56,7 @@
     metrics.gauge('store_silence_ms', () => Math.min(store.silentFor(), Number.MAX_SAFE_INTEGER))
     metrics.gauge('open_requests', () => this.callers.openRequests)
     metrics.gauge('processor_seconds', readProcessorSeconds)
+    metrics.gauge('tasks_given_up', () => this.cell.activeDecider?.tasksGivenUp ?? 0)
     metrics.gauge('commits', () => this.cell.activeDecider?.commits ?? 0)
   }
 
--- /dev/null
+++ b/packages/cell/src/runtime/CrashLedger.ts
@@ -0,0 +1,117 @@
+import type { Log } from '@rattanstep/telemetry'
+import { CELL_EVENTS } from '../types/events.js'
+import type { WorkerReport } from '../types/worker.js'
+import { countCrashes, incarnationTag } from './CrashBudget.js'
+import type { Crash, CrashCertainty, Task, WorkerState } from './model.js'
+
+/** Options and callbacks of a crash ledger. */
+export interface CrashLedgerOptions {
+  log: Log
+  /** Called after the crashes of a task have changed. */
+  onChange: (task: Task) => void
+}
+
+/** Attributes crashes of workers to the tasks that ran on them, and corrects the attribution when more becomes known about a worker. */
+export class CrashLedger {
+  /** Tasks with crashes that are not proven, by id of the worker. */
+  private readonly unproven = new Map<string, Set<Task>>()
+  /** Ids of these workers, by their last address. */
+  private readonly addresses = new Map<string, Set<string>>()
+
+  constructor (private readonly options: CrashLedgerOptions) {}
+
+  /**
+   * Attributes the crash of a worker to the tasks whose runs may have been executing.
+   *
+   * @param worker - the worker, with the runs of all its tasks
+   * @param tasks - tasks whose runs on the worker are lost
+   * @param certainty - how certain it is that the worker has crashed
+   */
+  charge (worker: WorkerState, tasks: Task[], certainty: CrashCertainty): void {
+    const present = [...worker.tasks.values()].filter(task => task.phase !== 'placed')
+    const isAlone = worker.unknownRuns === 0 && present.every(({ step }) => step.occurrence.job === present[0]!.step.occurrence.job)
+    for (const task of tasks) {
+      const { incarnation } = task
+      const isLeaving = worker.leavingIncarnation !== 0 && worker.leavingIncarnation === incarnation
+      if (isLeaving || !mayExecute(task) || hasCrash(task, worker.report.id, incarnation)) continue
+      const crash: Crash = { worker: worker.report.id, incarnation, run: task.run, certainty, isAlone }
+      task.crashes.push(crash)
+      task.avoidedWorkers.add(crash.worker)
+      if (certainty !== 'confirmed') this.remember(task, worker.report)
+      this.reportChange(task, crash, certainty)
+    }
+  }
+
+  /** Adds the unproven crashes of a task whose record was read. */
+  restore (task: Task): void {
+    for (const { worker, certainty } of task.crashes) if (certainty !== 'confirmed') this.remember(task, { id: worker, address: '' })
+  }
+
+  /** Handles an answer of a worker: the same incarnation has not crashed, another one proves that the former one has. */
+  noteIncarnation (id: string, born: number): void {
+    if (born === 0 || !this.unproven.has(id)) return
+    this.resolve(id, crash => crash.incarnation === 0 ? undefined : crash.incarnation === incarnationTag(born) ? 'disproved' : 'confirmed')
+  }
+
+  /** Handles the answer of another worker at a worker's address. */
+  noteReplaced (id: string): void {
+    this.resolve(id, () => 'confirmed')
+  }
+
+  /** Handles a new or changed entry of the instance list. */
+  noteListed ({ id, address }: Pick<WorkerReport, 'id' | 'address'>): void {
+    for (const former of this.addresses.get(address) ?? []) if (former !== id) this.noteReplaced(former)
+  }
+
+  /** Handles the end of a worker's entry in the instance list; `isLeaving`: whether the entry announced a planned stop. */
+  noteGone (id: string, isLeaving: boolean): void {
+    this.resolve(id, crash => isLeaving ? 'disproved' : crash.certainty === 'possible' ? 'presumed' : undefined)
+  }
+
+  private resolve (id: string, judge: (crash: Crash) => CrashCertainty | 'disproved' | undefined): void {
+    for (const task of [...this.unproven.get(id) ?? []]) {
+      for (const crash of [...task.crashes]) {
+        if (crash.worker !== id || crash.certainty === 'confirmed') continue
+        const outcome = judge(crash)
+        if (outcome === undefined) continue
+        if (outcome === 'disproved') task.crashes.splice(task.crashes.indexOf(crash), 1)
+        else crash.certainty = outcome
+        this.reportChange(task, crash, outcome)
+      }
+      if (!task.crashes.some(crash => crash.worker === id && crash.certainty !== 'confirmed')) this.forget(task, id)
+    }
+  }
+
+  private reportChange (task: Task, { worker, run, isAlone }: Crash, certainty: CrashCertainty | 'disproved'): void {
+    this.options.log.write(CELL_EVENTS.crashAttributed, { task: task.name, run, worker, certainty, alone: isAlone, crashes: countCrashes(task) })
+    this.options.onChange(task)
+  }
+
+  private remember (task: Task, { id, address }: Pick<WorkerReport, 'id' | 'address'>): void {
+    addTo(this.unproven, id, task)
+    if (address !== '') addTo(this.addresses, address, id)
+  }
+
+  private forget (task: Task, id: string): void {
+    const tasks = this.unproven.get(id)
+    tasks?.delete(task)
+    if (tasks?.size !== 0) return
+    this.unproven.delete(id)
+    for (const [address, ids] of this.addresses) if (ids.delete(id) && ids.size === 0) this.addresses.delete(address)
+  }
+}
+
+/** @returns whether the worker may be executing the task's run: an order may have been sent, and no end is known */
+function mayExecute ({ phase }: Task): boolean {
+  return phase === 'ordered' || phase === 'running' || phase === 'stopping' || phase === 'assumed'
+}
+
+function hasCrash ({ crashes, run }: Task, worker: string, incarnation: number): boolean {
+  return crashes.some(crash => crash.run === run && crash.worker === worker && crash.incarnation === incarnation)
+}
+
+function addTo<Key, Value> (map: Map<Key, Set<Value>>, key: Key, value: Value): void {
+  const values = map.get(key)
+  if (values === undefined) map.set(key, new Set([value]))
+  else values.add(value)
+}
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -13,6 +13,8 @@
 import { Registry } from './Registry.js'
 import { SubmissionFeed } from './SubmissionFeed.js'
 import { InstanceFeed } from './InstanceFeed.js'
+import { CrashLedger } from './CrashLedger.js'
+import { incarnationTag } from './CrashBudget.js'
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { planRound } from './planRound.js'
@@ -69,6 +71,7 @@
   private readonly recorder: Recorder
   private readonly poller: WorkerPoller
   private readonly lifecycle: TaskLifecycle
+  private readonly crashes: CrashLedger
   private readonly adviceScheduler = new AdviceScheduler()
   private readonly phaseWaiters: PhaseWaiters
   private readonly advisor: StepAdvisor
@@ -106,8 +109,9 @@
     this.recorder = new Recorder({
       store, clock, log, term, version: options.termRowVersion, encode: key => this.encode(key), callbacks: { onRecorded: keys => { this.handleRecorded(keys) }, onTermLost: ({ term: next }) => { this.loseTerm(next?.node) } }
     })
+    this.crashes = new CrashLedger({ log, onChange: task => { this.lifecycle.handleCrashes(task) } })
     this.poller = new WorkerPoller({
-      registry: this.registry, workers, clock, log, fence: term.fence, lease: options.lease, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
+      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, lease: options.lease, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
     })
     this.lifecycle = new TaskLifecycle({
       registry: this.registry,
@@ -153,7 +157,9 @@
     for (const job of recovered.jobs) {
       const state = this.addJob(job, 'record')
       const record = recovered.records.get(job.id)
-      if (record !== undefined && state !== undefined) assumed += this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
+      if (record === undefined || state === undefined) continue
+      assumed += this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
+      this.restoreCrashes(state)
     }
     for (const id of recovered.cancelled) this.cancel(id)
     this.submissionFeed.start(recovered.version, () => this.isStopped)
@@ -192,6 +198,11 @@
     return this.recorder.confirmedAt
   }
 
+  /** @returns number of tasks given up in this term because they crash their workers */
+  get tasksGivenUp (): number {
+    return this.lifecycle.tasksGivenUp
+  }
+
   /** @returns number of transactions committed in this term */
   get commits (): number {
     return this.recorder.commits
@@ -324,22 +335,26 @@
     return worker
   }
 
+  private restoreCrashes ({ occurrences }: JobState): void {
+    for (const { steps } of occurrences) for (const { tasks } of steps) for (const task of tasks) this.crashes.restore(task)
+  }
+
   private handleListed (report: WorkerReport): void {
-    const existing = this.registry.workers.get(report.id)
-    if (existing === undefined) {
-      const worker = this.registry.ensureWorker(report)
-      if (this.isReady) this.poller.startPolling(worker)
-      this.requestRound()
-      return
-    }
+    this.crashes.noteListed(report)
+    const isNew = !this.registry.workers.has(report.id)
+    const worker = this.registry.ensureWorker(report)
+    const { born } = worker.report
+    if (report.state === 'draining') worker.leavingIncarnation = incarnationTag(report.born === 0 ? born : report.born)
     // The next poll updates the incarnation and handles the runs of the former one.
-    existing.report = { ...report, born: existing.report.born }
-    existing.isListed = true
+    worker.report = { ...report, born }
+    worker.isListed = true
+    if (isNew && this.isReady) this.poller.startPolling(worker)
     this.requestRound()
   }
 
   private handleGone (id: string): void {
     const worker = this.registry.workers.get(id)
+    this.crashes.noteGone(id, worker !== undefined && worker.report.state === 'draining')
     if (worker === undefined) return
     worker.isListed = false
     worker.report = { ...worker.report, state: 'draining' }
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -96,6 +96,8 @@
       isListed: true,
       hasAnswered: false,
       isReachable: false,
+      isReplaced: false,
+      leavingIncarnation: 0,
       clock: { value: 0, at: 0 },
       leasesExpireAt: 0,
       unrecordedEnds: new Set(),
@@ -155,7 +157,7 @@
   }
   for (let number = 0; number < definition.count; number++) {
     step.tasks.push({
-      name: taskName(id, occurrence.index, index, number), step, index: number, phase: 'waiting', run: 0, failures: 0, checkpoint: '', confirmedAt: 0, stopConfirmedAt: 0, projectedEndAt: 0, notBefore: 0, avoidedWorkers: new Set()
+      name: taskName(id, occurrence.index, index, number), step, index: number, phase: 'waiting', run: 0, incarnation: 0, failures: 0, crashes: [], checkpoint: '', confirmedAt: 0, stopConfirmedAt: 0, projectedEndAt: 0, notBefore: 0, avoidedWorkers: new Set()
     })
   }
   return step
--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -2,8 +2,9 @@
 import type { Log } from '@rattanstep/telemetry'
 import type { ListedEnd, OrderOutcome } from '../types/worker.js'
 import { CELL_EVENTS } from '../types/events.js'
+import { countCrashes, incarnationTag, judgeCrashes } from './CrashBudget.js'
 import type { Registry } from './Registry.js'
-import type { JobState, Task, JobOccurrence, WorkerState } from './model.js'
+import type { Crash, JobState, Task, JobOccurrence, WorkerState } from './model.js'
 import type { Placement } from './planRound.js'
 
 /** Delay before a task whose start was refused is placed again. */
@@ -14,6 +15,8 @@
 const MAX_CONSECUTIVE_FAILURES = 3
 /** Time for which no tasks are placed on a worker after consecutive failures. */
 const FAILING_SUSPENSION_MS = 3000
+/** Time for which a task under which a second worker seems to have crashed waits for proof; crashed workers are back one second after their leases expire. */
+const PROOF_PATIENCE_MS = 2000
 
 /** Options and callbacks of a task lifecycle. */
 export interface TaskLifecycleOptions {
@@ -34,6 +37,9 @@
 
 /** Transitions of tasks, from their placement to the end of their job. */
 export class TaskLifecycle {
+  /** Number of tasks that were given up because they crash their workers. */
+  tasksGivenUp = 0
+
   constructor (private readonly options: TaskLifecycleOptions) {}
 
   /** Reserves the resources for placed tasks, and starts their runs once the placements are on record. */
@@ -52,6 +58,7 @@
     task.confirmedAt = 0
     task.stopConfirmedAt = 0
     task.projectedEndAt = 0
+    task.incarnation = incarnationTag(worker.report.born)
     if (task.step.definition.gang) task.checkpoint = newestCheckpoint(task.step.tasks)
     registry.assign(task, worker)
     registry.updateReadySteps(task.step.occurrence)
@@ -62,6 +69,7 @@
     record(job, () => {
       if (task.phase !== 'placed' || task.run !== run) return
       task.phase = 'ordered'
+      task.incarnation = incarnationTag(worker.report.born)
       // Any node can read the placement now, so that the job must not be shown as queued any more.
       if (job.visiblePhase === 'queued') job.visiblePhase = 'running'
       sendStart(task, ticket)
@@ -76,6 +84,7 @@
       if (task.phase !== 'ordered') return
       task.phase = 'running'
       task.confirmedAt = clock.now()
+      task.incarnation = incarnationTag(worker.report.born)
       registry.markStarted(task.step.occurrence.job)
       return
     }
@@ -112,6 +121,23 @@
     this.resetToWaiting(task)
   }
 
+  /** Handles a change of a task's crashes: gives up a task that crashes its workers. */
+  handleCrashes (task: Task): void {
+    const { job } = task.step.occurrence
+    if (job.phase !== 'open') return
+    this.options.record(job)
+    if (judgeCrashes(task.crashes) !== 'exhausted') return this.awaitProof(task)
+    this.tasksGivenUp++
+    this.options.log.write(CELL_EVENTS.taskGivenUp, { job: job.job.id, task: task.name, crashes: task.crashes.map(describeCrash).join('; ') })
+    this.endJob(job, 'failed')
+  }
+
+  /** Delays the next start of a task whose last allowed crash is not proven, since the worker may come back meanwhile and show what happened. */
+  private awaitProof (task: Task): void {
+    if (countCrashes(task) < 2 || task.crashes.at(-1)?.certainty !== 'presumed') return
+    task.notBefore = Math.max(task.notBefore, this.options.clock.now() + PROOF_PATIENCE_MS)
+  }
+
   /** Ends a job and stops its runs. */
   endJob (job: JobState, phase: 'failed' | 'cancelled'): void {
     if (job.phase !== 'open') return
@@ -142,6 +168,7 @@
   private completeTask (task: Task, worker: WorkerState): void {
     worker.consecutiveFailures = 0
     const { step } = task
+    task.crashes = []
     if (step.definition.lasting) return this.resetToWaiting(task)
     const members = step.definition.gang ? step.tasks : [task]
     for (const member of members) {
@@ -225,6 +252,10 @@
   return tasks.reduce((newest, task) => task.checkpoint > newest ? task.checkpoint : newest, '')
 }
 
+function describeCrash ({ run, worker, certainty, isAlone }: Crash): string {
+  return `run ${run} on ${worker} (${certainty}, ${isAlone ? 'alone' : 'with other jobs'})`
+}
+
 function describeOutcome (outcome: OrderOutcome): string {
   return 'reason' in outcome ? `${outcome.kind}: ${outcome.reason}` : outcome.kind
 }
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -1,9 +1,11 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { ListedRun, WorkerList } from '../types/worker.js'
-import type { WorkerClient } from '../types/ports.js'
+import type { PollFault, WorkerClient } from '../types/ports.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { MIN_CLOCK_RATE, LEASE_MARGIN_MS } from '../types/limits.js'
+import { incarnationTag } from './CrashBudget.js'
+import type { CrashLedger } from './CrashLedger.js'
 import type { Registry } from './Registry.js'
 import type { Task, WorkerState } from './model.js'
 import { ProgressMonitor } from './ProgressMonitor.js'
@@ -32,6 +34,7 @@
   clock: Clock
   log: Log
   fence: number
+  crashes: CrashLedger
   /** Duration of a lease in ms. */
   lease: number
   /** Returns whether leases may be renewed: the term was confirmed recently, or no other node can have claimed it. */
@@ -133,7 +136,7 @@
     if (this.isStopped) return 0
     if (answer.isErr()) {
       if (answer.error.code === 'superseded') this.options.onNewerTerm()
-      this.handlePollFailure(worker, answer.error.reason)
+      this.handlePollFailure(worker, answer.error)
       return UNREACHABLE_POLL_INTERVAL_MS
     }
     this.handleList(worker, answer.value, sentAt)
@@ -154,30 +157,38 @@
     this.wakeCallbacks.delete(worker)
   }
 
-  private handlePollFailure (worker: WorkerState, reason: string): void {
+  private handlePollFailure (worker: WorkerState, { code, reason }: PollFault): void {
     const { clock, log, onChange } = this.options
     const now = clock.now()
     if (worker.isReachable || !worker.hasAnswered) {
       if (worker.isReachable) log.write(CELL_EVENTS.workerUnreachable, { worker: worker.report.id, reason, tasks: worker.tasks.size, leaseLeft: Math.round(worker.leasesExpireAt - now) })
       worker.isReachable = false
     }
+    if (code === 'replaced') {
+      worker.isReplaced = true
+      this.options.crashes.noteReplaced(worker.report.id)
+    }
     if (now < worker.leasesExpireAt || worker.tasks.size === 0) return
+    this.options.crashes.charge(worker, [...worker.tasks.values()], worker.isReplaced ? 'confirmed' : worker.isListed ? 'possible' : 'presumed')
     for (const task of [...worker.tasks.values()]) this.lifecycle.handleLostRun(task, 'lease ran out')
     onChange()
   }
 
   private handleList (worker: WorkerState, list: WorkerList, sentAt: number): void {
-    const { clock, log, onChange } = this.options
+    const { clock, log, onChange, crashes } = this.options
+    crashes.noteIncarnation(worker.report.id, list.born)
     if (list.born !== worker.report.born) this.handleRestart(worker, list.born)
     if (!worker.isReachable) {
       log.write(CELL_EVENTS.workerReachable, { worker: worker.report.id, running: list.running.length, after: worker.hasAnswered ? Math.round(clock.now() - worker.clock.at) : 0 })
       onChange()
     }
     worker.isReachable = true
+    worker.isReplaced = false
     worker.hasAnswered = true
     worker.clock = { value: list.clock, at: clock.now() }
     this.handleEnds(worker, list)
-    this.handleRuns(worker, list.running)
+    this.handleRuns(worker, list)
+    this.handleFormerIncarnation(worker, list)
     this.handleAbsentRuns(worker, list, sentAt)
   }
 
@@ -203,7 +214,7 @@
   /** Records the task's state, then calls `then`. Set by the decider. */
   recordTask: (task: Task, then: () => void) => void = () => {}
 
-  private handleRuns (worker: WorkerState, running: ListedRun[]): void {
+  private handleRuns (worker: WorkerState, { running, born }: WorkerList): void {
     let unknownRuns = 0
     for (const listed of running) {
       const task = this.options.registry.findTask(listed.task)
@@ -212,6 +223,7 @@
         this.stopUnknownRun(worker, listed)
         continue
       }
+      task.incarnation = incarnationTag(born)
       if (listed.checkpoint !== '') task.checkpoint = listed.checkpoint
       if (task.phase === 'assumed' || task.phase === 'ordered') this.confirmRun(task)
       const isStalled = this.progress.update(task, listed, worker, this.options.clock.now())
@@ -245,6 +257,13 @@
     }), log, 'stop')
   }
 
+  /** Attributes the crash of a worker's former incarnation to the runs that were ordered to it. The outcome of an order in flight tells which one got it. */
+  private handleFormerIncarnation (worker: WorkerState, { born }: WorkerList): void {
+    const current = incarnationTag(born)
+    const lost = [...worker.tasks.values()].filter(({ phase, incarnation }) => phase !== 'ordered' && incarnation !== 0 && current !== 0 && incarnation !== current)
+    if (lost.length > 0) this.options.crashes.charge(worker, lost, 'confirmed')
+  }
+
   /** Handles runs that are not in the worker's list. They have ended if the poll was sent after the order to start or stop was answered. */
   private handleAbsentRuns (worker: WorkerState, list: WorkerList, sentAt: number): void {
     if (list.ended.length >= MAX_LISTED_ENDS) return
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -1,12 +1,19 @@
 import type { JobPhase } from '../types/job.js'
 import type { Registry } from './Registry.js'
-import type { JobState, Task } from './model.js'
+import type { Crash, CrashCertainty, JobState, Task } from './model.js'
 
 /**
- * Recorded state of a task: 0 if it has not run, 1 if it is done, or else number of the last run, worker or '', failures, 0, checkpoint. Trailing
- * elements that are 0 or empty are omitted. Records of earlier versions contain all elements, and 1 as the fourth if the task is done.
+ * Recorded state of a task: 0 if it has not run, 1 if it is done, or else number of the last run, worker or '', failures, 0, checkpoint, tag
+ * of the worker's incarnation, crashes. Trailing elements that are 0 or empty are omitted. Records of earlier versions contain the first five
+ * elements, and 1 as the fourth if the task is done.
  */
-type TaskRecord = 0 | 1 | [run: number, worker?: string, failures?: number, done?: number, checkpoint?: string]
+type TaskRecord = 0 | 1 | [run: number, worker?: string, failures?: number, done?: number, checkpoint?: string, incarnation?: number, crashes?: CrashRecord[]]
+
+/** Recorded crash; the last element is 1 if only tasks of the same job ran on the worker. */
+type CrashRecord = [worker: string, incarnation: number, run: number, certainty: number, isAlone: 0 | 1]
+
+/** Certainties by their number in records. */
+const CERTAINTIES: readonly CrashCertainty[] = ['possible', 'presumed', 'confirmed']
 
 /** Recorded state of a job. */
 export interface JobRecord {
@@ -27,14 +34,23 @@
   return JSON.stringify(record)
 }
 
-function encodeTask ({ phase, run, worker, failures, checkpoint }: Task): TaskRecord {
+function encodeTask ({ phase, run, worker, failures, checkpoint, incarnation, crashes }: Task): TaskRecord {
   if (phase === 'done' && worker === undefined) return 1
   if (run === 0) return 0
-  const record: TaskRecord = [run, worker?.report.id ?? '', failures, phase === 'done' ? 1 : 0, checkpoint]
+  const record: TaskRecord = [run, worker?.report.id ?? '', failures, phase === 'done' ? 1 : 0, checkpoint, worker === undefined ? 0 : incarnation, crashes.map(encodeCrash)]
+  if (crashes.length === 0) record.pop()
   while (record.at(-1) === 0 || record.at(-1) === '') record.pop()
   return record
 }
 
+function encodeCrash ({ worker, incarnation, run, certainty, isAlone }: Crash): CrashRecord {
+  return [worker, incarnation, run, CERTAINTIES.indexOf(certainty), isAlone ? 1 : 0]
+}
+
+function decodeCrash ([worker, incarnation, run, certainty, isAlone]: CrashRecord): Crash {
+  return { worker, incarnation, run, certainty: CERTAINTIES[certainty] ?? 'possible', isAlone: isAlone === 1 }
+}
+
 /** @returns the phase that a job's record shows: any record of an open job shows it as running */
 export function recordedPhase ({ phase }: { phase: JobState['phase'] }): JobPhase {
   return phase === 'open' ? 'running' : phase
@@ -53,8 +69,8 @@
   record.tasks?.forEach((steps, occurrence) => steps.forEach((tasks, step) => tasks.forEach((taskRecord, index) => {
     const task = state.occurrences[occurrence]?.steps[step]?.tasks[index]
     if (task === undefined) return
-    const [run, worker = '', failures = 0, done = 0, checkpoint = ''] = typeof taskRecord === 'number' ? [taskRecord, '', 0, taskRecord] : taskRecord
-    Object.assign(task, { run, failures, checkpoint })
+    const [run, worker = '', failures = 0, done = 0, checkpoint = '', incarnation = 0, crashes = []] = typeof taskRecord === 'number' ? [taskRecord, '', 0, taskRecord] : taskRecord
+    Object.assign(task, { run, failures, checkpoint, incarnation, crashes: crashes.map(decodeCrash) })
     if (run > 0) registry.markStarted(state)
     if (done === 1) {
       task.phase = 'done'
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -12,6 +12,28 @@
  */
 export type TaskPhase = 'waiting' | 'placed' | 'ordered' | 'running' | 'stopping' | 'assumed' | 'done'
 
+/**
+ * How certain it is that a worker crashed under a run.
+ *
+ * - `possible`: the leases of a worker that is still listed expired in silence; the crash doesn't count yet
+ * - `presumed`: the worker's entry has also expired, without an announced stop
+ * - `confirmed`: another incarnation of the worker runs
+ */
+export type CrashCertainty = 'possible' | 'presumed' | 'confirmed'
+
+/** Crash of a worker while it may have been executing a run of a task. */
+export interface Crash {
+  /** Id of the worker. */
+  worker: string
+  /** Tag of the worker's incarnation, or 0 if it is not known. */
+  incarnation: number
+  /** Number of the run. */
+  run: number
+  certainty: CrashCertainty
+  /** Whether only tasks of the same job ran on the worker. */
+  isAlone: boolean
+}
+
 /** State of a task at the decider. */
 export interface Task {
   name: string
@@ -22,7 +44,11 @@
   run: number
   /** Worker of the last run, while the run is not known to have ended. */
   worker?: WorkerState
+  /** Tag of the incarnation of the worker to which the last run was ordered, or 0 if it is not known. */
+  incarnation: number
   failures: number
+  /** Crashes of workers under the task, the earliest first. */
+  crashes: Crash[]
   checkpoint: string
   /** Monotonic ms at which the order to start was answered or the run was first listed. Polls sent before that time may not list the run. */
   confirmedAt: number
@@ -107,6 +133,10 @@
   /** Whether the worker has answered under the current fencing token. */
   hasAnswered: boolean
   isReachable: boolean
+  /** Whether another worker has answered at the worker's address since its last answer. */
+  isReplaced: boolean
+  /** Tag of the incarnation that has announced a planned stop, or 0. */
+  leavingIncarnation: number
   /** Last known value of the worker's clock, and the monotonic ms at which the value arrived. */
   clock: { value: number, at: number }
   /** Monotonic ms at which all leases granted to the worker have expired. */
--- a/packages/cell/src/types/ports.ts
+++ b/packages/cell/src/types/ports.ts
@@ -3,8 +3,11 @@
 
 /** Reason for which a poll of a worker failed. */
 export interface PollFault {
-  /** `superseded`: the worker has seen a higher fencing token; `silent`: the worker did not answer, or not with a list. */
-  code: 'superseded' | 'silent'
+  /**
+   * `superseded`: the worker has seen a higher fencing token; `replaced`: another worker has answered at the worker's address; `silent`: the
+   * worker did not answer, or not with a list.
+   */
+  code: 'superseded' | 'replaced' | 'silent'
   reason: string
 }
 
--- /dev/null
+++ b/packages/cell/test/runtime/crashLedger.test.ts
@@ -0,0 +1,126 @@
+import { describe, test } from 'node:test'
+import { expect } from 'earl'
+import { MemoryLog } from '@rattanstep/telemetry'
+import { incarnationTag, judgeCrashes } from '../../src/runtime/CrashBudget.js'
+import { CrashLedger } from '../../src/runtime/CrashLedger.js'
+import { Registry } from '../../src/runtime/Registry.js'
+import type { Crash, CrashCertainty, Task, WorkerState } from '../../src/runtime/model.js'
+import { stepOf } from '../support/CellRig.js'
+
+const BORN = 1_764_918_602_123
+const LATER = BORN + 5000
+
+/** @returns crashes: `c`, `p` and `o` for confirmed, presumed and possible ones, in upper case if the task's job was alone on the worker */
+function crashesOf (text: string): Crash[] {
+  const certainties: Record<string, CrashCertainty> = { c: 'confirmed', p: 'presumed', o: 'possible' }
+  return [...text].map((letter, index) => ({ worker: `w${index}`, incarnation: 1, run: index + 1, certainty: certainties[letter.toLowerCase()]!, isAlone: letter !== letter.toLowerCase() }))
+}
+
+describe('the verdict on a task', () => {
+  for (const [crashes, verdict] of [
+    ['', 'clear'], ['OOOOO', 'clear'], ['C', 'suspect'], ['c', 'suspect'], ['P', 'suspect'], ['CO', 'suspect'], ['cc', 'suspect'], ['CP', 'suspect'], ['PP', 'suspect'], ['ccc', 'suspect'], ['ppp', 'suspect'],
+    ['CC', 'exhausted'], ['cC', 'exhausted'], ['Cc', 'exhausted'], ['PPP', 'exhausted'], ['ppP', 'exhausted'], ['cppc', 'exhausted'], ['COOC', 'exhausted']
+  ] as const) {
+    test(`with the crashes ${crashes === '' ? 'none' : crashes} is ${verdict}`, () => {
+      expect(judgeCrashes(crashesOf(crashes))).toEqual(verdict)
+    })
+  }
+})
+
+/** @returns a ledger, a worker with running tasks of as many jobs as there are names, and the number of changes it has reported */
+function createLedger (jobs = ['a']): { ledger: CrashLedger, worker: WorkerState, tasks: Task[], changes: Task[], registry: Registry } {
+  const registry = new Registry()
+  const changes: Task[] = []
+  const ledger = new CrashLedger({ log: new MemoryLog(), onChange: task => { changes.push(task) } })
+  const worker = registry.ensureWorker({ id: 'w0', service: 's', address: 'w0:1', dataCentre: 'd', state: 'ready', capacity: { cpu: 9000, memory: 9000, accelerators: 0 }, labels: [], born: BORN })
+  const tasks = jobs.map(id => registry.addJob({ id, route: 'r', spec: '', steps: [stepOf({})], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks[0]!)
+  for (const task of tasks) {
+    Object.assign(task, { phase: 'running', run: 1, incarnation: incarnationTag(BORN) })
+    registry.assign(task, worker)
+  }
+  return { ledger, worker, tasks, changes, registry }
+}
+
+function certainties ({ crashes }: Task): CrashCertainty[] {
+  return crashes.map(crash => crash.certainty)
+}
+
+describe('the crash of a worker', () => {
+  for (const phase of ['ordered', 'running', 'stopping', 'assumed'] as const) {
+    test(`is attributed to a task that is ${phase}`, () => {
+      const { ledger, worker, tasks } = createLedger()
+      tasks[0]!.phase = phase
+      ledger.charge(worker, tasks, 'confirmed')
+      expect(tasks[0]!.crashes).toEqual([{ worker: 'w0', incarnation: incarnationTag(BORN), run: 1, certainty: 'confirmed', isAlone: true }])
+    })
+  }
+
+  for (const phase of ['placed', 'done'] as const) {
+    test(`is not attributed to a task that is ${phase}`, () => {
+      const { ledger, worker, tasks } = createLedger()
+      tasks[0]!.phase = phase
+      ledger.charge(worker, tasks, 'confirmed')
+      expect(tasks[0]!.crashes).toEqual([])
+    })
+  }
+
+  test('is attributed once to a run, however often it is noticed', () => {
+    const { ledger, worker, tasks } = createLedger()
+    ledger.charge(worker, tasks, 'confirmed')
+    ledger.charge(worker, tasks, 'confirmed')
+    expect(certainties(tasks[0]!)).toEqual(['confirmed'])
+  })
+
+  test('is not held against a single task if tasks of several jobs or unknown runs were on the worker', () => {
+    const several = createLedger(['a', 'b'])
+    several.ledger.charge(several.worker, several.tasks, 'confirmed')
+    const unknown = createLedger()
+    unknown.worker.unknownRuns = 1
+    unknown.ledger.charge(unknown.worker, unknown.tasks, 'confirmed')
+    expect([...several.tasks, ...unknown.tasks].map(task => task.crashes.map(crash => crash.isAlone))).toEqual([[false], [false], [false]])
+  })
+
+  test('is not attributed to any task if the incarnation had announced a planned stop', () => {
+    const { ledger, worker, tasks } = createLedger()
+    worker.leavingIncarnation = incarnationTag(BORN)
+    ledger.charge(worker, tasks, 'confirmed')
+    expect(tasks[0]!.crashes).toEqual([])
+  })
+
+  test('is presumed once the entry of a silent worker has expired, and taken back when the same incarnation answers', () => {
+    const { ledger, worker, tasks } = createLedger()
+    ledger.charge(worker, tasks, 'possible')
+    ledger.noteGone('w0', false)
+    expect(certainties(tasks[0]!)).toEqual(['presumed'])
+    ledger.noteIncarnation('w0', BORN)
+    expect(certainties(tasks[0]!)).toEqual([])
+  })
+
+  test('is proven by another incarnation, by another worker that answers at the address, and by the entry of one', () => {
+    for (const prove of [
+      (ledger: CrashLedger): void => { ledger.noteIncarnation('w0', LATER) },
+      (ledger: CrashLedger): void => { ledger.noteReplaced('w0') },
+      (ledger: CrashLedger): void => { ledger.noteListed({ id: 'w9', address: 'w0:1' }) }
+    ]) {
+      const { ledger, worker, tasks, changes } = createLedger()
+      ledger.charge(worker, tasks, 'presumed')
+      prove(ledger)
+      expect([certainties(tasks[0]!), changes.length]).toEqual([['confirmed'], 2])
+    }
+  })
+
+  test('is corrected after a takeover as before it', () => {
+    const { ledger, tasks } = createLedger()
+    tasks[0]!.crashes = [{ worker: 'w0', incarnation: incarnationTag(BORN), run: 1, certainty: 'presumed', isAlone: true }]
+    ledger.restore(tasks[0]!)
+    ledger.noteIncarnation('w0', BORN)
+    expect(tasks[0]!.crashes).toEqual([])
+  })
+
+  test('is not attributed if a worker that announced a planned stop leaves the list', () => {
+    const { ledger, worker, tasks } = createLedger()
+    ledger.charge(worker, tasks, 'possible')
+    ledger.noteGone('w0', true)
+    expect(tasks[0]!.crashes).toEqual([])
+  })
+})
--- a/packages/cell/test/runtime/encodings.test.ts
+++ b/packages/cell/test/runtime/encodings.test.ts
@@ -4,7 +4,7 @@
 import { Registry } from '../../src/runtime/Registry.js'
 import { applyRecord, encodeJobRecord } from '../../src/runtime/jobRecord.js'
 import type { JobRecord } from '../../src/runtime/jobRecord.js'
-import type { JobState, Task } from '../../src/runtime/model.js'
+import type { Crash, JobState, Task } from '../../src/runtime/model.js'
 import { WorkerCallDecoder, WorkerCallEncoder } from '../../src/runtime/WorkerCallCodec.js'
 import type { NumberedCall } from '../../src/runtime/WorkerCallCodec.js'
 import type { DeciderMessage, WorkerTarget } from '../../src/index.js'
@@ -51,24 +51,27 @@
   return { registry, state: registry.addJob({ id: 'a', route: 'r', spec: '', steps: [stepOf({ count: 3 }), stepOf({ after: [0] })], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 }) }
 }
 
-function summarize ({ phase, run, failures, checkpoint }: Task): unknown[] {
-  return phase === 'done' ? ['done'] : [run, failures, checkpoint]
+function summarize ({ phase, run, failures, checkpoint, worker, incarnation, crashes }: Task): unknown[] {
+  return phase === 'done' ? ['done'] : [run, failures, checkpoint, crashes, worker === undefined ? 0 : incarnation]
 }
 
+const crash = fc.record<Crash>({ worker: fc.constantFrom('w0', 'w1'), incarnation: fc.nat(100_000), run: fc.nat(3), certainty: fc.constantFrom('possible', 'presumed', 'confirmed'), isAlone: fc.boolean() }, { noNullPrototype: true })
+
 describe('the record of a job', () => {
   test('restores the state of every task', () => {
-    const taskState = fc.record({ kind: fc.constantFrom('waiting', 'running', 'done'), run: fc.nat(3), worker: fc.constantFrom('w0', 'w1'), failures: fc.nat(2), checkpoint: fc.constantFrom('', 'saved') })
+    const taskState = fc.record({ kind: fc.constantFrom('waiting', 'running', 'done'), run: fc.nat(3), worker: fc.constantFrom('w0', 'w1'), failures: fc.nat(2), checkpoint: fc.constantFrom('', 'saved'), incarnation: fc.nat(100_000), crashes: fc.array(crash, { maxLength: 3 }) })
     fc.assert(fc.property(fc.array(taskState, { minLength: 4, maxLength: 4 }), states => {
       const { registry, state } = createJob()
       const tasks = state.occurrences[0]!.steps.flatMap(step => step.tasks)
       tasks.forEach((each, index) => {
-        const { kind, run, worker: id, failures, checkpoint } = states[index]!
+        const { kind, run, worker: id, failures, checkpoint, incarnation, crashes } = states[index]!
         if (kind === 'waiting' && run === 0) return
-        Object.assign(each, { run: run + 1, failures, checkpoint, phase: kind === 'done' ? 'done' : kind })
+        Object.assign(each, { run: run + 1, failures, checkpoint, incarnation, crashes, phase: kind === 'done' ? 'done' : kind })
         if (kind === 'running') registry.assign(each, registry.workers.get(id)!)
       })
       const restored = createJob()
       const runs = applyRecord(restored.registry, restored.state, JSON.parse(encodeJobRecord(state)) as JobRecord)
+      for (const run of runs) restored.registry.assign(run.task, restored.registry.workers.get(run.worker)!)
       expect(restored.state.occurrences[0]!.steps.flatMap(step => step.tasks).map(summarize)).toEqual(tasks.map(summarize))
       expect(runs.map(each => [each.task.name, each.worker])).toEqual(tasks.flatMap((each, index) => states[index]!.kind === 'running' ? [[each.name, each.worker!.report.id]] : []))
     }), { seed: SEED, numRuns: 200 })
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -75,6 +75,7 @@
   constructor (private readonly options: RigOptions = {}) {
     const { nodes = 3, workers = 4, cpu = 4000, route, behaviour = () => ({ duration: 300, ending: 'done', size: { cpu: 1000, memory: 100, accelerators: 0 } }) } = options
     this.fleet = new FakeFleet(this.clock, behaviour)
+    this.fleet.list = { put: report => { this.putInstance(report) }, remove: id => { this.removeInstance(id) } }
     this.configure(1, route)
     for (let index = 0; index < workers; index++) this.addWorker(`w${index}`, cpu)
     for (let index = 0; index < nodes; index++) this.addNode(`n${index}`)
@@ -87,8 +88,8 @@
     this.tables.put({ table: 'op', part: '', key: 'config' }, JSON.stringify(configuration))
   }
 
-  addWorker (id: string, cpu = 4000): void {
-    const report: WorkerReport = { id, service: 's', address: `${id}:1`, dataCentre: 'd', state: 'ready', capacity: { cpu, memory: 100_000, accelerators: 0 }, labels: [], born: 1 }
+  addWorker (id: string, cpu = 4000, labels: string[] = []): void {
+    const report: WorkerReport = { id, service: 's', address: `${id}:1`, dataCentre: 'd', state: 'ready', capacity: { cpu, memory: 100_000, accelerators: 0 }, labels, born: 1 }
     this.fleet.add(report)
     this.putInstance(report)
   }
@@ -97,6 +98,10 @@
     this.tables.put({ table: 'servers', part: '', key: report.id }, JSON.stringify(report))
   }
 
+  removeInstance (id: string): void {
+    this.tables.drop({ table: 'servers', part: '', key: id })
+  }
+
   /** Changes the processor capacity that a worker reports, in thousandths of a core. */
   setCapacity (id: string, cpu: number): void {
     const worker = this.fleet.workers.get(id)!
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -18,8 +18,11 @@
 /** Number of workers that may crash under a task, and number of later starts with which the task exceeds its crash budget, as specified by the platform. */
 const MAX_CRASHES = 3
 const STARTS_OVER_BUDGET = 3
-/** Time for which a worker is down after a task has crashed it. */
+/** Time for which a worker is down after a crash, if it comes back under its id and if it comes back under another one. */
 const CRASH_DOWNTIME_MS = 3000
+const REPLACEMENT_DELAY_MS = 5000
+/** Time after a crash at which the worker's entry expires, if it comes back under another id. */
+const ENTRY_EXPIRY_MS = 3500
 
 interface Run {
   task: string
@@ -142,10 +145,12 @@
   crash (downtime = CRASH_DOWNTIME_MS): void {
     if (this.isDown) return
     for (const task of this.running.keys()) this.fleet.recordCrash(task)
+    this.fleet.recordLoss(this.report)
     this.discardUnacknowledgedEnds()
     this.running.clear()
     this.ended = []
     this.isDown = true
+    if (this.fleet.replacesCrashed) return this.fleet.replace(this)
     this.fleet.clock.schedule(downtime, () => {
       this.isDown = false
       this.restart()
@@ -210,6 +215,12 @@
   /** Number of workers that have crashed under each task, and number of its starts since the last one that its budget allows. */
   readonly crashes = new Map<string, number>()
   private readonly startsOverBudget = new Map<string, number>()
+  /** Crashes in order: worker and time in ms. */
+  readonly losses: Array<{ worker: string, at: number }> = []
+  /** Whether a crashed worker loses its entry and comes back under another id at the same address, instead of under its id. */
+  replacesCrashed = false
+  /** Changes the instance list: sets the entry of a worker, or removes the entry with an id. */
+  list: { put: (report: WorkerReport) => void, remove: (id: string) => void } = { put: () => {}, remove: () => {} }
   /** Time in ms of the last start of any task. */
   lastStart = 0
 
@@ -237,6 +248,21 @@
     this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1)
   }
 
+  recordLoss ({ id }: WorkerReport): void {
+    this.losses.push({ worker: id, at: this.clock.now() })
+  }
+
+  /** Lets a crashed worker's entry expire, and starts another worker at its address. */
+  replace ({ report }: FakeWorker): void {
+    this.clock.schedule(ENTRY_EXPIRY_MS, () => { this.list.remove(report.id) })
+    this.clock.schedule(REPLACEMENT_DELAY_MS, () => {
+      this.workers.delete(report.id)
+      const successor = { ...report, id: `${report.id}+`, born: report.born + REPLACEMENT_DELAY_MS }
+      this.add(successor)
+      this.list.put(successor)
+    })
+  }
+
   private countStartOverBudget (task: string, worker: FakeWorker): void {
     const starts = (this.startsOverBudget.get(task) ?? 0) + 1
     this.startsOverBudget.set(task, starts)
@@ -277,6 +303,7 @@
   override async poll (worker: WorkerTarget, order: PollOrder): Promise<Result<WorkerList, PollFault>> {
     this.polls++
     const target = this.findReachable(worker)
+    if (this.isReplaced(worker)) return await this.clock.deliver(ANSWER_MS, () => Err({ code: 'replaced', reason: 'another worker has answered at the address' }))
     if (target === undefined) return await this.clock.deliver(TIMEOUT_MS, () => Err({ code: 'silent', reason: 'no answer' }))
     if (target.isDown) return await this.clock.deliver(ANSWER_MS, () => Err({ code: 'silent', reason: 'the connection was refused' }))
     return await new Promise(resolve => {
@@ -304,6 +331,7 @@
 
   private async order (worker: WorkerTarget, carryOut: (target: FakeWorker) => OrderOutcome): Promise<OrderOutcome> {
     const target = this.findReachable(worker)
+    if (this.isReplaced(worker)) return await this.clock.deliver(ANSWER_MS, () => ({ kind: 'other-incarnation' }))
     if (target?.isDown === true) return await this.clock.deliver(ANSWER_MS, () => ({ kind: 'unwell' }))
     if (target === undefined || target.orderDelay > 0) {
       if (target !== undefined) this.fleet.clock.schedule(target.orderDelay, () => { if (!target.isDown) carryOut(target) })
@@ -317,6 +345,11 @@
     })
   }
 
+  /** @returns whether a worker with another id answers at the worker's address */
+  private isReplaced ({ id, address }: WorkerTarget): boolean {
+    return !this.unreachable.has(id) && !this.fleet.workers.has(id) && [...this.fleet.workers.values()].some(other => other.report.address === address && !other.isCutOff)
+  }
+
   private findReachable (worker: WorkerTarget): FakeWorker | undefined {
     const target = this.fleet.workers.get(worker.id)
     return target === undefined || target.isCutOff || this.unreachable.has(worker.id) ? undefined : target
