A task under which a worker has crashed is tried again alone on a worker, one of its job at a time

Change: while a job has suspects, only one of them starts, on a worker on which nothing else runs and on which nothing is placed meanwhile (half a second for an empty worker, then one is kept free; less urgent tasks share it after 1.5 s and any after 2.5 s, since a ready task must not wait longer). A gang starts as a whole. A suspect that completes clears its job, apart from tasks with two crashes; after 10 s a run no longer needs its worker alone. The verdict asks for two crashes of workers on which only this job ran. The table of verdicts is stricter for it: two crashes of which one was shared ('cC', 'Cc') no longer exhaust the budget; a third does if it was alone too, and the fourth in any case. Tasks that last and occurrences of timed jobs have the same budget: their job fails.

--- a/packages/cell/src/runtime/CapacitySnapshot.ts
+++ b/packages/cell/src/runtime/CapacitySnapshot.ts
@@ -46,7 +46,7 @@
 
 /** Free capacity of the workers of one service, reduced by the placements of one round of planning. */
 export class CapacitySnapshot {
-  readonly slots: Slot[]
+  slots: Slot[]
   private readonly slotsById: Map<string, Slot>
   /** Maximum over the workers of each free resource, possibly outdated: during a round the true values only decrease. */
   private maxFree: Size
@@ -66,6 +66,11 @@
     return [...ids].flatMap(id => this.slotsById.get(id) ?? [])
   }
 
+  /** Excludes a worker from the rest of the round. */
+  remove (id: string): void {
+    if (this.slotsById.delete(id)) this.slots = this.slots.filter(slot => slot.worker.report.id !== id)
+  }
+
   /**
    * @param step - a step
    * @returns `false` if a task of the step certainly fits on no worker
--- a/packages/cell/src/runtime/CrashBudget.ts
+++ b/packages/cell/src/runtime/CrashBudget.ts
@@ -1,10 +1,10 @@
 import type { Crash, Task } from './model.js'
 
-/** Number of proven crashes of workers under a task after which the task is given up. */
-const MAX_CONFIRMED_CRASHES = 2
-/** Number of crashes, proven or presumed, after which the task is given up. */
+/** Number of crashes of workers on which only its job ran after which a task is given up: at once if they are confirmed. */
+const MAX_CRASHES_ALONE = 2
+/** Number of crashes in all after which it is given up if some of these are only presumed. */
 const MAX_CRASHES = 3
-/** Number of crashes after which a task is given up although other jobs ran on each of the workers. The platform allows one more start. */
+/** Number of crashes after which it is given up although other jobs ran on the workers. The platform allows one more start. */
 const MAX_SHARED_CRASHES = 4
 
 /**
@@ -25,9 +25,9 @@
   const counted = crashes.filter(isCounted)
   if (counted.length === 0) return 'clear'
   if (counted.length >= MAX_SHARED_CRASHES) return 'exhausted'
-  if (!counted.some(crash => crash.isAlone)) return 'suspect'
-  const confirmed = counted.filter(crash => crash.certainty === 'confirmed').length
-  return confirmed >= MAX_CONFIRMED_CRASHES || counted.length >= MAX_CRASHES ? 'exhausted' : 'suspect'
+  const alone = counted.filter(crash => crash.isAlone)
+  const isProven = alone.filter(crash => crash.certainty === 'confirmed').length >= MAX_CRASHES_ALONE
+  return isProven || (alone.length >= MAX_CRASHES_ALONE && counted.length >= MAX_CRASHES) ? 'exhausted' : 'suspect'
 }
 
 /** @returns whether a crash counts towards the budget of its task */
--- a/packages/cell/src/runtime/CrashLedger.ts
+++ b/packages/cell/src/runtime/CrashLedger.ts
@@ -42,6 +42,24 @@
     }
   }
 
+  /** Attributes the possible crash of a worker whose leases have expired in silence to its tasks. */
+  chargeSilent (worker: WorkerState): void {
+    this.charge(worker, [...worker.tasks.values()], worker.isReplaced ? 'confirmed' : worker.isListed ? 'possible' : 'presumed')
+  }
+
+  /**
+   * Attributes the crash of a worker's former incarnation to the runs that were ordered to it. For an order in flight, the outcome will tell
+   * which incarnation got it.
+   *
+   * @param worker - the worker
+   * @param born - start of the incarnation that has answered, ms since 1970, or 0 if it is not known
+   */
+  chargeFormer (worker: WorkerState, born: number): void {
+    const current = incarnationTag(born)
+    const former = [...worker.tasks.values()].filter(({ phase, incarnation }) => phase !== 'ordered' && incarnation !== 0 && current !== 0 && incarnation !== current)
+    if (former.length > 0) this.charge(worker, former, 'confirmed')
+  }
+
   /** Adds the unproven crashes of a task whose record was read. */
   restore (task: Task): void {
     for (const { worker, certainty } of task.crashes) if (certainty !== 'confirmed') this.remember(task, { id: worker, address: '' })
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -23,6 +23,7 @@
 import { Recorder } from './Recorder.js'
 import type { RecordChange } from './Recorder.js'
 import { Recovery } from './Recovery.js'
+import { isolatedWorkers } from './Suspicion.js'
 import { TaskLifecycle } from './TaskLifecycle.js'
 import { StepAdvisor } from './StepAdvisor.js'
 import type { Term } from './Term.js'
@@ -282,9 +283,10 @@
     const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now })
     if (ranked.length === 0) return
     const usable = new Map<string, WorkerState[]>()
-    for (const worker of this.registry.workers.values()) if (isUsable(worker, now)) push(usable, worker.report.service, worker)
+    const isolated = isolatedWorkers(this.registry.suspectedJobs, now)
+    for (const worker of this.registry.workers.values()) if (isUsable(worker, now) && !isolated.has(worker)) push(usable, worker.report.service, worker)
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
-    const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds })
+    const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0 })
     this.holds = plan.holds
     this.lifecycle.place(plan.placements)
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
@@ -336,7 +338,11 @@
   }
 
   private restoreCrashes ({ occurrences }: JobState): void {
-    for (const { steps } of occurrences) for (const { tasks } of steps) for (const task of tasks) this.crashes.restore(task)
+    for (const task of occurrences.flatMap(({ steps }) => steps.flatMap(({ tasks }) => tasks))) {
+      if (task.crashes.length === 0) continue
+      this.crashes.restore(task)
+      this.registry.updateSuspicion(task)
+    }
   }
 
   private handleListed (report: WorkerReport): void {
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -1,5 +1,6 @@
 import type { Job, Size, Step } from '../types/job.js'
 import type { WorkerReport } from '../types/worker.js'
+import { countCrashes } from './CrashBudget.js'
 import type { JobState, StepState, Task, JobOccurrence, WorkerState } from './model.js'
 import { stepName, taskName } from './taskName.js'
 
@@ -14,6 +15,8 @@
   readonly workers = new Map<string, WorkerState>()
   /** Steps that have waiting tasks and whose earlier steps are done. */
   readonly readySteps = new Set<StepState>()
+  /** Open jobs with suspects. */
+  readonly suspectedJobs = new Set<JobState>()
   /** Number of jobs of which no task has started, by route. */
   private readonly waitingByRoute = new Map<string, number>()
 
@@ -27,7 +30,7 @@
   addJob (job: Job, times: { now: number, age: number, wall: number }): JobState {
     const existing = this.jobs.get(job.id)
     if (existing !== undefined) return existing
-    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], isStarted: false, endedAt: 0 }
+    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], isStarted: false, suspects: new Set(), isCleared: false, suspectedSince: 0, reservedWorker: '', endedAt: 0 }
     for (let occurrence = 0; occurrence < (job.repeat?.count ?? 1); occurrence++) {
       const dueAt = job.repeat === undefined ? times.now : times.now + job.repeat.first + occurrence * job.repeat.interval - times.wall
       state.occurrences.push(createOccurrence(state, occurrence, dueAt))
@@ -70,6 +73,15 @@
     }
   }
 
+  /** Updates the suspects of a task's job after a change of the task's crashes or phase. */
+  updateSuspicion (task: Task): void {
+    const { job } = task.step.occurrence
+    if (countCrashes(task) > 0 && task.phase !== 'done') job.suspects.add(task)
+    else job.suspects.delete(task)
+    if (job.suspects.size > 0 && job.phase === 'open') this.suspectedJobs.add(job)
+    else this.suspectedJobs.delete(job)
+  }
+
   /** Assigns a task to a worker and reserves the resources for it. */
   assign (task: Task, worker: WorkerState): void {
     task.worker = worker
--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -63,6 +63,8 @@
     registry.assign(task, worker)
     registry.updateReadySteps(task.step.occurrence)
     const { job } = task.step.occurrence
+    job.suspectedSince = 0
+    job.reservedWorker = ''
     log.write(CELL_EVENTS.runPlaced, {
       task: task.name, run, worker: worker.report.id, age: Math.round(clock.now() - job.submittedAt), free: worker.report.capacity.cpu - worker.used.cpu, looked: Math.round(clock.now() - worker.clock.at)
     })
@@ -126,6 +128,8 @@
     const { job } = task.step.occurrence
     if (job.phase !== 'open') return
     this.options.record(job)
+    if (countCrashes(task) > 0) job.isCleared = false
+    this.options.registry.updateSuspicion(task)
     if (judgeCrashes(task.crashes) !== 'exhausted') return this.awaitProof(task)
     this.tasksGivenUp++
     this.options.log.write(CELL_EVENTS.taskGivenUp, { job: job.job.id, task: task.name, crashes: task.crashes.map(describeCrash).join('; ') })
@@ -168,12 +172,13 @@
   private completeTask (task: Task, worker: WorkerState): void {
     worker.consecutiveFailures = 0
     const { step } = task
-    task.crashes = []
+    this.clearCrashes(task)
     if (step.definition.lasting) return this.resetToWaiting(task)
     const members = step.definition.gang ? step.tasks : [task]
     for (const member of members) {
       if (member.phase === 'done') continue
       member.phase = 'done'
+      this.clearCrashes(member)
       step.doneTasks++
     }
     this.options.registry.release(task)
@@ -182,6 +187,14 @@
     this.options.onChange()
   }
 
+  /** Clears a task that has completed of suspicion, and lets the rest of its job continue. */
+  private clearCrashes (task: Task): void {
+    if (task.crashes.length === 0) return
+    task.crashes = []
+    task.step.occurrence.job.isCleared = true
+    this.options.registry.updateSuspicion(task)
+  }
+
   private releaseDone (task: Task): void {
     this.options.registry.release(task)
     this.options.record(task.step.occurrence.job)
@@ -202,6 +215,7 @@
     const { registry, clock, log, record } = this.options
     const { phase } = job
     job.endedAt = clock.now()
+    registry.suspectedJobs.delete(job)
     registry.markStarted(job)
     record(job, () => {
       job.visiblePhase = phase === 'open' ? job.visiblePhase : phase
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -169,7 +169,7 @@
       this.options.crashes.noteReplaced(worker.report.id)
     }
     if (now < worker.leasesExpireAt || worker.tasks.size === 0) return
-    this.options.crashes.charge(worker, [...worker.tasks.values()], worker.isReplaced ? 'confirmed' : worker.isListed ? 'possible' : 'presumed')
+    this.options.crashes.chargeSilent(worker)
     for (const task of [...worker.tasks.values()]) this.lifecycle.handleLostRun(task, 'lease ran out')
     onChange()
   }
@@ -188,7 +188,7 @@
     worker.clock = { value: list.clock, at: clock.now() }
     this.handleEnds(worker, list)
     this.handleRuns(worker, list)
-    this.handleFormerIncarnation(worker, list)
+    crashes.chargeFormer(worker, list.born)
     this.handleAbsentRuns(worker, list, sentAt)
   }
 
@@ -257,13 +257,6 @@
     }), log, 'stop')
   }
 
-  /** Attributes the crash of a worker's former incarnation to the runs that were ordered to it. The outcome of an order in flight tells which one got it. */
-  private handleFormerIncarnation (worker: WorkerState, { born }: WorkerList): void {
-    const current = incarnationTag(born)
-    const lost = [...worker.tasks.values()].filter(({ phase, incarnation }) => phase !== 'ordered' && incarnation !== 0 && current !== 0 && incarnation !== current)
-    if (lost.length > 0) this.options.crashes.charge(worker, lost, 'confirmed')
-  }
-
   /** Handles runs that are not in the worker's list. They have ended if the poll was sent after the order to start or stop was answered. */
   private handleAbsentRuns (worker: WorkerState, list: WorkerList, sentAt: number): void {
     if (list.ended.length >= MAX_LISTED_ENDS) return
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -121,6 +121,14 @@
   visiblePhase: JobPhase
   occurrences: JobOccurrence[]
   isStarted: boolean
+  /** Tasks that are not done and under which a worker has crashed. */
+  suspects: Set<Task>
+  /** Whether a suspect has completed since the last crash under a task of the job. */
+  isCleared: boolean
+  /** Monotonic ms since which a suspect waits for a worker of its own, or 0. */
+  suspectedSince: number
+  /** Id of the worker that is kept free for a suspect, or ''. */
+  reservedWorker: string
   /** Monotonic ms at which the job ended. */
   endedAt: number
 }
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -2,12 +2,14 @@
 import type { AdviceRound } from './AdviceScheduler.js'
 import { CapacitySnapshot, reserveCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
-import type { GangHold, StepState, Task, WorkerState } from './model.js'
+import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { hasTicket, isEligible, placeTasks } from './placeTasks.js'
 import { MAX_NONE_ALLOWED_RISK, planAdviceCalls, sortByCapacity } from './planAdviceCalls.js'
 import { planGang } from './planGang.js'
+import { planSuspect, SHARED_PATIENCE_MS } from './planSuspect.js'
 import type { RankedStep } from './rankSteps.js'
 import { holdSchedule } from './scheduleGang.js'
+import { suspectsOf } from './Suspicion.js'
 
 /** Assumed share of workers that the advice service allows, before the first answer for a route. */
 const DEFAULT_ALLOWED_SHARE = 0.5
@@ -51,6 +53,8 @@
   allowedShare?: (route: string) => number | undefined
   /** Holds of the last round. */
   holds?: Map<StepState, GangHold>
+  /** Returns the priority of a route. */
+  priorityOf?: (route: string) => number
 }
 
 /** What the steps of one service share in a round of planning. */
@@ -64,6 +68,12 @@
   adviceRound: AdviceRound
   /** Services of which a gang holds workers for longer than others may. */
   servicesWithLongHold: Set<string>
+  /** Returns the priority of a route. */
+  priorityOf: (route: string) => number
+  /** Workers that are kept free for suspects. */
+  reserved: Map<JobState, Slot>
+  /** Jobs of which the round starts a suspect. */
+  plannedSuspects: Set<JobState>
 }
 
 /**
@@ -74,23 +84,54 @@
  * @param options - workers, time and nodes for the round
  * @returns placements, calls to the advice service, and capacity that is held for gangs
  */
-export function planRound (ranked: RankedStep[], { workersOf, now, adviceRound, allowedShare, holds = new Map() }: PlanOptions): RoundPlan {
+export function planRound (ranked: RankedStep[], { workersOf, now, adviceRound, allowedShare, holds = new Map(), priorityOf = () => 0 }: PlanOptions): RoundPlan {
   const plan: RoundPlan = { placements: [], adviceRequests: [], holds: new Map() }
-  const shared = { plan, now, allowedShare: (route: string) => allowedShare?.(route) ?? DEFAULT_ALLOWED_SHARE, adviceRound, servicesWithLongHold: new Set<string>() }
+  const shared = { plan, now, allowedShare: (route: string) => allowedShare?.(route) ?? DEFAULT_ALLOWED_SHARE, adviceRound, servicesWithLongHold: new Set<string>(), priorityOf, reserved: new Map<JobState, Slot>(), plannedSuspects: new Set<JobState>() }
   const contexts = new Map<string, RoundContext>()
   const contextOf = (service: string): RoundContext => {
     let context = contexts.get(service)
     if (context === undefined) contexts.set(service, context = { ...shared, capacity: new CapacitySnapshot(workersOf(service)) })
     return context
   }
+  for (const rankedStep of ranked) restoreReservation(rankedStep, contextOf)
   for (const rankedStep of ranked) restoreHold(rankedStep, holds, contextOf)
   for (const rankedStep of ranked) {
     const context = contextOf(rankedStep.route.service)
-    if (canProgress(rankedStep, context)) planStep(rankedStep, context)
+    const suspects = suspectsOf(rankedStep.step.occurrence.job, now)
+    if (suspects.length > 0) planSuspectedJob(rankedStep, suspects, context)
+    else if (canProgress(rankedStep, context)) planStep(rankedStep, context)
   }
   return plan
 }
 
+/** Keeps a worker free for a suspect as in the last round. */
+function restoreReservation ({ step, route }: RankedStep, contextOf: (service: string) => RoundContext): void {
+  const { job } = step.occurrence
+  if (job.reservedWorker === '') return
+  const { capacity, reserved } = contextOf(route.service)
+  if (reserved.has(job)) return
+  const [slot] = capacity.slotsOf([job.reservedWorker])
+  if (slot === undefined) job.reservedWorker = ''
+  else {
+    capacity.remove(job.reservedWorker)
+    reserved.set(job, slot)
+  }
+}
+
+/** Plans a step of a job under which a worker has crashed. */
+function planSuspectedJob (rankedStep: RankedStep, suspects: Task[], context: RoundContext): void {
+  const { step, route } = rankedStep
+  const { adviceRound, now } = context
+  const eligible = planSuspect(rankedStep, suspects, context)
+  if (eligible.length === 0) return
+  if (step.definition.gang) {
+    if (route.advice !== undefined || now - step.occurrence.job.suspectedSince >= SHARED_PATIENCE_MS) planGang(rankedStep, context)
+    return
+  }
+  if (route.advice === undefined || step.askedWorkers.size > 0 || step.nextAdviceAt > now || !adviceRound.canAssign(route.advice)) return
+  askAboutWorkers(rankedStep, route.advice, { missing: 1, eligible }, context)
+}
+
 /** Holds a gang's workers as in the last round, so that no gang of lower rank or later schedule takes them. */
 function restoreHold ({ step, route, lateness }: RankedStep, holds: Map<StepState, GangHold>, contextOf: (service: string) => RoundContext): void {
   const hold = holds.get(step)
--- a/packages/cell/test/runtime/crashBudget.test.ts
+++ b/packages/cell/test/runtime/crashBudget.test.ts
@@ -1,6 +1,7 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
-import { createSteadyRig } from '../support/CellRig.js'
+import type { Job, Step } from '../../src/index.js'
+import { createSteadyRig, stepOf } from '../support/CellRig.js'
 import type { CellRig, RigOptions } from '../support/CellRig.js'
 import type { FakeWorker } from '../support/FakeWorkers.js'
 
@@ -16,6 +17,23 @@
   return rig
 }
 
+/** Submits a job of one step and returns its id. */
+async function submitJob (rig: CellRig, step: Partial<Step>, job: Partial<Job>): Promise<string> {
+  const id = '1'.padStart(16, '0')
+  const repeat = job.repeat === undefined ? {} : { repeat: { ...job.repeat, first: rig.clock.wall() + job.repeat.first } }
+  const node = rig.nodes[0]!
+  let outcome = ''
+  node.cell.gateway.submit({ id, route: 'r', spec: 'x', steps: [stepOf(step)], acceptedAt: node.store.now(), ...repeat }, rig.clock.now() + 2000).then(({ kind }) => { outcome = kind }, error => { throw error })
+  await rig.until(() => outcome === 'accepted')
+  return id
+}
+
+/** @returns the number of crashes after the first ones that happened while another worker was down because of a crash */
+function overlappingLosses ({ fleet }: CellRig, first: number): number {
+  const later = fleet.losses.slice(first)
+  return later.filter(({ at }, index) => index > 0 && at - later[index - 1]!.at < 2900).length
+}
+
 function violationsOf (rig: CellRig): string[] {
   return rig.fleet.violations.map(({ rule, task }) => `${rule} ${task}`)
 }
@@ -96,6 +114,87 @@
   })
 })
 
+describe('a task that crashes every worker, among other jobs,', () => {
+  // Guards against a suspect that is started beside other jobs, whose tasks then become suspects as well and are given up with it.
+  test('takes down three workers at most and one at a time after the first, and the other jobs complete', async () => {
+    for (const replaces of [false, true]) {
+      const rig = await createDeadlyRig({ workers: 4, deadly: ['6'], replaces })
+      const ids: string[] = []
+      for (let index = 0; index < 30; index++) {
+        ids.push((await rig.submit(rig.nodes[0]!, [{ count: 2 }])).id)
+        await rig.run(100)
+      }
+      await rig.run(GIVE_UP_MS)
+      expect(await rig.phases(ids)).toEqual(ids.map((_, index) => index === 5 ? 'failed' : 'completed'))
+      expect(violationsOf(rig)).toEqual([])
+      for (const [task, crashes] of rig.fleet.crashes) expect([task, crashes]).toEqual([task, Math.min(crashes, 3)])
+      expect(new Set(rig.fleet.losses.map(({ at }) => at)).size).toEqual(rig.fleet.losses.length)
+    }
+  })
+
+  test('does not stop its job from completing if only one of the job\'s tasks was on a worker that crashed for another reason', async () => {
+    const rig = await createSteadyRig({ behaviour: () => ({ duration: 2000, ending: 'done', size: SIZE }) })
+    const { id } = await rig.submit(rig.nodes[0]!, [{ count: 8, estimate: 2000 }])
+    await rig.run(1000)
+    ;[...rig.fleet.workers.values()].find(worker => worker.running.size > 0)!.crash()
+    await rig.run(20_000)
+    expect([violationsOf(rig), await rig.phases([id])]).toEqual([[], ['completed']])
+  })
+
+  test('is tried again on a worker that is kept free of others, also while all workers are busy', async () => {
+    const rig = await createDeadlyRig({ workers: 2, deadly: ['1'] })
+    const { id } = await rig.submit(rig.nodes[0]!, [{}])
+    const ids: string[] = []
+    for (let index = 0; index < 150; index++) {
+      ids.push((await rig.submit(rig.nodes[0]!, [{}])).id)
+      await rig.run(60)
+    }
+    await rig.run(GIVE_UP_MS)
+    expect(await rig.phases([id, ...ids])).toEqual(['failed', ...ids.map(() => 'completed')])
+    expect(violationsOf(rig)).toEqual([])
+    expect(rig.fleet.losses.length).toBeLessThan(4)
+  })
+})
+
+describe('a job with tasks that crash every worker', () => {
+  for (const [kind, step, job] of [
+    ['is wide', { count: 8 }, {}], ['is a gang', { count: 3, gang: true }, {}], ['lasts', { count: 2, lasting: true }, {}], ['fills', { count: 3, filling: true }, {}],
+    ['is repeated', {}, { repeat: { count: 3, first: 2500, interval: 1000 } }]
+  ] as Array<[string, Partial<Step>, Partial<Job>]>) {
+    for (const replaces of [false, true]) {
+      test(`and ${kind} takes down one worker at a time after its first tasks, and fails, if workers come back under ${replaces ? 'another' : 'the same'} id`, async () => {
+        const rig = await createDeadlyRig({ workers: 8, replaces })
+        const id = await submitJob(rig, step, job)
+        await rig.until(() => rig.fleet.losses.length > 0)
+        // No crash can be told from an interruption before its worker is back.
+        await rig.run(3000)
+        const firstWave = rig.fleet.losses.length
+        await rig.run(GIVE_UP_MS)
+        expect([violationsOf(rig), await rig.phases([id])]).toEqual([[], ['failed']])
+        for (const crashes of rig.fleet.crashes.values()) expect(crashes).toBeLessThan(4)
+        if (step.gang !== true) expect(overlappingLosses(rig, firstWave)).toEqual(0)
+        const before = rig.fleet.losses.length
+        await rig.run(GIVE_UP_MS)
+        expect(rig.fleet.losses.length).toEqual(before)
+      })
+    }
+  }
+
+  test('and several others like it are given up within the budget of each', async () => {
+    for (const replaces of [false, true]) {
+      const rig = await createDeadlyRig({ workers: 6, deadly: ['2', '3', '5', '8'], replaces })
+      const ids: string[] = []
+      for (let index = 0; index < 16; index++) {
+        ids.push((await rig.submit(rig.nodes[0]!, [{ count: 2 }])).id)
+        await rig.run(150)
+      }
+      await rig.run(2 * GIVE_UP_MS)
+      expect(violationsOf(rig)).toEqual([])
+      expect(await rig.phases(ids)).toEqual(ids.map((_, index) => [1, 2, 4, 7].includes(index) ? 'failed' : 'completed'))
+    }
+  })
+})
+
 describe('a crash is not attributed to a task', () => {
   /** @returns a rig with a job of one long task, and a function that returns the worker that runs it */
   async function createLongRig (): Promise<{ rig: CellRig, id: string, current: () => FakeWorker }> {
