--- a/packages/cell/src/runtime/CrashLedger.ts
+++ b/packages/cell/src/runtime/CrashLedger.ts
@@ -1,12 +1,18 @@
+import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import { CELL_EVENTS } from '../types/events.js'
 import type { WorkerReport } from '../types/worker.js'
-import { countCrashes, incarnationTag } from './CrashBudget.js'
+import { countCrashes, incarnationTag, isCounted } from './CrashBudget.js'
 import type { Crash, CrashCertainty, Task, WorkerState } from './model.js'
+import type { Registry } from './Registry.js'
+import { SharedLosses } from './SharedLosses.js'
+import type { SharedLoss } from './SharedLosses.js'
 
 /** Options and callbacks of a crash ledger. */
 export interface CrashLedgerOptions {
   log: Log
+  clock: Clock
+  registry: Registry
   /** Called after the crashes of a task have changed. */
   onChange: (task: Task) => void
 }
@@ -18,7 +24,27 @@
   /** Ids of these workers, by their last address. */
   private readonly addresses = new Map<string, Set<string>>()
 
-  constructor (private readonly options: CrashLedgerOptions) {}
+  private readonly losses: SharedLosses
+
+  constructor (private readonly options: CrashLedgerOptions) {
+    this.losses = new SharedLosses(options.registry)
+  }
+
+  /** Handles the loss of contact with a worker, which may show that its whole rack or data centre has failed. */
+  noteLost (worker: WorkerState): void {
+    if (worker.isLossNoted) return
+    worker.isLossNoted = true
+    this.losses.note(worker, this.options.clock.now())
+    const shared = this.losses.sharedLossOf(this.losses.lossOf(worker.report.id)!)
+    for (const loss of shared?.losses ?? []) {
+      for (const task of loss.charged) {
+        const crash = task.crashes.findLast(each => each.worker === loss.worker && isCounted(each))
+        if (crash === undefined) continue
+        excuse(task, crash, shared!)
+        this.reportChange(task, crash, crash.certainty)
+      }
+    }
+  }
 
   /**
    * Attributes the crash of a worker to the tasks whose runs may have been executing.
@@ -29,7 +55,9 @@
    */
   charge (worker: WorkerState, tasks: Task[], certainty: CrashCertainty): void {
     const present = [...worker.tasks.values()].filter(task => task.phase !== 'placed')
-    const isAlone = worker.unknownRuns === 0 && present.every(({ step }) => step.occurrence.job === present[0]!.step.occurrence.job)
+    const loss = this.losses.lossOf(worker.report.id)
+    const shared = loss === undefined ? undefined : this.losses.sharedLossOf(loss)
+    const isAlone = worker.hasAnswered && worker.unknownRuns === 0 && present.every(({ step }) => step.occurrence.job === present[0]!.step.occurrence.job)
     for (const task of tasks) {
       const { incarnation } = task
       const isLeaving = worker.leavingIncarnation !== 0 && worker.leavingIncarnation === incarnation
@@ -37,8 +65,10 @@
       const crash: Crash = { worker: worker.report.id, incarnation, run: task.run, certainty, isAlone }
       task.crashes.push(crash)
       task.avoidedWorkers.add(crash.worker)
-      if (certainty !== 'confirmed') this.remember(task, worker.report)
-      this.reportChange(task, crash, certainty)
+      loss?.charged.push(task)
+      if (shared !== undefined) excuse(task, crash, shared)
+      if (!isSettled(crash)) this.remember(task, worker.report)
+      this.reportChange(task, crash, crash.certainty)
     }
   }
 
@@ -62,7 +92,7 @@
 
   /** Adds the unproven crashes of a task whose record was read. */
   restore (task: Task): void {
-    for (const { worker, certainty } of task.crashes) if (certainty !== 'confirmed') this.remember(task, { id: worker, address: '' })
+    for (const crash of task.crashes) if (!isSettled(crash)) this.remember(task, { id: crash.worker, address: '' })
   }
 
   /** Handles an answer of a worker: the same incarnation has not crashed, another one proves that the former one has. */
@@ -89,14 +119,14 @@
   private resolve (id: string, judge: (crash: Crash) => CrashCertainty | 'disproved' | undefined): void {
     for (const task of [...this.unproven.get(id) ?? []]) {
       for (const crash of [...task.crashes]) {
-        if (crash.worker !== id || crash.certainty === 'confirmed') continue
+        if (crash.worker !== id || isSettled(crash)) continue
         const outcome = judge(crash)
         if (outcome === undefined) continue
         if (outcome === 'disproved') task.crashes.splice(task.crashes.indexOf(crash), 1)
         else crash.certainty = outcome
         this.reportChange(task, crash, outcome)
       }
-      if (!task.crashes.some(crash => crash.worker === id && crash.certainty !== 'confirmed')) this.forget(task, id)
+      if (!task.crashes.some(crash => crash.worker === id && !isSettled(crash))) this.forget(task, id)
     }
   }
 
@@ -119,6 +149,21 @@
   }
 }
 
+/** @returns whether nothing that becomes known about the worker changes the crash */
+function isSettled ({ certainty }: Crash): boolean {
+  return certainty === 'confirmed' || certainty === 'excused'
+}
+
+/**
+ * Excuses a task of the crash of a worker that was lost together with its rack or data centre, unless its job ran on all of these workers, or the
+ * task was excused before: several tasks that crash their workers at the same time look the same. Such a crash proves nothing.
+ */
+function excuse (task: Task, crash: Crash, { commonJobs }: SharedLoss): void {
+  crash.isAlone = false
+  if (commonJobs.has(task.step.occurrence.job) || task.crashes.some(each => each !== crash && each.certainty === 'excused')) return
+  crash.certainty = 'excused'
+}
+
 /** @returns whether the worker may be executing the task's run: an order may have been sent, and no end is known */
 function mayExecute ({ phase }: Task): boolean {
   return phase === 'ordered' || phase === 'running' || phase === 'stopping' || phase === 'assumed'
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -110,7 +110,7 @@
     this.recorder = new Recorder({
       store, clock, log, term, version: options.termRowVersion, encode: key => this.encode(key), callbacks: { onRecorded: keys => { this.handleRecorded(keys) }, onTermLost: ({ term: next }) => { this.loseTerm(next?.node) } }
     })
-    this.crashes = new CrashLedger({ log, onChange: task => { this.lifecycle.handleCrashes(task) } })
+    this.crashes = new CrashLedger({ log, clock, registry: this.registry, onChange: task => { this.lifecycle.handleCrashes(task) } })
     this.poller = new WorkerPoller({
       crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, lease: options.lease, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
     })
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -109,6 +109,7 @@
       hasAnswered: false,
       isReachable: false,
       isReplaced: false,
+      isLossNoted: false,
       leavingIncarnation: 0,
       clock: { value: 0, at: 0 },
       leasesExpireAt: 0,
--- a/packages/cell/src/runtime/Suspicion.ts
+++ b/packages/cell/src/runtime/Suspicion.ts
@@ -2,7 +2,7 @@
 import type { JobState, Task, WorkerState } from './model.js'
 
 /** Time after which a suspected run no longer needs a worker of its own: tasks that crash their workers do so soon after the start. */
-const ISOLATION_MS = 10_000
+const ISOLATION_MS = 4000
 /** Number of crashes from which a task is isolated even if another task of its job has proven harmless. */
 const ALWAYS_ISOLATED_CRASHES = 2
 
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -158,18 +158,19 @@
   }
 
   private handlePollFailure (worker: WorkerState, { code, reason }: PollFault): void {
-    const { clock, log, onChange } = this.options
+    const { clock, log, onChange, crashes } = this.options
     const now = clock.now()
     if (worker.isReachable || !worker.hasAnswered) {
       if (worker.isReachable) log.write(CELL_EVENTS.workerUnreachable, { worker: worker.report.id, reason, tasks: worker.tasks.size, leaseLeft: Math.round(worker.leasesExpireAt - now) })
       worker.isReachable = false
+      crashes.noteLost(worker)
     }
     if (code === 'replaced') {
       worker.isReplaced = true
-      this.options.crashes.noteReplaced(worker.report.id)
+      crashes.noteReplaced(worker.report.id)
     }
     if (now < worker.leasesExpireAt || worker.tasks.size === 0) return
-    this.options.crashes.chargeSilent(worker)
+    crashes.chargeSilent(worker)
     for (const task of [...worker.tasks.values()]) this.lifecycle.handleLostRun(task, 'lease ran out')
     onChange()
   }
@@ -184,6 +185,7 @@
     }
     worker.isReachable = true
     worker.isReplaced = false
+    worker.isLossNoted = false
     worker.hasAnswered = true
     worker.clock = { value: list.clock, at: clock.now() }
     this.handleEnds(worker, list)
@@ -277,6 +279,7 @@
     const isFirstAnswer = worker.report.born === 0
     worker.report = { ...worker.report, born }
     if (isFirstAnswer) return
+    this.options.crashes.noteLost(worker)
     this.options.log.write(CELL_EVENTS.workerRestarted, { worker: worker.report.id, born })
     worker.lastEndNumber = 0
     worker.unrecordedEnds.clear()
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -13,7 +13,7 @@
 type CrashRecord = [worker: string, incarnation: number, run: number, certainty: number, isAlone: 0 | 1]
 
 /** Certainties by their number in records. */
-const CERTAINTIES: readonly CrashCertainty[] = ['possible', 'presumed', 'confirmed']
+const CERTAINTIES: readonly CrashCertainty[] = ['possible', 'presumed', 'confirmed', 'excused']
 
 /** Recorded state of a job. */
 export interface JobRecord {
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -18,8 +18,9 @@
  * - `possible`: the leases of a worker that is still listed expired in silence; the crash doesn't count yet
  * - `presumed`: the worker's entry has also expired, without an announced stop
  * - `confirmed`: another incarnation of the worker runs
+ * - `excused`: the worker was lost together with its rack or data centre, so the crash doesn't count
  */
-export type CrashCertainty = 'possible' | 'presumed' | 'confirmed'
+export type CrashCertainty = 'possible' | 'presumed' | 'confirmed' | 'excused'
 
 /** Crash of a worker while it may have been executing a run of a task. */
 export interface Crash {
@@ -143,6 +144,8 @@
   isReachable: boolean
   /** Whether another worker has answered at the worker's address since its last answer. */
   isReplaced: boolean
+  /** Whether the loss of contact since the last answer is noted. */
+  isLossNoted: boolean
   /** Tag of the incarnation that has announced a planned stop, or 0. */
   leavingIncarnation: number
   /** Last known value of the worker's clock, and the monotonic ms at which the value arrived. */
--- a/packages/cell/src/runtime/placeTasks.ts
+++ b/packages/cell/src/runtime/placeTasks.ts
@@ -80,7 +80,7 @@
 }
 
 /** Labels of racks have the form `r1-3`. */
-function isRack (label: string): boolean {
+export function isRack (label: string): boolean {
   return /^r\d+-\d+$/.test(label)
 }
 
--- a/packages/cell/test/runtime/crashBudget.test.ts
+++ b/packages/cell/test/runtime/crashBudget.test.ts
@@ -249,4 +249,38 @@
       expect(await rig.phases([id])).toEqual(['completed'])
     })
   }
+  /** Adds two racks to a rig and returns a function that takes the power from a rack for a while. */
+  async function addRacks (rig: CellRig): Promise<(rack: string) => void> {
+    for (const rack of ['r1-1', 'r1-2']) for (let index = 0; index < 4; index++) rig.addWorker(`${rack}-${index}`, 4000, [rack])
+    await rig.run(1500)
+    return rack => { for (const worker of rig.fleet.workers.values()) if (worker.report.labels.includes(rack)) worker.crash() }
+  }
+
+  for (const replaces of [false, true]) {
+    test(`whose racks lose power, and whose workers come back under ${replaces ? 'another' : 'the same'} id`, async () => {
+      const rig = await createSteadyRig({ workers: 0, behaviour: () => ({ duration: 9000, ending: 'done', size: SIZE }) })
+      rig.fleet.replacesCrashed = replaces
+      const cutPower = await addRacks(rig)
+      const jobs = [await rig.submit(rig.nodes[0]!, [{ estimate: 9000 }]), await rig.submit(rig.nodes[0]!, [{ estimate: 9000, count: 12 }])]
+      for (let time = 0; time < 4; time++) {
+        await rig.run(3000)
+        cutPower(time % 2 === 0 ? 'r1-1' : 'r1-2')
+        await rig.run(4000)
+      }
+      await rig.run(60_000)
+      expect(await rig.phases(jobs.map(job => job.id))).toEqual(['completed', 'completed'])
+    })
+  }
+})
+
+describe('a wide job that crashes every worker of a rack at once', () => {
+  test('is given up all the same', async () => {
+    const rig = await createDeadlyRig({ workers: 0 })
+    for (let index = 0; index < 4; index++) rig.addWorker(`w${index}`, 1000, ['r1-1'])
+    await rig.run(1500)
+    const { id } = await rig.submit(rig.nodes[0]!, [{ count: 4 }])
+    await rig.run(GIVE_UP_MS)
+    expect([violationsOf(rig), await rig.phases([id])]).toEqual([[], ['failed']])
+    expect(Math.max(...rig.fleet.crashes.values())).toBeLessThan(4)
+  })
 })
