--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -58,6 +58,7 @@
     metrics.gauge('open_requests', () => this.callers.openRequests)
     metrics.gauge('processor_seconds', readProcessorSeconds)
     for (const reason of WAIT_REASONS) metrics.gauge('waiting_steps', () => this.cell.activeDecider?.waits.counts.get(reason) ?? 0, { reason })
+    metrics.gauge('tasks_given_up', () => this.cell.activeDecider?.tasksGivenUp ?? 0)
     metrics.gauge('commits', () => this.cell.activeDecider?.commits ?? 0)
   }
 
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -13,6 +13,8 @@
 import { Registry } from './Registry.js'
 import { SubmissionFeed } from './SubmissionFeed.js'
 import { InstanceFeed } from './InstanceFeed.js'
+import { CrashLedger } from './CrashLedger.js'
+import { incarnationTag } from './CrashBudget.js'
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
@@ -25,6 +27,7 @@
 import { Recorder } from './Recorder.js'
 import type { RecordChange } from './Recorder.js'
 import { Recovery } from './Recovery.js'
+import { isolatedWorkers } from './Suspicion.js'
 import { TaskLifecycle } from './TaskLifecycle.js'
 import { StepAdvisor } from './StepAdvisor.js'
 import type { Term } from './Term.js'
@@ -82,6 +85,7 @@
   private readonly recorder: Recorder
   private readonly poller: WorkerPoller
   private readonly lifecycle: TaskLifecycle
+  private readonly crashes: CrashLedger
   private readonly adviceScheduler = new AdviceScheduler()
   private readonly phaseWaiters: PhaseWaiters
   private readonly advisor: StepAdvisor
@@ -122,8 +126,9 @@
     this.recorder = new Recorder({
       store, clock, log, term, version: options.termRowVersion, encode: key => this.encode(key), callbacks: { onRecorded: keys => { this.handleRecorded(keys) }, onTermLost: ({ term: next }) => { this.loseTerm(next?.node) } }
     })
+    this.crashes = new CrashLedger({ log, clock, registry: this.registry, onChange: task => { this.lifecycle.handleCrashes(task) } })
     this.poller = new WorkerPoller({
-      registry: this.registry, workers, clock, log, fence: term.fence, lease: options.lease, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
+      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, lease: options.lease, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
     })
     this.lifecycle = new TaskLifecycle({
       registry: this.registry,
@@ -180,7 +185,10 @@
   /** @returns number of the job's recorded runs that are not known to have ended */
   private restoreJob (job: Job, record: JobRecord | undefined, startedAt: number): number {
     const state = this.addJob(job, 'record')
-    return record === undefined || state === undefined ? 0 : this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
+    if (record === undefined || state === undefined) return 0
+    const runs = this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
+    this.restoreCrashes(state)
+    return runs
   }
 
   /** Stops deciding, without waiting for orders in flight. */
@@ -211,6 +219,11 @@
     return this.recorder.confirmedAt
   }
 
+  /** @returns number of tasks given up in this term because they crash their workers */
+  get tasksGivenUp (): number {
+    return this.lifecycle.tasksGivenUp
+  }
+
   /** @returns number of transactions committed in this term */
   get commits (): number {
     return this.recorder.commits
@@ -292,7 +305,7 @@
     if (ranked.length === 0) return
     const usable = this.usableWorkers(now)
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
-    const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds })
+    const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0 })
     this.holds = plan.holds
     this.lifecycle.place(plan.placements)
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
@@ -301,7 +314,8 @@
   /** @returns the workers on which tasks may be placed, by service */
   private usableWorkers (now: number): Map<string, WorkerState[]> {
     const usable = new Map<string, WorkerState[]>()
-    for (const worker of this.registry.workers.values()) if (isUsable(worker, now)) push(usable, worker.report.service, worker)
+    const isolated = isolatedWorkers(this.registry.suspectedJobs, now)
+    for (const worker of this.registry.workers.values()) if (isUsable(worker, now) && !isolated.has(worker)) push(usable, worker.report.service, worker)
     return usable
   }
 
@@ -365,23 +379,31 @@
     return worker
   }
 
-  private handleListed (report: WorkerReport): void {
-    const existing = this.registry.workers.get(report.id)
-    if (existing === undefined) {
-      const worker = this.registry.ensureWorker(report)
-      if (this.isReady) this.poller.startPolling(worker)
-      this.requestRound()
-      return
+  private restoreCrashes ({ occurrences }: JobState): void {
+    for (const task of occurrences.flatMap(({ steps }) => steps.flatMap(({ tasks }) => tasks))) {
+      if (task.crashes.length === 0) continue
+      this.crashes.restore(task)
+      this.registry.updateSuspicion(task)
     }
-    this.poller.noteListed(existing, report.born)
+  }
+
+  private handleListed (report: WorkerReport): void {
+    this.crashes.noteListed(report)
+    const isNew = !this.registry.workers.has(report.id)
+    const worker = this.registry.ensureWorker(report)
+    const { born } = worker.report
+    this.poller.noteListed(worker, report.born)
+    if (report.state === 'draining') worker.leavingIncarnation = incarnationTag(report.born === 0 ? born : report.born)
     // The next poll updates the incarnation and handles the runs of the former one.
-    existing.report = { ...report, born: existing.report.born }
-    existing.isListed = true
+    worker.report = { ...report, born }
+    worker.isListed = true
+    if (isNew && this.isReady) this.poller.startPolling(worker)
     this.requestRound()
   }
 
   private handleGone (id: string): void {
     const worker = this.registry.workers.get(id)
+    this.crashes.noteGone(id, worker !== undefined && worker.report.state === 'draining')
     if (worker === undefined) return
     worker.isListed = false
     worker.report = { ...worker.report, state: 'draining' }
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -1,5 +1,6 @@
 import type { Job, Size, Step } from '../types/job.js'
 import type { WorkerReport } from '../types/worker.js'
+import { countCrashes } from './CrashBudget.js'
 import type { JobState, StepState, Task, JobOccurrence, WorkerState } from './model.js'
 import { stepName, taskName } from './taskName.js'
 
@@ -14,6 +15,8 @@
   readonly workers = new Map<string, WorkerState>()
   /** Steps that have waiting tasks and whose earlier steps are done. */
   readonly readySteps = new Set<StepState>()
+  /** Open jobs with suspects. */
+  readonly suspectedJobs = new Set<JobState>()
   /** Number of jobs of which no task has started, by route. */
   private readonly waitingByRoute = new Map<string, number>()
   private nextPresence = 1
@@ -28,7 +31,7 @@
   addJob (job: Job, times: { now: number, age: number, wall: number }): JobState {
     const existing = this.jobs.get(job.id)
     if (existing !== undefined) return existing
-    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], isStarted: false, endedAt: 0 }
+    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], isStarted: false, suspects: new Set(), isCleared: false, suspectedSince: 0, reservedWorker: '', endedAt: 0 }
     for (let occurrence = 0; occurrence < (job.repeat?.count ?? 1); occurrence++) {
       const dueAt = job.repeat === undefined ? times.now : times.now + job.repeat.first + occurrence * job.repeat.interval - times.wall
       state.occurrences.push(createOccurrence(state, occurrence, dueAt))
@@ -74,6 +77,15 @@
     }
   }
 
+  /** Updates the suspects of a task's job after a change of the task's crashes or phase. */
+  updateSuspicion (task: Task): void {
+    const { job } = task.step.occurrence
+    if (countCrashes(task) > 0 && task.phase !== 'done') job.suspects.add(task)
+    else job.suspects.delete(task)
+    if (job.suspects.size > 0 && job.phase === 'open') this.suspectedJobs.add(job)
+    else this.suspectedJobs.delete(job)
+  }
+
   /** Assigns a task to a worker and reserves the resources for it. */
   assign (task: Task, worker: WorkerState): void {
     task.worker = worker
@@ -101,6 +113,9 @@
       hasAnswered: false,
       isReachable: false,
       presence: this.nextPresence++,
+      isReplaced: false,
+      isLossNoted: false,
+      leavingIncarnation: 0,
       clock: { value: 0, at: 0 },
       leasesExpireAt: 0,
       unrecordedEnds: new Set(),
@@ -165,7 +180,7 @@
   }
   for (let number = 0; number < definition.count; number++) {
     step.tasks.push({
-      name: taskName(id, occurrence.index, index, number), step, index: number, phase: 'waiting', run: 0, failures: 0, checkpoint: '', confirmedAt: 0, stopConfirmedAt: 0, projectedEndAt: 0, notBefore: 0, avoidedWorkers: new Set()
+      name: taskName(id, occurrence.index, index, number), step, index: number, phase: 'waiting', run: 0, incarnation: 0, failures: 0, crashes: [], checkpoint: '', confirmedAt: 0, stopConfirmedAt: 0, projectedEndAt: 0, notBefore: 0, avoidedWorkers: new Set()
     })
   }
   return step
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -1,9 +1,11 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { ListedRun, WorkerList } from '../types/worker.js'
-import type { WorkerClient } from '../types/ports.js'
+import type { PollFault, WorkerClient } from '../types/ports.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { MIN_CLOCK_RATE, LEASE_MARGIN_MS } from '../types/limits.js'
+import { incarnationTag } from './CrashBudget.js'
+import type { CrashLedger } from './CrashLedger.js'
 import type { Registry } from './Registry.js'
 import type { Task, WorkerState } from './model.js'
 import { ProgressMonitor } from './ProgressMonitor.js'
@@ -35,6 +37,7 @@
   clock: Clock
   log: Log
   fence: number
+  crashes: CrashLedger
   /** Duration of a lease in ms. */
   lease: number
   /** Returns whether leases may be renewed: the term was confirmed recently, or no other node can have claimed it. */
@@ -146,7 +149,7 @@
     if (this.isStopped) return 0
     if (answer.isErr()) {
       if (answer.error.code === 'superseded') this.options.onNewerTerm()
-      this.handlePollFailure(worker, answer.error.reason)
+      this.handlePollFailure(worker, answer.error)
       return UNREACHABLE_POLL_INTERVAL_MS
     }
     this.handleList(worker, answer.value, sentAt)
@@ -167,31 +170,41 @@
     this.wakeCallbacks.delete(worker)
   }
 
-  private handlePollFailure (worker: WorkerState, reason: string): void {
-    const { clock, log, onChange } = this.options
+  private handlePollFailure (worker: WorkerState, { code, reason }: PollFault): void {
+    const { clock, log, onChange, crashes } = this.options
     const now = clock.now()
     if (worker.isReachable || !worker.hasAnswered) {
       if (worker.isReachable) log.write(CELL_EVENTS.workerUnreachable, { worker: worker.report.id, reason, tasks: worker.tasks.size, leaseLeft: Math.round(worker.leasesExpireAt - now) })
       worker.isReachable = false
       this.options.registry.endPresence(worker)
+      crashes.noteLost(worker)
+    }
+    if (code === 'replaced') {
+      worker.isReplaced = true
+      crashes.noteReplaced(worker.report.id)
     }
     if (now < worker.leasesExpireAt || worker.tasks.size === 0) return
+    crashes.chargeSilent(worker)
     for (const task of [...worker.tasks.values()]) this.lifecycle.handleLostRun(task, 'lease ran out')
     onChange()
   }
 
   private handleList (worker: WorkerState, list: WorkerList, sentAt: number): void {
-    const { clock, log, onChange } = this.options
+    const { clock, log, onChange, crashes } = this.options
+    crashes.noteIncarnation(worker.report.id, list.born)
     if (list.born !== worker.report.born) this.handleRestart(worker, list.born)
     if (!worker.isReachable) {
       log.write(CELL_EVENTS.workerReachable, { worker: worker.report.id, running: list.running.length, after: worker.hasAnswered ? Math.round(clock.now() - worker.clock.at) : 0 })
       onChange()
     }
     worker.isReachable = true
+    worker.isReplaced = false
+    worker.isLossNoted = false
     worker.hasAnswered = true
     worker.clock = { value: list.clock, at: clock.now() }
     this.handleEnds(worker, list)
-    this.handleRuns(worker, list.running)
+    this.handleRuns(worker, list)
+    crashes.chargeFormer(worker, list.born)
     this.handleAbsentRuns(worker, list, sentAt)
   }
 
@@ -217,7 +230,7 @@
   /** Records the task's state, then calls `then`. Set by the decider. */
   recordTask: (task: Task, then: () => void) => void = () => {}
 
-  private handleRuns (worker: WorkerState, running: ListedRun[]): void {
+  private handleRuns (worker: WorkerState, { running, born }: WorkerList): void {
     let unknownRuns = 0
     for (const listed of running) {
       const task = this.options.registry.findTask(listed.task)
@@ -226,6 +239,7 @@
         this.stopUnknownRun(worker, listed)
         continue
       }
+      task.incarnation = incarnationTag(born)
       if (listed.checkpoint !== '') task.checkpoint = listed.checkpoint
       if (task.phase === 'assumed' || task.phase === 'ordered') this.confirmRun(task)
       const isStalled = this.progress.update(task, listed, worker, this.options.clock.now())
@@ -280,6 +294,7 @@
     worker.report = { ...worker.report, born }
     if (isFirstAnswer) return
     this.options.registry.endPresence(worker)
+    this.options.crashes.noteLost(worker)
     this.options.log.write(CELL_EVENTS.workerRestarted, { worker: worker.report.id, born })
     this.forgetEnds(worker)
     worker.clock = { value: 0, at: 0 }
