The rig's client of the advice service respects the timeout of a call

The client of the platform gives up after the timeout; the rig's waited without end, so that tests could not see calls that take too long.

--- a/packages/cell/test/support/FakeAdvisor.ts
+++ b/packages/cell/test/support/FakeAdvisor.ts
@@ -42,6 +42,7 @@
     }
     const now = clock.now()
     this.idleAt = Math.max(now, this.idleAt) + (duration?.(step, workers.length) ?? 0)
+    if (this.idleAt - now > timeout) return await clock.deliver(timeout, () => ({ kind: 'failed', reason: 'no answer' }))
     await clock.sleep(this.idleAt - now)
     return { kind: 'answered', tickets: workers.flatMap(worker => this.issueTicket(step, worker)), validity: TICKET_VALIDITY_MS }
   }
