--- a/packages/cell/test/support/randomStarts.ts
+++ b/packages/cell/test/support/randomStarts.ts
@@ -2,6 +2,7 @@
 import { commonFaults, describeFault, pickTarget, schedule } from './commonFaults.js'
 import { createRandom } from './createRandom.js'
 import { hasValidTicket } from './FakeAdvisor.js'
+import { findStaleState } from './findStaleState.js'
 import { hashText, mixHashes } from '../../src/runtime/hashText.js'
 import { RandomJobs } from './RandomJobs.js'
 import { StartChecker } from './StartChecker.js'
@@ -9,7 +10,7 @@
 
 /** Result of a run. */
 export interface RandomStartsRun {
-  /** Violations of the cell's guarantees, and tasks that could run and didn't. */
+  /** Violations of the cell's guarantees, tasks that could run and didn't, and state of the decider that doesn't match the workers at the end. */
   violations: string[]
   /** Accepted jobs that have not ended although nothing of theirs runs and their waiting tasks have room. */
   unfinished: string[]
@@ -73,7 +74,7 @@
   const phases = await rig.phases(ids)
   return {
     // The fleet counts each crash against all tasks on the worker, but most crashes here are faults of the workers themselves.
-    violations: [...rig.fleet.violations.filter(({ rule }) => rule !== 'over-budget').map(violation => JSON.stringify(violation)), ...checker.violations],
+    violations: [...rig.fleet.violations.filter(({ rule }) => rule !== 'over-budget').map(violation => JSON.stringify(violation)), ...checker.violations, ...findStaleState(rig.decider!.cell.activeDecider!.registry, rig.fleet)],
     unfinished: ids.flatMap((id, index) => phases[index] === 'completed' || phases[index] === 'failed' ? [] : [`${id} ${phases[index]} ${checker.jobs.get(id)!.kind}`]),
     faults,
     rig
