--- a/packages/cell/test/support/randomStarts.ts
+++ b/packages/cell/test/support/randomStarts.ts
@@ -54,6 +54,7 @@
   const changes = new WorkerChanges(rig, random)
   const checker = new StartChecker(rig, {
     allows: (worker, step, { job }) => job.route !== 'advised' || allows(worker, step),
+    needsAdvice: ({ job }) => job.route === 'advised',
     isReady: worker => !worker.isDown && !worker.isCutOff && worker.report.state === 'ready'
   })
   await rig.until(() => rig.decider !== undefined)
@@ -102,6 +103,7 @@
   const living = rig.nodes.filter(node => !node.clock.isDead)
   if (living.length === 0) return
   const node = pick(living)
+  checker.noteSubmission()
   const made = jobs.create(node.store.now(), { isPoisonous })
   node.cell.gateway.submit(made.job, rig.clock.now() + 2000).then(outcome => {
     if (outcome.kind === 'accepted') checker.jobs.set(made.job.id, made)
