An end of a worker's new incarnation is not taken for recorded because of one with the same number

Found by the review, by reading; not seen in a run, and without a test of its own. Cause: the callback of a recorded end deleted its number from the worker's present set. End 1 of a former incarnation, whose commit was in flight when the worker restarted, thus removed end 1 of the new one, which could be acknowledged before it was on record. Fix: each incarnation has a set of its own, and the callback keeps the one of its end. Run: workers, takeover and rebirth tests pass.

--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -221,9 +221,11 @@
   }
 
   private recordEnd (worker: WorkerState, task: Task, number: number): void {
+    // A later incarnation has ends with the same numbers.
+    const { unrecordedEnds } = worker
     this.recordTask(task, () => {
-      worker.unrecordedEnds.delete(number)
-      if (worker.unrecordedEnds.size === 0) this.pollNow(worker)
+      unrecordedEnds.delete(number)
+      if (unrecordedEnds.size === 0) this.pollNow(worker)
     })
   }
 
@@ -303,7 +305,7 @@
   /** Numbers of ends start anew in each incarnation: the next poll must not acknowledge ends of a new one that it has not listed yet. */
   private forgetEnds (worker: WorkerState): void {
     worker.lastEndNumber = 0
-    worker.unrecordedEnds.clear()
+    worker.unrecordedEnds = new Set()
   }
 }
 
