Suspects of a crash don't hold up the rest of the cell, and a gang is tried again only as a whole

Found by the review of the crash budget, before it landed; four ways in which a job or a cell stood still (LOST) or a run was doubled (TWICE). 1. A gang with a suspect was placed again while other members were being stopped, so that a run was lost from the books. It now waits for all members. 2. Tasks of one job that waited behind a suspect started one every 4 s, tasks that last among them. A suspect that fits nowhere held back the other tasks of its job for good, and steps of such jobs never counted as held up by gangs.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -314,7 +314,7 @@
   /** @returns the workers on which tasks may be placed, by service */
   private usableWorkers (now: number): Map<string, WorkerState[]> {
     const usable = new Map<string, WorkerState[]>()
-    const isolated = isolatedWorkers(this.registry.suspectedJobs, now)
+    const isolated = isolatedWorkers(this.registry, now)
     for (const worker of this.registry.workers.values()) if (isUsable(worker, now) && !isolated.has(worker)) push(usable, worker.report.service, worker)
     return usable
   }
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -10,11 +10,14 @@
 import { reviewRejections } from './reviewRejections.js'
 import type { RankedStep } from './rankSteps.js'
 import { holdSchedule } from './scheduleGang.js'
-import { suspectsOf } from './Suspicion.js'
+import { suspectsOf, updateClearance } from './Suspicion.js'
 
 /** Assumed share of workers that the advice service allows, before the first answer for a route. */
 const DEFAULT_ALLOWED_SHARE = 0.5
 
+/** Maximum time for which the other tasks of a job wait for a suspect that can't be placed. */
+const MAX_HELD_BACK_MS = SHARED_PATIENCE_MS + 500
+
 /** Decision to start a task on a worker. */
 export interface Placement {
   task: Task
@@ -98,7 +101,10 @@
   for (const rankedStep of ranked) restoreHold(rankedStep, holds, contextOf)
   for (const rankedStep of ranked) {
     const context = contextOf(rankedStep.route.service)
-    const suspects = suspectsOf(rankedStep.step.occurrence.job, now)
+    const { step } = rankedStep
+    step.waitingSince = context.capacity.isMostlyFree ? step.waitingSince ?? now : undefined
+    updateClearance(step.occurrence.job, now)
+    const suspects = suspectsOf(step.occurrence.job, now)
     if (suspects.length > 0) planSuspectedJob(rankedStep, suspects, context)
     else if (canProgress(rankedStep, context)) planStep(rankedStep, context)
   }
@@ -109,7 +115,9 @@
 function planSuspectedJob (rankedStep: RankedStep, suspects: Task[], context: RoundContext): void {
   const { step, route } = rankedStep
   const { adviceRound, now } = context
+  const { job } = step.occurrence
   const eligible = planSuspect(rankedStep, suspects, context)
+  if (job.suspectedSince > 0 && now - job.suspectedSince >= MAX_HELD_BACK_MS && !context.plannedSuspects.has(job) && canProgress(rankedStep, context)) planStep(rankedStep, context, suspects)
   if (eligible.length === 0) return
   if (step.definition.gang) {
     if (route.advice !== undefined || now - step.occurrence.job.suspectedSince >= SHARED_PATIENCE_MS) planGang(rankedStep, context)
@@ -136,12 +144,11 @@
   return step.askedWorkers.size === 0 && step.nextAdviceAt <= now && adviceRound.canAssign(route.advice)
 }
 
-function planStep (rankedStep: RankedStep, context: RoundContext): void {
+function planStep (rankedStep: RankedStep, context: RoundContext, excluded: Task[] = []): void {
   const { step, route } = rankedStep
   const { capacity, now, plan, adviceRound } = context
-  const waiting = step.tasks.filter(task => task.phase === 'waiting' && task.notBefore <= now)
+  const waiting = step.tasks.filter(task => task.phase === 'waiting' && task.notBefore <= now && !excluded.includes(task))
   if (waiting.length === 0) return
-  step.waitingSince = capacity.isMostlyFree ? step.waitingSince ?? now : undefined
   if (step.definition.gang) {
     if (waiting.length === step.tasks.length) planGang(rankedStep, context)
     return
--- a/packages/cell/src/runtime/planSuspect.ts
+++ b/packages/cell/src/runtime/planSuspect.ts
@@ -26,6 +26,7 @@
   if (plannedSuspects.has(job) || suspects.some(task => task.phase !== 'waiting')) return []
   const suspect = suspects.find(task => task.step === step && task.notBefore <= now)
   if (suspect === undefined) return []
+  if (step.definition.gang && step.tasks.some(task => task.phase !== 'waiting' || task.notBefore > now)) return []
   job.suspectedSince = job.suspectedSince === 0 ? now : job.suspectedSince
   const tasks = step.definition.gang ? step.tasks : [suspect]
   const kept = reserved.get(job)
