A job stays shown as running if its recorded placement is not ordered

Cause: since an order is checked before it is sent. A placement that is on record and not sent left the job shown as queued at the decider, while every other node read it as running from the record. Fix: the job counts as running as soon as the placement is on record, as it did before the check. Evidence: the test failed before with 'The value "queued" is not equal to "running"'.

--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -71,6 +71,8 @@
       task: task.name, run, worker: worker.report.id, age: Math.round(clock.now() - job.submittedAt), free: worker.report.capacity.cpu - worker.used.cpu, looked: Math.round(clock.now() - worker.clock.at)
     })
     record(job, () => {
+      // Any node can read the placement now, so that the job must not be shown as queued any more, even if no order follows.
+      if (job.visiblePhase === 'queued') job.visiblePhase = 'running'
       if (task.phase !== 'placed' || task.run !== run) return
       const obstacle = this.findStartObstacle(task, ticket !== undefined)
       if (obstacle !== undefined) {
@@ -79,8 +81,6 @@
       }
       task.phase = 'ordered'
       task.incarnation = incarnationTag(worker.report.born)
-      // Any node can read the placement now, so that the job must not be shown as queued any more.
-      if (job.visiblePhase === 'queued') job.visiblePhase = 'running'
       sendStart(task, ticket)
     })
   }
--- a/packages/cell/test/runtime/capacity.test.ts
+++ b/packages/cell/test/runtime/capacity.test.ts
@@ -203,3 +203,17 @@
     }
   }
 })
+
+// Guards against a job that is shown as queued after it was shown as running: any node can read a placement that is on record, also if its order is not sent.
+test('a job stays shown as running if its recorded placement is not ordered', async () => {
+  const rig = await createSteadyRig({ nodes: 2, workers: 1 })
+  const decider = rig.decider!
+  decider.store.condition = 'slow'
+  const { id } = await rig.submit(rig.nodes.find(node => node !== decider)!, [{}])
+  await rig.until(() => decider.log.lines.some(({ event }) => event.name === 'run-placed'))
+  decider.cell.activeDecider!.registry.workers.get('w0')!.suspendedUntil = Infinity
+  decider.store.condition = 'normal'
+  await rig.until(() => decider.log.lines.some(({ event }) => event.name === 'start-not-taken'))
+  await rig.run(500)
+  expect(await rig.phase(decider, id)).toEqual('running')
+})
