Random starts: jobs whose room becomes free at the end of a run are given the time to run

The trace: the cell was over half full until 1.9 s before the end of the run, and the gang had tickets for all of its workers at the end. The check of the end asked only whether there was room at that moment. Now every such job must end within 35 s after that. The check of starts within 3 s is as before.

--- a/packages/cell/test/support/randomStarts.ts
+++ b/packages/cell/test/support/randomStarts.ts
@@ -21,6 +21,8 @@
 const FAULT_PERIOD_MS = 12_000
 const SUBMISSION_PERIOD_MS = 30_000
 const DURATION_MS = 55_000
+/** Time in which every job that has room at the end must end: a start, a call for advice, and two steps of the longest jobs that end. */
+const LAST_JOBS_MS = 35_000
 /** Kinds of jobs that need not end: they last, or crash workers. */
 const KINDS_WITHOUT_END = ['lasting', 'endless gang', 'poison']
 /** Interval between checks. */
@@ -71,6 +73,8 @@
     checker.check()
   }
   const ids = [...checker.jobs].filter(([, made]) => !KINDS_WITHOUT_END.includes(made.kind) && !checker.isBusy(made)).map(([id]) => id)
+  // Jobs whose room has become free only now are given the time to run.
+  await rig.run(LAST_JOBS_MS)
   const phases = await rig.phases(ids)
   return {
     // The fleet counts each crash against all tasks on the worker, but most crashes here are faults of the workers themselves.
