An unknown job is started only if it was recorded after the submissions that the decider has read

Cause: a decider took every announced job that it did not know for new. What a former decider archived, a successor does not read; what it archived itself, it forgets after the retention.

Change: a write returns the version of the row, and each announcement carries it. A conflict with the row of the job's end is no longer taken for the own write. Ended jobs are kept at least until the feed has passed their version. No call to the store is added. An announcement without a version, of a node of an earlier version of the program, is left to the feed.

Ruled out: mending only the branch of the conflict, which leaves the other three ways; JobArchiver's writes without an expectation, which only repeat a final phase that is on record.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -2,7 +2,7 @@
 import type { Log } from '@rattanstep/telemetry'
 import type { Result } from 'ts-results-es'
 import type { Configuration } from '../types/configuration.js'
-import type { Job } from '../types/job.js'
+import type { RecordedJob } from '../types/job.js'
 import { LEASE_MS, LINK_TIMEOUT_MS, STORE_ADVANTAGE_MS, STORE_REFUSAL_TIMEOUT_MS, STORE_TIMEOUT_MS } from '../types/limits.js'
 import type { Answer, Question } from '../types/links.js'
 import type { Advice, Advisor, RowReader, WorkerClient } from '../types/ports.js'
@@ -167,9 +167,9 @@
     return await this.membership.follower?.ask(question, timeout)
   }
 
-  override announceJob (job: Job): void {
-    if (this.decider === undefined) this.membership.follower?.sendJob(job)
-    else if (this.decider.isReady) this.decider.addJob(job, 'link')
+  override announceJob (recorded: RecordedJob): void {
+    if (this.decider === undefined) this.membership.follower?.sendJob(recorded)
+    else if (this.decider.isReady) this.decider.addJob(recorded, 'link')
   }
 
   override announceCancellation (id: string): void {
@@ -191,7 +191,7 @@
       log,
       fence: term.fence,
       callbacks: {
-        onJob: job => { if (decider.isReady) decider.addJob(job, 'link') },
+        onJob: recorded => { if (decider.isReady) decider.addJob(recorded, 'link') },
         onCancel: id => { decider.cancel(id) },
         answer: async question => decider.isReady ? await decider.answer(question) : unknownAnswer(question),
         configurationVersion: () => this.configuration?.version ?? 0,
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timer } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { Configuration, Route } from '../types/configuration.js'
-import type { Job, JobPhase } from '../types/job.js'
+import type { JobPhase, RecordedJob } from '../types/job.js'
 import type { Answer, Question } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { MIN_CLOCK_RATE, CONFIRMATION_WINDOW_MS, IDLE_COMMIT_INTERVAL_MS, LEASE_MARGIN_MS } from '../types/limits.js'
@@ -54,6 +54,9 @@
 /** Interval between checks for steps that are ready and are not placed. */
 const WAIT_CHECK_INTERVAL_MS = 1000
 
+/** Where a decider learned of a job: an announcement over a link, the feed of submissions, or the records read at the start. */
+export type JobSource = 'link' | 'feed' | 'record'
+
 /** Options of a decider. */
 export interface DeciderOptions {
   store: RecordStore
@@ -155,7 +158,7 @@
         }
       }
     })
-    this.submissionFeed = new SubmissionFeed({ store, clock, log, onJob: job => { this.addJob(job, 'feed') }, onCancel: id => { this.cancel(id) } })
+    this.submissionFeed = new SubmissionFeed({ store, clock, log, onJob: recorded => { this.addJob(recorded, 'feed') }, onCancel: id => { this.cancel(id) } })
     this.instanceFeed = new InstanceFeed({ store, reader: options.reader, clock, log, onListed: report => { this.handleListed(report) }, onGone: id => { this.handleGone(id) } })
   }
 
@@ -168,11 +171,11 @@
     const [recovered] = await Promise.all([recovery.read(() => this.isStopped), this.instanceFeed.start(() => this.isStopped)])
     if (recovered === undefined || this.isStopped) return
     for (const [id, phase] of recovered.ended) {
-      this.registry.archive(id, phase, startedAt)
+      this.registry.archive(id, { phase, at: startedAt, version: recovered.version })
       this.archiver.add(id, phase)
     }
     let assumed = 0
-    for (const job of recovered.jobs) runLogged(() => { assumed += this.restoreJob(job, recovered.records.get(job.id), startedAt) }, log, 'recovery of a job')
+    for (const recorded of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, recovered.records.get(recorded.job.id), startedAt) }, log, 'recovery of a job')
     for (const id of recovered.cancelled) this.cancel(id)
     this.submissionFeed.start(recovered.version, () => this.isStopped)
     this.archiver.start(() => this.isStopped)
@@ -183,8 +186,8 @@
   }
 
   /** @returns number of the job's recorded runs that are not known to have ended */
-  private restoreJob (job: Job, record: JobRecord | undefined, startedAt: number): number {
-    const state = this.addJob(job, 'record')
+  private restoreJob (recorded: RecordedJob, record: JobRecord | undefined, startedAt: number): number {
+    const state = this.addJob(recorded, 'record')
     if (record === undefined || state === undefined) return 0
     const runs = this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
     this.restoreCrashes(state)
@@ -230,19 +233,24 @@
   }
 
   /**
-   * Adds a job, unless it is known already.
+   * Adds a job, unless it is known already or has ended.
    *
-   * @param job - the job
-   * @param source - where the job comes from: a link, the feed of submissions, or the records read at the start
+   * @param recorded - the job
+   * @param source - where the job comes from
    * @returns the job's state, or `undefined` if the job has ended
    */
-  addJob (job: Job, source: 'link' | 'feed' | 'record'): JobState | undefined {
+  addJob (recorded: RecordedJob, source: JobSource): JobState | undefined {
+    const { job, version } = recorded
     if (this.registry.endedJobs.has(job.id)) return undefined
     const existing = this.registry.jobs.get(job.id)
     if (existing !== undefined) return existing
     const { clock, store, log } = this.options
+    if (source !== 'record' && this.hasEnded(recorded)) {
+      log.write(CELL_EVENTS.announcementOutdated, { job: job.id, source, version, known: this.submissionFeed.version })
+      return undefined
+    }
     const age = store.now() === 0 ? 0 : Math.max(0, store.now() - job.acceptedAt)
-    if (source !== 'record') log.write(CELL_EVENTS.jobKnown, { job: job.id, source })
+    if (source !== 'record') log.write(CELL_EVENTS.jobKnown, { job: job.id, source, version, known: this.submissionFeed.version })
     this.updateRoutes()
     if (findScheduledRoute(job, name => this.routes.get(name)) === undefined) log.write(CELL_EVENTS.routeUnknown, { job: job.id, route: job.route })
     const state = this.registry.addJob(job, { now: clock.now(), age, wall: clock.wall() })
@@ -250,6 +258,14 @@
     return state
   }
 
+  /**
+   * An announcement may arrive after its job was archived, even by a former decider. All jobs on record by the version up to which submissions
+   * were read are known until they end, so that an unknown one of them has ended.
+   */
+  private hasEnded ({ version }: RecordedJob): boolean {
+    return version <= this.submissionFeed.version
+  }
+
   /** Cancels a job, if it is known. The cancellation must be on record. */
   cancel (id: string): void {
     const state = this.registry.jobs.get(id)
@@ -458,14 +474,15 @@
   private archiveEnded (id: string): void {
     const state = this.registry.jobs.get(id)
     if (state === undefined || state.phase === 'open' || state.visiblePhase !== state.phase || hasRuns(state) || this.pendingCallbacks.has(id)) return
-    this.registry.archive(id, state.phase, this.options.clock.now())
+    this.registry.archive(id, { phase: state.phase, at: this.options.clock.now(), version: this.recorder.version })
     this.archiver.add(id, state.phase)
   }
 
   private pruneEnded (): void {
     const limit = this.options.clock.now() - this.options.retention
-    for (const [id, { at }] of this.registry.endedJobs) {
-      if (at > limit) return
+    for (const [id, { at, version }] of this.registry.endedJobs) {
+      // The feed may still pass on a job that it has not read yet.
+      if (at > limit || version > this.submissionFeed.version) return
       this.registry.endedJobs.delete(id)
     }
   }
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -1,5 +1,5 @@
 import type { Clock, Timer } from '@rattanstep/core'
-import type { Job } from '../types/job.js'
+import type { RecordedJob } from '../types/job.js'
 import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
 import type { Answer, DeciderMessage, Question, FollowerMessage } from '../types/links.js'
 import { LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO } from '../types/limits.js'
@@ -118,8 +118,8 @@
   }
 
   /** Sends a job to the decider. The job must be on record. */
-  sendJob (job: Job): void {
-    this.link.send({ kind: 'job', job })
+  sendJob ({ job, version }: RecordedJob): void {
+    this.link.send({ kind: 'job', job, version })
   }
 
   /** Sends a cancellation to the decider. The cancellation must be on record. */
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -1,6 +1,6 @@
 import type { Clock, Timer } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
-import type { Job } from '../types/job.js'
+import type { RecordedJob } from '../types/job.js'
 import type { Answer, DeciderMessage, Question, SuccessionReason, FollowerMessage } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { Batch } from './Batch.js'
@@ -46,7 +46,7 @@
 
 /** Callbacks for messages from followers. */
 export interface FollowersCallbacks {
-  onJob: (job: Job) => void
+  onJob: (recorded: RecordedJob) => void
   onCancel: (id: string) => void
   answer: (question: Question) => Promise<Answer>
   /** Returns the version of the configuration in force at the decider. */
@@ -215,7 +215,7 @@
         follower.storeFailing = message.storeFailing ?? 0
         if (message.term > fence) callbacks.onNewerTerm()
         return
-      case 'job': return this.handleJob(follower, message.job)
+      case 'job': return this.handleJob(follower, message)
       case 'cancel': return callbacks.onCancel(message.id)
       case 'ask': return detach(this.answerFollower(follower, message), this.options.log, 'query of a follower')
       case 'record': return detach(this.writeForFollower(follower, message), this.options.log, 'record for a follower')
@@ -227,10 +227,11 @@
     }
   }
 
-  private handleJob (follower: FollowerState, job: Job): void {
+  /** Without the version of its row, a job is left to the feed of submissions. */
+  private handleJob (follower: FollowerState, { job, version }: Extract<FollowerMessage, { kind: 'job' }>): void {
     const { log, callbacks } = this.options
-    const problem = findJobProblem(job)
-    if (problem === undefined) callbacks.onJob(job)
+    const problem = typeof version === 'number' ? findJobProblem(job) : 'the version of the job is missing'
+    if (problem === undefined) callbacks.onJob({ job, version: version! })
     else log.write(CELL_EVENTS.badMessage, { from: follower.node, problem })
   }
 
--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@rattanstep/core'
 import type { PhaseOutcome, RequestOutcome } from '../types/callers.js'
-import type { Job } from '../types/job.js'
+import type { Job, RecordedJob } from '../types/job.js'
 import type { Answer, Question } from '../types/links.js'
 import type { RecordStore } from '../types/records.js'
 import type { EndedPhase } from './Registry.js'
@@ -36,7 +36,7 @@
   abstract query (question: Question, timeout: number): Promise<Answer | undefined>
 
   /** Notifies the decider of a job that is on record. */
-  abstract announceJob (job: Job): void
+  abstract announceJob (recorded: RecordedJob): void
 
   /** Notifies the decider of a cancellation that is on record. */
   abstract announceCancellation (id: string): void
@@ -136,12 +136,12 @@
   async write (request: WriteRequest, deadline: number, { retryWhenBusy = true } = {}): Promise<WriteOutcome> {
     const { decider } = this.options
     if (!this.isStoreReachable) return 'refused'
-    const outcome = await this.writer.write(submissionRowOf(request), deadline, { retryWhenBusy })
-    if (outcome === 'done') {
-      if (request.kind === 'job') decider.announceJob(request.job)
+    const result = await this.writer.write(submissionRowOf(request), deadline, { retryWhenBusy })
+    if (result.outcome === 'done') {
+      if (request.kind === 'job') decider.announceJob({ job: request.job, version: result.version })
       else decider.announceCancellation(request.id)
     }
-    return outcome
+    return result.outcome
   }
 
   /**
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -57,6 +57,11 @@
     this.confirmedAt = options.clock.now()
   }
 
+  /** @returns version of the store at the last commit */
+  get version (): number {
+    return this.rowVersion
+  }
+
   /** Marks a key whose record is to be written. */
   markDirty (key: string): void {
     this.dirtyKeys.add(key)
--- a/packages/cell/src/runtime/Recovery.ts
+++ b/packages/cell/src/runtime/Recovery.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
-import type { Job } from '../types/job.js'
+import type { RecordedJob } from '../types/job.js'
 import type { RecordStore, Row } from '../types/records.js'
 import { CELL_EVENTS } from '../types/events.js'
 import type { EndedPhase } from './Registry.js'
@@ -19,7 +19,7 @@
 
 /** State of the jobs as read from the store. */
 export interface RecoveredState {
-  jobs: Job[]
+  jobs: RecordedJob[]
   /** Final phases of the jobs that have ended and have no runs, by id. */
   ended: Map<string, EndedPhase>
   cancelled: string[]
@@ -47,7 +47,7 @@
     for (const row of records.rows) this.addRecord(row, state)
     const open = parts.flatMap(part => part!.rows).filter(row => !state.ended.has(row.key))
     Object.assign(state, partitionSubmissions(open, this.options.log))
-    state.jobs.sort((a, b) => a.acceptedAt - b.acceptedAt)
+    state.jobs.sort((a, b) => a.job.acceptedAt - b.job.acceptedAt)
     return state
   }
 
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -7,11 +7,20 @@
 /** Phase of a job that has ended. */
 export type EndedPhase = Exclude<JobState['phase'], 'open'>
 
+/** What is kept of a job that has ended. */
+export interface ArchivedJob {
+  phase: EndedPhase
+  /** Monotonic ms of the archiving. */
+  at: number
+  /** Version of the store by which the job was recorded. */
+  version: number
+}
+
 /** All jobs, tasks and workers known to a decider. */
 export class Registry {
   readonly jobs = new Map<string, JobState>()
-  /** Archived jobs, in order of their archiving: final phase, and the monotonic ms of the archiving. */
-  readonly endedJobs = new Map<string, { phase: EndedPhase, at: number }>()
+  /** Archived jobs, in order of their archiving. */
+  readonly endedJobs = new Map<string, ArchivedJob>()
   readonly workers = new Map<string, WorkerState>()
   /** Steps that have waiting tasks and whose earlier steps are done. */
   readonly readySteps = new Set<StepState>()
@@ -43,9 +52,9 @@
   }
 
   /** Removes a job that has ended, except for its final phase. */
-  archive (id: string, phase: EndedPhase, now: number): void {
+  archive (id: string, archived: ArchivedJob): void {
     this.jobs.delete(id)
-    this.endedJobs.set(id, { phase, at: now })
+    this.endedJobs.set(id, archived)
   }
 
   /** Records that a task of the job has started, or that the job ended without a start. */
--- a/packages/cell/src/runtime/SubmissionFeed.ts
+++ b/packages/cell/src/runtime/SubmissionFeed.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
-import type { Job } from '../types/job.js'
+import type { RecordedJob } from '../types/job.js'
 import type { RecordStore, Row } from '../types/records.js'
 import { submissionParts } from './rowNames.js'
 import { partitionSubmissions } from './partitionSubmissions.js'
@@ -16,9 +16,10 @@
 
 /** Finds submissions and cancellations that did not arrive over a link. */
 export class SubmissionFeed {
-  private version = 0
+  /** Version of the store up to which all submissions were passed on or read at the start. */
+  version = 0
 
-  constructor (private readonly options: { store: RecordStore, clock: Clock, log: Log, onJob: (job: Job) => void, onCancel: (id: string) => void }) {}
+  constructor (private readonly options: { store: RecordStore, clock: Clock, log: Log, onJob: (recorded: RecordedJob) => void, onCancel: (id: string) => void }) {}
 
   /**
    * Starts to poll in the background.
@@ -59,7 +60,7 @@
   private handleRows (rows: Row[]): void {
     const { log, onJob, onCancel } = this.options
     const { jobs, cancelled } = partitionSubmissions(rows, log)
-    for (const job of jobs) runLogged(() => { onJob(job) }, log, 'hand-in')
+    for (const recorded of jobs) runLogged(() => { onJob(recorded) }, log, 'hand-in')
     for (const id of cancelled) runLogged(() => { onCancel(id) }, log, 'cancellation')
   }
 }
--- a/packages/cell/src/runtime/SubmissionWriter.ts
+++ b/packages/cell/src/runtime/SubmissionWriter.ts
@@ -18,6 +18,9 @@
  */
 export type WriteOutcome = 'done' | 'repeated' | 'refused' | 'busy' | 'unknown'
 
+/** Result of a write; `version`: version of the row that is on record. */
+export type WriteResult = { outcome: 'done', version: number } | { outcome: Exclude<WriteOutcome, 'done'> }
+
 /** A row to write for a submission or a cancellation. */
 export interface SubmissionRow {
   name: RowName
@@ -33,7 +36,7 @@
   isSending: boolean
   /** Whether to retry while the store is busy. The node that writes for all others has no other node to forward the write to. */
   retryWhenBusy: boolean
-  resolve: (outcome: WriteOutcome) => void
+  resolve: (result: WriteResult) => void
   timer: Timer
 }
 
@@ -65,14 +68,14 @@
    * @param row - row to write
    * @param deadline - time by which the outcome is needed, in monotonic ms
    * @param options - `retryWhenBusy`: whether to retry while the store is busy
-   * @returns the outcome, as far as it is known by the deadline
+   * @returns the result, as far as it is known by the deadline
    */
-  async write (row: SubmissionRow, deadline: number, { retryWhenBusy = false } = {}): Promise<WriteOutcome> {
+  async write (row: SubmissionRow, deadline: number, { retryWhenBusy = false } = {}): Promise<WriteResult> {
     const { clock } = this.options
     let part = this.parts.get(row.name.part)
     if (part === undefined) this.parts.set(row.name.part, part = { queue: [], sentAt: undefined, retryDelay: RETRY_DELAY_MS })
     const { queue } = part
-    return await new Promise<WriteOutcome>(resolve => {
+    return await new Promise<WriteResult>(resolve => {
       const item: PendingWrite = { row, maybeWritten: false, isSending: false, retryWhenBusy, resolve, timer: clock.schedule(Math.max(0, deadline - clock.now()), () => { this.expire(part, item) }) }
       queue.push(item)
       if (part.sentAt === undefined) this.flush(part)
@@ -99,7 +102,7 @@
 
   private handleOutcome (part: PartQueue, batch: PendingWrite[], outcome: TransactionOutcome): void {
     switch (outcome.kind) {
-      case 'done': return this.resolveWrites(part, batch, 'done')
+      case 'done': return this.resolveWrites(part, batch, { outcome: 'done', version: outcome.version })
       case 'conflict': return this.handleConflict(part, batch, outcome.rows)
       case 'unknown':
         for (const item of batch) item.maybeWritten = true
@@ -107,13 +110,13 @@
       // If an earlier attempt may have been carried out, the refusal of this one doesn't settle the outcome.
       case 'busy':
         this.busyAt = this.options.clock.now()
-        return this.resolveWrites(part, batch.filter(item => !item.maybeWritten && !item.retryWhenBusy), 'busy')
-      case 'refused': return this.resolveWrites(part, batch.filter(item => !item.maybeWritten), 'refused')
+        return this.resolveWrites(part, batch.filter(item => !item.maybeWritten && !item.retryWhenBusy), { outcome: 'busy' })
+      case 'refused': return this.resolveWrites(part, batch.filter(item => !item.maybeWritten), { outcome: 'refused' })
     }
   }
 
-  private resolveWrites (part: PartQueue, items: PendingWrite[], outcome: WriteOutcome): void {
-    for (const item of items) this.resolveWrite(part, item, outcome)
+  private resolveWrites (part: PartQueue, items: PendingWrite[], result: WriteResult): void {
+    for (const item of items) this.resolveWrite(part, item, result)
   }
 
   private scheduleNext (part: PartQueue, delay: number): void {
@@ -124,24 +127,30 @@
   }
 
   private handleConflict (part: PartQueue, batch: PendingWrite[], rows: Row[]): void {
-    const present = new Set(rows.filter(row => row.version > 0).map(row => row.key))
     for (const item of batch) {
-      if (item.row.absent.some(name => present.has(name.key))) this.resolveWrite(part, item, item.maybeWritten ? 'done' : 'repeated')
+      const present = rows.find(row => row.version > 0 && item.row.absent.some(name => isSameRow(name, row)))
+      if (present === undefined) continue
+      const isOwnRow = item.maybeWritten && isSameRow(item.row.name, present)
+      this.resolveWrite(part, item, isOwnRow ? { outcome: 'done', version: present.version } : { outcome: 'repeated' })
     }
   }
 
   private expire (part: PartQueue, item: PendingWrite): void {
-    this.resolveWrite(part, item, item.maybeWritten || item.isSending ? 'unknown' : 'refused')
+    this.resolveWrite(part, item, { outcome: item.maybeWritten || item.isSending ? 'unknown' : 'refused' })
   }
 
-  private resolveWrite (part: PartQueue, item: PendingWrite, outcome: WriteOutcome): void {
+  private resolveWrite (part: PartQueue, item: PendingWrite, result: WriteResult): void {
     item.timer.cancel()
     const index = part.queue.indexOf(item)
     if (index >= 0) part.queue.splice(index, 1)
-    item.resolve(outcome)
+    item.resolve(result)
   }
 }
 
+function isSameRow (a: RowName, b: RowName): boolean {
+  return a.table === b.table && a.part === b.part && a.key === b.key
+}
+
 function delayAfter (part: PartQueue, { kind }: TransactionOutcome): number {
   const { retryDelay } = part
   const wasExecuted = kind === 'done' || kind === 'conflict'
--- a/packages/cell/src/runtime/partitionSubmissions.ts
+++ b/packages/cell/src/runtime/partitionSubmissions.ts
@@ -1,6 +1,6 @@
 import type { Log } from '@rattanstep/telemetry'
 import { CELL_EVENTS } from '../types/events.js'
-import type { Job } from '../types/job.js'
+import type { RecordedJob } from '../types/job.js'
 import type { Row } from '../types/records.js'
 import { decodeSubmission } from './submissionRow.js'
 import { CANCELLATION_SUFFIX } from './rowNames.js'
@@ -12,8 +12,8 @@
  * @param log - receives the rows that can't be decoded
  * @returns the submitted jobs, and the ids of cancelled jobs
  */
-export function partitionSubmissions (rows: Row[], log: Log): { jobs: Job[], cancelled: string[] } {
-  const jobs: Job[] = []
+export function partitionSubmissions (rows: Row[], log: Log): { jobs: RecordedJob[], cancelled: string[] } {
+  const jobs: RecordedJob[] = []
   const cancelled: string[] = []
   for (const row of rows) {
     if (row.key.endsWith(CANCELLATION_SUFFIX)) {
@@ -21,7 +21,7 @@
       continue
     }
     const job = decodeSubmission(row.value)
-    if (job.isOk()) jobs.push(job.value)
+    if (job.isOk()) jobs.push({ job: job.value, version: row.version })
     else log.write(CELL_EVENTS.badRow, { key: row.key, problem: job.error })
   }
   return { jobs, cancelled }
--- a/packages/cell/src/types/job.ts
+++ b/packages/cell/src/types/job.ts
@@ -54,3 +54,10 @@
 
 /** Phase of a job as reported to callers. */
 export type JobPhase = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled'
+
+/** A job that is on record. */
+export interface RecordedJob {
+  job: Job
+  /** Version of the row that stores the submission. */
+  version: number
+}
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -8,7 +8,7 @@
 export type FollowerMessage =
   | { kind: 'hello', node: string, dataCentre: string, /** `HOST:PORT` at which other nodes reach the sender */ address: string, /** see `CellSettings.strength` */ strength: number, /** ms since the process started */ age: number }
   | { kind: 'beat', /** ms since the store last answered this node */ storeSilence: number, /** ms for which the store has refused this node's calls */ storeFailing?: number, term: number, configuration: number }
-  | { kind: 'job', job: Job }
+  | { kind: 'job', job: Job, /** version of the row that stores the job; absent from nodes of an earlier version of the program */ version?: number }
   | { kind: 'cancel', id: string }
   | { kind: 'ask', call: number, question: Question }
   /** Asks the decider's node to write a request to the store; `patience` is the timeout in ms. */
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -118,7 +118,7 @@
   }
   const finishJob = (job: JobState, outcome: Outcome): void => {
     outcome.endedAt = now
-    registry.archive(job.job.id, 'completed', now)
+    registry.archive(job.job.id, { phase: 'completed', at: now, version: 0 })
   }
   const endTask = (task: Task, outcome: Outcome): void => {
     registry.release(task)
--- a/packages/cell/test/support/FakeStore.ts
+++ b/packages/cell/test/support/FakeStore.ts
@@ -72,6 +72,8 @@
 /** Store client of one node. */
 export class FakeStore extends RecordStore {
   condition: StoreCondition = 'normal'
+  /** Whether transactions that delete rows are refused. */
+  refusesDeletions = false
   calls = 0
   private concurrentReads = 0
   /** Largest number of reads of rows that were open at the same time. */
@@ -87,7 +89,7 @@
     this.calls++
     const { condition } = this
     if (condition === 'refusing' || condition === 'resetting') this.failingSince ??= this.clock.now()
-    if (condition === 'refusing') return await this.clock.deliver(ANSWER_MS, () => ({ kind: 'refused', reason: 'status 503' }))
+    if (condition === 'refusing' || (this.refusesDeletions && (transaction.deletes ?? []).length > 0)) return await this.clock.deliver(ANSWER_MS, () => ({ kind: 'refused', reason: 'status 503' }))
     if (condition === 'resetting') return await this.clock.deliver(ANSWER_MS, () => ({ kind: 'unknown', reason: 'reset' }))
     if (condition === 'silent') return await this.clock.deliver(TIMEOUT_MS, () => ({ kind: 'unknown', reason: 'no answer' }))
     if (condition === 'losing-answers' || condition === 'late') {
