A decider renews leases without the store only if no node can have claimed the term

What the users saw: run 1 of a task, started by frontend-jm-south-d-1 on a worker in z3, was counted as lost by frontend-jm-south-b-2 when its lease had run out, run 2 was placed 23 ms later, and 3,073 ms after that the same incarnation of the worker still listed run 1.

The decider took the store for lost to all, because it was lost to the followers that it still had, and renewed the leases without end. The other nodes claimed the term, waited for the 6.3 s that a former decider may renew at most, and started the tasks anew. In the record, the decider and the worker are in one data centre, the worker's entry had vanished from the list (the crash was "presumed"), and the three nodes of another data centre lost the store together later.

Change: the store counts as lost for all only if every node that was in the cell at the end of the former term or has followed since is linked, has declined any offer of the term, and has said within the confirmation window that the store doesn't answer it. A follower that is offered the term and can't reach the store now says so. An offer counts only if there is a follower to take it.

Ruled out for this record: the lease of a former incarnation fits only if the worker also restarted within the three seconds before it was cut off; a frozen former decider renews nothing on waking, since its clock values are old; late polls carry a fixed end of the lease.

Price: if a node is lost during an outage of the store for all nodes and doesn't join again, running tasks lapse 2 s + 4 s into the outage.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -190,6 +190,7 @@
       clock,
       log,
       fence: term.fence,
+      expected: this.membership.formerMembers,
       callbacks: {
         onJob: recorded => { if (decider.isReady) decider.addJob(recorded, 'link') },
         onCancel: id => { decider.cancel(id) },
@@ -220,7 +221,7 @@
       configuration: () => this.configuration,
       advisorNodes: () => [node, ...followers.nodes],
       askAdvice: async (asker, question): Promise<Advice> => asker === node ? await advisor.advise(question) : await followers.ask(asker, question),
-      isStoreLostForAll: () => followers.storeSilences().length > 0 && followers.storeSilences().every(silence => silence > STORE_TIMEOUT_MS),
+      isStoreLostForAll: () => followers.isStoreLostForAll(),
       onTermLost: resolveTermLost,
       retention,
       lease: Math.min(LEASE_MS, leaseMax),
@@ -252,8 +253,8 @@
     const isRefused = store.failingFor() >= STORE_REFUSAL_TIMEOUT_MS
     if ((storeSilence < STORE_TIMEOUT_MS && !isRefused) || now - this.lastOfferAt < LINK_TIMEOUT_MS) return
     this.lastOfferAt = now
-    decider.noteOffer()
-    this.followers?.nominateSuccessor('store-unreachable', this.offerCount++, isRefused ? undefined : storeSilence - STORE_ADVANTAGE_MS)
+    const successor = this.followers?.nominateSuccessor('store-unreachable', this.offerCount++, isRefused ? undefined : storeSilence - STORE_ADVANTAGE_MS)
+    if (successor !== undefined) decider.noteOffer()
   }
 
   /** Hands the term over to a much stronger follower, if there is one. */
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -73,7 +73,7 @@
   advisorNodes: () => string[]
   /** Has a node call the advice service; `timeout` in ms. */
   askAdvice: (node: string, question: { step: string, workers: string[], timeout: number }) => Promise<Advice>
-  /** Whether there are followers and the store answers none of them, so that no node can claim the term without the decider's knowledge. */
+  /** Whether no other node can have claimed the term, because the store answers none of them. */
   isStoreLostForAll: () => boolean
   /** Called once, when the store or a worker shows that another node has claimed the term; `successor` is that node, if known. */
   onTermLost: (successor: string | undefined) => void
@@ -287,7 +287,7 @@
     if (job !== undefined) {
       await this.phaseWaiters.wait(job, this.isPhaseUncertain(job))
       // Callers may have been told of a record whose commit got no answer, or of what another decider has done since. The store tells which phase is true.
-      if (this.isPhaseUncertain(job) || this.mayBeDeposed()) return { about: 'job', phase: 'unknown', assumed: job.visiblePhase }
+      if (this.isPhaseUncertain(job) || this.mayBeDeposed()) return { about: 'job', phase: 'unknown', ...(this.options.isStoreLostForAll() ? { assumed: job.visiblePhase } : {}) }
     }
     return { about: 'job', phase: this.registry.jobs.get(id)?.visiblePhase ?? this.registry.endedJobs.get(id)?.phase ?? 'unknown' }
   }
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -200,7 +200,8 @@
 
   /** Stops following to claim the term, unless the store doesn't answer: without the store, the claim would fail and the decider would lose a follower. */
   private async succeed (): Promise<void> {
-    if (await this.options.checkStore()) this.end('called')
+    if (await this.options.checkStore()) return this.end('called')
+    if (!this.hasEnded) this.link.send({ kind: 'declined' })
   }
 
   private async advise (message: Extract<DeciderMessage, { kind: 'advise' }>): Promise<void> {
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -4,7 +4,7 @@
 import type { Answer, DeciderMessage, Question, SuccessionReason, FollowerMessage } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { Batch } from './Batch.js'
-import { DISTANT_HEARTBEAT_MS, LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO, WATCHER_COUNT } from '../types/limits.js'
+import { CONFIRMATION_WINDOW_MS, DISTANT_HEARTBEAT_MS, LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO, STORE_REFUSAL_TIMEOUT_MS, STORE_TIMEOUT_MS, WATCHER_COUNT } from '../types/limits.js'
 import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
 import type { Advice } from '../types/ports.js'
 import type { Executor } from './ExecutorSelection.js'
@@ -86,13 +86,19 @@
 /** The nodes that follow a decider. */
 export class Followers {
   private readonly followers = new Map<string, FollowerState>()
+  /** Addresses of nodes that may run and are not linked, so that they may have claimed the term. */
+  private readonly absent: Set<string>
+  /** Names of the followers that were offered the term and have not declined. */
+  private readonly offers = new Set<string>()
   private readonly calls = new Map<number, { node: string, resolve: (answer: unknown) => void }>()
   private nextCall = 1
   /** The followers as executors of calls to workers; replaced after each change. */
   executors: readonly Executor[] = []
   private readonly timer: Timer
 
-  constructor (private readonly options: { clock: Clock, log: Log, fence: number, callbacks: FollowersCallbacks }) {
+  /** @param options - `expected`: addresses of the other nodes that were in the cell at the end of the former term, as far as they are known */
+  constructor (private readonly options: { clock: Clock, log: Log, fence: number, expected: string[], callbacks: FollowersCallbacks }) {
+    this.absent = new Set(options.expected)
     this.timer = options.clock.repeat(LINK_HEARTBEAT_MS, () => { this.sendHeartbeats() })
   }
 
@@ -101,9 +107,14 @@
     return [...this.followers.keys()]
   }
 
-  /** @returns ms since the store last answered each follower */
-  storeSilences (): number[] {
-    return [...this.followers.values()].map(follower => follower.storeSilence)
+  /**
+   * @returns whether no node can have claimed the term: they are all linked, have not accepted an offer, and have recently said that the store doesn't
+   * answer them. A node that is not linked may be in a part of the network that the store answers.
+   */
+  isStoreLostForAll (): boolean {
+    const reportedSince = this.options.clock.now() - CONFIRMATION_WINDOW_MS
+    return this.absent.size === 0 && this.offers.size === 0 && this.followers.size > 0 && [...this.followers.values()].every(({ lastMessageAt, storeSilence, storeFailing }) =>
+      lastMessageAt > reportedSince && (storeSilence > STORE_TIMEOUT_MS || storeFailing >= STORE_REFUSAL_TIMEOUT_MS))
   }
 
   /** Adds a node that has asked to join. */
@@ -116,6 +127,8 @@
       node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, orders: new Batch({ clock, delay: ORDER_BATCH_MS, flush: calls => { link.send(encoder.encode(fence, calls)) } }), storeSilence: 0, storeFailing: 0, strength, startedAt: now - age
     }
     this.followers.set(node, follower)
+    this.absent.delete(address)
+    this.offers.delete(node)
     this.updateExecutors()
     link.onMessage = message => { runLogged(() => { this.handleMessage(follower, message) }, log, 'message of a follower') }
     link.onClose = reason => { this.remove(follower, reason) }
@@ -173,8 +186,10 @@
   nominateSuccessor (reason: SuccessionReason, attempt: number, maxStoreSilence = MAX_SUCCESSOR_STORE_SILENCE_MS): string | undefined {
     const eligible = (reason === 'stopping' ? this.rankedForPlannedStop() : this.ranked()).filter(follower => follower.storeSilence < maxStoreSilence && follower.storeFailing === 0)
     const follower = eligible[attempt % Math.max(1, eligible.length)]
-    follower?.link.send({ kind: 'succeed', reason })
-    return follower?.node
+    if (follower === undefined) return undefined
+    this.offers.add(follower.node)
+    follower.link.send({ kind: 'succeed', reason })
+    return follower.node
   }
 
   /** Closes all links. */
@@ -217,6 +232,9 @@
         return
       case 'job': return this.handleJob(follower, message)
       case 'cancel': return callbacks.onCancel(message.id)
+      case 'declined':
+        this.offers.delete(follower.node)
+        return
       case 'ask': return detach(this.answerFollower(follower, message), this.options.log, 'query of a follower')
       case 'record': return detach(this.writeForFollower(follower, message), this.options.log, 'record for a follower')
       case 'advised': return this.resolveCall(message.call, message.advice)
@@ -284,6 +302,7 @@
   private remove (follower: FollowerState, reason: string): void {
     if (this.followers.get(follower.node) !== follower) return
     this.followers.delete(follower.node)
+    this.absent.add(follower.address)
     this.updateExecutors()
     this.options.log.write(CELL_EVENTS.followerLost, { follower: follower.node, reason })
     for (const [call, { node }] of [...this.calls]) {
--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -92,7 +92,7 @@
     const answer = await this.options.decider.query({ about: 'job', id }, QUERY_TIMEOUT_MS)
     if (answer?.about === 'job' && answer.phase !== 'unknown') return { kind: 'phase', phase: answer.phase }
     const recorded = await this.readRecordedPhase(id)
-    // Without the store no other node can have become the decider.
+    // The decider tells its last phase only if no other node can have become the decider.
     if (recorded.kind === 'refused' && answer?.about === 'job' && answer.assumed !== undefined) return { kind: 'phase', phase: answer.assumed }
     return recorded
   }
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -67,6 +67,8 @@
   follower: Follower | undefined
   /** Addresses of the nodes that followed the former decider, if this node was told. */
   private members: string[] = []
+  /** Address of the former decider, or '' if there was none. */
+  private formerDecider = ''
   private termRowVersion = 0
   /** Monotonic ms at which this node learned of each of the last terms that were claimed from a silent decider, by fencing token. */
   private readonly suspicionsSeenAt = new Map<number, number>()
@@ -121,6 +123,11 @@
     if (fence > (this.term?.fence ?? 0)) this.follower?.supersede()
   }
 
+  /** @returns addresses of the other nodes that were in the cell at the end of the former term, as far as this node was told */
+  get formerMembers (): string[] {
+    return [...this.members, this.formerDecider].filter(address => address !== '' && address !== this.options.address)
+  }
+
   /** Tells the nodes that followed the former decider that this node has claimed the term, since some of them don't watch the decider closely. */
   async announceClaim (fence: number): Promise<void> {
     const { connector, clock, address } = this.options
@@ -306,6 +313,7 @@
   private acceptTerm (term: Term, version: number, former: Term | undefined): MembershipEvent {
     this.term = term
     this.termRowVersion = version
+    this.formerDecider = former?.address ?? ''
     this.noteTerm()
     this.options.log.write(CELL_EVENTS.termClaimed, { fence: term.fence, reason: this.claimReason, former: former?.node })
     return 'won'
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -14,6 +14,8 @@
   /** Asks the decider's node to write a request to the store; `patience` is the timeout in ms. */
   | { kind: 'record', call: number, wish: WriteRequest, patience: number }
   | { kind: 'advised', call: number, advice: Advice }
+  /** The sender will not claim the term that it was offered, because the store does not answer it. */
+  | { kind: 'declined' }
   /** The sender has claimed the term with this fencing token. It is the only message on its link. */
   | { kind: 'claimed', fence: number }
   /** Results of calls to workers. */
@@ -44,7 +46,7 @@
 
 /** Answer of the decider to a query. */
 export type Answer =
-  /** `phase`: `unknown` if only the store can tell; `assumed`: the last phase that the decider knew then */
+  /** `phase`: `unknown` if only the store can tell; `assumed`: the last phase that the decider knew, if no other node can have claimed the term since */
   | { about: 'job', phase: JobPhase | 'unknown', assumed?: JobPhase }
   /** `waiting`: number of accepted jobs of which no task has started, or -1 if it is not known */
   | { about: 'queue', waiting: number }
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -108,7 +108,7 @@
     const workers = new FakeWorkerClient(this.fleet, clock)
     const advisor = new FakeAdvisor({ node: name, clock, fleet: this.fleet, duration: this.options.advice, allows: this.options.allows, fault: this.options.adviceFault })
     const log = new MemoryLog()
-    const endpoint: FakeEndpoint = { clock, isSilenced: false, inboundDelay: 0, links: new Set(), sentMessages: 0 }
+    const endpoint: FakeEndpoint = { clock, isSilenced: false, networkPart: '', inboundDelay: 0, links: new Set(), sentMessages: 0 }
     const address = `${name}:1`
     const cell = new Cell({
       node: name,
@@ -149,6 +149,25 @@
     node.clock.isDead = true
   }
 
+  /** Cuts off some nodes and workers from all others and from the store. */
+  cutOffZone (nodes: RigNode[], workers: string[]): void {
+    for (const node of this.nodes) {
+      const isInside = nodes.includes(node)
+      node.endpoint.networkPart = isInside ? 'zone' : ''
+      node.store.condition = isInside ? 'silent' : 'normal'
+      for (const id of this.fleet.workers.keys()) if (workers.includes(id) !== isInside) node.workers.unreachable.add(id)
+    }
+  }
+
+  /** Ends the cut of a zone. */
+  healZone (): void {
+    for (const { endpoint, store, workers } of this.nodes) {
+      endpoint.networkPart = ''
+      store.condition = 'normal'
+      workers.unreachable.clear()
+    }
+  }
+
   /** @returns the running node that is the decider and has read the records */
   get decider (): RigNode | undefined {
     return this.nodes.find(node => !node.clock.isDead && node.cell.activeDecider?.isReady === true)
--- a/packages/cell/test/support/FakeLinks.ts
+++ b/packages/cell/test/support/FakeLinks.ts
@@ -19,7 +19,7 @@
 
   override send (message: Outgoing): void {
     this.own.sentMessages++
-    if (this.closed || this.own.isSilenced || this.other.isSilenced) return
+    if (this.closed || isCut(this.own, this.other)) return
     const text = JSON.stringify(message)
     this.other.clock.schedule(ONE_WAY_DELAY_MS + this.other.inboundDelay, () => { if (!this.peer.closed) this.peer.onMessage(JSON.parse(text) as Outgoing) })
   }
@@ -27,7 +27,7 @@
   override close (): void {
     if (this.closed) return
     this.closed = true
-    if (!this.own.isSilenced && !this.other.isSilenced) this.other.clock.schedule(ONE_WAY_DELAY_MS, () => { this.peer.drop() })
+    if (!isCut(this.own, this.other)) this.other.clock.schedule(ONE_WAY_DELAY_MS, () => { this.peer.drop() })
   }
 
   drop (): void {
@@ -42,6 +42,8 @@
   clock: NodeClock
   /** Whether all messages from and to the node are lost. */
   isSilenced: boolean
+  /** Name of the part of the network that the node is in; nodes of different parts can't reach each other. */
+  networkPart: string
   /** ms by which messages to the node are late. */
   inboundDelay: number
   /** Accepts a new link; absent if no process listens. */
@@ -51,6 +53,10 @@
   sentMessages: number
 }
 
+function isCut (a: FakeEndpoint, b: FakeEndpoint): boolean {
+  return a.isSilenced || b.isSilenced || a.networkPart !== b.networkPart
+}
+
 /** Establishes in-memory links. */
 export class FakeLinkConnector extends LinkConnector<DeciderMessage, FollowerMessage> {
   constructor (private readonly own: FakeEndpoint, private readonly endpoints: Map<string, FakeEndpoint>) {
@@ -59,7 +65,7 @@
 
   override async connect (address: string, timeout: number): Promise<Result<Link<DeciderMessage, FollowerMessage>, LinkFailure>> {
     const other = this.endpoints.get(address)
-    if (other === undefined || other.isSilenced || this.own.isSilenced) return await this.own.clock.deliver(timeout, () => Err('silent'))
+    if (other === undefined || isCut(this.own, other)) return await this.own.clock.deliver(timeout, () => Err('silent'))
     if (other.acceptLink === undefined) return await this.own.clock.deliver(ONE_WAY_DELAY_MS * 2, () => Err('refused'))
     const up = new FakeLink<DeciderMessage, FollowerMessage>(this.own, other)
     const down = new FakeLink<FollowerMessage, DeciderMessage>(other, this.own)
