The row of a job's end is read after its submission and record, so that a job is found while it is archived

Cause: the three reads ran beside one another. If the read of the submission is carried out after the job was archived and that of its end before, neither finds it. A read that is repeated on a new connection is late by 300 ms and more.

Change: the end is read last, and only if the submission or the record is missing: two reads instead of three for a running job.

--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -160,18 +160,20 @@
 
   private async readRecordedPhase (id: string): Promise<PhaseOutcome> {
     const { store } = this.options
-    const [submission, record, end] = await Promise.all([
+    const [submission, record] = await Promise.all([
       store.range({ table: 'jobs', part: submissionPart(id), from: id, until: id + CANCELLATION_SUFFIX + '\0' }),
-      store.range({ table: 'tasks', part: 'd', from: id, until: id + '\0' }),
-      store.range({ ...endRowName(id), from: id, until: id + '\0' })
+      store.range({ table: 'tasks', part: 'd', from: id, until: id + '\0' })
     ])
-    if (submission.isErr() || record.isErr() || end.isErr()) return storeUnavailable()
+    if (submission.isErr() || record.isErr()) return storeUnavailable()
+    const keys = submission.value.rows.map(row => row.key)
+    const [row] = record.value.rows
+    if (keys.includes(id) && row !== undefined) return { kind: 'phase', phase: recordedPhase(JSON.parse(row.value) as JobRecord) }
+    // A job may be archived between two reads, so the row of its end is read last.
+    const end = await store.range({ ...endRowName(id), from: id, until: id + '\0' })
+    if (end.isErr()) return storeUnavailable()
     const [ended] = end.value.rows
     if (ended !== undefined) return { kind: 'phase', phase: ended.value as EndedPhase }
-    const keys = submission.value.rows.map(row => row.key)
     if (!keys.includes(id)) return { kind: 'unknown-job' }
-    const row = record.value.rows[0]
-    if (row !== undefined) return { kind: 'phase', phase: recordedPhase(JSON.parse(row.value) as JobRecord) }
     return { kind: 'phase', phase: keys.includes(id + CANCELLATION_SUFFIX) ? 'cancelled' : 'queued' }
   }
 }
--- a/packages/cell/test/support/FakeStore.ts
+++ b/packages/cell/test/support/FakeStore.ts
@@ -75,6 +75,8 @@
   /** Whether transactions that delete rows are refused. */
   refusesDeletions = false
   calls = 0
+  /** Additional delay in ms of reads of rows, by table. */
+  readonly readDelays = new Map<string, number>()
   private concurrentReads = 0
   /** Largest number of reads of rows that were open at the same time. */
   mostConcurrentReads = 0
@@ -121,6 +123,8 @@
 
   override async range ({ table, part, from = '', until }: RangeQuery): Promise<Result<{ rows: Row[], version: number }, ReadFault>> {
     this.mostConcurrentReads = Math.max(this.mostConcurrentReads, ++this.concurrentReads)
+    const delay = this.readDelays.get(table) ?? 0
+    if (delay > 0) await this.clock.sleep(delay)
     return await this.read(() => Ok({
       rows: [...this.tables.rows.values()].filter(row => row.table === table && row.part === part && row.key >= from && (until === undefined || row.key < until)).sort((a, b) => a.key < b.key ? -1 : 1),
       version: this.tables.version
