A decider whose commit has no answer yet shows no phase when the store is lost

Cause: a node that can't read the store showed the decider's last phase, although a commit in flight may have recorded another one, which other nodes had read.

Change: the decider's phase is passed on for such a node only if no commit in flight may have changed it; otherwise the caller is told that the store does not answer.

Evidence: submission.test.ts, "when the store is lost after it lost the answer to the commit of its record": failed before ('"queued" is not equal to "refused"'), passes.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -287,7 +287,8 @@
     if (job !== undefined) {
       await this.phaseWaiters.wait(job, this.isPhaseUncertain(job))
       // Callers may have been told of a record whose commit got no answer, or of what another decider has done since. The store tells which phase is true.
-      if (this.isPhaseUncertain(job) || this.mayBeDeposed()) return { about: 'job', phase: 'unknown', ...(this.options.isStoreLostForAll() ? { assumed: job.visiblePhase } : {}) }
+      if (this.isPhaseUncertain(job)) return { about: 'job', phase: 'unknown' }
+      if (this.mayBeDeposed()) return { about: 'job', phase: 'unknown', ...(this.options.isStoreLostForAll() ? { assumed: job.visiblePhase } : {}) }
     }
     return { about: 'job', phase: this.registry.jobs.get(id)?.visiblePhase ?? this.registry.endedJobs.get(id)?.phase ?? 'unknown' }
   }
--- a/packages/cell/test/runtime/submission.test.ts
+++ b/packages/cell/test/runtime/submission.test.ts
@@ -82,6 +82,23 @@
     expect(await rig.phase(decider, id)).toEqual('running')
   })
 
+  // Guards against a phase that goes back: another node has read the record before the store went away.
+  test('is not shown as queued by the decider when the store is lost after it lost the answer to the commit of its record', async () => {
+    const rig = await createSteadyRig({ workers: 1 })
+    const decider = rig.decider!
+    const follower = rig.nodes.find(node => node !== decider)!
+    decider.store.condition = 'losing-answers'
+    const { id } = await rig.submit(follower, [{}])
+    await rig.run(200)
+    decider.endpoint.isSilenced = true
+    const fromRecord = await rig.phase(follower, id)
+    decider.endpoint.isSilenced = false
+    for (const node of rig.nodes) node.store.condition = 'refusing'
+    await rig.run(600)
+    expect(fromRecord).toEqual('running')
+    expect(await rig.phase(decider, id)).toEqual('refused')
+  })
+
   // The former decider of a planned stop learns only from the store that its successor decides, and callers go on using their connections to it.
   test('is not shown as queued by a decider that has handed over while the store loses the answers to its commits', async () => {
     const rig = await createSteadyRig({ workers: 1, nodes: 3, cpu: 1000 })
