A worker that restarted is waited for by the longest lease only if an order with a lease may have met the restart

Cause: counts the longest lease after every restart. Since a poll of a worker that may have restarted carries no lease, an idle worker can't have got one.

Change: the longest lease counts only if an order with a lease was sent after the former incarnation was last listed.

--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -127,6 +127,7 @@
       leavingIncarnation: 0,
       clock: { value: 0, at: 0 },
       pollSentAt: 0,
+      leaseSentAt: 0,
       leasesExpireAt: 0,
       leaseGrant: { source: 'none', at: 0, clockAge: 0 },
       unrecordedEnds: new Set(),
--- a/packages/cell/src/runtime/WorkerLeases.ts
+++ b/packages/cell/src/runtime/WorkerLeases.ts
@@ -36,6 +36,7 @@
   extend (worker: WorkerState, source: 'start' | 'poll'): number {
     const { clock, lease } = this.options
     const sinceKnown = clock.now() - worker.clock.at
+    worker.leaseSentAt = clock.now()
     this.extendBound(worker, this.expiryOf(lease), source, sinceKnown)
     return Math.floor(worker.clock.value + sinceKnown * MIN_CLOCK_RATE + lease)
   }
@@ -51,9 +52,11 @@
     this.extendBound(worker, this.expiryOf(Math.min(leaseEnd - workerClock, this.options.leaseMax)), 'start')
   }
 
-  /** Allows for orders by the clock of a former incarnation that a new one has carried out. */
-  assumeLongest (worker: WorkerState): void {
-    this.extendBound(worker, this.expiryOf(this.options.leaseMax), 'former-incarnation')
+  /** Makes the clock of a worker that has a new incarnation unknown, and allows for leases by the former clock that may have reached the new one. */
+  forgetClock (worker: WorkerState): void {
+    if (worker.leaseSentAt > worker.clock.at) this.extendBound(worker, this.expiryOf(this.options.leaseMax), 'former-incarnation')
+    worker.leaseSentAt = 0
+    worker.clock = { value: 0, at: 0 }
   }
 
   /**
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -117,8 +117,7 @@
   /** What is known of the former incarnation doesn't hold for the new one, which the next poll describes. */
   private noteNewIncarnation (worker: WorkerState): void {
     this.forgetEnds(worker)
-    worker.clock = { value: 0, at: 0 }
-    this.options.leases.assumeLongest(worker)
+    this.options.leases.forgetClock(worker)
   }
 
   /** Stops a run, with retries until its worker takes the order or the run is known to have ended. */
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -184,6 +184,8 @@
   clock: { value: number, at: number }
   /** Monotonic ms at which the poll that the worker has not answered yet was sent, or 0. */
   pollSentAt: number
+  /** Monotonic ms at which the last order with a lease was sent, or 0. */
+  leaseSentAt: number
   /** Monotonic ms at which all leases granted to the worker have expired. */
   leasesExpireAt: number
   /** What has decided that time. */
--- a/packages/cell/test/runtime/leases.test.ts
+++ b/packages/cell/test/runtime/leases.test.ts
@@ -10,6 +10,8 @@
 const TASK_MS = 15_000
 /** Time after which a second run has started, if the decider starts one. */
 const OBSERVATION_MS = 14_000
+/** Longest wait of a poll at the worker, its timeout, and the interval between polls of a silent worker: the last lease may be sent, and its end noticed, as much later. */
+const DETECTION_MS = 600 + 500 + 250
 /** Moments in ms within the interval between polls of an idle worker. */
 /** Least time in which a worker's process ends and starts again. */
 const SHORTEST_DOWNTIME_MS = 110
@@ -89,6 +91,22 @@
   })
 })
 
+// Guards against a wait for the longest lease after restarts that no order can have met.
+describe('a worker that restarted while it was idle and is cut off later', () => {
+  test('has its tasks started elsewhere as soon as a lease of the usual duration has expired', async () => {
+    for (const moment of MOMENTS) {
+      const rig = await createRig()
+      await restartIdle(rig, moment, SHORTEST_DOWNTIME_MS)
+      const { id } = await rig.submit(follower(rig), [{}])
+      await cutOffAfterStart(rig, id, 1000)
+      const cutAt = rig.clock.now()
+      await rig.until(() => rig.fleet.starts.get(`${id}.0.0.0`) === 2, OBSERVATION_MS)
+      expect(rig.clock.now() - cutAt).toBeLessThan(LEASE_MS / MIN_CLOCK_RATE + LEASE_MARGIN_MS + DETECTION_MS)
+      expect(rig.fleet.violations).toEqual([])
+    }
+  })
+})
+
 /** @returns a rig with one worker that has run for a while, and one that joins only once the first one's task has started */
 async function createRig (): Promise<CellRig> {
   const rig = await createSteadyRig({ workers: 1, behaviour: () => ({ duration: TASK_MS, ending: 'done', size: SIZE }) })
