The feed's version is read-only from outside, and a poll says again why an unreachable worker gets no lease

Cause, from reading the change once more: dropped the reason for which polls of unreachable workers carry no lease, although the code still keeps to it; made the version of the submission feed writable from outside, which decides whether an announced job is new.

Change: the comment stands again beside the new one; the version has a getter, as the recorder's has. No behaviour changes.

Evidence: build and eslint of packages/cell/src clean; 117 of 117 tests of announcements, leases, rebirth, partition, submission, workers, takeover, recordedPhase and loops.

--- a/packages/cell/src/runtime/SubmissionFeed.ts
+++ b/packages/cell/src/runtime/SubmissionFeed.ts
@@ -16,11 +16,15 @@
 
 /** Finds submissions and cancellations that did not arrive over a link. */
 export class SubmissionFeed {
-  /** Version of the store up to which all submissions were passed on or read at the start. */
-  version = 0
+  private readVersion = 0
 
   constructor (private readonly options: { store: RecordStore, clock: Clock, log: Log, onJob: (recorded: RecordedJob) => void, onCancel: (id: string) => void }) {}
 
+  /** @returns version of the store up to which all submissions were passed on or read at the start */
+  get version (): number {
+    return this.readVersion
+  }
+
   /**
    * Starts to poll in the background.
    *
@@ -28,7 +32,7 @@
    * @param isStopped - returns whether to stop
    */
   start (version: number, isStopped: () => boolean): void {
-    this.version = version
+    this.readVersion = version
     detach(this.pollRepeatedly(isStopped), this.options.log, 'hand-ins')
   }
 
@@ -42,10 +46,10 @@
   }
 
   private async poll (): Promise<void> {
-    const answer = await this.options.store.changes({ table: 'jobs', after: this.version, wait: 0 })
+    const answer = await this.options.store.changes({ table: 'jobs', after: this.readVersion, wait: 0 })
     if (answer.isOk()) {
       this.handleRows(answer.value.rows.filter(row => !row.deleted))
-      this.version = answer.value.version
+      this.readVersion = answer.value.version
     } else if (answer.error.code === 'history-lost') await this.readAll()
   }
 
@@ -54,7 +58,7 @@
     const read = parts.flatMap(part => part.isOk() ? [part.value] : [])
     if (read.length < parts.length) return
     this.handleRows(read.flatMap(part => part.rows))
-    this.version = Math.min(...read.map(part => part.version))
+    this.readVersion = Math.min(...read.map(part => part.version))
   }
 
   private handleRows (rows: Row[]): void {
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -158,7 +158,8 @@
   private async poll (worker: WorkerState): Promise<number> {
     const { workers, clock, fence, canRenewLeases, leases } = this.options
     const sentAt = clock.now()
-    // Of a worker that may have restarted, the poll only asks: by the former clock, a lease could outlast what this decider or a successor counts on.
+    // No lease is sent to a worker that may have restarted: by the former clock it could outlast what this decider or a successor counts on. Nor to an
+    // unreachable one, which may handle the poll late and extend leases whose expiry the decider waits for.
     const isProven = worker.isReachable && leases.isClockProven(worker)
     const leaseEnd = isProven && canRenewLeases() ? leases.extend(worker, 'poll') : undefined
     const wait = isProven && worker.tasks.size > 0 && worker.unrecordedEnds.size === 0 ? POLL_WAIT_MS : 0
