--- a/review/lib2/Stage.js
+++ b/review/lib2/Stage.js
@@ -92,6 +92,7 @@
     const [program, ...args] = /^run = "(.*)"$/m.exec(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8'))[1].split(' ')
     const child = spawn(program, args, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, RATTANSTEP_BOOT: file }, stdio: ['ignore', 'pipe', 'pipe'] })
     node.child = child
+    node.isKilled = false
     const log = createWriteStream(join(this.folder, `${node.name}.log`), { flags: 'a' })
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
