--- a/review/lib2/Stage.js
+++ b/review/lib2/Stage.js
@@ -133,9 +133,9 @@
     throw new Error('the nodes do not serve')
   }
 
-  /** Sends a consumer's request to a node. */
-  async send (node, method, path, body) {
-    const reply = await send(node.callers, { method, path, host: HOST_NAME, body })
+  /** Sends a consumer's request to a node; `patience`: ms after which the consumer leaves, before its deadline. */
+  async send (node, method, path, body, patience) {
+    const reply = await send(node.callers, { method, path, host: HOST_NAME, body, patience })
     if (body !== undefined || method === 'DELETE') this.record({ event: 'answered', node: node.name, method, path, status: reply.status })
     return reply
   }
--- a/review/lib2/http.js
+++ b/review/lib2/http.js
@@ -42,14 +42,15 @@
  *
  * @returns `status`, 0 if there was no complete answer, and the body
  */
-export async function send (address, { method, path, host, body, timeout = 3000 }) {
+export async function send (address, { method, path, host, body, timeout = 3000, patience = timeout }) {
   const [hostname, port] = address.split(':')
   return await new Promise(resolve => {
     const call = request({ hostname, port, method, path, agent: false, headers: { host, 'deadline-ms': String(timeout), ...(body === undefined ? {} : { 'content-type': 'application/json' }) } }, response => {
       readBody(response).then(text => { resolve({ status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) }) }, () => { resolve({ status: 0 }) })
     })
-    call.setTimeout(timeout, () => { call.destroy() })
+    const timer = setTimeout(() => { call.destroy() }, patience)
     call.on('error', () => { resolve({ status: 0 }) })
+    call.on('close', () => { clearTimeout(timer) })
     call.end(body === undefined ? undefined : JSON.stringify(body))
   })
 }
