--- a/review/lib2/Stage.js
+++ b/review/lib2/Stage.js
@@ -4,18 +4,21 @@
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
-import { send, serveJson } from './http.js'
+import { findFreePorts, send, serveJson } from './http.js'
 import { Store } from './Store.js'
 import { Worker } from './Worker.js'
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url))
 export const HOST_NAME = 'desk.example'
 const SERVICE = 'desk'
-const PORTS = { callers: 8161, readiness: 8167, link: 7720 }
 /** Longest time until the nodes serve after their start. */
 const START_LIMIT_MS = 15_000
 /** Time after which a case is given up. */
 const CASE_LIMIT_MS = 110_000
+/** Exit code of a case whose rule was broken; Node's own code for an error is 1. `run.sh` turns it into 1, and all but 0 into 2. */
+const BROKEN_EXIT_CODE = 3
+/** Last part of the address of the first worker; nodes are below it. */
+const FIRST_WORKER = 50
 /** Delay after which the platform starts a process again that has ended by itself. */
 const RESTART_MS = 500
 
@@ -59,7 +62,7 @@
     })
     for (const options of workers) {
       const worker = new Worker({
-        host: '127.0.0.1',
+        host: `${this.network}.${FIRST_WORKER + this.workers.length}`,
         zone: 'zone-a',
         service: SERVICE,
         store: this.store,
@@ -73,14 +76,15 @@
       this.workers.push(worker)
       await worker.start()
     }
-    for (let index = 0; index < nodes; index++) this.addNode(index)
+    for (let index = 0; index < nodes; index++) await this.addNode(index)
     await this.waitUntilServing()
     this.record('the nodes serve')
   }
 
-  addNode (index) {
-    const node = { name: `frontend-zone-a-${index + 1}`, ip: `${this.network}.${index + 1}` }
-    node.callers = `${node.ip}:${PORTS.callers}`
+  async addNode (index) {
+    const ip = `${this.network}.${index + 1}`
+    const [callers, readiness, link, metrics] = await findFreePorts(ip, 4)
+    const node = { name: `frontend-zone-a-${index + 1}`, ip, ports: { readiness, link, metrics }, callers: `${ip}:${callers}` }
     this.nodes.push(node)
     this.startNode(node)
   }
@@ -88,7 +92,9 @@
   /** Starts the process of a node with the command of the deploy file. */
   startNode (node) {
     const file = join(this.folder, `${node.name}.yaml`)
-    writeFileSync(file, renderSettings(readFileSync(join(ROOT, 'deploy/settings.yaml'), 'utf8'), this.fieldsOf(node)))
+    const settings = renderSettings(readFileSync(join(ROOT, 'deploy/settings.yaml'), 'utf8'), this.fieldsOf(node))
+    // The template names the port of the metrics, which may not be free here.
+    writeFileSync(file, settings.replace(/metricsPort: \d+/, `metricsPort: ${node.ports.metrics}`))
     const [program, ...args] = /^run = "(.*)"$/m.exec(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8'))[1].split(' ')
     const child = spawn(program, args, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, RATTANSTEP_BOOT: file }, stdio: ['ignore', 'pipe', 'pipe'] })
     node.child = child
@@ -108,14 +114,14 @@
     this.record({ event: 'process-started', node: node.name })
   }
 
-  fieldsOf ({ name, ip }) {
+  fieldsOf ({ name, ip, ports, callers }) {
     return {
       node: name,
       zone: 'zone-a',
       ip,
       limits: { cpu_cores: 1, cpu_share: 0.675, link_mbps: 1000 },
-      listen_addrs: { frontend: `${ip}:${PORTS.callers}`, readiness: `${ip}:${PORTS.readiness}` },
-      internal_ports: [PORTS.link, PORTS.link + 15],
+      listen_addrs: { frontend: callers, readiness: `${ip}:${ports.readiness}` },
+      internal_ports: [ports.link, ports.link],
       platform: { address: this.storeAddress },
       advice: this.advice.address,
       bounds: { grace_s: 6, hold_max_ms: 10_000, status_s: 120 },
@@ -187,13 +193,21 @@
 }
 
 /**
- * Runs a case and ends the process with its result: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+ * Runs a case and ends the process with its result: 3 if the rule was broken, 0 if it held, 2 if the case couldn't run.
  *
  * @param play - plays the case and returns what broke the rule, one line each
  */
 export async function runCase (folder, play) {
   const stage = new Stage(folder)
   let code = 2
+  const giveUp = error => {
+    stage.record(`the case could not run: ${error?.stack ?? error}`)
+    process.exit(2)
+  }
+  process.on('uncaughtException', giveUp)
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, giveUp)
+  // Also a case that ends early leaves no process behind; a node that is frozen can be killed.
+  process.on('exit', () => { for (const { child } of stage.nodes) child?.kill('SIGKILL') })
   const limit = setTimeout(() => {
     stage.record('the case takes too long')
     stage.close().then(() => { process.exit(2) })
@@ -202,7 +216,7 @@
     const broken = await play(stage, process.env.TROUBLE !== '0')
     for (const line of broken) stage.record(`BROKEN ${line}`)
     console.log(broken.length === 0 ? 'the rule held' : broken.slice(0, 5).join('\n'))
-    code = broken.length === 0 ? 0 : 1
+    code = broken.length === 0 ? 0 : BROKEN_EXIT_CODE
   } catch (error) {
     stage.record(`the case could not run: ${error.stack}`)
     console.log(String(error))
--- a/review/lib2/http.js
+++ b/review/lib2/http.js
@@ -1,5 +1,17 @@
 import { createServer, request } from 'node:http'
 
+/** @returns as many different ports as asked for that are free on an address */
+export async function findFreePorts (host, count) {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer()
+    await new Promise((resolve, reject) => { server.once('error', reject).listen(0, host, resolve) })
+    return server
+  }))
+  const ports = servers.map(server => server.address().port)
+  await Promise.all(servers.map(async server => { await new Promise(resolve => { server.close(resolve) }) }))
+  return ports
+}
+
 /** Leaves a call unanswered. */
 export const SILENCE = Symbol('silence')
 
