A crash of a worker is held against a run only if the run is known to have begun

Cause: a recorded placement looks the same before and after its order. A successor took it for a run and counted the crash of the worker; two such losses of decider and worker end the job. The same was done by the decider itself between the commit and the order, while it polls the worker.

Change: a task keeps the last run whose order was sent and the last that is known to have begun; the latter is on record, written with the next transaction or after 50 ms. Only such runs are charged, and only they take a job out of the count of waiting ones.

--- a/packages/cell/src/runtime/CrashLedger.ts
+++ b/packages/cell/src/runtime/CrashLedger.ts
@@ -164,9 +164,13 @@
   crash.certainty = 'excused'
 }
 
-/** @returns whether the worker may be executing the task's run: an order may have been sent, and no end is known */
-function mayExecute ({ phase }: Task): boolean {
-  return phase === 'ordered' || phase === 'running' || phase === 'stopping' || phase === 'assumed'
+/**
+ * @returns whether the worker may be executing the task's run: no end is known, and this decider has sent the order or a worker is known to have begun
+ * the run. A placement found on record is no evidence of either.
+ */
+function mayExecute ({ phase, run, sentRun, begunRun }: Task): boolean {
+  const isOpen = phase === 'ordered' || phase === 'running' || phase === 'stopping' || phase === 'assumed'
+  return isOpen && (sentRun === run || begunRun === run)
 }
 
 function hasCrash ({ crashes, run }: Task, worker: string, incarnation: number): boolean {
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -143,6 +143,7 @@
       clock,
       log,
       record: (job, then) => { this.record(job, then) },
+      recordSoon: job => { this.recorder.markDirtySoon(job.job.id) },
       sendStart: (task, ticket) => { detach(this.sendStart(task, ticket), log, 'order') },
       findStartObstacle: (task, needsTicket) => this.isInstanceListOutdated() ? 'the instance list is outdated' : findStartObstacle(task, { now: clock.now(), needsTicket }),
       prepareStart: worker => { this.poller.prepareStart(worker) },
@@ -364,6 +365,7 @@
     if (this.isStopped || task.phase !== 'ordered' || task.run !== run || task.worker !== worker) return
     if (!isProven) return this.lifecycle.cancelStart(task, 'the worker does not answer')
     const leaseEnd = this.leases.extend(worker, 'start')
+    task.sentRun = run
     const outcome = await this.options.workers.start(worker.report, {
       task: task.name, run, spec: task.step.occurrence.job.job.spec, leaseEnd, fence: this.options.term.fence, checkpoint: task.checkpoint, ticket: ticket === undefined ? undefined : task.step.tickets.get(worker.report.id)?.text ?? ticket
     })
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -11,6 +11,9 @@
 /** Delay before a transaction that got no answer or was refused is sent again. */
 const RETRY_DELAY_MS = 100
 
+/** Longest time for which a change that needs no transaction of its own waits for another one. */
+const MAX_DELAY_MS = 50
+
 /** Loss of a decider's term; `term` is the new term, if it could be read. */
 export type TermLoss = { reason: 'superseded', term: Term | undefined }
 
@@ -33,6 +36,8 @@
 export class Recorder {
   private readonly dirtyKeys = new Set<string>()
   private isRunning = false
+  /** Whether a commit for changes that wait is scheduled. */
+  private isDelayed = false
   private isStopped = false
   private rowVersion: number
   private serial = 0
@@ -68,6 +73,17 @@
     this.commitSoon()
   }
 
+  /** Marks a key whose record is to be written with the next commit, or after a moment if there is none. */
+  markDirtySoon (key: string): void {
+    this.dirtyKeys.add(key)
+    if (this.isDelayed) return
+    this.isDelayed = true
+    this.options.clock.schedule(MAX_DELAY_MS, () => {
+      this.isDelayed = false
+      if (this.dirtyKeys.size > 0) this.commitSoon()
+    })
+  }
+
   /** Schedules a commit even if no key is marked, so that other nodes see that the decider is alive. */
   commitSoon (): void {
     if (this.isRunning || this.isStopped) return
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -192,7 +192,7 @@
   }
   for (let number = 0; number < definition.count; number++) {
     step.tasks.push({
-      name: taskName(id, occurrence.index, index, number), step, index: number, phase: 'waiting', run: 0, incarnation: 0, failures: 0, crashes: [], checkpoint: '', confirmedAt: 0, stopConfirmedAt: 0, projectedEndAt: 0, notBefore: 0, avoidedWorkers: new Set()
+      name: taskName(id, occurrence.index, index, number), step, index: number, phase: 'waiting', run: 0, sentRun: 0, begunRun: 0, incarnation: 0, failures: 0, crashes: [], checkpoint: '', confirmedAt: 0, stopConfirmedAt: 0, projectedEndAt: 0, notBefore: 0, avoidedWorkers: new Set()
     })
   }
   return step
--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -25,6 +25,8 @@
   log: Log
   /** Records the job's state, then calls `then`. */
   record: (job: JobState, then?: () => void) => void
+  /** Records the job's state together with other changes or after a moment. */
+  recordSoon: (job: JobState) => void
   /** Sends the order to start a placed task. */
   sendStart: (task: Task, ticket?: string) => void
   /** Returns why a placed task must not be started on its worker any more, or `undefined` if it may be. */
@@ -106,13 +108,13 @@
   /** Handles the outcome of an order to start a run. */
   handleStartOutcome (task: Task, run: number, worker: WorkerState, outcome: OrderOutcome): void {
     if (task.run !== run || task.worker !== worker) return
-    const { clock, log, registry } = this.options
+    const { clock, log } = this.options
     if (outcome.kind === 'taken') {
+      this.noteBegun(task)
       if (task.phase !== 'ordered') return
       task.phase = 'running'
       task.confirmedAt = clock.now()
       task.incarnation = incarnationTag(worker.report.born)
-      registry.markStarted(task.step.occurrence.job)
       return
     }
     log.write(CELL_EVENTS.startNotTaken, { task: task.name, run, worker: worker.report.id, outcome: describeOutcome(outcome) })
@@ -128,13 +130,22 @@
     this.resetToWaiting(task)
   }
 
+  /** Handles evidence that the task's last run has begun. A successor holds a crash of the worker against the task only if that is on record. */
+  noteBegun (task: Task): void {
+    if (task.begunRun === task.run) return
+    task.begunRun = task.run
+    const { job } = task.step.occurrence
+    this.options.registry.markStarted(job)
+    this.options.recordSoon(job)
+  }
+
   /** Handles the end of a run, as listed by its worker. */
   handleEnd (task: Task, end: ListedEnd, worker: WorkerState): void {
-    const { log, registry } = this.options
+    const { log } = this.options
     const wasDone = task.phase === 'done'
     log.write(CELL_EVENTS.runEnded, { task: task.name, run: end.run, worker: worker.report.id, how: end.ending, failures: task.failures + (end.ending === 'failed' ? 1 : 0) })
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
-    registry.markStarted(task.step.occurrence.job)
+    this.noteBegun(task)
     if (wasDone) return this.releaseDone(task)
     if (end.ending === 'done') return this.completeTask(task, worker)
     if (end.ending === 'failed') return this.failTask(task, worker)
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -270,6 +270,7 @@
         continue
       }
       task.incarnation = incarnationTag(born)
+      this.lifecycle.noteBegun(task)
       if (listed.checkpoint !== '') task.checkpoint = listed.checkpoint
       if (task.phase === 'assumed' || task.phase === 'ordered') this.confirmRun(task)
       const isStalled = this.progress.update(task, listed, worker, this.options.clock.now())
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -4,10 +4,10 @@
 
 /**
  * Recorded state of a task: 0 if it has not run, 1 if it is done, or else number of the last run, worker or '', failures, 0, checkpoint, tag
- * of the worker's incarnation, crashes. Trailing elements that are 0 or empty are omitted. Records of earlier versions contain the first five
+ * of the worker's incarnation, crashes, number of the last run that is known to have begun. Trailing elements that are 0 or empty are omitted. Records of earlier versions contain the first five
  * elements, and 1 as the fourth if the task is done.
  */
-type TaskRecord = 0 | 1 | [run: number, worker?: string, failures?: number, done?: number, checkpoint?: string, incarnation?: number, crashes?: CrashRecord[]]
+type TaskRecord = 0 | 1 | [run: number, worker?: string, failures?: number, done?: number, checkpoint?: string, incarnation?: number, crashes?: CrashRecord[], begunRun?: number]
 
 /** Recorded crash; the last element is 1 if only tasks of the same job ran on the worker. */
 type CrashRecord = [worker: string, incarnation: number, run: number, certainty: number, isAlone: 0 | 1]
@@ -38,15 +38,18 @@
   return JSON.stringify(record)
 }
 
-function encodeTask ({ phase, run, worker, failures, checkpoint, incarnation, crashes }: Task): TaskRecord {
+function encodeTask ({ phase, run, worker, failures, checkpoint, incarnation, crashes, begunRun }: Task): TaskRecord {
   if (phase === 'done' && worker === undefined) return 1
   if (run === 0) return 0
-  const record: TaskRecord = [run, worker?.report.id ?? '', failures, phase === 'done' ? 1 : 0, checkpoint, worker === undefined ? 0 : incarnation, crashes.map(encodeCrash)]
-  if (crashes.length === 0) record.pop()
-  while (record.at(-1) === 0 || record.at(-1) === '') record.pop()
+  const record: TaskRecord = [run, worker?.report.id ?? '', failures, phase === 'done' ? 1 : 0, checkpoint, worker === undefined ? 0 : incarnation, crashes.map(encodeCrash), begunRun]
+  while (isEmpty(record.at(-1))) record.pop()
   return record
 }
 
+function isEmpty (element: string | number | CrashRecord[] | undefined): boolean {
+  return element === 0 || element === '' || (Array.isArray(element) && element.length === 0)
+}
+
 function encodeCrash ({ worker, incarnation, run, certainty, isAlone }: Crash): CrashRecord {
   return [worker, incarnation, run, CERTAINTIES.indexOf(certainty), isAlone ? 1 : 0]
 }
@@ -73,9 +76,11 @@
   record.tasks?.forEach((steps, occurrence) => steps.forEach((tasks, step) => tasks.forEach((taskRecord, index) => {
     const task = state.occurrences[occurrence]?.steps[step]?.tasks[index]
     if (task === undefined) return
-    const [run, worker = '', failures = 0, done = 0, checkpoint = '', incarnation = 0, crashes = []] = typeof taskRecord === 'number' ? [taskRecord, '', 0, taskRecord] : taskRecord
-    Object.assign(task, { run, failures, checkpoint, incarnation, crashes: crashes.map(decodeCrash) })
-    if (run > 0) registry.markStarted(state)
+    const [run, worker = '', failures = 0, done = 0, checkpoint = '', incarnation = 0, crashes = [], begunRun = 0] = typeof taskRecord === 'number' ? [taskRecord, '', 0, taskRecord] : taskRecord
+    Object.assign(task, { run, begunRun, failures, checkpoint, incarnation, crashes: crashes.map(decodeCrash) })
+    if (begunRun > 0 || failures > 0 || done === 1 || checkpoint !== '') registry.markStarted(state)
+    // Callers may have been shown the placement, even if its order was never sent.
+    else if (run > 0) state.visiblePhase = 'running'
     if (done === 1) {
       task.phase = 'done'
       task.step.doneTasks++
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -47,6 +47,10 @@
   worker?: WorkerState
   /** Tag of the incarnation of the worker to which the last run was ordered, or 0 if it is not known. */
   incarnation: number
+  /** Number of the last run whose order to start this decider has sent, or 0. */
+  sentRun: number
+  /** Number of the last run that a worker is known to have begun, or 0. A placement on record doesn't show that its order was sent. */
+  begunRun: number
   failures: number
   /** Crashes of workers under the task, the earliest first. */
   crashes: Crash[]
--- a/packages/cell/test/runtime/crashLedger.test.ts
+++ b/packages/cell/test/runtime/crashLedger.test.ts
@@ -37,7 +37,7 @@
   worker.hasAnswered = true
   const tasks = jobs.map(id => registry.addJob({ id, route: 'r', spec: '', steps: [stepOf({})], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks[0]!)
   for (const task of tasks) {
-    Object.assign(task, { phase: 'running', run: 1, incarnation: incarnationTag(BORN) })
+    Object.assign(task, { phase: 'running', run: 1, begunRun: 1, incarnation: incarnationTag(BORN) })
     registry.assign(task, worker)
   }
   return { ledger, worker, tasks, changes, registry }
@@ -57,6 +57,16 @@
     })
   }
 
+  // Guards against a job that is given up although none of its runs was started: its placements were on record, its deciders and workers were lost.
+  for (const phase of ['ordered', 'stopping', 'assumed'] as const) {
+    test(`is not attributed to a task that is ${phase} if nothing shows that its order was sent`, () => {
+      const { ledger, worker, tasks } = createLedger()
+      Object.assign(tasks[0]!, { phase, begunRun: 0 })
+      ledger.charge(worker, tasks, 'confirmed')
+      expect(tasks[0]!.crashes).toEqual([])
+    })
+  }
+
   for (const phase of ['placed', 'done'] as const) {
     test(`is not attributed to a task that is ${phase}`, () => {
       const { ledger, worker, tasks } = createLedger()
@@ -137,7 +147,7 @@
     worker.hasAnswered = true
     for (const id of names.split(' ').filter(name => name !== '')) {
       const task = registry.addJob({ id, route: 'r', spec: '', steps: [stepOf({ count: jobsByWorker.length })], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks[index]!
-      Object.assign(task, { phase: 'running', run: 1, incarnation: incarnationTag(BORN) })
+      Object.assign(task, { phase: 'running', run: 1, begunRun: 1, incarnation: incarnationTag(BORN) })
       registry.assign(task, worker)
     }
     return worker
@@ -174,7 +184,7 @@
       for (const worker of workers) Object.assign(worker, { isLossNoted: false })
       for (const worker of workers) ledger.noteLost(worker)
       for (const worker of workers) {
-        for (const task of worker.tasks.values()) task.run = run
+        for (const task of worker.tasks.values()) Object.assign(task, { run, begunRun: run })
         ledger.charge(worker, [...worker.tasks.values()], 'confirmed')
       }
       await clock.advance(10_000)
--- a/packages/cell/test/runtime/encodings.test.ts
+++ b/packages/cell/test/runtime/encodings.test.ts
@@ -51,22 +51,22 @@
   return { registry, state: registry.addJob({ id: 'a', route: 'r', spec: '', steps: [stepOf({ count: 3 }), stepOf({ after: [0] })], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 }) }
 }
 
-function summarize ({ phase, run, failures, checkpoint, worker, incarnation, crashes }: Task): unknown[] {
-  return phase === 'done' ? ['done'] : [run, failures, checkpoint, crashes, worker === undefined ? 0 : incarnation]
+function summarize ({ phase, run, begunRun, failures, checkpoint, worker, incarnation, crashes }: Task): unknown[] {
+  return phase === 'done' ? ['done'] : [run, begunRun, failures, checkpoint, crashes, worker === undefined ? 0 : incarnation]
 }
 
 const crash = fc.record<Crash>({ worker: fc.constantFrom('w0', 'w1'), incarnation: fc.nat(100_000), run: fc.nat(3), certainty: fc.constantFrom('possible', 'presumed', 'confirmed', 'excused'), isAlone: fc.boolean() }, { noNullPrototype: true })
 
 describe('the record of a job', () => {
   test('restores the state of every task', () => {
-    const taskState = fc.record({ kind: fc.constantFrom('waiting', 'running', 'done'), run: fc.nat(3), worker: fc.constantFrom('w0', 'w1'), failures: fc.nat(2), checkpoint: fc.constantFrom('', 'saved'), incarnation: fc.nat(100_000), crashes: fc.array(crash, { maxLength: 3 }) })
+    const taskState = fc.record({ kind: fc.constantFrom('waiting', 'running', 'done'), run: fc.nat(3), begunRun: fc.nat(3), worker: fc.constantFrom('w0', 'w1'), failures: fc.nat(2), checkpoint: fc.constantFrom('', 'saved'), incarnation: fc.nat(100_000), crashes: fc.array(crash, { maxLength: 3 }) })
     fc.assert(fc.property(fc.array(taskState, { minLength: 4, maxLength: 4 }), states => {
       const { registry, state } = createJob()
       const tasks = state.occurrences[0]!.steps.flatMap(step => step.tasks)
       tasks.forEach((each, index) => {
-        const { kind, run, worker: id, failures, checkpoint, incarnation, crashes } = states[index]!
+        const { kind, run, begunRun, worker: id, failures, checkpoint, incarnation, crashes } = states[index]!
         if (kind === 'waiting' && run === 0) return
-        Object.assign(each, { run: run + 1, failures, checkpoint, incarnation, crashes, phase: kind === 'done' ? 'done' : kind })
+        Object.assign(each, { run: run + 1, begunRun, failures, checkpoint, incarnation, crashes, phase: kind === 'done' ? 'done' : kind })
         if (kind === 'running') registry.assign(each, registry.workers.get(id)!)
       })
       const restored = createJob()
