Occurrences of scheduled jobs are created when they are due

Cause: all occurrences were built when a job was added, 1.8 KB for each task, and its record had an entry for each. Ruled out: the submissions themselves and the records (none is written before the first is due).

Change: an occurrence is created when due and removed when it has ended. A job keeps the number of the next one, and its record the open occurrences and that number. Overdue ones are created in turn, within bounds on the open tasks of a job and of all.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -326,6 +326,7 @@
     const now = clock.now()
     if (!this.isReady || this.isPaused || now - this.recorder.confirmedAt > MAX_COMMIT_AGE_MS || this.isInstanceListOutdated()) return
     this.updateRoutes()
+    this.registry.openDueOccurrences(now)
     const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now })
     if (ranked.length === 0) return
     const usable = this.usableWorkers(now)
--- a/packages/cell/src/runtime/PhaseWaiters.ts
+++ b/packages/cell/src/runtime/PhaseWaiters.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@rattanstep/core'
 import type { JobState } from './model.js'
+import { hasRemaining } from './Schedule.js'
 
 /**
  * Longest time for which the answer to a query waits for the end of a job. Callers that are told `running` ask again only after a few
@@ -41,5 +42,5 @@
 function mayEndSoon (job: JobState): boolean {
   if (job.visiblePhase !== 'running') return false
   if (job.phase !== 'open') return true
-  return job.occurrences.every(({ steps }) => steps.every(step => !step.definition.lasting && step.tasks.every(task => task.phase === 'done' || task.phase === 'running')))
+  return !hasRemaining(job) && job.occurrences.every(({ steps }) => steps.every(step => !step.definition.lasting && step.tasks.every(task => task.phase === 'done' || task.phase === 'running')))
 }
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -1,8 +1,9 @@
 import type { Job, Size, Step } from '../types/job.js'
 import type { WorkerReport } from '../types/worker.js'
 import { countCrashes } from './CrashBudget.js'
+import { createOccurrence } from './createOccurrence.js'
 import type { JobState, StepState, Task, JobOccurrence, WorkerState } from './model.js'
-import { stepName, taskName } from './taskName.js'
+import { Schedule } from './Schedule.js'
 
 /** Phase of a job that has ended. */
 export type EndedPhase = Exclude<JobState['phase'], 'open'>
@@ -28,6 +29,7 @@
   readonly suspectedJobs = new Set<JobState>()
   /** Number of jobs of which no task has started, by route. */
   private readonly waitingByRoute = new Map<string, number>()
+  private readonly schedule = new Schedule()
   private nextPresence = 1
 
   /**
@@ -40,23 +42,38 @@
   addJob (job: Job, times: { now: number, age: number, wall: number }): JobState {
     const existing = this.jobs.get(job.id)
     if (existing !== undefined) return existing
-    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], isStarted: false, suspects: new Set(), isCleared: false, suspectedSince: 0, reservedWorker: '', endedAt: 0 }
-    for (let occurrence = 0; occurrence < (job.repeat?.count ?? 1); occurrence++) {
-      const dueAt = job.repeat === undefined ? times.now : times.now + job.repeat.first + occurrence * job.repeat.interval - times.wall
-      state.occurrences.push(createOccurrence(state, occurrence, dueAt))
-    }
+    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], nextOccurrence: 0, firstDueAt: times.now + (job.repeat === undefined ? 0 : job.repeat.first - times.wall), isStarted: false, suspects: new Set(), isCleared: false, suspectedSince: 0, reservedWorker: '', endedAt: 0 }
     this.jobs.set(job.id, state)
     this.adjustWaiting(job.route, 1)
-    for (const occurrence of state.occurrences) this.updateReadySteps(occurrence)
+    if (job.repeat !== undefined) this.schedule.add(state)
+    else this.updateReadySteps(state.occurrences[state.nextOccurrence++] = createOccurrence(state, 0))
     return state
   }
 
   /** Removes a job that has ended, except for its final phase. */
   archive (id: string, archived: ArchivedJob): void {
+    const state = this.jobs.get(id)
+    if (state?.job.repeat !== undefined) this.schedule.remove(state)
     this.jobs.delete(id)
     this.endedJobs.set(id, archived)
   }
 
+  /** Creates the occurrences of scheduled jobs that are due; `now`: monotonic ms. */
+  openDueOccurrences (now: number): void {
+    for (const occurrence of this.schedule.createDue(now)) this.updateReadySteps(occurrence)
+  }
+
+  /** Creates an occurrence of a scheduled job that is on record as open. */
+  restoreOccurrence (state: JobState, index: number): JobOccurrence {
+    return this.schedule.restore(state, index)
+  }
+
+  /** Removes an occurrence of a scheduled job if all its tasks are done and none is still assigned to a worker. */
+  closeOccurrence (occurrence: JobOccurrence): void {
+    const isOpen = occurrence.doneSteps < occurrence.steps.length || occurrence.steps.some(step => step.tasks.some(task => task.worker !== undefined))
+    if (occurrence.job.job.repeat !== undefined && !isOpen) this.schedule.close(occurrence)
+  }
+
   /** Records that a task of the job has started, or that the job ended without a start. */
   markStarted (state: JobState): void {
     if (state.isStarted) return
@@ -155,7 +172,7 @@
    */
   findTask (name: string): Task | undefined {
     const [id, occurrence, step, index] = name.split('.')
-    return this.jobs.get(id ?? '')?.occurrences[Number(occurrence)]?.steps[Number(step)]?.tasks[Number(index)]
+    return this.jobs.get(id ?? '')?.occurrences.find(each => each.index === Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)]
   }
 
   private adjustWaiting (route: string, change: number): void {
@@ -178,22 +195,3 @@
   to.memory += sign * size.memory
   to.accelerators += sign * size.accelerators
 }
-
-function createOccurrence (job: JobState, index: number, dueAt: number): JobOccurrence {
-  const occurrence: JobOccurrence = { job, index, dueAt, steps: [], doneSteps: 0 }
-  occurrence.steps = job.job.steps.map((definition, index) => createStep(occurrence, index, definition))
-  return occurrence
-}
-
-function createStep (occurrence: JobOccurrence, index: number, definition: Step): StepState {
-  const { id } = occurrence.job.job
-  const step: StepState = {
-    name: stepName(id, occurrence.index, index), occurrence, index, definition, tasks: [], doneTasks: 0, allowedWorkers: new Map(), rejectedWorkers: new Map(), nextReviewAt: 0, reviewDelay: 0, tickets: new Map(), askedWorkers: new Set(), nextAdviceAt: 0, nextPlanAt: 0, plannedReleases: 0, lastFailedRun: 0
-  }
-  for (let number = 0; number < definition.count; number++) {
-    step.tasks.push({
-      name: taskName(id, occurrence.index, index, number), step, index: number, phase: 'waiting', run: 0, sentRun: 0, begunRun: 0, incarnation: 0, failures: 0, crashes: [], checkpoint: '', confirmedAt: 0, stopConfirmedAt: 0, projectedEndAt: 0, notBefore: 0, avoidedWorkers: new Set()
-    })
-  }
-  return step
-}
--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -4,6 +4,7 @@
 import { CELL_EVENTS } from '../types/events.js'
 import { countCrashes, incarnationTag, judgeCrashes } from './CrashBudget.js'
 import type { Registry } from './Registry.js'
+import { hasRemaining } from './Schedule.js'
 import type { Crash, JobState, Task, JobOccurrence, WorkerState } from './model.js'
 import type { Placement } from './planRound.js'
 
@@ -219,6 +220,7 @@
     }
     this.options.registry.release(task)
     this.updateOccurrence(step.occurrence)
+    this.options.registry.closeOccurrence(step.occurrence)
     this.options.record(step.occurrence.job)
     this.options.onChange()
   }
@@ -233,6 +235,7 @@
 
   private releaseDone (task: Task): void {
     this.options.registry.release(task)
+    this.options.registry.closeOccurrence(task.step.occurrence)
     this.options.record(task.step.occurrence.job)
     this.options.onChange()
   }
@@ -242,7 +245,7 @@
     occurrence.doneSteps = occurrence.steps.filter(step => step.doneTasks === step.tasks.length).length
     registry.updateReadySteps(occurrence)
     const { job } = occurrence
-    if (job.phase !== 'open' || !job.occurrences.every(each => each.doneSteps === each.steps.length)) return
+    if (job.phase !== 'open' || hasRemaining(job) || !job.occurrences.every(each => each.doneSteps === each.steps.length)) return
     job.phase = 'completed'
     this.closeJob(job)
   }
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -1,6 +1,6 @@
 import type { JobPhase } from '../types/job.js'
 import type { Registry } from './Registry.js'
-import type { Crash, CrashCertainty, JobState, Task } from './model.js'
+import type { Crash, CrashCertainty, JobOccurrence, JobState, Task } from './model.js'
 
 /**
  * Recorded state of a task: 0 if it has not run, 1 if it is done, or else number of the last run, worker or '', failures, 0, checkpoint, tag
@@ -18,9 +18,13 @@
 /** Recorded state of a job. */
 export interface JobRecord {
   phase: JobState['phase']
-  /** Indexed by occurrence, step and task. Absent if the job has ended and all its runs are known to have ended. */
+  /** Open occurrences with their steps and tasks. Absent if the job has ended and all its runs are known to have ended. */
   tasks?: TaskRecord[][][]
-  /** Number of the last run of each gang that was counted as a failure, by occurrence and step. Absent if there is none. */
+  /** For a scheduled job, numbers of the open occurrences. Records of earlier versions lack them, and their `tasks` contain all occurrences. */
+  occurrences?: number[]
+  /** For a scheduled job, number of the next occurrence to create. */
+  next?: number
+  /** Number of the last run of each gang that was counted as a failure, by open occurrence and step. Absent if there is none. */
   failedRuns?: number[][]
 }
 
@@ -34,6 +38,7 @@
     record.tasks = state.occurrences.map(occurrence => occurrence.steps.map(step => step.tasks.map(encodeTask)))
     const failedRuns = state.occurrences.map(occurrence => occurrence.steps.map(step => step.lastFailedRun))
     if (failedRuns.flat().some(run => run > 0)) record.failedRuns = failedRuns
+    if (state.job.repeat !== undefined) Object.assign(record, { occurrences: state.occurrences.map(({ index }) => index), next: state.nextOccurrence })
   }
   return JSON.stringify(record)
 }
@@ -73,8 +78,9 @@
  */
 export function applyRecord (registry: Registry, state: JobState, record: JobRecord): Array<{ task: Task, worker: string }> {
   const runs: Array<{ task: Task, worker: string }> = []
+  const occurrences = state.job.repeat === undefined ? state.occurrences : restoreOccurrences(registry, state, record)
   record.tasks?.forEach((steps, occurrence) => steps.forEach((tasks, step) => tasks.forEach((taskRecord, index) => {
-    const task = state.occurrences[occurrence]?.steps[step]?.tasks[index]
+    const task = occurrences[occurrence]?.steps[step]?.tasks[index]
     if (task === undefined) return
     const [run, worker = '', failures = 0, done = 0, checkpoint = '', incarnation = 0, crashes = [], begunRun = 0] = typeof taskRecord === 'number' ? [taskRecord, '', 0, taskRecord] : taskRecord
     Object.assign(task, { run, begunRun, failures, checkpoint, incarnation, crashes: crashes.map(decodeCrash) })
@@ -87,7 +93,7 @@
     } else if (worker !== '') runs.push({ task, worker })
   })))
   record.failedRuns?.forEach((steps, occurrence) => steps.forEach((run, index) => {
-    const step = state.occurrences[occurrence]?.steps[index]
+    const step = occurrences[occurrence]?.steps[index]
     if (step !== undefined) step.lastFailedRun = run
   }))
   state.phase = record.phase
@@ -102,6 +108,16 @@
   return runs
 }
 
+/** @returns the open occurrences of a scheduled job by their place in the record; places of others are empty */
+function restoreOccurrences (registry: Registry, state: JobState, { tasks = [], occurrences, next }: JobRecord): Array<JobOccurrence | undefined> {
+  state.nextOccurrence = next ?? 1 + tasks.findLastIndex(steps => steps.flat().some(task => task !== 0))
+  return tasks.map((steps, place) => {
+    const number = occurrences?.[place] ?? place
+    const isOpen = number < state.nextOccurrence && steps.flat().some(task => task !== 1)
+    return isOpen ? registry.restoreOccurrence(state, number) : undefined
+  })
+}
+
 /** @returns whether the job has a run that is not known to have ended */
 export function hasRuns (state: JobState): boolean {
   return state.occurrences.some(occurrence => occurrence.steps.some(step => step.tasks.some(task => task.worker !== undefined)))
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -132,7 +132,12 @@
   phase: 'open' | 'completed' | 'failed' | 'cancelled'
   /** Phase reported to callers; a change of `phase` is reported only once it is on record. */
   visiblePhase: JobPhase
+  /** Open occurrences, in order of their creation; those of a scheduled job are created when they are due and removed when they have ended. */
   occurrences: JobOccurrence[]
+  /** Number of the next occurrence to create; earlier ones that are not open have ended. */
+  nextOccurrence: number
+  /** Monotonic ms from which the first occurrence may start. */
+  firstDueAt: number
   isStarted: boolean
   /** Tasks that are not done and under which a worker has crashed. */
   suspects: Set<Task>
