--- a/packages/cell/src/runtime/PhaseWaiters.ts
+++ b/packages/cell/src/runtime/PhaseWaiters.ts
@@ -10,7 +10,7 @@
 
 /** Lets queries for jobs that are about to end, or whose record is being written, wait a moment for the new phase. */
 export class PhaseWaiters {
-  private readonly waiters = new Map<string, Array<() => void>>()
+  private readonly waiters = new Map<string, Set<() => void>>()
 
   constructor (private readonly clock: Clock) {}
 
@@ -19,22 +19,32 @@
     if (!isChanging && !mayEndSoon(job)) return
     const { id } = job.job
     await new Promise<void>(resolve => {
-      const timer = this.clock.schedule(MAX_WAIT_MS, resolve)
       const waiter = (): void => {
         timer.cancel()
+        this.remove(id, waiter)
         resolve()
       }
+      const timer = this.clock.schedule(MAX_WAIT_MS, waiter)
       const present = this.waiters.get(id)
-      if (present === undefined) this.waiters.set(id, [waiter])
-      else present.push(waiter)
+      if (present === undefined) this.waiters.set(id, new Set([waiter]))
+      else present.add(waiter)
     })
   }
 
+  /** @returns number of queries that wait */
+  get size (): number {
+    return [...this.waiters.values()].reduce((sum, waiters) => sum + waiters.size, 0)
+  }
+
+  private remove (id: string, waiter: () => void): void {
+    const waiters = this.waiters.get(id)
+    waiters?.delete(waiter)
+    if (waiters?.size === 0) this.waiters.delete(id)
+  }
+
   /** Ends the waits for a job whose new phase is visible now. */
   release (id: string): void {
-    const waiters = this.waiters.get(id) ?? []
-    this.waiters.delete(id)
-    for (const waiter of waiters) waiter()
+    for (const waiter of [...this.waiters.get(id) ?? []]) waiter()
   }
 }
 
