Jobs with more tasks than a decider can hold are refused

Cause: a step may ask for any number of tasks, which the decider creates at once, some 1.8 KB each, and so does each successor.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -8,6 +8,7 @@
 import type { Gateway } from '../runtime/Gateway.js'
 import { createJob } from '../runtime/createJob.js'
 import { findRoute } from '../runtime/findRoute.js'
+import { findSubmissionProblem } from '../runtime/findSubmissionProblem.js'
 import { detach } from '../runtime/detach.js'
 
 /** Timeout of a request whose headers don't contain one. */
@@ -112,6 +113,8 @@
     if (!JOB_ID.test(request.job)) return this.refuse(request.id, 400, 'the id is not 16 hexadecimal digits')
     const submission = codec.decodeSubmission(request.body)
     if (submission.isErr()) return this.refuse(request.id, 400, submission.error)
+    const problem = findSubmissionProblem(submission.value)
+    if (problem !== undefined) return this.refuse(request.id, 400, problem)
     const job = createJob(request.job, request.route, submission.value, Math.round(storeTime()))
     return this.replyTo(request.id, request.job, request.receivedAt, request.route, await gateway.submit(job, request.deadline))
   }
