The cancellation of a job that is not on record keeps its submission out

Cause: a cancellation of an unknown job left nothing behind, and a submission expects only that there is neither a submission nor an end of its job. Ruled out: a cancellation dropped by the decider (no row of it exists). The age of the requests at the frozen node is a second, lesser matter: a transaction that the store carries out late does the same without one.

Change: such a cancellation writes the row of the job's end as withdrawn, in the part and under the expectations of the submission, before it is answered. It costs one transaction a cancellation of an unknown job, and nothing for others.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -103,6 +103,7 @@
     const job = path.slice(route.prefix.length)
     const deadline = receivedAt + (codec.timeout(request.headers) ?? DEFAULT_TIMEOUT_MS) - RESPONSE_RESERVE_MS
     if (request.method === 'POST') return await this.submit({ id, route, job, body, deadline, receivedAt })
+    if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
     if (request.method === 'DELETE') return this.replyTo(id, job, receivedAt, route, await this.options.gateway.cancel(job, deadline))
     if (request.method !== 'GET') return { status: 405 }
     return job === '' ? await this.getCount(id, route) : await this.getPhase(id, job)
--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -9,7 +9,7 @@
 import type { SubmissionRow, WriteOutcome } from './SubmissionWriter.js'
 import { recordedPhase } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
-import { CANCELLATION_SUFFIX, endRowName, submissionRowName, submissionPart } from './rowNames.js'
+import { CANCELLATION_SUFFIX, endRowName, submissionRowName, submissionPart, WITHDRAWN } from './rowNames.js'
 
 /** Timeout of a query to the decider, after which the store is read instead. */
 const QUERY_TIMEOUT_MS = 300
@@ -51,8 +51,8 @@
   abstract forwardWrite (request: WriteRequest, deadline: number): Promise<WriteOutcome | undefined>
 }
 
-/** Job or cancellation that a caller wants on record. */
-export type WriteRequest = { kind: 'job', job: Job } | { kind: 'cancel', id: string }
+/** Job, cancellation, or cancellation of a job that is not on record, which a caller wants on record. */
+export type WriteRequest = { kind: 'job', job: Job } | { kind: 'cancel' | 'withdraw', id: string }
 
 /** `late`: too little of the caller's time was left, and nothing was written. */
 type PersistOutcome = WriteOutcome | 'late'
@@ -98,15 +98,21 @@
   }
 
   /**
-   * Records a cancellation and notifies the decider.
+   * Records a cancellation and notifies the decider. The cancellation of an unknown job is recorded too, because the job's submission may still be on its
+   * way: at a node that is frozen, or as a transaction that the store carries out late.
    *
    * @param id - id of a job
    * @param deadline - time until which the caller waits, in monotonic ms
    */
   async cancel (id: string, deadline: number): Promise<RequestOutcome> {
     const phase = await this.phase(id)
-    if (phase.kind !== 'phase') return phase
-    if (phase.phase === 'cancelled' || phase.phase === 'completed' || phase.phase === 'failed') return { kind: 'cancelled' }
+    if (phase.kind === 'refused') return phase
+    if (phase.kind === 'unknown-job') {
+      const outcome = await this.persist({ kind: 'withdraw', id }, deadline)
+      if (outcome === 'done' || outcome === 'withdrawn') return { kind: 'unknown-job' }
+      // Anything but a submission that was accepted meanwhile.
+      if (outcome !== 'repeated') return explainFailure(outcome) ?? { kind: 'unknown-job' }
+    } else if (phase.phase === 'cancelled' || phase.phase === 'completed' || phase.phase === 'failed') return { kind: 'cancelled' }
     return explainFailure(await this.persist({ kind: 'cancel', id }, deadline)) ?? { kind: 'cancelled' }
   }
 
@@ -139,7 +145,7 @@
     const result = await this.writer.write(submissionRowOf(request), deadline, { retryWhenBusy })
     if (result.outcome === 'done') {
       if (request.kind === 'job') decider.announceJob({ job: request.job, version: result.version })
-      else decider.announceCancellation(request.id)
+      else if (request.kind === 'cancel') decider.announceCancellation(request.id)
     }
     return result.outcome
   }
@@ -172,6 +178,7 @@
     const end = await store.range({ ...endRowName(id), from: id, until: id + '\0' })
     if (end.isErr()) return storeUnavailable()
     const [ended] = end.value.rows
+    if (ended?.value === WITHDRAWN) return { kind: 'unknown-job' }
     if (ended !== undefined) return { kind: 'phase', phase: ended.value as EndedPhase }
     if (!keys.includes(id)) return { kind: 'unknown-job' }
     return { kind: 'phase', phase: keys.includes(id + CANCELLATION_SUFFIX) ? 'cancelled' : 'queued' }
@@ -179,11 +186,14 @@
 }
 
 function submissionRowOf (request: WriteRequest): SubmissionRow {
-  if (request.kind === 'job') {
-    const name = submissionRowName(request.job.id)
-    return { name, value: encodeSubmission(request.job), absent: [name, endRowName(request.job.id)] }
+  const id = request.kind === 'job' ? request.job.id : request.id
+  const submission = submissionRowName(id)
+  const end = endRowName(id)
+  switch (request.kind) {
+    case 'job': return { name: submission, value: encodeSubmission(request.job), absent: [submission, end] }
+    case 'cancel': return { name: { ...submission, key: id + CANCELLATION_SUFFIX }, value: '{}', absent: [] }
+    case 'withdraw': return { name: end, value: WITHDRAWN, absent: [submission, end] }
   }
-  return { name: { ...submissionRowName(request.id), key: request.id + CANCELLATION_SUFFIX }, value: '{}', absent: [] }
 }
 
 /** @returns the response for a request that is not known to be on record, or `undefined` if it is on record */
@@ -193,6 +203,7 @@
     case 'repeated': return undefined
     case 'refused':
     case 'busy': return storeUnavailable()
+    case 'withdrawn': return { kind: 'refused', reason: 'the job was cancelled before it was submitted' }
     case 'late': return { kind: 'refused', reason: 'too little time is left', retryAfter: STORE_RETRY_AFTER_S }
     case 'unknown': return { kind: 'unsettled', reason: 'the write was not answered in time' }
   }
--- a/packages/cell/src/runtime/SubmissionWriter.ts
+++ b/packages/cell/src/runtime/SubmissionWriter.ts
@@ -1,6 +1,7 @@
 import type { Clock, Timer } from '@rattanstep/core'
 import { SLOW_COMMIT_MS } from '../types/limits.js'
 import type { RecordStore, Row, RowName, TransactionOutcome } from '../types/records.js'
+import { WITHDRAWN } from './rowNames.js'
 
 /** Each row may use three of a transaction's 100 entries. */
 const MAX_ROWS_PER_TRANSACTION = 33
@@ -13,19 +14,19 @@
 const SLOW_AFTER_BUSY_MS = 1000
 
 /**
- * Outcome of a write, as far as it is known. `repeated`: the row, or the one for the job's end, existed already; `busy`: nothing was
- * written, and the store is likely to accept the write sooner if fewer nodes write.
+ * Outcome of a write, as far as it is known. `repeated`: a row that must not exist was present; `withdrawn`: the job was cancelled before it was
+ * submitted; `busy`: nothing was written, and the store is likely to accept the write sooner if fewer nodes write.
  */
-export type WriteOutcome = 'done' | 'repeated' | 'refused' | 'busy' | 'unknown'
+export type WriteOutcome = 'done' | 'repeated' | 'withdrawn' | 'refused' | 'busy' | 'unknown'
 
 /** Result of a write; `version`: version of the row that is on record. */
 export type WriteResult = { outcome: 'done', version: number } | { outcome: Exclude<WriteOutcome, 'done'> }
 
-/** A row to write for a submission or a cancellation. */
+/** A row to write for a submission, a cancellation or a withdrawal. */
 export interface SubmissionRow {
   name: RowName
   value: string
-  /** Rows that must not exist: the row itself, and the one that replaces it when the job has ended. */
+  /** Rows that must not exist, all in the row's part. */
   absent: RowName[]
 }
 
@@ -47,7 +48,7 @@
   retryDelay: number
 }
 
-/** Writes submissions and cancellations. Each part has one transaction in flight at a time; the next one contains all rows that wait. */
+/** Writes submissions, cancellations and withdrawals. Each part has one transaction in flight at a time; the next one contains all rows that wait. */
 export class SubmissionWriter {
   private readonly parts = new Map<string, PartQueue>()
   private lastDuration = 0
@@ -131,7 +132,7 @@
       const present = rows.find(row => row.version > 0 && item.row.absent.some(name => isSameRow(name, row)))
       if (present === undefined) continue
       const isOwnRow = item.maybeWritten && isSameRow(item.row.name, present)
-      this.resolveWrite(part, item, isOwnRow ? { outcome: 'done', version: present.version } : { outcome: 'repeated' })
+      this.resolveWrite(part, item, isOwnRow ? { outcome: 'done', version: present.version } : { outcome: present.value === WITHDRAWN ? 'withdrawn' : 'repeated' })
     }
   }
 
--- a/packages/cell/src/runtime/rowNames.ts
+++ b/packages/cell/src/runtime/rowNames.ts
@@ -31,5 +31,8 @@
   return { table: 'ended', part: submissionPart(id), key: id }
 }
 
+/** Value of the row of a job's end if the job was cancelled before it was submitted, so that a submission on its way is not accepted. */
+export const WITHDRAWN = 'withdrawn'
+
 /** Suffix of a cancellation's key, which consists of the job's id and this suffix. */
 export const CANCELLATION_SUFFIX = '!'
--- a/packages/cell/src/types/callers.ts
+++ b/packages/cell/src/types/callers.ts
@@ -24,8 +24,8 @@
   | { kind: 'accepted', repeated: boolean }
   | { kind: 'cancelled' }
   | { kind: 'unknown-job' }
-  /** The request was not carried out and never will be. */
-  | { kind: 'refused', reason: string, /** s */ retryAfter: number }
+  /** The request was not carried out and never will be; without `retryAfter` (s) it is of no use to repeat it. */
+  | { kind: 'refused', reason: string, retryAfter?: number }
   /** It is not known whether the request was carried out. */
   | { kind: 'unsettled', reason: string }
 
--- /dev/null
+++ b/packages/cell/test/runtime/cancellations.test.ts
@@ -0,0 +1,108 @@
+import { describe, test } from 'node:test'
+import { expect } from 'earl'
+import type { Job } from '../../src/index.js'
+import { createSteadyRig, stepOf } from '../support/CellRig.js'
+import type { CellRig, RigNode } from '../support/CellRig.js'
+
+const ID = '00000000000000aa'
+const JOB: Job = { id: ID, route: 'r', spec: 'x', steps: [stepOf({})], acceptedAt: 1 }
+/** Time in which a short job would have been run. */
+const COMPLETION_MS = 5000
+
+/** Sends a request and returns a function that reads the kind of its outcome, or '' before there is one. */
+function send (rig: CellRig, node: RigNode, action: 'submit' | 'cancel', patience = 3000): () => string {
+  let kind = ''
+  const deadline = rig.clock.now() + patience
+  const { gateway } = node.cell
+  const outcome = action === 'submit' ? gateway.submit(JOB, deadline) : gateway.cancel(ID, deadline)
+  outcome.then(each => { kind = each.kind }, error => { throw error })
+  return () => kind
+}
+
+async function settle (rig: CellRig, read: () => string): Promise<string> {
+  await rig.until(() => read() !== '')
+  return read()
+}
+
+function countStarts (rig: CellRig): number {
+  return rig.fleet.starts.get(`${ID}.0.0.0`) ?? 0
+}
+
+// Guards against a job that is started after its cancelling was answered with "no such job", because the cancelling left nothing behind.
+describe('the cancellation of a job that is not on record', () => {
+  test('keeps out a submission that a frozen node handles later, at every node and after a takeover', async () => {
+    const rig = await createSteadyRig({ nodes: 4 })
+    const [frozen, other] = rig.nodes.filter(node => node !== rig.decider) as [RigNode, RigNode]
+    expect(await settle(rig, send(rig, other, 'cancel'))).toEqual('unknown-job')
+    rig.kill(rig.decider!)
+    await rig.run(4000)
+    expect(await settle(rig, send(rig, frozen, 'submit'))).toEqual('refused')
+    expect(await settle(rig, send(rig, rig.decider!, 'submit'))).toEqual('refused')
+    await rig.run(COMPLETION_MS)
+    expect([countStarts(rig), await rig.phase(other, ID)]).toEqual([0, 'unknown-job'])
+  })
+
+  test('keeps out a submission that the store carries out late', async () => {
+    const rig = await createSteadyRig()
+    const [follower, other] = rig.nodes.filter(node => node !== rig.decider) as [RigNode, RigNode]
+    follower.store.condition = 'late'
+    const submitted = send(rig, follower, 'submit', 1000)
+    await rig.run(100)
+    expect(await settle(rig, send(rig, other, 'cancel'))).toEqual('unknown-job')
+    await rig.run(COMPLETION_MS)
+    expect([submitted(), countStarts(rig), await rig.phase(other, ID)]).toEqual(['unsettled', 0, 'unknown-job'])
+  })
+
+  test('is repeated without effect', async () => {
+    const rig = await createSteadyRig()
+    for (const node of rig.nodes) expect(await settle(rig, send(rig, node, 'cancel'))).toEqual('unknown-job')
+  })
+
+  test('that a slow store combines with others at the decider keeps out the submission', async () => {
+    const rig = await createSteadyRig()
+    for (const node of rig.nodes) node.store.condition = 'slow'
+    await rig.run(2000)
+    const cancelled = send(rig, rig.nodes.find(node => node !== rig.decider)!, 'cancel', 6000)
+    const outcome = await settle(rig, cancelled)
+    for (const node of rig.nodes) node.store.condition = 'normal'
+    await rig.run(2000)
+    expect([outcome, await settle(rig, send(rig, rig.nodes[0]!, 'submit'))]).toEqual(['unknown-job', 'refused'])
+  })
+
+  test('is not acknowledged while the store is away', async () => {
+    const rig = await createSteadyRig()
+    for (const node of rig.nodes) node.store.condition = 'refusing'
+    await rig.run(2500)
+    expect(await settle(rig, send(rig, rig.nodes[0]!, 'cancel'))).toEqual('refused')
+  })
+})
+
+describe('a cancellation that overlaps the submission of its job at another node', () => {
+  for (const delay of [0, 1, 2, 4, 6, 8, 12, 16, 24]) {
+    test(`${delay} ms later leaves no job that runs once it is answered`, async () => {
+      const rig = await createSteadyRig({ behaviour: () => ({ duration: 2000, ending: 'done', size: { cpu: 1000, memory: 100, accelerators: 0 } }) })
+      const [follower, other] = rig.nodes.filter(node => node !== rig.decider) as [RigNode, RigNode]
+      const submitted = send(rig, follower, 'submit')
+      if (delay > 0) await rig.run(delay)
+      const answer = await settle(rig, send(rig, other, 'cancel'))
+      await rig.run(1500)
+      const running = [...rig.fleet.workers.values()].filter(worker => worker.running.size > 0).length
+      expect(running).toEqual(0)
+      const starts = countStarts(rig)
+      await rig.run(COMPLETION_MS)
+      expect([countStarts(rig), await rig.phase(other, ID)]).toEqual([starts, submitted() === 'accepted' ? 'cancelled' : 'unknown-job'])
+      expect(['cancelled', 'unknown-job'].includes(answer)).toEqual(true)
+    })
+  }
+})
+
+test('a submission that is repeated after its job was accepted, cancelled and archived is answered as accepted, and nothing is started', async () => {
+  const rig = await createSteadyRig()
+  expect(await settle(rig, send(rig, rig.nodes[0]!, 'submit'))).toEqual('accepted')
+  expect(await settle(rig, send(rig, rig.nodes[1]!, 'cancel'))).toEqual('cancelled')
+  await rig.run(COMPLETION_MS)
+  const starts = countStarts(rig)
+  expect(await settle(rig, send(rig, rig.nodes[2]!, 'submit'))).toEqual('accepted')
+  await rig.run(COMPLETION_MS)
+  expect([countStarts(rig), await rig.phase(rig.nodes[0]!, ID)]).toEqual([starts, 'cancelled'])
+})
