A cancellation that comes after the end of its job leaves no row behind

Cause: the row of a cancellation was written without an expectation. When the job was archived between the read of its phase and that write, no decider removed the row, and each successor read it.

Change: the write expects that there is no row of the job's end; if there is one, the job has ended, and the answer is the same as before.

Evidence: the test, which failed before with the row of the cancellation left.

--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -191,7 +191,7 @@
   const end = endRowName(id)
   switch (request.kind) {
     case 'job': return { name: submission, value: encodeSubmission(request.job), absent: [submission, end] }
-    case 'cancel': return { name: { ...submission, key: id + CANCELLATION_SUFFIX }, value: '{}', absent: [] }
+    case 'cancel': return { name: { ...submission, key: id + CANCELLATION_SUFFIX }, value: '{}', absent: [end] }
     case 'withdraw': return { name: end, value: WITHDRAWN, absent: [submission, end] }
   }
 }
--- a/packages/cell/test/runtime/cancellations.test.ts
+++ b/packages/cell/test/runtime/cancellations.test.ts
@@ -106,3 +106,17 @@
   await rig.run(COMPLETION_MS)
   expect([countStarts(rig), await rig.phase(rig.nodes[0]!, ID)]).toEqual([starts, 'cancelled'])
 })
+
+// Guards against rows of cancellations that no decider removes, because they were written after the job was archived.
+test('a cancellation that comes after the end of its job leaves no row behind', async () => {
+  const rig = await createSteadyRig()
+  await settle(rig, send(rig, rig.nodes[0]!, 'submit'))
+  const late = rig.nodes.find(node => node !== rig.decider)!
+  const { phase } = late.cell.gateway
+  late.cell.gateway.phase = async () => ({ kind: 'phase', phase: 'running' })
+  await rig.run(COMPLETION_MS)
+  expect(await settle(rig, send(rig, late, 'cancel'))).toEqual('cancelled')
+  late.cell.gateway.phase = phase
+  await rig.run(COMPLETION_MS)
+  expect([...rig.tables.rows.values()].filter(({ table }) => table === 'jobs').map(({ key }) => key)).toEqual([])
+})
