Orders carry a fencing token of the worker's incarnation, and records tell a successor of longer leases

Cause: a restarted worker carries out calls that were sent to its former incarnation. A lease by the former clock is then the longest that it accepts, and an acknowledgement makes it forget ends that nobody has read. The decider of that time allowed for the lease, if the order was the last one before the restart was noticed; its successor counted on a usual one.

Change: the stand-in's next incarnation carries out the calls that came while it was down. Terms are 1,000 fencing tokens apart, and a decider raises the token of a worker's orders with each incarnation, so that calls for a former one are refused once the present one has been polled; nothing is started on it before. All orders with a lease that got no answer in the last 12 s count, not the last one only, and the answer of a fenced incarnation limits the bound to the longest lease from then. The record of a run says how long the worker's lease may still be if that is longer than usual, and a successor allows for the longest lease too if the instance list shows another incarnation than the record.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -16,7 +16,7 @@
 import { CrashLedger } from './CrashLedger.js'
 import { incarnationTag } from './CrashBudget.js'
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
-import type { JobRecord } from './jobRecord.js'
+import type { JobRecord, RecordedRun } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
 import { findStartObstacle, isUsable } from './findStartObstacle.js'
@@ -136,7 +136,7 @@
     this.crashes = new CrashLedger({ log, clock, registry: this.registry, onChange: task => { this.lifecycle.handleCrashes(task) } })
     this.leases = new WorkerLeases(options)
     this.poller = new WorkerPoller({
-      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
+      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, recordSoon: task => { this.recorder.markDirtySoon(task.step.occurrence.job.job.id) }, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
     })
     this.lifecycle = new TaskLifecycle({
       registry: this.registry,
@@ -184,6 +184,7 @@
     }
     let assumed = 0
     for (const recorded of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, recovered.records.get(recorded.job.id), startedAt) }, log, 'recovery of a job')
+    for (const worker of this.registry.workers.values()) this.leases.assumeFormerOrders(worker, startedAt)
     for (const id of recovered.cancelled) this.cancel(id)
     this.submissionFeed.start(recovered.version, () => this.isStopped)
     this.archiver.start(() => this.isStopped)
@@ -365,13 +366,16 @@
     const isProven = await this.poller.proveClock(worker)
     if (this.isStopped || task.phase !== 'ordered' || task.run !== run || task.worker !== worker) return
     if (!isProven) return this.lifecycle.cancelStart(task, 'the worker does not answer')
+    const { generation } = worker
+    const sentAt = this.options.clock.now()
     const leaseEnd = this.leases.extend(worker, 'start')
     task.sentRun = run
     const outcome = await this.options.workers.start(worker.report, {
-      task: task.name, run, spec: task.step.occurrence.job.job.spec, leaseEnd, fence: this.options.term.fence, checkpoint: task.checkpoint, ticket: ticket === undefined ? undefined : task.step.tickets.get(worker.report.id)?.text ?? ticket
+      task: task.name, run, spec: task.step.occurrence.job.job.spec, leaseEnd, fence: this.poller.fenceOf(worker), checkpoint: task.checkpoint, ticket: ticket === undefined ? undefined : task.step.tickets.get(worker.report.id)?.text ?? ticket
     })
+    if (outcome.kind !== 'unknown') this.leases.settle(worker, sentAt)
     if (this.isStopped) return
-    if (outcome.kind === 'refused' && outcome.reason === 'fence') return this.loseTerm(undefined)
+    if (outcome.kind === 'refused' && outcome.reason === 'fence' && generation === worker.generation) return this.loseTerm(undefined)
     if (outcome.kind === 'taken') {
       this.leases.confirm(worker, leaseEnd, outcome.clock)
       this.poller.noteClock(worker, outcome.clock)
@@ -389,17 +393,18 @@
   /**
    * Assigns the recorded runs to their workers until the workers list them.
    *
-   * @param runs - runs that are not known to have ended, with the id of the worker of each
+   * @param runs - runs that are not known to have ended
    * @param startedAt - monotonic ms at which this term started
    * @returns number of runs
    */
-  private assignRecordedRuns (runs: Array<{ task: Task, worker: string }>, startedAt: number): number {
-    for (const { task, worker: id } of runs) {
+  private assignRecordedRuns (runs: RecordedRun[], startedAt: number): number {
+    for (const { task, worker: id, leaseLeft } of runs) {
       const worker = this.registry.workers.get(id) ?? this.addUnlistedWorker(id)
       task.phase = 'assumed'
       this.registry.assign(task, worker)
       this.registry.updateReadySteps(task.step.occurrence)
-      this.leases.assumeFormerTerm(worker, startedAt)
+      const isRestarted = worker.report.born > 0 && task.incarnation > 0 && incarnationTag(worker.report.born) !== task.incarnation
+      this.leases.assumeFormerTerm(worker, startedAt, { leaseLeft, isRestarted })
     }
     return runs.length
   }
@@ -468,7 +473,7 @@
     const state = this.registry.jobs.get(key)
     if (state !== undefined) {
       this.committingPhases.set(key, recordedPhase(state))
-      return { kind: 'put', value: encodeJobRecord(state) }
+      return { kind: 'put', value: encodeJobRecord(state, this.options.clock.now()) }
     }
     return this.deletableRecords.delete(key) ? { kind: 'delete' } : null
   }
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -3,7 +3,7 @@
 import type { Log } from '@rattanstep/telemetry'
 import membershipChart from '../charts/membership.json' with { type: 'json' }
 import { CELL_EVENTS } from '../types/events.js'
-import { LINK_TIMEOUT_MS, SUCCESSION_STEP_MS, TERM_RECHECK_DELAY_MS } from '../types/limits.js'
+import { FENCE_STEP, LINK_TIMEOUT_MS, SUCCESSION_STEP_MS, TERM_RECHECK_DELAY_MS } from '../types/limits.js'
 import type { RecordStore, Row, Transaction } from '../types/records.js'
 import { Follower } from './Follower.js'
 import type { FollowerCallbacks, DeciderConnector } from './Follower.js'
@@ -260,7 +260,7 @@
     const { clock, store, node, start, address } = this.options
     const former = this.term
     if (!await this.waitForTurn(former)) return 'lost'
-    const term: Term = { fence: (this.term?.fence ?? 0) + 1, node, start, address, serial: 0, isSuspicion: this.claimReason === 'silent' }
+    const term: Term = { fence: (this.term?.fence ?? 0) + FENCE_STEP, node, start, address, serial: 0, isSuspicion: this.claimReason === 'silent' }
     let outcome = await store.commit(this.claimTransaction(term))
     for (let repeats = 0; repeats < MAX_CLAIM_REPEATS && outcome.kind === 'conflict' && this.isOfferStillOpen(outcome.rows); repeats++) {
       outcome = await store.commit(this.claimTransaction(term))
--- a/packages/cell/src/runtime/WorkerCallCodec.ts
+++ b/packages/cell/src/runtime/WorkerCallCodec.ts
@@ -12,30 +12,30 @@
  * link, and the text of a job once in a message.
  */
 export class WorkerCallEncoder {
-  private readonly told = new Map<string, { number: number, target: WorkerTarget }>()
+  private readonly told = new Map<string, { number: number, target: WorkerTarget, generation: number }>()
   private nextNumber = 0
 
   /**
-   * @param fence - fencing token of all the calls
+   * @param fence - fencing token of the term
    * @param calls - the calls
    * @returns the message
    */
   encode (fence: number, calls: NumberedCall[]): ExecuteMessage {
     const workers: ExecuteMessage['workers'] = []
     const texts = new Map<string, number>()
-    const tuples = calls.map(({ call, order }) => encodeCall(call, this.numberOf(order.worker, workers), order, texts))
+    const tuples = calls.map(({ call, order }) => encodeCall(call, this.numberOf(order.worker, order.order.fence - fence, workers), order, texts))
     return { kind: 'execute', fence, workers, texts: [...texts.keys()], calls: tuples }
   }
 
-  private numberOf (worker: WorkerTarget, added: ExecuteMessage['workers']): number {
+  private numberOf (worker: WorkerTarget, generation: number, added: ExecuteMessage['workers']): number {
     const known = this.told.get(worker.id)
-    if (known !== undefined && known.target.address === worker.address && known.target.born === worker.born && known.target.dataCentre === worker.dataCentre) return known.number
+    if (known !== undefined && known.target.address === worker.address && known.target.born === worker.born && known.target.dataCentre === worker.dataCentre && known.generation === generation) return known.number
     // A worker that has changed gets a new number, since earlier calls of the same message refer to its former address.
     const number = this.nextNumber++
     const { id, address, born, dataCentre } = worker
     const target = { id, address, born, dataCentre }
-    this.told.set(id, { number, target })
-    added.push([number, target])
+    this.told.set(id, { number, target, generation })
+    added.push([number, target, generation])
     return number
   }
 }
@@ -54,15 +54,19 @@
 
 /** Decodes the calls of one link from a decider. */
 export class WorkerCallDecoder {
-  private readonly workers = new Map<number, WorkerTarget>()
+  private readonly workers = new Map<number, { worker: WorkerTarget, generation: number }>()
 
   /**
    * @param message - the message
    * @returns the calls
    */
   decode ({ fence, workers, texts, calls }: ExecuteMessage): NumberedCall[] {
-    for (const [number, target] of workers) this.workers.set(number, target)
-    return calls.map(tuple => ({ call: tuple[1], order: decodeCall(tuple, { worker: this.workers.get(tuple[2])!, fence, texts }) }))
+    // Nodes of an earlier version send no generation.
+    for (const [number, worker, generation = 0] of workers) this.workers.set(number, { worker, generation })
+    return calls.map(tuple => {
+      const { worker, generation } = this.workers.get(tuple[2])!
+      return { call: tuple[1], order: decodeCall(tuple, { worker, fence: fence + generation, texts }) }
+    })
   }
 }
 
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -4,6 +4,7 @@
 import type { ListedRun, WorkerList } from '../types/worker.js'
 import type { PollFault, WorkerClient } from '../types/ports.js'
 import { CELL_EVENTS } from '../types/events.js'
+import { FENCE_STEP } from '../types/limits.js'
 import { incarnationTag } from './CrashBudget.js'
 import type { CrashLedger } from './CrashLedger.js'
 import type { Registry } from './Registry.js'
@@ -40,6 +41,8 @@
   fence: number
   crashes: CrashLedger
   leases: WorkerLeases
+  /** Records the state of the task's job together with other changes or after a moment. */
+  recordSoon: (task: Task) => void
   /** Returns whether leases may be renewed: the term was confirmed recently, or no other node can have claimed it. */
   canRenewLeases: () => boolean
   /** Called after changes that may allow other tasks to start. */
@@ -48,6 +51,16 @@
   onNewerTerm: () => void
 }
 
+/** A poll as it was sent. */
+interface SentPoll {
+  /** Monotonic ms. */
+  sentAt: number
+  /** Number of new incarnations of the worker that had been noticed. */
+  generation: number
+  /** Whether the worker's clock was proven. */
+  isProven: boolean
+}
+
 /** Polls every worker: renews leases, handles ends of runs, and detects unreachable workers, lost runs and new incarnations. */
 export class WorkerPoller {
   private readonly polled = new Set<WorkerState>()
@@ -114,26 +127,35 @@
     if (value > 0 && value < worker.clock.value - MAX_ANSWER_DELAY_MS) this.noteNewIncarnation(worker)
   }
 
+  /** @returns fencing token of orders to the worker's present incarnation */
+  fenceOf ({ generation }: WorkerState): number {
+    return this.options.fence + generation
+  }
+
   /** What is known of the former incarnation doesn't hold for the new one, which the next poll describes. */
   private noteNewIncarnation (worker: WorkerState): void {
     this.forgetEnds(worker)
     this.options.leases.forgetClock(worker)
+    worker.generation = Math.min(worker.generation + 1, FENCE_STEP - 1)
+    // A successor must know of the longer lease.
+    for (const task of worker.tasks.values()) this.options.recordSoon(task)
   }
 
   /** Stops a run, with retries until its worker takes the order or the run is known to have ended. */
   async stopRun (task: Task): Promise<void> {
     const { worker, run } = task
-    const { workers, clock, fence } = this.options
+    const { workers, clock } = this.options
     if (worker === undefined) return
     for (;;) {
       if (this.isStopped || task.worker !== worker || task.run !== run || task.phase !== 'stopping') return
-      const outcome = await workers.stop(worker.report, { task: task.name, run, fence })
+      const { generation } = worker
+      const outcome = await workers.stop(worker.report, { task: task.name, run, fence: this.fenceOf(worker) })
       if (outcome.kind === 'taken') {
         task.stopConfirmedAt = clock.now()
         this.pollNow(worker)
         return
       }
-      if (outcome.kind === 'refused' && outcome.reason === 'fence') this.options.onNewerTerm()
+      if (outcome.kind === 'refused' && outcome.reason === 'fence' && generation === worker.generation) this.options.onNewerTerm()
       await clock.sleep(STOP_RETRY_DELAY_MS)
     }
   }
@@ -156,33 +178,39 @@
 
   /** @returns ms until the next poll */
   private async poll (worker: WorkerState): Promise<number> {
-    const { workers, clock, fence, canRenewLeases, leases } = this.options
+    const { workers, clock, canRenewLeases, leases } = this.options
     const sentAt = clock.now()
+    const { generation } = worker
     // No lease is sent to a worker that may have restarted: by the former clock it could outlast what this decider or a successor counts on. Nor to an
     // unreachable one, which may handle the poll late and extend leases whose expiry the decider waits for.
     const isProven = worker.isReachable && leases.isClockProven(worker)
     const leaseEnd = isProven && canRenewLeases() ? leases.extend(worker, 'poll') : undefined
     const wait = isProven && worker.tasks.size > 0 && worker.unrecordedEnds.size === 0 ? POLL_WAIT_MS : 0
     worker.pollSentAt = sentAt
-    const answer = await workers.poll(worker.report, { fence, acknowledged: acknowledgedEnd(worker), leaseEnd, wait })
+    const answer = await workers.poll(worker.report, { fence: this.fenceOf(worker), acknowledged: acknowledgedEnd(worker), leaseEnd, wait })
     worker.pollSentAt = 0
+    if (leaseEnd !== undefined && (answer.isOk() || answer.error.code !== 'silent')) leases.settle(worker, sentAt)
     if (this.isStopped) return 0
-    const pause = this.handleAnswer(worker, answer, sentAt, isProven)
+    const pause = this.handleAnswer(worker, answer, { sentAt, generation, isProven })
     this.releaseProofs(worker)
     return pause
   }
 
   /** @returns ms until the next poll */
-  private handleAnswer (worker: WorkerState, answer: Result<WorkerList, PollFault>, sentAt: number, wasProven: boolean): number {
+  private handleAnswer (worker: WorkerState, answer: Result<WorkerList, PollFault>, poll: SentPoll): number {
     if (answer.isErr()) {
+      // The next poll carries the token of the new incarnation that was noticed meanwhile.
+      if (answer.error.code === 'superseded' && poll.generation < worker.generation) return 0
       if (answer.error.code === 'superseded') this.options.onNewerTerm()
       this.handlePollFailure(worker, answer.error)
       return UNREACHABLE_POLL_INTERVAL_MS
     }
-    this.handleList(worker, answer.value, sentAt)
+    this.handleList(worker, answer.value, poll)
+    // The incarnation that has answered has not yet seen its fencing token.
+    if (worker.clock.at === 0) return 0
     if (worker.tasks.size === 0) return IDLE_POLL_INTERVAL_MS
     // The answer proves the clock only for a moment.
-    if (!wasProven) return 0
+    if (!poll.isProven) return 0
     return worker.unrecordedEnds.size > 0 ? UNRECORDED_POLL_INTERVAL_MS : MIN_POLL_GAP_MS
   }
 
@@ -217,8 +245,8 @@
     onChange()
   }
 
-  private handleList (worker: WorkerState, list: WorkerList, sentAt: number): void {
-    const { clock, log, onChange, crashes } = this.options
+  private handleList (worker: WorkerState, list: WorkerList, { sentAt, generation }: SentPoll): void {
+    const { clock, log, onChange, crashes, leases } = this.options
     crashes.noteIncarnation(worker.report.id, list.born)
     if (list.born !== worker.report.born) this.handleRestart(worker, list.born)
     if (!worker.isReachable) {
@@ -229,7 +257,10 @@
     worker.isReplaced = false
     worker.isLossNoted = false
     worker.hasAnswered = true
-    worker.clock = { value: list.clock, at: clock.now() }
+    if (generation === worker.generation) {
+      worker.clock = { value: list.clock, at: clock.now() }
+      leases.limitBound(worker)
+    }
     this.handleEnds(worker, list)
     this.handleRuns(worker, list)
     crashes.chargeFormer(worker, list.born)
@@ -296,10 +327,10 @@
   }
 
   private stopUnknownRun (worker: WorkerState, listed: ListedRun): void {
-    const { log, workers, fence, clock } = this.options
+    const { log, workers, clock } = this.options
     const task = this.options.registry.findTask(listed.task)
     log.write(CELL_EVENTS.runUnknown, { task: listed.task, run: listed.run, worker: worker.report.id, born: worker.report.born, lastRun: task?.run ?? 0, lastWorker: task?.worker?.report.id, ...this.options.leases.describe(worker) })
-    detach(workers.stop(worker.report, { task: listed.task, run: listed.run, fence }).then(async () => {
+    detach(workers.stop(worker.report, { task: listed.task, run: listed.run, fence: this.fenceOf(worker) }).then(async () => {
       await clock.sleep(STOP_RETRY_DELAY_MS)
       this.pollNow(worker)
     }), log, 'stop')
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -1,13 +1,13 @@
 import type { JobPhase } from '../types/job.js'
 import type { Registry } from './Registry.js'
-import type { Crash, CrashCertainty, JobOccurrence, JobState, Task } from './model.js'
+import type { Crash, CrashCertainty, JobOccurrence, JobState, Task, WorkerState } from './model.js'
 
 /**
  * Recorded state of a task: 0 if it has not run, 1 if it is done, or else number of the last run, worker or '', failures, 0, checkpoint, tag
- * of the worker's incarnation, crashes, number of the last run that is known to have begun. Trailing elements that are 0 or empty are omitted. Records of earlier versions contain the first five
+ * of the worker's incarnation, crashes, number of the last run that is known to have begun, ms left of the lease if it may be longer than usual. Trailing elements that are 0 or empty are omitted. Records of earlier versions contain the first five
  * elements, and 1 as the fourth if the task is done.
  */
-type TaskRecord = 0 | 1 | [run: number, worker?: string, failures?: number, done?: number, checkpoint?: string, incarnation?: number, crashes?: CrashRecord[], begunRun?: number]
+type TaskRecord = 0 | 1 | [run: number, worker?: string, failures?: number, done?: number, checkpoint?: string, incarnation?: number, crashes?: CrashRecord[], begunRun?: number, leaseLeft?: number]
 
 /** Recorded crash; the last element is 1 if only tasks of the same job ran on the worker. */
 type CrashRecord = [worker: string, incarnation: number, run: number, certainty: number, isAlone: 0 | 1]
@@ -15,6 +15,15 @@
 /** Certainties by their number in records. */
 const CERTAINTIES: readonly CrashCertainty[] = ['possible', 'presumed', 'confirmed', 'excused']
 
+/** Recorded run that is not known to have ended. */
+export interface RecordedRun {
+  task: Task
+  /** Id of the worker. */
+  worker: string
+  /** ms left of the worker's leases when the record was written, or 0 if they are not longer than usual. */
+  leaseLeft: number
+}
+
 /** Recorded state of a job. */
 export interface JobRecord {
   phase: JobState['phase']
@@ -30,12 +39,13 @@
 
 /**
  * @param state - state of a job
+ * @param now - monotonic ms
  * @returns the value of the job's record
  */
-export function encodeJobRecord (state: JobState): string {
+export function encodeJobRecord (state: JobState, now: number): string {
   const record: JobRecord = { phase: state.phase }
   if (state.phase === 'open' || hasRuns(state)) {
-    record.tasks = state.occurrences.map(occurrence => occurrence.steps.map(step => step.tasks.map(encodeTask)))
+    record.tasks = state.occurrences.map(occurrence => occurrence.steps.map(step => step.tasks.map(task => encodeTask(task, now))))
     const failedRuns = state.occurrences.map(occurrence => occurrence.steps.map(step => step.lastFailedRun))
     if (failedRuns.flat().some(run => run > 0)) record.failedRuns = failedRuns
     if (state.job.repeat !== undefined) Object.assign(record, { occurrences: state.occurrences.map(({ index }) => index), next: state.nextOccurrence })
@@ -43,14 +53,19 @@
   return JSON.stringify(record)
 }
 
-function encodeTask ({ phase, run, worker, failures, checkpoint, incarnation, crashes, begunRun }: Task): TaskRecord {
+function encodeTask ({ phase, run, worker, failures, checkpoint, incarnation, crashes, begunRun }: Task, now: number): TaskRecord {
   if (phase === 'done' && worker === undefined) return 1
   if (run === 0) return 0
-  const record: TaskRecord = [run, worker?.report.id ?? '', failures, phase === 'done' ? 1 : 0, checkpoint, worker === undefined ? 0 : incarnation, crashes.map(encodeCrash), begunRun]
+  const record: TaskRecord = [run, worker?.report.id ?? '', failures, phase === 'done' ? 1 : 0, checkpoint, worker === undefined ? 0 : incarnation, crashes.map(encodeCrash), begunRun, leaseLeftOf(worker, now)]
   while (isEmpty(record.at(-1))) record.pop()
   return record
 }
 
+/** @returns ms until the bound of the worker's leases, or 0 if a successor has no reason to expect longer leases than usual */
+function leaseLeftOf (worker: WorkerState | undefined, now: number): number {
+  return worker?.leaseGrant.source === 'former-incarnation' ? Math.max(0, Math.ceil(worker.leasesExpireAt - now)) : 0
+}
+
 function isEmpty (element: string | number | CrashRecord[] | undefined): boolean {
   return element === 0 || element === '' || (Array.isArray(element) && element.length === 0)
 }
@@ -74,15 +89,15 @@
  * @param registry - registry that contains the job
  * @param state - state of the job, as submitted
  * @param record - record of the job
- * @returns recorded runs that are not known to have ended, with the id of the worker of each
+ * @returns recorded runs that are not known to have ended
  */
-export function applyRecord (registry: Registry, state: JobState, record: JobRecord): Array<{ task: Task, worker: string }> {
-  const runs: Array<{ task: Task, worker: string }> = []
+export function applyRecord (registry: Registry, state: JobState, record: JobRecord): RecordedRun[] {
+  const runs: RecordedRun[] = []
   const occurrences = state.job.repeat === undefined ? state.occurrences : restoreOccurrences(registry, state, record)
   record.tasks?.forEach((steps, occurrence) => steps.forEach((tasks, step) => tasks.forEach((taskRecord, index) => {
     const task = occurrences[occurrence]?.steps[step]?.tasks[index]
     if (task === undefined) return
-    const [run, worker = '', failures = 0, done = 0, checkpoint = '', incarnation = 0, crashes = [], begunRun = 0] = typeof taskRecord === 'number' ? [taskRecord, '', 0, taskRecord] : taskRecord
+    const [run, worker = '', failures = 0, done = 0, checkpoint = '', incarnation = 0, crashes = [], begunRun = 0, leaseLeft = 0] = typeof taskRecord === 'number' ? [taskRecord, '', 0, taskRecord] : taskRecord
     Object.assign(task, { run, begunRun, failures, checkpoint, incarnation, crashes: crashes.map(decodeCrash) })
     if (begunRun > 0 || failures > 0 || done === 1 || checkpoint !== '') registry.markStarted(state)
     // Callers may have been shown the placement, even if its order was never sent.
@@ -90,7 +105,7 @@
     if (done === 1) {
       task.phase = 'done'
       task.step.doneTasks++
-    } else if (worker !== '') runs.push({ task, worker })
+    } else if (worker !== '') runs.push({ task, worker, leaseLeft })
   })))
   record.failedRuns?.forEach((steps, occurrence) => steps.forEach((run, index) => {
     const step = occurrences[occurrence]?.steps[index]
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -156,7 +156,7 @@
  *
  * - `none`: there is no lease
  * - `start`, `poll`: an order of this decider
- * - `former-incarnation`: an order by the clock of a former incarnation may have reached the present one
+ * - `former-incarnation`: an order by the clock of a former incarnation may have reached, or may still reach, the present one
  * - `former-term`: a former decider
  */
 export type LeaseSource = 'none' | 'start' | 'poll' | 'former-incarnation' | 'former-term'
@@ -193,8 +193,10 @@
   clock: { value: number, at: number }
   /** Monotonic ms at which the poll that the worker has not answered yet was sent, or 0. */
   pollSentAt: number
-  /** Monotonic ms at which the last order with a lease was sent, or 0. */
-  leaseSentAt: number
+  /** Number of new incarnations that this decider has noticed; part of the fencing token of orders to the worker. */
+  generation: number
+  /** Monotonic ms at which orders with a lease were sent that have not been answered. Until they are too old, an incarnation may carry them out. */
+  unansweredOrders: number[]
   /** Monotonic ms at which all leases granted to the worker have expired. */
   leasesExpireAt: number
   /** What has decided that time. */
--- a/packages/cell/src/types/execution.ts
+++ b/packages/cell/src/types/execution.ts
@@ -20,8 +20,11 @@
 export interface ExecuteMessage {
   kind: 'execute'
   fence: number
-  /** Workers that this link has not carried yet, or that have changed, with the numbers under which calls refer to them from now on. */
-  workers: Array<[number: number, target: WorkerTarget]>
+  /**
+   * Workers that this link has not carried yet, or that have changed, with the numbers under which calls refer to them from now on, and the difference
+   * between the fencing token of their orders and that of the message.
+   */
+  workers: Array<[number: number, target: WorkerTarget, generation: number]>
   /** Texts of the jobs of which tasks are started. */
   texts: string[]
   calls: CallTuple[]
--- a/packages/cell/src/types/limits.ts
+++ b/packages/cell/src/types/limits.ts
@@ -6,6 +6,13 @@
 export const LEASE_MARGIN_MS = 150
 /** Time for which a decider may renew leases after its term was last confirmed. Shorter store outages have no effect on running tasks. */
 export const CONFIRMATION_WINDOW_MS = 2000
+/** Longest time after which a call to a worker that got no answer may still be carried out, according to the platform. */
+export const MAX_CALL_DELAY_MS = 12_000
+/**
+ * Increase of the fencing token from one term to the next. The tokens between count the incarnations of a worker that a decider has seen: calls for a
+ * former one, which carry a lower token, are refused once the present one has seen its own.
+ */
+export const FENCE_STEP = 1000
 /** Interval between commits of an idle decider. Followers take a term row that doesn't change as a sign that the decider is dead. */
 export const IDLE_COMMIT_INTERVAL_MS = 200
 /** Interval between heartbeats on the link of a follower that watches the decider. In normal operation, a heartbeat is delayed by at most 16 ms. */
--- a/packages/cell/test/runtime/encodings.test.ts
+++ b/packages/cell/test/runtime/encodings.test.ts
@@ -14,11 +14,13 @@
 const SEED = 20261205
 
 const worker = fc.record<WorkerTarget>({ id: fc.constantFrom('w0', 'w1', 'w2'), address: fc.constantFrom('10.0.0.1:80', '10.0.0.2:80'), born: fc.integer({ min: 1, max: 2 }), dataCentre: fc.constant('d') })
+/** Fencing tokens of the present and of the next incarnation of a worker. */
+const fence = fc.constantFrom(FENCE, FENCE + 1)
 const task = fc.constantFrom('5c0e7a21d94b36f8.0.1.17', '5c0e7a21d94b36f8.0.1.18')
 const call = fc.oneof(
-  fc.record({ kind: fc.constant('poll' as const), worker, order: fc.record({ fence: fc.constant(FENCE), acknowledged: fc.nat(), wait: fc.nat(), leaseEnd: fc.nat() }, { requiredKeys: ['fence', 'acknowledged', 'wait'] }) }),
-  fc.record({ kind: fc.constant('stop' as const), worker, order: fc.record({ task, run: fc.nat(), fence: fc.constant(FENCE) }) }),
-  fc.record({ kind: fc.constant('start' as const), worker, order: fc.record({ task, run: fc.nat(), spec: fc.string(), leaseEnd: fc.nat(), fence: fc.constant(FENCE), checkpoint: fc.string(), ticket: fc.string() }, { requiredKeys: ['task', 'run', 'spec', 'leaseEnd', 'fence', 'checkpoint'] }) }))
+  fc.record({ kind: fc.constant('poll' as const), worker, order: fc.record({ fence, acknowledged: fc.nat(), wait: fc.nat(), leaseEnd: fc.nat() }, { requiredKeys: ['fence', 'acknowledged', 'wait'] }) }),
+  fc.record({ kind: fc.constant('stop' as const), worker, order: fc.record({ task, run: fc.nat(), fence }) }),
+  fc.record({ kind: fc.constant('start' as const), worker, order: fc.record({ task, run: fc.nat(), spec: fc.string(), leaseEnd: fc.nat(), fence, checkpoint: fc.string(), ticket: fc.string() }, { requiredKeys: ['task', 'run', 'spec', 'leaseEnd', 'fence', 'checkpoint'] }) }))
 
 describe('calls to workers on a link', () => {
   test('are the same after the transfer, whatever was sent before', () => {
@@ -70,7 +72,7 @@
         if (kind === 'running') registry.assign(each, registry.workers.get(id)!)
       })
       const restored = createJob()
-      const runs = applyRecord(restored.registry, restored.state, JSON.parse(encodeJobRecord(state)) as JobRecord)
+      const runs = applyRecord(restored.registry, restored.state, JSON.parse(encodeJobRecord(state, 0)) as JobRecord)
       for (const run of runs) restored.registry.assign(run.task, restored.registry.workers.get(run.worker)!)
       expect(restored.state.occurrences[0]!.steps.flatMap(step => step.tasks).map(summarize)).toEqual(tasks.map(summarize))
       expect(runs.map(each => [each.task.name, each.worker])).toEqual(tasks.flatMap((each, index) => states[index]!.kind === 'running' ? [[each.name, each.worker!.report.id]] : []))
@@ -89,6 +91,6 @@
     const registry = new Registry()
     const state = registry.addJob({ id: 'a', route: 'r', spec: '', steps: [stepOf({ count: 100 })], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 })
     state.occurrences[0]!.steps[0]!.tasks.forEach((each, index) => { if (index % 2 === 0) Object.assign(each, { phase: 'done', run: 1 }) })
-    expect(encodeJobRecord(state).length).toBeLessThan(250)
+    expect(encodeJobRecord(state, 0).length).toBeLessThan(250)
   })
 })
--- a/packages/cell/test/runtime/schedules.test.ts
+++ b/packages/cell/test/runtime/schedules.test.ts
@@ -121,7 +121,7 @@
       occurrence.doneSteps = occurrence.steps.length
       registry.closeOccurrence(occurrence)
     }
-    const text = encodeJobRecord(state)
+    const text = encodeJobRecord(state, 0)
     expect(text.length).toBeLessThan(150)
     const restored = new Registry()
     const restoredState = restored.addJob(job, { now: 5000, age: 5000, wall: 5000 })
--- a/packages/cell/test/runtime/takeover.test.ts
+++ b/packages/cell/test/runtime/takeover.test.ts
@@ -1,5 +1,6 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
+import { FENCE_STEP } from '../../src/types/limits.js'
 import { createSteadyRig, CellRig } from '../support/CellRig.js'
 import type { RigNode } from '../support/CellRig.js'
 
@@ -90,8 +91,8 @@
       rig.addNode(name)
       await rig.run(1000)
     }
-    const fenceOf = (row: string): number => (JSON.parse(row) as { fence: number }).fence
-    expect(fenceOf(rig.tables.rows.get('term/d/term')!.value) - fenceOf(first)).toBeLessThan(3)
+    const termOf = (row: string): number => (JSON.parse(row) as { fence: number }).fence / FENCE_STEP
+    expect(termOf(rig.tables.rows.get('term/d/term')!.value) - termOf(first)).toBeLessThan(3)
   })
 
   test('does not happen when only one follower loses its link to the decider', async () => {
@@ -132,8 +133,8 @@
   // the backlog of the takeover makes its successor silent in turn, and nothing runs any more.
   test('does not follow another while every decider is silent for most of each second', async () => {
     const rig = await createSteadyRig({ nodes: 6 })
-    const fence = (): number => (JSON.parse(rig.tables.rows.get('term/d/term')!.value) as { fence: number }).fence
-    const first = fence()
+    const currentTerm = (): number => (JSON.parse(rig.tables.rows.get('term/d/term')!.value) as { fence: number }).fence / FENCE_STEP
+    const first = currentTerm()
     for (let second = 0; second < 20; second++) {
       const busy = rig.nodes.find(node => node.cell.activeDecider !== undefined)
       busy?.clock.freeze()
@@ -142,7 +143,7 @@
       await rig.run(250)
     }
     // Two takeovers are forgotten after 10 s.
-    expect(fence() - first).toBeLessThan(6)
+    expect(currentTerm() - first).toBeLessThan(6)
     const { outcome } = await rig.submit(rig.nodes[0]!, [{}])
     expect(outcome.kind).toEqual('accepted')
   })
@@ -150,11 +151,11 @@
   // The same on slow links: a decider that has just claimed the term is silent while it reads the records, for longer than its followers wait.
   test('does not follow another while every new decider needs 2.5 s to catch up', async () => {
     const rig = await createSteadyRig({ nodes: 6 })
-    const fence = (): number => (JSON.parse(rig.tables.rows.get('term/d/term')!.value) as { fence: number }).fence
-    const first = fence()
+    const currentTerm = (): number => (JSON.parse(rig.tables.rows.get('term/d/term')!.value) as { fence: number }).fence / FENCE_STEP
+    const first = currentTerm()
     let caughtUp = 0
     for (let step = 0; step < 400; step++) {
-      const term = fence()
+      const term = currentTerm()
       const decider = rig.nodes.find(node => node.cell.activeDecider !== undefined && (JSON.parse(rig.tables.rows.get('term/d/term')!.value) as { node: string }).node === node.name)
       if (decider !== undefined && term > caughtUp) {
         caughtUp = term
@@ -163,7 +164,7 @@
       }
       await rig.run(50)
     }
-    expect(fence() - first).toBeLessThan(6)
+    expect(currentTerm() - first).toBeLessThan(6)
     await rig.run(1000)
     expect((await rig.submit(rig.decider!, [{}])).outcome.kind).toEqual('accepted')
   })
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -375,7 +375,10 @@
     const target = this.findReachable(worker)
     if (this.isReplaced(worker)) return await this.clock.deliver(ANSWER_MS, () => Err({ code: 'replaced', reason: 'another worker has answered at the address' }))
     if (target === undefined) return await this.clock.deliver(TIMEOUT_MS, () => Err({ code: 'silent', reason: 'no answer' }))
-    if (target.isDown) return await this.clock.deliver(ANSWER_MS, () => Err({ code: 'silent', reason: 'the connection was refused' }))
+    if (target.isDown) {
+      this.holdCall(target, () => { target.poll(order) })
+      return await this.clock.deliver(TIMEOUT_MS, () => Err({ code: 'silent', reason: 'no answer' }))
+    }
     return await new Promise(resolve => {
       this.fleet.clock.schedule(ANSWER_MS / 2, () => {
         if (target.isDown) return this.answer(resolve, () => Err({ code: 'silent', reason: 'the connection was closed' }))
@@ -388,6 +391,13 @@
 
   override disconnect (): void {}
 
+  /** Holds a call back while the worker is down; its next incarnation carries the call out, whose answer is lost. */
+  private holdCall (target: FakeWorker, carryOut: () => void): void {
+    if (this.fleet.workers.get(target.report.id) !== target) return
+    if (!target.isDown) return carryOut()
+    this.fleet.clock.schedule(TICK_MS, () => { this.holdCall(target, carryOut) })
+  }
+
   private waitForEnd (target: FakeWorker, acknowledged: number, until: number, resolve: (list: Result<WorkerList, PollFault>) => void): void {
     if (target.isDown) return this.answer(resolve, () => Err({ code: 'silent', reason: 'the connection was closed' }))
     if (target.ended.some(end => end.number > acknowledged) || this.fleet.clock.now() >= until) return this.answer(resolve, () => Ok(target.list()))
@@ -402,7 +412,10 @@
   private async order (worker: WorkerTarget, carryOut: (target: FakeWorker) => OrderOutcome): Promise<OrderOutcome> {
     const target = this.findReachable(worker)
     if (this.isReplaced(worker)) return await this.clock.deliver(ANSWER_MS, () => ({ kind: 'other-incarnation' }))
-    if (target?.isDown === true) return await this.clock.deliver(ANSWER_MS, () => ({ kind: 'unwell' }))
+    if (target?.isDown === true) {
+      this.holdCall(target, () => { carryOut(target) })
+      return await this.clock.deliver(TIMEOUT_MS, () => ({ kind: 'unknown', reason: 'no answer' }))
+    }
     if (target === undefined || target.orderDelay > 0) {
       if (target !== undefined) this.fleet.clock.schedule(target.orderDelay, () => { if (!target.isDown) carryOut(target) })
       return await this.clock.deliver(TIMEOUT_MS, () => ({ kind: 'unknown', reason: 'no answer' }))
