The end as done of a run that was taken for lost completes its task

Cause: an end is thrown away, and acknowledged, if the task has another run by now or waits for one; the task is then started again although its worker has listed that it is done.

Change: an end as done of any run of a task that is open completes the task, and its gang. A run that was started in its place is stopped. The end is acknowledged once the completion is on record.

--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -153,6 +153,25 @@
     this.resetToWaiting(task)
   }
 
+  /**
+   * Handles the end as done of an earlier run, which was taken for lost. The task is done, whatever has become of it since: a run that was started in its
+   * place is stopped.
+   */
+  handleFormerCompletion (task: Task, end: ListedEnd, worker: WorkerState): void {
+    this.options.log.write(CELL_EVENTS.runEnded, { task: task.name, run: end.run, worker: worker.report.id, how: end.ending, failures: task.failures })
+    this.options.registry.markStarted(task.step.occurrence.job)
+    const replacements = membersOf(task).filter(member => member.phase !== 'done' && member.worker !== undefined)
+    const unsent = replacements.filter(member => member.phase === 'placed')
+    this.markDone(task)
+    for (const member of unsent) this.options.registry.release(member)
+    for (const member of replacements) {
+      if (member.worker === undefined) continue
+      this.options.log.write(CELL_EVENTS.stopOrdered, { task: member.name, run: member.run, worker: member.worker.report.id, reason: 'done-by-earlier-run' })
+      this.options.sendStop(member)
+    }
+    this.finishCompletion(task)
+  }
+
   /** Handles a run that has ended without a report from its worker. */
   handleLostRun (task: Task, reason: string): void {
     this.options.log.write(CELL_EVENTS.runLost, { task: task.name, run: task.run, worker: task.worker?.report.id, reason, ...(task.worker === undefined ? {} : this.options.describeLease(task.worker)) })
@@ -208,20 +227,26 @@
 
   private completeTask (task: Task, worker: WorkerState): void {
     worker.consecutiveFailures = 0
-    const { step } = task
     this.clearCrashes(task)
-    if (step.definition.lasting) return this.resetToWaiting(task)
-    const members = step.definition.gang ? step.tasks : [task]
-    for (const member of members) {
+    if (task.step.definition.lasting) return this.resetToWaiting(task)
+    this.markDone(task)
+    this.options.registry.release(task)
+    this.finishCompletion(task)
+  }
+
+  private markDone (task: Task): void {
+    for (const member of membersOf(task)) {
       if (member.phase === 'done') continue
       member.phase = 'done'
       this.clearCrashes(member)
-      step.doneTasks++
+      task.step.doneTasks++
     }
-    this.options.registry.release(task)
-    this.updateOccurrence(step.occurrence)
-    this.options.registry.closeOccurrence(step.occurrence)
-    this.options.record(step.occurrence.job)
+  }
+
+  private finishCompletion ({ step: { occurrence } }: Task): void {
+    this.updateOccurrence(occurrence)
+    this.options.registry.closeOccurrence(occurrence)
+    this.options.record(occurrence.job)
     this.options.onChange()
   }
 
@@ -300,6 +325,11 @@
   }
 }
 
+/** @returns the tasks of which the end of one as done represents all: those of its gang, or the task alone */
+function membersOf (task: Task): Task[] {
+  return task.step.definition.gang ? task.step.tasks : [task]
+}
+
 /** Checkpoints of a gang have the same form and increase with progress, so they can be compared as strings. */
 function newestCheckpoint (tasks: Task[]): string {
   return tasks.reduce((newest, task) => task.checkpoint > newest ? task.checkpoint : newest, '')
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { Result } from 'ts-results-es'
-import type { ListedRun, WorkerList } from '../types/worker.js'
+import type { ListedEnd, ListedRun, WorkerList } from '../types/worker.js'
 import type { PollFault, WorkerClient } from '../types/ports.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { FENCE_STEP } from '../types/limits.js'
@@ -141,13 +141,13 @@
     for (const task of worker.tasks.values()) this.options.recordSoon(task)
   }
 
-  /** Stops a run, with retries until its worker takes the order or the run is known to have ended. */
+  /** Stops a run that is no longer needed, with retries until its worker takes the order or the run is known to have ended. */
   async stopRun (task: Task): Promise<void> {
     const { worker, run } = task
     const { workers, clock } = this.options
     if (worker === undefined) return
     for (;;) {
-      if (this.isStopped || task.worker !== worker || task.run !== run || task.phase !== 'stopping') return
+      if (this.isStopped || task.worker !== worker || task.run !== run || (task.phase !== 'stopping' && task.phase !== 'done')) return
       const { generation } = worker
       const outcome = await workers.stop(worker.report, { task: task.name, run, fence: this.fenceOf(worker) })
       if (outcome.kind === 'taken') {
@@ -272,9 +272,12 @@
       if (end.number <= worker.lastEndNumber) continue
       worker.lastEndNumber = end.number
       const task = this.options.registry.findTask(end.task)
-      if (task === undefined || task.worker !== worker || task.run !== end.run) continue
+      if (task === undefined) continue
+      const isCurrent = task.worker === worker && task.run === end.run
+      if (!isCurrent && !completesTask(task, end)) continue
       worker.unrecordedEnds.add(end.number)
-      this.lifecycle.handleEnd(task, end, worker)
+      if (isCurrent) this.lifecycle.handleEnd(task, end, worker)
+      else this.lifecycle.handleFormerCompletion(task, end, worker)
       this.recordEnd(worker, task, end.number)
     }
   }
@@ -372,6 +375,11 @@
 /** Maximum number of ends in one list, as specified by the platform. A list of this size may be incomplete. */
 const MAX_LISTED_ENDS = 500
 
+/** @returns whether the end of an earlier run shows that a task of an open job is done */
+function completesTask ({ phase, step }: Task, { ending }: ListedEnd): boolean {
+  return ending === 'done' && phase !== 'done' && !step.definition.lasting && step.occurrence.job.phase === 'open'
+}
+
 /** @returns highest number up to which all ends of a worker are on record */
 function acknowledgedEnd (worker: WorkerState): number {
   let lowest = worker.lastEndNumber
