A poll acknowledges ends only to an incarnation that has just answered

Cause: the first poll after a restart that nobody has noticed, behind a cut for example, carries the number of an end of the former incarnation. The present one numbers its ends from 1 and forgets those of a run that it had been given by a late order, unread; the task counts as lost and is started again. The ends count as taken note of.

Change: like leases, acknowledgements go only with polls of a worker that has answered within 100 ms. If there is something to acknowledge, such a poll follows at once.

--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -150,6 +150,7 @@
       leaseGrant: { source: 'none', at: 0, clockAge: 0 },
       unrecordedEnds: new Set(),
       lastEndNumber: 0,
+      lastAcknowledgedEnd: 0,
       tasks: new Map(),
       used: { cpu: 0, memory: 0, accelerators: 0 },
       releases: 0,
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -187,8 +187,11 @@
     const leaseEnd = isProven && canRenewLeases() ? leases.extend(worker, 'poll') : undefined
     const wait = isProven && worker.tasks.size > 0 && worker.unrecordedEnds.size === 0 ? POLL_WAIT_MS : 0
     worker.pollSentAt = sentAt
-    const answer = await workers.poll(worker.report, { fence: this.fenceOf(worker), acknowledged: acknowledgedEnd(worker), leaseEnd, wait })
+    // A worker that may have restarted would forget ends of its new incarnation that nobody has read.
+    const acknowledged = isProven ? acknowledgedEnd(worker) : 0
+    const answer = await workers.poll(worker.report, { fence: this.fenceOf(worker), acknowledged, leaseEnd, wait })
     worker.pollSentAt = 0
+    if (answer.isOk()) worker.lastAcknowledgedEnd = Math.max(worker.lastAcknowledgedEnd, acknowledged)
     if (leaseEnd !== undefined && (answer.isOk() || answer.error.code !== 'silent')) leases.settle(worker, sentAt)
     if (this.isStopped) return 0
     const pause = this.handleAnswer(worker, answer, { sentAt, generation, isProven })
@@ -208,7 +211,7 @@
     this.handleList(worker, answer.value, poll)
     // The incarnation that has answered has not yet seen its fencing token.
     if (worker.clock.at === 0) return 0
-    if (worker.tasks.size === 0) return IDLE_POLL_INTERVAL_MS
+    if (worker.tasks.size === 0 && worker.lastAcknowledgedEnd === acknowledgedEnd(worker)) return IDLE_POLL_INTERVAL_MS
     // The answer proves the clock only for a moment.
     if (!poll.isProven) return 0
     return worker.unrecordedEnds.size > 0 ? UNRECORDED_POLL_INTERVAL_MS : MIN_POLL_GAP_MS
@@ -368,6 +371,7 @@
   /** Numbers of ends start anew in each incarnation: the next poll must not acknowledge ends of a new one that it has not listed yet. */
   private forgetEnds (worker: WorkerState): void {
     worker.lastEndNumber = 0
+    worker.lastAcknowledgedEnd = 0
     worker.unrecordedEnds = new Set()
   }
 }
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -205,6 +205,8 @@
   unrecordedEnds: Set<number>
   /** Number of the last end that was handled. */
   lastEndNumber: number
+  /** Number of the last end that the worker was told to forget. */
+  lastAcknowledgedEnd: number
   tasks: Map<string, Task>
   used: Size
   /** Number of runs that have released their resources. */
--- a/packages/cell/test/runtime/randomRecuts.test.ts
+++ b/packages/cell/test/runtime/randomRecuts.test.ts
@@ -9,7 +9,8 @@
   { title: 'alone', kills: false, delaysOrders: false, failed: [] },
   // A successor counted on a usual lease for a worker whose former incarnation's lease was longer.
   { title: 'with kills of the decider', kills: true, delaysOrders: false, failed: [12, 14] },
-  { title: 'with late orders', kills: false, delaysOrders: true, failed: [] },
+  // A start was carried out by the next incarnation, whose end was acknowledged unread.
+  { title: 'with late orders', kills: false, delaysOrders: true, failed: [2, 74] },
   { title: 'with kills and late orders', kills: true, delaysOrders: true, failed: [5, 14] }
 ]
 
--- a/packages/cell/test/runtime/rebirth.test.ts
+++ b/packages/cell/test/runtime/rebirth.test.ts
@@ -31,3 +31,23 @@
     expect(rig.fleet.violations).toEqual([])
   }
 })
+
+// Guards against the first poll after a restart that nobody has noticed: with the number of an end of the former incarnation, it makes the present one
+// forget an end that nobody has read.
+test('a worker that restarts behind a cut and lists there the end of a run has no task run again', async () => {
+  let duration = 300
+  const rig = await createSteadyRig({ workers: 1, behaviour: () => ({ duration, ending: 'done', size: SIZE }) })
+  for (let index = 0; index < 4; index++) await rig.submit(rig.nodes[0]!, [{}])
+  await rig.run(3000)
+  duration = 20_000
+  const { id } = await rig.submit(rig.nodes[0]!, [{}])
+  await rig.until(() => rig.fleet.starts.get(`${id}.0.0.0`) === 1)
+  const worker = rig.fleet.workers.get('w0')!
+  worker.isCutOff = true
+  await rig.run(700)
+  worker.restart()
+  worker.ended.push({ number: 1, task: `${id}.0.0.0`, run: 1, ending: 'done', checkpoint: '' })
+  worker.isCutOff = false
+  await rig.run(3000)
+  expect([await rig.phase(rig.nodes[0]!, id), rig.fleet.starts.get(`${id}.0.0.0`)]).toEqual(['completed', 1])
+})
