A run counts as absent only in the list of an incarnation that has seen its fencing token

Cause: an order to stop that the former incarnation had taken closes nothing in the present one.

Change: the list by which a restart is noticed doesn't end runs that it leaves out.

--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -267,7 +267,8 @@
     this.handleEnds(worker, list)
     this.handleRuns(worker, list)
     crashes.chargeFormer(worker, list.born)
-    this.handleAbsentRuns(worker, list, sentAt)
+    // Until the incarnation has seen its fencing token, a late order may still start a run that it doesn't list yet.
+    if (generation === worker.generation) this.handleAbsentRuns(worker, list, sentAt)
   }
 
   private handleEnds (worker: WorkerState, list: WorkerList): void {
--- a/packages/cell/test/runtime/incarnationFence.test.ts
+++ b/packages/cell/test/runtime/incarnationFence.test.ts
@@ -40,6 +40,40 @@
     expect(worker.leaseEnd).toEqual(before)
   })
 
+  // Guards against two runs of a task: the former incarnation had taken the order to stop it, and the order to start it reached the present one.
+  test('starts no run beside another one, although the former one had taken the order to stop it', async () => {
+    const rig = await createSteadyRig({ workers: 1, behaviour: () => ({ duration: 3000, ending: 'done', size: SIZE }) })
+    const worker = rig.fleet.workers.get('w0')!
+    worker.orderDelay = 60_000
+    const { id } = await rig.submit(rig.nodes[0]!, [{}])
+    const task = `${id}.0.0.0`
+    await rig.until(() => rig.decider!.cell.activeDecider!.registry.findTask(task)!.phase === 'ordered')
+    rig.addWorker('w1')
+    await rig.run(100)
+    const stop = worker.stop.bind(worker)
+    worker.stop = order => {
+      // The answer still arrives.
+      rig.clock.schedule(0.5, () => { worker.isCutOff = true })
+      return stop(order)
+    }
+    worker.orderDelay = 0
+    await rig.until(() => worker.isCutOff)
+    const { fence } = worker
+    // The poll that was under way at the cut is answered.
+    await rig.run(700)
+    worker.restart()
+    const poll = worker.poll.bind(worker)
+    worker.poll = order => {
+      worker.poll = poll
+      const list = poll(order)
+      worker.start({ task, run: 1, spec: 'x', leaseEnd: 60_000, fence, checkpoint: '' })
+      return list
+    }
+    worker.isCutOff = false
+    await rig.run(8000)
+    expect([rig.fleet.violations, await rig.phase(rig.nodes[0]!, id)]).toEqual([[], 'completed'])
+  })
+
   test('is told apart by its fencing token, which a successor\'s exceeds', async () => {
     const { rig } = await createRestartedRig()
     await rig.run(2500)
