--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -110,8 +110,8 @@
     if (phase.kind === 'unknown-job') {
       const outcome = await this.persist({ kind: 'withdraw', id }, deadline)
       if (outcome === 'done' || outcome === 'withdrawn') return { kind: 'unknown-job' }
-      // Anything but a submission that was accepted meanwhile.
       if (outcome !== 'repeated') return explainFailure(outcome) ?? { kind: 'unknown-job' }
+      // The submission was accepted in the meantime; it is cancelled like any other.
     } else if (phase.phase === 'cancelled' || phase.phase === 'completed' || phase.phase === 'failed') return { kind: 'cancelled' }
     return explainFailure(await this.persist({ kind: 'cancel', id }, deadline)) ?? { kind: 'cancelled' }
   }
