A successor doesn't wait for the longest lease for a run that had begun in a former incarnation

The worker of the run had restarted and was gone; the decider of that time had freed the task, but the store was away and the record still named the run.

Change: that wait is for an order that may still reach the new incarnation. A run that is on record as begun ended with the former one; the usual bound holds for it.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -403,7 +403,9 @@
       task.phase = 'assumed'
       this.registry.assign(task, worker)
       this.registry.updateReadySteps(task.step.occurrence)
-      const isRestarted = worker.report.born > 0 && task.incarnation > 0 && incarnationTag(worker.report.born) !== task.incarnation
+      const isFormer = worker.report.born > 0 && task.incarnation > 0 && incarnationTag(worker.report.born) !== task.incarnation
+      // A run that had begun ended with the former incarnation; the order to start another one may still reach the present one.
+      const isRestarted = isFormer && task.begunRun !== task.run
       this.leases.assumeFormerTerm(worker, startedAt, { leaseLeft, isRestarted })
     }
     return runs.length
--- a/packages/cell/test/runtime/formerLeases.test.ts
+++ b/packages/cell/test/runtime/formerLeases.test.ts
@@ -144,3 +144,13 @@
   expect(await cutOff(rig, worker, id)).toBeLessThan(LEASE_MAX_MS / 2 + REACTION_MS)
   expect(rig.fleet.violations).toEqual([])
 })
+
+// Guards against a job of which nothing runs for 22 s after a takeover: its run had ended with the worker's former incarnation, and the worker is gone.
+test('a run that had begun in a former incarnation is started elsewhere by a successor after a usual lease', async () => {
+  const { rig, worker, busyJob } = await createBusyRig()
+  rig.kill(rig.decider!)
+  worker.crash(0)
+  rig.putInstance({ ...worker.report, born: worker.report.born + 1 })
+  expect(await cutOff(rig, worker, busyJob)).toBeLessThan(LEASE_MAX_MS)
+  expect(rig.fleet.violations).toEqual([])
+})
