One callback records a job soon, and open tasks are counted in one way

From reading the whole change again: WorkerPoller and TaskLifecycle were given the same callback in two forms, and Schedule counted the tasks of an occurrence in two ways.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -135,15 +135,16 @@
     })
     this.crashes = new CrashLedger({ log, clock, registry: this.registry, onChange: task => { this.lifecycle.handleCrashes(task) } })
     this.leases = new WorkerLeases(options)
+    const recordSoon = ({ job }: JobState): void => { this.recorder.markDirtySoon(job.id) }
     this.poller = new WorkerPoller({
-      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, recordSoon: task => { this.recorder.markDirtySoon(task.step.occurrence.job.job.id) }, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
+      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, recordSoon, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
     })
     this.lifecycle = new TaskLifecycle({
       registry: this.registry,
       clock,
       log,
       record: (job, then) => { this.record(job, then) },
-      recordSoon: job => { this.recorder.markDirtySoon(job.job.id) },
+      recordSoon,
       sendStart: (task, ticket) => { detach(this.sendStart(task, ticket), log, 'order') },
       findStartObstacle: (task, needsTicket) => this.isInstanceListOutdated() ? 'the instance list is outdated' : findStartObstacle(task, { now: clock.now(), needsTicket }),
       prepareStart: worker => { this.poller.prepareStart(worker) },
--- a/packages/cell/src/runtime/Schedule.ts
+++ b/packages/cell/src/runtime/Schedule.ts
@@ -27,7 +27,7 @@
   /** Removes a job that has ended, with its open occurrences. */
   remove (job: JobState): void {
     this.jobs.delete(job)
-    for (const { steps } of job.occurrences) this.openTasks -= countTasks(steps.map(step => step.definition))
+    this.openTasks -= job.occurrences.length * countTasks(job.job.steps)
     this.nextDueAt = -Infinity
   }
 
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -8,7 +8,7 @@
 import { incarnationTag } from './CrashBudget.js'
 import type { CrashLedger } from './CrashLedger.js'
 import type { Registry } from './Registry.js'
-import type { Task, WorkerState } from './model.js'
+import type { JobState, Task, WorkerState } from './model.js'
 import { ProgressMonitor } from './ProgressMonitor.js'
 import type { TaskLifecycle } from './TaskLifecycle.js'
 import { detach } from './detach.js'
@@ -41,8 +41,8 @@
   fence: number
   crashes: CrashLedger
   leases: WorkerLeases
-  /** Records the state of the task's job together with other changes or after a moment. */
-  recordSoon: (task: Task) => void
+  /** Records the job's state together with other changes or after a moment. */
+  recordSoon: (job: JobState) => void
   /** Returns whether leases may be renewed: the term was confirmed recently, or no other node can have claimed it. */
   canRenewLeases: () => boolean
   /** Called after changes that may allow other tasks to start. */
@@ -138,7 +138,7 @@
     this.options.leases.forgetClock(worker)
     worker.generation = Math.min(worker.generation + 1, FENCE_STEP - 1)
     // A successor must know of the longer lease.
-    for (const task of worker.tasks.values()) this.options.recordSoon(task)
+    for (const task of worker.tasks.values()) this.options.recordSoon(task.step.occurrence.job)
   }
 
   /** Stops a run that is no longer needed, with retries until its worker takes the order or the run is known to have ended. */
