Keys of organisations at the callers' port, and caps on what an organisation has running

Cause: a call with any key or none was served, and the cell knew no organisations, so that nothing bounded what one had running. Change: the configuration may name organisations with keys, weight and cap; KeyIndex answers 401 for missing, malformed and unknown keys; a job keeps its organisation and its terms; Registry sums what an organisation has running; planRound starts no more than CapBudget of packages/policy allows. Without organisations in the configuration nothing changes.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -3,9 +3,10 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log, Metrics } from '@rattanstep/telemetry'
 import type { CallerCodec, RequestOutcome } from '../types/callers.js'
-import type { Configuration, Route } from '../types/configuration.js'
+import type { Configuration, Organisation, Route } from '../types/configuration.js'
 import { CELL_EVENTS } from '../types/events.js'
 import type { Gateway } from '../runtime/Gateway.js'
+import { KeyIndex } from '../organisations/KeyIndex.js'
 import { createJob } from '../runtime/createJob.js'
 import { findRoute } from '../runtime/findRoute.js'
 import { findSubmissionProblem } from '../runtime/findSubmissionProblem.js'
@@ -48,6 +49,7 @@
   openRequests = 0
   private isClosing = false
   private readonly server: Server
+  private readonly keys = new KeyIndex()
 
   constructor (private readonly options: CallerServerOptions) {
     this.server = createServer((request, response) => { detach(this.serve(request, response), this.options.log, 'caller request') })
@@ -101,24 +103,26 @@
     const path = (request.url ?? '/').split('?')[0]!
     const route = findRoute(current, hostOf(request), path)
     if (route === undefined) return this.refuse(id, 404, 'no such route')
+    const access = this.keys.authorize(current, route, codec.credential(request.headersDistinct))
+    if (access.kind === 'denied') return this.refuse(id, 401, access.reason)
     if (body === undefined) return this.refuse(id, 413, 'body too large')
     const job = path.slice(route.prefix.length)
     const deadline = receivedAt + (codec.timeout(request.headers) ?? DEFAULT_TIMEOUT_MS) - RESPONSE_RESERVE_MS
-    if (request.method === 'POST') return await this.submit({ id, route, job, body, deadline, receivedAt })
+    if (request.method === 'POST') return await this.submit({ id, route, organisation: access.organisation, job, body, deadline, receivedAt })
     if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
     if (request.method === 'DELETE') return this.replyTo(id, job, receivedAt, route, await this.options.gateway.cancel(job, deadline))
     if (request.method !== 'GET') return { status: 405 }
     return job === '' ? await this.getCount(id, route) : await this.getPhase(id, job)
   }
 
-  private async submit (request: { id: string, route: Route, job: string, body: string, deadline: number, receivedAt: number }): Promise<Reply> {
+  private async submit (request: { id: string, route: Route, organisation: Organisation | undefined, job: string, body: string, deadline: number, receivedAt: number }): Promise<Reply> {
     const { codec, gateway, storeTime } = this.options
     if (!JOB_ID.test(request.job)) return this.refuse(request.id, 400, 'the id is not 16 hexadecimal digits')
     const submission = codec.decodeSubmission(request.body)
     if (submission.isErr()) return this.refuse(request.id, 400, submission.error)
     const problem = findSubmissionProblem(submission.value)
     if (problem !== undefined) return this.refuse(request.id, 400, problem)
-    const job = createJob(request.job, request.route, submission.value, Math.round(storeTime()))
+    const job = createJob(request.job, request.route, submission.value, Math.round(storeTime()), request.organisation)
     return this.replyTo(request.id, request.job, request.receivedAt, request.route, await gateway.submit(job, request.deadline))
   }
 
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -20,6 +20,7 @@
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
 import { findStartObstacle, isUsable } from './findStartObstacle.js'
+import { OrganisationTable } from '../organisations/OrganisationTable.js'
 import { planRound } from './planRound.js'
 import { rankSteps } from './rankSteps.js'
 import { runLogged } from './runLogged.js'
@@ -99,6 +100,7 @@
   /** Steps that are ready and are not placed. */
   readonly waits: WaitMonitor
   private readonly routes = new Map<string, Route>()
+  private readonly organisations = new OrganisationTable(this.registry)
   private lastConfiguration: Configuration | undefined
   /** Callbacks that run once the next record of a job is written, by id of the job. */
   private readonly pendingCallbacks = new Map<string, Array<() => void>>()
@@ -333,7 +335,7 @@
     if (ranked.length === 0) return
     const usable = this.usableWorkers(now)
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
-    const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0 })
+    const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
     this.holds = plan.holds
     this.lifecycle.place(plan.placements)
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
@@ -456,6 +458,7 @@
     this.lastConfiguration = configuration
     // Jobs of a removed route continue with the route's last definition, as far as this decider knows it, or with the terms stored with them.
     for (const route of configuration?.routes ?? []) this.routes.set(route.name, route)
+    this.organisations.update(configuration?.organisations ?? [])
   }
 
   private record (job: JobState, then?: () => void): void {
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -17,6 +17,8 @@
   version: number
 }
 
+const NO_USAGE: Readonly<Size> = { cpu: 0, memory: 0, accelerators: 0 }
+
 /** All jobs, tasks and workers known to a decider. */
 export class Registry {
   readonly jobs = new Map<string, JobState>()
@@ -29,6 +31,8 @@
   readonly suspectedJobs = new Set<JobState>()
   /** Number of jobs of which no task has started, by route. */
   private readonly waitingByRoute = new Map<string, number>()
+  /** What the organisations have running or placed over all workers, by name. */
+  private readonly usage = new Map<string, Size>()
   private readonly schedule = new Schedule()
   private nextPresence = 1
 
@@ -117,6 +121,7 @@
     task.worker = worker
     worker.tasks.set(task.name, task)
     addSize(worker.used, reservedSize(task.step.definition), 1)
+    this.adjustUsage(task, 1)
   }
 
   /** Releases the resources of a run that has ended. */
@@ -126,6 +131,7 @@
     task.worker = undefined
     if (!worker.tasks.delete(task.name)) return
     addSize(worker.used, reservedSize(task.step.definition), -1)
+    this.adjustUsage(task, -1)
     worker.releases++
   }
 
@@ -177,6 +183,23 @@
     return this.jobs.get(id ?? '')?.occurrences.find(each => each.index === Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)]
   }
 
+  /**
+   * @param organisation - name of an organisation
+   * @returns the resources of its runs that are placed or not known to have ended, over all workers
+   */
+  usageOf (organisation: string): Readonly<Size> {
+    return this.usage.get(organisation) ?? NO_USAGE
+  }
+
+  private adjustUsage ({ step }: Task, sign: 1 | -1): void {
+    const { organisation } = step.occurrence.job.job
+    if (organisation === undefined) return
+    let usage = this.usage.get(organisation)
+    if (usage === undefined) this.usage.set(organisation, usage = { ...NO_USAGE })
+    addSize(usage, step.definition.size, sign)
+    if (usage.cpu <= 0 && usage.memory <= 0 && usage.accelerators <= 0) this.usage.delete(organisation)
+  }
+
   private adjustWaiting (route: string, change: number): void {
     this.waitingByRoute.set(route, (this.waitingByRoute.get(route) ?? 0) + change)
   }
--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -4,6 +4,7 @@
 import { hasTicket, isAllowed, isEligible, placeTasks } from './placeTasks.js'
 import { expectedCallDuration, MAX_NONE_ALLOWED_RISK, planAdviceCalls, sortByCapacity } from './planAdviceCalls.js'
 import { reviewRejections } from './reviewRejections.js'
+import { addPlacements } from './planRound.js'
 import type { RoundContext } from './planRound.js'
 import type { StepState } from './model.js'
 import type { RankedStep } from './rankSteps.js'
@@ -70,7 +71,7 @@
   if (placements.length > 0) {
     releaseHold(step, capacity.slots)
     plan.holds.delete(step)
-    plan.placements.push(...placements)
+    addPlacements(step, placements, context)
     return
   }
   const gang = scheduleWithTickets(rankedStep, allowed, context)
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -1,4 +1,6 @@
+import type { CapBudget } from '@rattanstep/policy'
 import type { AdviceTerms, ScheduledRoute } from '../types/configuration.js'
+import type { Job } from '../types/job.js'
 import type { AdviceRound } from './AdviceScheduler.js'
 import { CapacitySnapshot, reserveCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
@@ -59,6 +61,8 @@
   holds?: Map<StepState, GangHold>
   /** Returns the priority of a route. */
   priorityOf?: (route: string) => number
+  /** Returns what is left of the cap of a job's organisation, or `undefined` without a cap. */
+  capBudgetOf?: (job: Job) => CapBudget | undefined
 }
 
 /** What the steps of one service share in a round of planning. */
@@ -74,6 +78,8 @@
   servicesWithLongHold: Set<string>
   /** Returns the priority of a route. */
   priorityOf: (route: string) => number
+  /** Returns what is left of the cap of a job's organisation, or `undefined` without a cap. */
+  capBudgetOf: (job: Job) => CapBudget | undefined
   /** Worker of the service that is kept free for a suspect, by job. */
   reserved: Map<JobState, Slot>
   /** Jobs of which the round starts a suspect. */
@@ -88,9 +94,9 @@
  * @param options - workers, time and nodes for the round
  * @returns placements, calls to the advice service, and capacity that is held for gangs
  */
-export function planRound (ranked: RankedStep[], { workersOf, now, adviceRound, allowedShare, holds = new Map(), priorityOf = () => 0 }: PlanOptions): RoundPlan {
+export function planRound (ranked: RankedStep[], { workersOf, now, adviceRound, allowedShare, holds = new Map(), priorityOf = () => 0, capBudgetOf = () => undefined }: PlanOptions): RoundPlan {
   const plan: RoundPlan = { placements: [], adviceRequests: [], holds: new Map() }
-  const shared = { plan, now, allowedShare: (route: string) => allowedShare?.(route) ?? DEFAULT_ALLOWED_SHARE, adviceRound, servicesWithLongHold: new Set<string>(), priorityOf, plannedSuspects: new Set<JobState>() }
+  const shared = { plan, now, allowedShare: (route: string) => allowedShare?.(route) ?? DEFAULT_ALLOWED_SHARE, adviceRound, servicesWithLongHold: new Set<string>(), priorityOf, capBudgetOf, plannedSuspects: new Set<JobState>() }
   const contexts = new Map<string, RoundContext>()
   const contextOf = (service: string): RoundContext => {
     let context = contexts.get(service)
@@ -131,11 +137,24 @@
 function restoreHold ({ step, route, lateness }: RankedStep, holds: Map<StepState, GangHold>, contextOf: (service: string) => RoundContext): void {
   const hold = holds.get(step)
   if (hold === undefined || lateness === 2) return
-  const { capacity, now, plan } = contextOf(route.service)
+  const context = contextOf(route.service)
+  if (countUnderCap(step, context) < step.tasks.length) return
+  const { capacity, now, plan } = context
   const shares = capacity.slotsOf(hold.tasksByWorker.keys()).map(slot => ({ slot, tasks: hold.tasksByWorker.get(slot.worker.report.id)! }))
   plan.holds.set(step, holdSchedule(step, { startAt: hold.startAt, shares }, { priority: route.priority, now }))
 }
 
+/** @returns number of tasks of the step that may start under the cap of its organisation */
+export function countUnderCap ({ definition, occurrence }: StepState, { capBudgetOf }: Pick<RoundContext, 'capBudgetOf'>): number {
+  return capBudgetOf(occurrence.job.job)?.countFitting(definition.size) ?? Infinity
+}
+
+/** Adds placements to the plan and deducts them from the cap of the job's organisation. */
+export function addPlacements (step: StepState, placements: Placement[], { plan, capBudgetOf }: Pick<RoundContext, 'plan' | 'capBudgetOf'>): void {
+  plan.placements.push(...placements)
+  capBudgetOf(step.occurrence.job.job)?.take(step.definition.size, placements.length)
+}
+
 /** Cheap check that, when many steps wait, excludes most of those for which the round can do nothing. */
 function canProgress ({ step, route, lateness }: RankedStep, { capacity, adviceRound, now, plan, servicesWithLongHold }: RoundContext): boolean {
   const mayHold = step.definition.gang && lateness < 2 && (route.advice !== undefined || plan.holds.has(step) || !servicesWithLongHold.has(route.service))
@@ -146,8 +165,9 @@
 
 function planStep (rankedStep: RankedStep, context: RoundContext, excluded: Task[] = []): void {
   const { step, route } = rankedStep
-  const { capacity, now, plan, adviceRound } = context
-  const waiting = step.tasks.filter(task => task.phase === 'waiting' && task.notBefore <= now && !excluded.includes(task))
+  const { capacity, now, adviceRound } = context
+  const ready = step.tasks.filter(task => task.phase === 'waiting' && task.notBefore <= now && !excluded.includes(task))
+  const waiting = ready.slice(0, countUnderCap(step, context))
   if (waiting.length === 0) return
   if (step.definition.gang) {
     if (waiting.length === step.tasks.length) planGang(rankedStep, context)
@@ -156,7 +176,7 @@
   const eligible = capacity.slots.filter(slot => isEligible(slot, step))
   const usable = eligible.filter(slot => route.advice === undefined || hasTicket(step, slot, now))
   const placements = placeTasks(waiting, usable, step, { now, priority: route.priority })
-  plan.placements.push(...placements)
+  addPlacements(step, placements, context)
   const missing = waiting.length - placements.length
   if (missing === 0 || route.advice === undefined) return
   if (step.askedWorkers.size > 0 || step.nextAdviceAt > now || !adviceRound.canAssign(route.advice)) return reserveForPendingAdvice(missing, eligible, step)
--- a/packages/cell/src/runtime/planSuspect.ts
+++ b/packages/cell/src/runtime/planSuspect.ts
@@ -2,6 +2,7 @@
 import type { Slot } from './CapacitySnapshot.js'
 import type { JobState, StepState, Task } from './model.js'
 import { hasTicket, isEligible, placeTasks } from './placeTasks.js'
+import { addPlacements, countUnderCap } from './planRound.js'
 import type { RoundContext } from './planRound.js'
 import type { RankedStep } from './rankSteps.js'
 
@@ -22,13 +23,14 @@
  */
 export function planSuspect ({ step, route }: RankedStep, suspects: Task[], context: RoundContext): Slot[] {
   const { job } = step.occurrence
-  const { capacity, now, plan, plannedSuspects, reserved } = context
+  const { capacity, now, plannedSuspects, reserved } = context
   if (plannedSuspects.has(job) || suspects.some(task => task.phase !== 'waiting')) return []
   const suspect = suspects.find(task => task.step === step && task.notBefore <= now)
   if (suspect === undefined) return []
   if (step.definition.gang && step.tasks.some(task => task.phase !== 'waiting' || task.notBefore > now)) return []
-  job.suspectedSince = job.suspectedSince === 0 ? now : job.suspectedSince
   const tasks = step.definition.gang ? step.tasks : [suspect]
+  if (countUnderCap(step, context) < tasks.length) return []
+  job.suspectedSince = job.suspectedSince === 0 ? now : job.suspectedSince
   const kept = reserved.get(job)
   const eligible = [...capacity.slots, ...(kept === undefined ? [] : [kept])].filter(slot => isEligible(slot, step))
   const usable = eligible.filter(slot => isEmpty(slot) || mayShare(slot, step, { ...context, priority: route.priority }))
@@ -37,7 +39,7 @@
     if (route.advice === undefined && !step.definition.gang) reserveWorker(step, eligible, context)
     return usable.length > 0 ? usable : eligible
   }
-  plan.placements.push(...placements)
+  addPlacements(step, placements, context)
   plannedSuspects.add(job)
   for (const { worker } of placements) capacity.remove(worker.report.id)
   return []
--- a/packages/cell/src/types/callers.ts
+++ b/packages/cell/src/types/callers.ts
@@ -8,6 +8,9 @@
   repeat?: { count: number, first: number, interval: number }
 }
 
+/** What a caller presents to authenticate itself; `malformed`: the header is repeated, too long or of another scheme. */
+export type Credential = { kind: 'none' } | { kind: 'key', key: string } | { kind: 'malformed' }
+
 /** Decodes callers' requests and encodes the responses. */
 export abstract class CallerCodec {
   /** @returns the submitted job, or a message that says what is wrong with the body */
@@ -16,6 +19,8 @@
   abstract encodeWaitingCount (count: number): string
   /** @returns the caller's timeout in ms, or `undefined` if the headers don't contain one */
   abstract timeout (headers: NodeJS.Dict<string | string[]>): number | undefined
+  /** @param headers - all values of each header */
+  abstract credential (headers: NodeJS.Dict<string[]>): Credential
   abstract requestId (headers: NodeJS.Dict<string | string[]>): string
 }
 
--- a/packages/cell/src/types/configuration.ts
+++ b/packages/cell/src/types/configuration.ts
@@ -1,3 +1,5 @@
+import type { Size } from './job.js'
+
 /** Cost and validity of the advice that a route's tasks need before they start. */
 export interface AdviceTerms {
   /** Fixed duration of a call in ms, without the time for the workers named in it. */
@@ -23,6 +25,21 @@
   advice?: AdviceTerms
 }
 
+/** Share of a cell that an organisation may use. */
+export interface OrganisationTerms {
+  /** Share of the capacity relative to other organisations when all is in use, and number of jobs a second that the organisation may submit. */
+  weight: number
+  /** What the organisation may have running over all workers; 0 means no limit. */
+  cap: Size
+}
+
+/** An organisation whose callers use the cell. */
+export interface Organisation extends OrganisationTerms {
+  name: string
+  /** Keys that authenticate the organisation's callers. */
+  keys: string[]
+}
+
 /** A route as far as scheduling is concerned. */
 export interface ScheduledRoute extends RouteTerms {
   name: string
@@ -32,6 +49,8 @@
 export interface Route extends ScheduledRoute {
   host: string
   prefix: string
+  /** Whether callers need no key. It only matters if the configuration names organisations. */
+  allowsAnonymous?: boolean
 }
 
 /** Configuration of the routes, as set by the operators. */
@@ -40,4 +59,6 @@
   routes: Route[]
   /** Maximum size of a submission's body in bytes. */
   maxBody: number
+  /** Organisations that share the cell. Without any, callers need no keys. */
+  organisations?: Organisation[]
 }
--- a/packages/cell/src/types/job.ts
+++ b/packages/cell/src/types/job.ts
@@ -1,4 +1,4 @@
-import type { RouteTerms } from './configuration.js'
+import type { OrganisationTerms, RouteTerms } from './configuration.js'
 
 /** Resources that a task needs or a worker has. */
 export interface Size {
@@ -43,6 +43,10 @@
   route: string
   /** Terms of the route at the submission, which apply once the route is removed. Jobs accepted by earlier versions lack them. */
   terms?: RouteTerms
+  /** Name of the organisation that submitted the job; absent where callers need no keys. */
+  organisation?: string
+  /** Terms of the organisation at the submission, which apply once it is removed from the configuration. */
+  organisationTerms?: OrganisationTerms
   /** Opaque text that is passed to the worker unchanged. */
   spec: string
   steps: Step[]
