--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -438,7 +438,10 @@
     if (report.state === 'draining') worker.leavingIncarnation = incarnationTag(report.born === 0 ? born : report.born)
     // The next poll updates the incarnation and handles the runs of the former one.
     worker.report = { ...report, born }
+    worker.describedIncarnation = report.born
     worker.isListed = true
+    // Until a list of the new incarnation arrives, nothing is placed on the worker.
+    if (report.born > born && born > 0) this.poller.pollNow(worker)
     if (isNew && this.isReady) this.poller.startPolling(worker)
     this.requestRound()
   }
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -141,6 +141,7 @@
     if (existing !== undefined) return existing
     const state: WorkerState = {
       report,
+      describedIncarnation: report.born,
       isListed: true,
       hasAnswered: false,
       isReachable: false,
@@ -150,6 +151,7 @@
       leavingIncarnation: 0,
       clock: { value: 0, at: 0 },
       pollSentAt: 0,
+      noticedIncarnation: report.born,
       generation: 0,
       unansweredOrders: [],
       leasesExpireAt: 0,
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -119,7 +119,7 @@
 
   /** Handles an entry of the instance list; `born` is the start of the incarnation that wrote it, in ms since 1970. */
   noteListed (worker: WorkerState, born: number): void {
-    if (born > worker.report.born && worker.report.born > 0) this.noteNewIncarnation(worker)
+    if (born > worker.report.born && worker.report.born > 0) this.noteNewIncarnation(worker, born)
   }
 
   /** Handles the value of a worker's clock in the answer to an order. The clock of a new incarnation starts anew. */
@@ -132,10 +132,15 @@
     return this.options.fence + generation
   }
 
-  /** What is known of the former incarnation doesn't hold for the new one, which the next poll describes. */
-  private noteNewIncarnation (worker: WorkerState): void {
+  /**
+   * What is known of the former incarnation doesn't hold for the new one, which the next poll describes. An incarnation that is noticed by its entry and then by
+   * its list counts once; `born`: its start in ms since 1970, if it is known.
+   */
+  private noteNewIncarnation (worker: WorkerState, born = Infinity): void {
     this.forgetEnds(worker)
     this.options.leases.forgetClock(worker)
+    if (born <= worker.noticedIncarnation) return
+    if (born < Infinity) worker.noticedIncarnation = born
     worker.generation = Math.min(worker.generation + 1, FENCE_STEP - 1)
     // A successor must know of the longer lease.
     for (const task of worker.tasks.values()) this.options.recordSoon(task.step.occurrence.job)
@@ -362,11 +367,14 @@
   private handleRestart (worker: WorkerState, born: number): void {
     const isFirstAnswer = worker.report.born === 0
     worker.report = { ...worker.report, born }
-    if (isFirstAnswer) return
+    if (isFirstAnswer) {
+      worker.noticedIncarnation = born
+      return
+    }
     this.options.registry.endPresence(worker)
     this.options.crashes.noteLost(worker)
     this.options.log.write(CELL_EVENTS.workerRestarted, { worker: worker.report.id, born })
-    this.noteNewIncarnation(worker)
+    this.noteNewIncarnation(worker, born)
   }
 
   /** Numbers of ends start anew in each incarnation: the next poll must not acknowledge ends of a new one that it has not listed yet. */
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -173,6 +173,8 @@
 /** State of a worker at the decider. */
 export interface WorkerState {
   report: WorkerReport
+  /** Start of the incarnation whose entry in the instance list gave the report's capacity, labels and state, in ms since 1970; 0 if the entry doesn't say. */
+  describedIncarnation: number
   /** Whether the worker is in the platform's instance list. A worker that isn't gets no tasks and is kept until its leases have expired. */
   isListed: boolean
   /** Whether the worker has answered under the current fencing token. */
@@ -193,6 +195,8 @@
   clock: { value: number, at: number }
   /** Monotonic ms at which the poll that the worker has not answered yet was sent, or 0. */
   pollSentAt: number
+  /** Start of the newest incarnation that this decider has noticed, in ms since 1970. */
+  noticedIncarnation: number
   /** Number of new incarnations that this decider has noticed; part of the fencing token of orders to the worker. */
   generation: number
   /** Monotonic ms at which orders with a lease were sent that have not been answered. Until they are too old, an incarnation may carry them out. */
--- a/packages/cell/test/runtime/rebirth.test.ts
+++ b/packages/cell/test/runtime/rebirth.test.ts
@@ -51,3 +51,20 @@
   await rig.run(3000)
   expect([await rig.phase(rig.nodes[0]!, id), rig.fleet.starts.get(`${id}.0.0.0`)]).toEqual(['completed', 1])
 })
+
+// Guards against a start by the labels of a worker's former incarnation (review/10): the list of the present one arrives before its changed entry.
+test('a worker that returns as another kind gets no task that requires its former kind before its entry has changed', async () => {
+  const rig = await createSteadyRig({ workers: 0, behaviour: () => ({ duration: 300, ending: 'done', size: SIZE }) })
+  rig.addWorker('w0', 4000, ['b'])
+  await rig.run(3000)
+  const worker = rig.fleet.workers.get('w0')!
+  const { put } = rig.fleet.list
+  rig.fleet.list.put = report => { rig.clock.schedule(3000, () => { put(report) }) }
+  worker.restart()
+  worker.report = { ...worker.report, labels: ['a'] }
+  const { id } = await rig.submit(rig.nodes[0]!, [{ label: 'b' }])
+  const other = await rig.submit(rig.nodes[0]!, [{ label: 'a' }])
+  await rig.run(8000)
+  expect(rig.fleet.starts.get(`${id}.0.0.0`)).toEqual(undefined)
+  expect(await rig.phase(rig.nodes[0]!, other.id)).toEqual('completed')
+})
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -57,6 +57,10 @@
   at: number
 }
 
+/** Time after its start at which a worker's entry in the instance list is written, and interval at which workers write their entries. */
+const FIRST_ENTRY_DELAY_MS = 50
+const HEARTBEAT_MS = 1500
+
 /** Duration, ending and size of a task's runs. */
 export interface TaskBehaviour {
   duration: number
@@ -227,6 +231,7 @@
     this.highestClosedRun.clear()
     this.clockStart = this.fleet.clock.now()
     this.report = { ...this.report, born: this.report.born + 1 }
+    this.fleet.scheduleEntry(this, FIRST_ENTRY_DELAY_MS)
   }
 
   /** Discards ends that were not acknowledged before the lease expired or the worker restarted. By the platform's rules, they don't count. */
@@ -324,6 +329,16 @@
     this.losses.push({ worker: id, at: this.clock.now() })
   }
 
+  /** Has a worker's present incarnation write its entry, which a worker that is cut off tries again with its next heartbeat. */
+  scheduleEntry (worker: FakeWorker, delay: number): void {
+    const { born } = worker.report
+    this.clock.schedule(delay, () => {
+      if (worker.isDown || worker.report.born !== born || this.workers.get(worker.report.id) !== worker) return
+      if (worker.isCutOff) this.scheduleEntry(worker, HEARTBEAT_MS)
+      else this.list.put(worker.report)
+    })
+  }
+
   /** Lets a crashed worker's entry expire, and starts another worker at its address. */
   replace ({ report }: FakeWorker): void {
     this.clock.schedule(ENTRY_EXPIRY_MS, () => { this.list.remove(report.id) })
