Versions of the configuration over the links, for nodes that the store does not answer

Cause: a node that heard of a newer version could only read the store, so that a node that the store refuses kept keys that had been revoked. Change: ConfigurationSync reads the store when another node has a newer version, and asks that node for the text if the store does not answer within 300 ms. The decider does the same when a follower's heartbeat has a newer version. One attempt at a time, at most one in 0.4 s, and down to one in 3.2 s while the same version is not to be had. Nodes of the earlier program ignore the two new kinds of message. A malformed text is logged once.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -10,6 +10,7 @@
 import { BoundedStore } from './BoundedStore.js'
 import { BoundedWorkerClient } from './BoundedWorkerClient.js'
 import { ConfigurationFeed } from './ConfigurationFeed.js'
+import { ConfigurationSync } from './ConfigurationSync.js'
 import { Decider } from './Decider.js'
 import { DelegatingWorkerClient } from './DelegatingWorkerClient.js'
 import { detach } from './detach.js'
@@ -64,6 +65,7 @@
 export class Cell extends DeciderClient {
   readonly gateway: Gateway
   private readonly configurationFeed: ConfigurationFeed
+  private readonly configurationSync: ConfigurationSync
   private readonly membership: Membership
   private decider: Decider | undefined
   private followers: Followers | undefined
@@ -78,6 +80,7 @@
     const store = new BoundedStore({ store: options.store, clock, log })
     this.options = { ...options, store }
     this.configurationFeed = new ConfigurationFeed({ store, clock, log, parse: options.readConfiguration })
+    this.configurationSync = new ConfigurationSync({ feed: this.configurationFeed, clock, log })
     this.gateway = new Gateway({ store, clock, decider: this })
     this.membership = new Membership({
       store,
@@ -92,8 +95,9 @@
       follower: {
         advise: async question => await advisor.advise(question),
         execute: async call => await executeWorkerCall(options.workers, call),
-        onConfigurationVersion: version => { this.updateConfiguration(version) },
-        configurationVersion: () => this.configuration?.version ?? 0
+        onConfigurationVersion: (version, send) => { this.configurationSync.handleVersion(version, send) },
+        onConfigurationMessage: (message, send) => { this.configurationSync.handleMessage(message, 'decider', send) },
+        configurationVersion: () => this.configurationFeed.currentVersion
       },
       decide: async (term, version) => { await this.decide(term, version) }
     })
@@ -195,7 +199,9 @@
         onJob: recorded => { if (decider.isReady) decider.addJob(recorded, 'link') },
         onCancel: id => { decider.cancel(id) },
         answer: async question => decider.isReady ? await decider.answer(question) : unknownAnswer(question),
-        configurationVersion: () => this.configuration?.version ?? 0,
+        configurationVersion: () => this.configurationFeed.currentVersion,
+        onConfigurationVersion: (version, send) => { this.configurationSync.handleVersion(version, send) },
+        onConfigurationMessage: (message, from, send) => { this.configurationSync.handleMessage(message, from, send) },
         onNewerTerm: () => { decider.confirmTerm() },
         write: async (request, timeout) => await this.gateway.write(request, clock.now() + timeout - FORWARD_RESERVE_MS),
         storeSilence: () => store.silentFor()
@@ -267,10 +273,6 @@
     decider.noteOffer()
     this.followers.nominateSuccessor('stronger', 0)
   }
-
-  private updateConfiguration (version: number): void {
-    if (version > (this.configuration?.version ?? 0)) detach(this.configurationFeed.refresh(), this.options.log, 'configuration')
-  }
 }
 
 /** @returns the answer of a decider that has not read the records yet */
--- a/packages/cell/src/runtime/ConfigurationFeed.ts
+++ b/packages/cell/src/runtime/ConfigurationFeed.ts
@@ -11,10 +11,17 @@
 const FEED_WAIT_MS = 1000
 /** Delay between attempts while the store does not answer. */
 const RETRY_DELAY_MS = 200
+/** Key of the row that holds the configuration. */
+const CONFIGURATION_KEY = 'config'
 
 /** Follows the operators' configuration. A version that is older than the current one is ignored. */
 export class ConfigurationFeed {
   current: Configuration | undefined
+  /** Text of the configuration in force, for nodes that the store does not answer. */
+  text = ''
+  /** The last text that could not be read; it is logged once, however often it is read. */
+  private refusedText: string | undefined
+  private refreshing: Promise<boolean> | undefined
   private version = 0
   private isStoreLost = false
   private isStopped = false
@@ -36,13 +43,46 @@
     this.isStopped = true
   }
 
-  /** Reads the configuration again, for example because another node has a newer version. */
-  async refresh (): Promise<void> {
+  /** @returns version of the configuration in force, or 0 if there is none */
+  get currentVersion (): number {
+    return this.current?.version ?? 0
+  }
+
+  /**
+   * Reads the configuration again, for example because another node has a newer version. Calls during a read wait for its answer.
+   *
+   * @returns whether the store has answered
+   */
+  async refresh (): Promise<boolean> {
+    this.refreshing ??= this.read().finally(() => { this.refreshing = undefined })
+    return await this.refreshing
+  }
+
+  /** Applies the text of a configuration, unless it is malformed or not newer than the version in force. */
+  apply (text: string, source: 'store' | 'link'): void {
+    const { log, parse } = this.options
+    const configuration = parse(text)
+    if (configuration.isErr()) {
+      if (text !== this.refusedText) log.write(CELL_EVENTS.badRow, { key: CONFIGURATION_KEY, problem: configuration.error })
+      this.refusedText = text
+      return
+    }
+    if (this.current !== undefined && configuration.value.version <= this.current.version) return
+    this.current = configuration.value
+    this.text = text
+    log.write(CELL_EVENTS.configured, { version: this.current.version, routes: this.current.routes.length, source })
+  }
+
+  private async read (): Promise<boolean> {
     const answer = await this.options.store.range({ table: 'op', part: '' })
-    if (answer.isErr()) return this.updateStoreState(answer.error.reason)
+    if (answer.isErr()) {
+      this.updateStoreState(answer.error.reason)
+      return false
+    }
     this.updateStoreState(undefined)
     this.version = Math.max(this.version, answer.value.version)
     for (const row of answer.value.rows) this.applyRow(row)
+    return true
   }
 
   /** Handles the next changes of the configuration. */
@@ -62,16 +102,7 @@
   }
 
   private applyRow (row: Row): void {
-    if (row.key !== 'config') return
-    const { log, parse } = this.options
-    const configuration = parse(row.value)
-    if (configuration.isErr()) {
-      log.write(CELL_EVENTS.badRow, { key: row.key, problem: configuration.error })
-      return
-    }
-    if (this.current !== undefined && configuration.value.version <= this.current.version) return
-    this.current = configuration.value
-    log.write(CELL_EVENTS.configured, { version: this.current.version, routes: this.current.routes.length, source: 'store' })
+    if (row.key === CONFIGURATION_KEY) this.apply(row.value, 'store')
   }
 
   private updateStoreState (fault: string | undefined): void {
--- /dev/null
+++ b/packages/cell/src/runtime/ConfigurationSync.ts
@@ -0,0 +1,82 @@
+import type { Clock } from '@rattanstep/core'
+import type { Log } from '@rattanstep/telemetry'
+import { CELL_EVENTS } from '../types/events.js'
+import type { ConfigurationMessage } from '../types/links.js'
+import type { ConfigurationFeed } from './ConfigurationFeed.js'
+import { detach } from './detach.js'
+
+/** Time for the store to answer a read, 4 to 6 ms as a rule, before another node is asked as well. */
+const READ_TIMEOUT_MS = 300
+/** Time for another node to answer; the slowest links take 250 ms in each direction. */
+const ANSWER_TIMEOUT_MS = 600
+/**
+ * Minimum interval between two attempts. Versions may follow each other every 0.33 s; together with two heartbeats of a distant follower (480 ms each)
+ * and the timeouts above, a version is still in force within 3 s.
+ */
+const ATTEMPT_INTERVAL_MS = 400
+/** Maximum interval between attempts to get the same version, for example from nodes of an earlier version of the program, which don't answer. */
+const MAX_ATTEMPT_INTERVAL_MS = 3200
+/** Maximum length of a text that is sent. A longer message would close the link. */
+const MAX_TEXT_CHARS = 400_000
+
+/** Gets versions of the configuration that other nodes have in force: from the store, or over a link if the store does not answer. */
+export class ConfigurationSync {
+  /** Newest version that another node has in force. */
+  private announcedVersion = 0
+  private isBusy = false
+  /** Monotonic ms. */
+  private lastAttemptAt = -Infinity
+  /** Attempts to get the announced version. */
+  private attempts = 0
+  private resolveAnswer: (() => void) | undefined
+
+  constructor (private readonly options: { feed: ConfigurationFeed, clock: Clock, log: Log }) {}
+
+  /** @returns whether another node has a newer version in force than this one */
+  get isBehind (): boolean {
+    return this.announcedVersion > this.options.feed.currentVersion
+  }
+
+  /**
+   * Handles the version that another node has in force.
+   *
+   * @param version - the version; undefined in heartbeats of nodes of an earlier version of the program
+   * @param send - sends a message to that node
+   */
+  handleVersion (version: number | undefined, send: (message: ConfigurationMessage) => void): void {
+    const { feed, clock, log } = this.options
+    if (version === undefined || !(version > feed.currentVersion)) return
+    if (version > this.announcedVersion) {
+      this.announcedVersion = version
+      this.attempts = 0
+    }
+    const interval = Math.min(MAX_ATTEMPT_INTERVAL_MS, ATTEMPT_INTERVAL_MS * 2 ** Math.max(0, this.attempts - 1))
+    if (this.isBusy || clock.now() - this.lastAttemptAt < interval) return
+    this.isBusy = true
+    this.lastAttemptAt = clock.now()
+    this.attempts++
+    detach(this.update(send).finally(() => { this.isBusy = false }), log, 'configuration')
+  }
+
+  /** Handles a message of another node; `send` answers it. */
+  handleMessage (message: ConfigurationMessage, from: string, send: (message: ConfigurationMessage) => void): void {
+    const { feed, log } = this.options
+    if (message.kind === 'configuration-wanted') {
+      if (feed.currentVersion > message.newerThan && feed.text.length <= MAX_TEXT_CHARS) send({ kind: 'configuration-text', text: feed.text })
+    } else if (typeof message.text !== 'string') log.write(CELL_EVENTS.badMessage, { from, problem: 'the text of the configuration is missing' })
+    else {
+      feed.apply(message.text, 'link')
+      this.resolveAnswer?.()
+    }
+  }
+
+  private async update (send: (message: ConfigurationMessage) => void): Promise<void> {
+    const { feed, clock } = this.options
+    const hasStoreAnswered = await Promise.race([feed.refresh(), clock.sleep(READ_TIMEOUT_MS).then(() => false)])
+    if (hasStoreAnswered || !this.isBehind) return
+    const answered = new Promise<void>(resolve => { this.resolveAnswer = resolve })
+    send({ kind: 'configuration-wanted', newerThan: feed.currentVersion })
+    await Promise.race([answered, clock.sleep(ANSWER_TIMEOUT_MS)])
+    this.resolveAnswer = undefined
+  }
+}
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timer } from '@rattanstep/core'
 import type { RecordedJob } from '../types/job.js'
 import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
-import type { Answer, DeciderMessage, Question, FollowerMessage } from '../types/links.js'
+import type { Answer, ConfigurationMessage, DeciderMessage, Question, FollowerMessage } from '../types/links.js'
 import { LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO } from '../types/limits.js'
 import { Batch } from './Batch.js'
 import type { Advice } from '../types/ports.js'
@@ -28,8 +28,10 @@
   advise: (question: { step: string, workers: string[], timeout: number }) => Promise<Advice>
   /** Calls a worker on behalf of the decider. */
   execute: (call: WorkerCall) => Promise<WorkerCallResult>
-  /** Receives the version of the configuration in force at the decider. */
-  onConfigurationVersion: (version: number) => void
+  /** Receives the version of the configuration in force at the decider; `send` sends a message to it. */
+  onConfigurationVersion: (version: number, send: (message: ConfigurationMessage) => void) => void
+  /** Receives a message of the decider about the configuration; `send` answers it. */
+  onConfigurationMessage: (message: ConfigurationMessage, send: (message: ConfigurationMessage) => void) => void
   /** Returns the version of the configuration in force at this node. */
   configurationVersion: () => number
 }
@@ -183,7 +185,9 @@
         this.rank = message.rank
         this.interval = message.interval
         this.deciderStoreSilence = message.storeSilence
-        return this.options.callbacks.onConfigurationVersion(message.configuration)
+        return this.options.callbacks.onConfigurationVersion(message.configuration, answer => { this.link.send(answer) })
+      case 'configuration-wanted':
+      case 'configuration-text': return this.options.callbacks.onConfigurationMessage(message, answer => { this.link.send(answer) })
       case 'answer': return this.resolveCall(message.call, message.answer)
       case 'recorded': return this.resolveCall(message.call, message.outcome)
       case 'advise':
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timer } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { RecordedJob } from '../types/job.js'
-import type { Answer, DeciderMessage, Question, SuccessionReason, FollowerMessage } from '../types/links.js'
+import type { Answer, ConfigurationMessage, DeciderMessage, Question, SuccessionReason, FollowerMessage } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { Batch } from './Batch.js'
 import { CONFIRMATION_WINDOW_MS, DISTANT_HEARTBEAT_MS, LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO, STORE_REFUSAL_TIMEOUT_MS, STORE_TIMEOUT_MS, WATCHER_COUNT } from '../types/limits.js'
@@ -51,6 +51,10 @@
   answer: (question: Question) => Promise<Answer>
   /** Returns the version of the configuration in force at the decider. */
   configurationVersion: () => number
+  /** Receives the version of the configuration in force at a follower; `send` sends a message to it. */
+  onConfigurationVersion: (version: number, send: (message: ConfigurationMessage) => void) => void
+  /** Receives a message of a follower about the configuration; `send` answers it. */
+  onConfigurationMessage: (message: ConfigurationMessage, from: string, send: (message: ConfigurationMessage) => void) => void
   /** Writes a request to the store on behalf of a follower; `timeout` in ms. */
   write: (request: WriteRequest, timeout: number) => Promise<WriteOutcome>
   /** Returns the ms since the store last answered this node. */
@@ -229,9 +233,11 @@
         follower.storeSilence = message.storeSilence
         follower.storeFailing = message.storeFailing ?? 0
         if (message.term > fence) callbacks.onNewerTerm()
-        return
+        return callbacks.onConfigurationVersion(message.configuration, answer => { follower.link.send(answer) })
       case 'job': return this.handleJob(follower, message)
       case 'cancel': return callbacks.onCancel(message.id)
+      case 'configuration-wanted':
+      case 'configuration-text': return callbacks.onConfigurationMessage(message, follower.node, answer => { follower.link.send(answer) })
       case 'declined':
         this.offers.delete(follower.node)
         return
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -18,9 +18,17 @@
   | { kind: 'declined' }
   /** The sender has claimed the term with this fencing token. It is the only message on its link. */
   | { kind: 'claimed', fence: number }
+  | ConfigurationMessage
   /** Results of calls to workers. */
   | { kind: 'executed', results: Array<{ call: number, result: WorkerCallResult }> }
 
+/** Message by which a node that the store does not answer gets a newer version of the configuration. Nodes of an earlier version of the program ignore it. */
+export type ConfigurationMessage =
+  /** Asks for the text of a version that is newer than the sender's. */
+  | { kind: 'configuration-wanted', newerThan: number }
+  /** Text of the configuration, as in the store. */
+  | { kind: 'configuration-text', text: string }
+
 /** Reason for which the decider asks a follower to claim the term. */
 export type SuccessionReason = 'stopping' | 'store-unreachable' | 'stronger'
 
@@ -35,6 +43,7 @@
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
   /** Addresses of all followers, for the announcement of the receiver's term if it claims one. */
   | { kind: 'members', addresses: string[] }
+  | ConfigurationMessage
   | ExecuteMessage
   /** The receiver should claim the term now. */
   | { kind: 'succeed', reason: SuccessionReason }
--- /dev/null
+++ b/packages/cell/test/runtime/configurationSync.test.ts
@@ -0,0 +1,157 @@
+import { describe, test } from 'node:test'
+import { expect } from 'earl'
+import { FakeClock } from '@rattanstep/core'
+import { MemoryLog } from '@rattanstep/telemetry'
+import { Ok } from 'ts-results-es'
+import type { Configuration, ConfigurationMessage } from '../../src/index.js'
+import { ConfigurationFeed } from '../../src/runtime/ConfigurationFeed.js'
+import { ConfigurationSync } from '../../src/runtime/ConfigurationSync.js'
+import { createSteadyRig } from '../support/CellRig.js'
+import type { CellRig, RigNode } from '../support/CellRig.js'
+import { FakeStore, FakeTables } from '../support/FakeStore.js'
+import type { StoreCondition } from '../support/FakeStore.js'
+import { NodeClock } from '../support/NodeClock.js'
+
+/** Time within which a version must be in force at every node. */
+const APPLY_LIMIT_MS = 3000
+
+function versions (nodes: RigNode[]): Array<number | undefined> {
+  return nodes.map(node => node.cell.configuration?.version)
+}
+
+/** Makes the store unavailable to a third of the nodes, none of which is the decider. */
+function cutThird (rig: CellRig, condition: StoreCondition): RigNode[] {
+  const cut = rig.nodes.filter(node => node !== rig.decider).slice(-Math.floor(rig.nodes.length / 3))
+  for (const { store } of cut) store.condition = condition
+  return cut
+}
+
+describe('a version of the configuration', () => {
+  // Guards against nodes that serve revoked keys, because the store does not answer them for longer than a version may take.
+  for (const condition of ['resetting', 'silent'] as const) {
+    test(`reaches the nodes at which the store is ${condition}, distant followers too`, async () => {
+      const rig = await createSteadyRig({ nodes: 15 })
+      const cut = cutThird(rig, condition)
+      await rig.run(1500)
+      rig.configure(5)
+      await rig.run(APPLY_LIMIT_MS)
+      expect(versions(cut)).toEqual(cut.map(() => 5))
+      expect(cut.map(node => node.log.lines.some(({ event, fields }) => event.name === 'configuration-in-force' && fields.version === 5 && fields.source === 'link'))).toEqual(cut.map(() => true))
+    })
+  }
+
+  // Guards against a decider that starts work by former caps, because the store stopped answering it first and then the others.
+  test('reaches a decider that the store does not answer from a follower', async () => {
+    const rig = await createSteadyRig()
+    const decider = rig.decider!
+    decider.store.condition = 'silent'
+    rig.configure(5)
+    await rig.run(100)
+    for (const { store } of rig.nodes) store.condition = 'silent'
+    await rig.run(APPLY_LIMIT_MS)
+    expect(decider.cell.activeDecider === undefined).toEqual(false)
+    expect(versions(rig.nodes)).toEqual([5, 5, 5])
+  })
+
+  // Guards against a load on links and store that grows with the number of versions, and against a node that goes back.
+  test('of a burst costs each node at most one request in 0.4 s, and no node goes back', async () => {
+    const rig = await createSteadyRig({ nodes: 6 })
+    const cut = cutThird(rig, 'resetting')
+    const quietMessages = await countMessages(rig, 6000)
+    const seen = cut.map(() => 0)
+    const burst = countMessages(rig, 6000, time => {
+      if (time % 330 === 0) rig.configure(2 + time / 330)
+      for (const [index, version] of versions(cut).entries()) {
+        expect(version! >= seen[index]!).toEqual(true)
+        seen[index] = version!
+      }
+    })
+    expect(await burst - quietMessages).toBeLessThan(cut.length * 2 * (6000 / 400 + 1) + 1)
+    await rig.run(APPLY_LIMIT_MS)
+    expect(versions(rig.nodes)).toEqual(rig.nodes.map(() => 20))
+  })
+
+  // Guards against the loss of the last valid version, and against a line of the log for each heartbeat.
+  test('that is malformed is logged once, and the former version stays in force', async () => {
+    const rig = await createSteadyRig()
+    rig.tables.put({ table: 'op', part: '', key: 'config' }, 'no object')
+    await rig.run(APPLY_LIMIT_MS)
+    rig.tables.dropHistory()
+    await rig.run(APPLY_LIMIT_MS)
+    expect(versions(rig.nodes)).toEqual([1, 1, 1])
+    for (const { log } of rig.nodes) expect(log.lines.filter(({ event }) => event.name === 'row-unreadable').map(({ fields }) => fields)).toEqual([{ key: 'config', problem: 'the row is not a JSON object' }])
+  })
+})
+
+async function countMessages (rig: CellRig, duration: number, onTick: (time: number) => void = () => {}): Promise<number> {
+  const before = rig.messages
+  for (let time = 0; time < duration; time += 10) {
+    onTick(time)
+    await rig.run(10)
+  }
+  return rig.messages - before
+}
+
+function createSync (condition: StoreCondition): { sync: ConfigurationSync, feed: ConfigurationFeed, store: FakeStore, clock: FakeClock } {
+  const clock = new FakeClock({ start: 1000 })
+  const store = new FakeStore(new FakeTables(), new NodeClock(clock), clock)
+  store.condition = condition
+  const log = new MemoryLog()
+  const feed = new ConfigurationFeed({ store, clock, log, parse: value => Ok(JSON.parse(value) as Configuration) })
+  feed.apply(JSON.stringify({ version: 3, routes: [], maxBody: 1 }), 'store')
+  return { sync: new ConfigurationSync({ feed, clock, log }), feed, store, clock }
+}
+
+describe('a node that hears of a newer version', () => {
+  // Guards against requests for each heartbeat to nodes of the earlier version of the program, which ignore them.
+  test('asks ever more rarely while it gets no answer, and anew for the next version', async () => {
+    const { sync, clock } = createSync('resetting')
+    const sent: ConfigurationMessage[] = []
+    const hear = async (version: number): Promise<void> => {
+      sync.handleVersion(version, message => { sent.push(message) })
+      await clock.advance(120)
+    }
+    for (let beats = 0; beats < 100; beats++) await hear(4)
+    expect(sent).toEqual(Array.from({ length: 6 }, () => ({ kind: 'configuration-wanted', newerThan: 3 })))
+    for (let beats = 0; beats < 5; beats++) await hear(5)
+    expect(sent.length).toEqual(7)
+  })
+
+  // Guards against a version that comes late because of reads that wait for a silent store, and against reads that pile up there.
+  test('asks soon while the store is silent, and for the next version as soon as it has an answer', async () => {
+    const { sync, clock, store } = createSync('silent')
+    const sent: ConfigurationMessage[] = []
+    const hear = async (version: number): Promise<void> => {
+      sync.handleVersion(version, message => { sent.push(message) })
+      await clock.advance(400)
+    }
+    for (const version of [4, 5, 6]) {
+      await hear(version)
+      sync.handleMessage({ kind: 'configuration-text', text: JSON.stringify({ version, routes: [], maxBody: 1 }) }, 'n1', () => {})
+      await clock.advance(10)
+    }
+    expect(sent).toEqual([3, 4, 5].map(newerThan => ({ kind: 'configuration-wanted', newerThan })))
+    expect(store.mostConcurrentReads).toEqual(1)
+  })
+
+  // Guards against traffic on the links that the store makes needless, and against a version that is undefined.
+  test('asks nobody if the store answers, or if the version is not newer', async () => {
+    const sent: ConfigurationMessage[] = []
+    for (const [condition, version] of [['normal', 4], ['resetting', 3], ['resetting', undefined]] as const) {
+      const { sync, clock } = createSync(condition)
+      sync.handleVersion(version, message => { sent.push(message) })
+      await clock.advance(1000)
+    }
+    expect(sent).toEqual([])
+  })
+
+  // Guards against a node that goes back to a version with revoked keys, and against a fault by a message without a text.
+  test('ignores texts that are older, malformed or missing', () => {
+    const { sync, feed } = createSync('resetting')
+    const send = (): void => { throw new Error('nothing is to be sent') }
+    sync.handleMessage({ kind: 'configuration-text', text: JSON.stringify({ version: 2, routes: [], maxBody: 1 }) }, 'n1', send)
+    sync.handleMessage({ kind: 'configuration-text' } as unknown as ConfigurationMessage, 'n1', send)
+    sync.handleMessage({ kind: 'configuration-wanted', newerThan: 3 }, 'n1', send)
+    expect(feed.currentVersion).toEqual(3)
+  })
+})
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -1,10 +1,10 @@
-import { Ok } from 'ts-results-es'
+import { Err, Ok } from 'ts-results-es'
 import type { Result } from 'ts-results-es'
 import { FakeClock } from '@rattanstep/core'
 import { MemoryLog } from '@rattanstep/telemetry'
 import { Cell, RowReader } from '../../src/index.js'
 import { createJob } from '../../src/runtime/createJob.js'
-import type { Configuration, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
+import type { Configuration, Organisation, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
 import { FakeAdvisor } from './FakeAdvisor.js'
 import type { AdviceCondition } from './FakeAdvisor.js'
 import { FakeLinkConnector } from './FakeLinks.js'
@@ -43,6 +43,8 @@
   route?: Partial<Route>
   /** Routes in addition to the first, which is named `r`. */
   others?: Array<Partial<Route> & { name: string }>
+  /** Organisations of the first configuration; without any, callers need no keys. */
+  organisations?: Organisation[]
   /** Returns the duration of a call to the advice service in ms. */
   advice?: (step: string, workers: number) => number
   /** Returns whether the advice service allows a worker to run a step; `born` is the start of the worker's incarnation. It gives no tickets for workers that are down. */
@@ -71,9 +73,9 @@
     for (let index = 0; index < nodes; index++) this.addNode(`n${index}`)
   }
 
-  configure (version: number, route: Partial<Route> = {}, others = this.options.others ?? []): void {
+  configure (version: number, route: Partial<Route> = {}, others = this.options.others ?? [], organisations = this.options.organisations): void {
     const configuration: Configuration = {
-      version, routes: [{ name: 'r', ...route }, ...others].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), maxBody: 1000
+      version, routes: [{ name: 'r', ...route }, ...others].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), maxBody: 1000, ...(organisations === undefined ? {} : { organisations })
     }
     this.tables.put({ table: 'op', part: '', key: 'config' }, JSON.stringify(configuration))
   }
@@ -122,7 +124,7 @@
       advisor,
       reader: new JsonReader(),
       connector: new FakeLinkConnector(endpoint, this.endpoints),
-      readConfiguration: value => Ok(JSON.parse(value) as Configuration),
+      readConfiguration: value => value.startsWith('{') ? Ok(JSON.parse(value) as Configuration) : Err('the row is not a JSON object'),
       clock,
       log
     })
