An unknown key is refused for good only by a confirmed configuration

Cause: a node that the store and the decider had not answered for a while gave 401 for a key that a newer version may have added; a caller gives up then. Change: a node knows when its version was last confirmed: by an answer of the store, from the time of the request, or by a heartbeat of the decider with the same version, less the age of the decider's own confirmation, which the heartbeat carries. Unknown keys get 503 with Retry-After 1 when that is longer ago than 2.7 s, or when another node has announced a newer version that is not in force here yet; the caller is served or refused for good at its next attempt. Known keys are always served. AccessControl holds the decision by route and key, and counts refusals by status and reason. Replacing the decider's own store confirmation by any confirmation is not noticed by a test.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -6,9 +6,8 @@
 import type { Configuration, Organisation, Route } from '../types/configuration.js'
 import { CELL_EVENTS } from '../types/events.js'
 import type { Gateway } from '../runtime/Gateway.js'
-import { KeyIndex } from '../organisations/KeyIndex.js'
+import { AccessControl } from '../organisations/AccessControl.js'
 import { createJob } from '../runtime/createJob.js'
-import { findRoute } from '../runtime/findRoute.js'
 import { findSubmissionProblem } from '../runtime/findSubmissionProblem.js'
 import { detach } from '../runtime/detach.js'
 
@@ -35,6 +34,8 @@
   log: Log
   metrics: Metrics
   configuration: () => Configuration | undefined
+  /** Returns whether a key that is not in the configuration is known to be in no newer one. */
+  isConfigurationConfirmed: () => boolean
   /** Returns the monotonic ms from which a request that is read now may have waited. */
   arrivalTime: () => number
   /** Returns the time on the store's clock in ms. */
@@ -49,9 +50,10 @@
   openRequests = 0
   private isClosing = false
   private readonly server: Server
-  private readonly keys = new KeyIndex()
+  private readonly access: AccessControl
 
   constructor (private readonly options: CallerServerOptions) {
+    this.access = new AccessControl({ configuration: options.configuration, isConfirmed: options.isConfigurationConfirmed, metrics: options.metrics })
     this.server = createServer((request, response) => { detach(this.serve(request, response), this.options.log, 'caller request') })
     this.server.keepAliveTimeout = 15_000
   }
@@ -99,16 +101,14 @@
     const current = configuration()
     const id = codec.requestId(request.headers)
     const body = await readBody(request, current?.maxBody ?? 0)
-    if (current === undefined) return this.refuse(id, 503, 'no configuration yet', 1)
     const path = (request.url ?? '/').split('?')[0]!
-    const route = findRoute(current, hostOf(request), path)
-    if (route === undefined) return this.refuse(id, 404, 'no such route')
-    const access = this.keys.authorize(current, route, codec.credential(request.headersDistinct))
-    if (access.kind === 'denied') return this.refuse(id, 401, access.reason)
+    const admission = this.access.admit({ host: hostOf(request), path, credential: codec.credential(request.headersDistinct) })
+    if (admission.kind === 'refused') return this.refuse(id, admission.status, admission.reason, admission.retryAfter)
+    const { route, organisation } = admission
     if (body === undefined) return this.refuse(id, 413, 'body too large')
     const job = path.slice(route.prefix.length)
     const deadline = receivedAt + (codec.timeout(request.headers) ?? DEFAULT_TIMEOUT_MS) - RESPONSE_RESERVE_MS
-    if (request.method === 'POST') return await this.submit({ id, route, organisation: access.organisation, job, body, deadline, receivedAt })
+    if (request.method === 'POST') return await this.submit({ id, route, organisation, job, body, deadline, receivedAt })
     if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
     if (request.method === 'DELETE') return this.replyTo(id, job, receivedAt, route, await this.options.gateway.cancel(job, deadline))
     if (request.method !== 'GET') return { status: 405 }
--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -54,7 +54,7 @@
     })
     this.pauses = new PauseMonitor({ clock, log })
     this.callers = new CallerServer({
-      gateway: this.cell.gateway, codec, clock, log, metrics, configuration: () => this.cell.configuration, arrivalTime: () => this.pauses.earliestArrival(), storeTime: () => store.now(), storeSilence: () => store.silentFor()
+      gateway: this.cell.gateway, codec, clock, log, metrics, configuration: () => this.cell.configuration, isConfigurationConfirmed: () => this.cell.isConfigurationConfirmed, arrivalTime: () => this.pauses.earliestArrival(), storeTime: () => store.now(), storeSilence: () => store.silentFor()
     })
     metrics.gauge('deciding', () => this.cell.activeDecider === undefined ? 0 : 1)
     metrics.gauge('store_silence_ms', () => Math.min(store.silentFor(), Number.MAX_SAFE_INTEGER))
--- a/packages/cell/src/organisations/KeyIndex.ts
+++ b/packages/cell/src/organisations/KeyIndex.ts
@@ -1,8 +1,11 @@
 import type { Credential } from '../types/callers.js'
 import type { Configuration, Organisation, Route } from '../types/configuration.js'
 
+/** Reason for which a caller may not use a route. */
+export type DenialReason = 'no key' | 'malformed key' | 'unknown key'
+
 /** Whether a caller may use a route, and for which organisation; `organisation` is absent where callers need no key. */
-export type Access = { kind: 'granted', organisation?: Organisation } | { kind: 'denied', reason: 'no key' | 'malformed key' | 'unknown key' }
+export type Access = { kind: 'granted', organisation?: Organisation } | { kind: 'denied', reason: DenialReason }
 
 /** Finds organisations by their keys, with one lookup for each call. */
 export class KeyIndex {
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -95,7 +95,7 @@
       follower: {
         advise: async question => await advisor.advise(question),
         execute: async call => await executeWorkerCall(options.workers, call),
-        onConfigurationVersion: (version, send) => { this.configurationSync.handleVersion(version, send) },
+        onConfigurationVersion: (announced, send) => { this.configurationSync.handleVersion(announced, send) },
         onConfigurationMessage: (message, send) => { this.configurationSync.handleMessage(message, 'decider', send) },
         configurationVersion: () => this.configurationFeed.currentVersion
       },
@@ -108,6 +108,16 @@
     return this.configurationFeed.current
   }
 
+  /** @returns whether a key that the configuration in force does not name may be refused for good, see `ConfigurationSync.isConfirmed` */
+  get isConfigurationConfirmed (): boolean {
+    return this.configurationSync.isConfirmed
+  }
+
+  /** @returns ms since the store or the decider confirmed that no newer configuration exists */
+  get configurationAge (): number {
+    return this.configurationSync.confirmationAge
+  }
+
   /** @returns whether this node can serve callers */
   get isReady (): boolean {
     if (this.configuration === undefined) return false
@@ -200,7 +210,9 @@
         onCancel: id => { decider.cancel(id) },
         answer: async question => decider.isReady ? await decider.answer(question) : unknownAnswer(question),
         configurationVersion: () => this.configurationFeed.currentVersion,
-        onConfigurationVersion: (version, send) => { this.configurationSync.handleVersion(version, send) },
+        // Only confirmations by the store count, because the delay of a link is not part of the age.
+        configurationAge: () => clock.now() - this.configurationFeed.confirmedAt,
+        onConfigurationVersion: (announced, send) => { this.configurationSync.handleVersion(announced, send) },
         onConfigurationMessage: (message, from, send) => { this.configurationSync.handleMessage(message, from, send) },
         onNewerTerm: () => { decider.confirmTerm() },
         write: async (request, timeout) => await this.gateway.write(request, clock.now() + timeout - FORWARD_RESERVE_MS),
--- a/packages/cell/src/runtime/ConfigurationFeed.ts
+++ b/packages/cell/src/runtime/ConfigurationFeed.ts
@@ -22,6 +22,11 @@
   /** The last text that could not be read; it is logged once, however often it is read. */
   private refusedText: string | undefined
   private refreshing: Promise<boolean> | undefined
+  /**
+   * Monotonic ms: each version that was stored before is in force here, unless it is malformed. It is the time at which the last answered read was sent,
+   * because a change feed can stop delivering changes without an error.
+   */
+  confirmedAt = -Infinity
   private version = 0
   private isStoreLost = false
   private isStopped = false
@@ -74,6 +79,7 @@
   }
 
   private async read (): Promise<boolean> {
+    const sentAt = this.options.clock.now()
     const answer = await this.options.store.range({ table: 'op', part: '' })
     if (answer.isErr()) {
       this.updateStoreState(answer.error.reason)
@@ -82,18 +88,21 @@
     this.updateStoreState(undefined)
     this.version = Math.max(this.version, answer.value.version)
     for (const row of answer.value.rows) this.applyRow(row)
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt)
     return true
   }
 
   /** Handles the next changes of the configuration. */
   private async follow (): Promise<void> {
     const { store, clock } = this.options
+    const sentAt = clock.now()
     // While the store is lost, the poll returns immediately, so that its return is noticed at once.
     const answer = await store.changes({ table: 'op', after: this.version, wait: this.isStoreLost ? 0 : FEED_WAIT_MS })
     if (answer.isOk()) {
       this.updateStoreState(undefined)
       this.version = answer.value.version
       for (const row of answer.value.rows) if (!row.deleted) this.applyRow(row)
+      this.confirmedAt = Math.max(this.confirmedAt, sentAt)
     } else if (answer.error.code === 'history-lost') await this.refresh()
     else {
       this.updateStoreState(answer.error.reason)
--- a/packages/cell/src/runtime/ConfigurationSync.ts
+++ b/packages/cell/src/runtime/ConfigurationSync.ts
@@ -19,10 +19,27 @@
 /** Maximum length of a text that is sent. A longer message would close the link. */
 const MAX_TEXT_CHARS = 400_000
 
+/**
+ * Maximum age of the confirmation of a configuration by which a key counts as unknown for good. Together with the time that the decider's heartbeat
+ * takes on a slow link (250 ms), it is less than the 3 s in which a version must be in force. Without faults, the age is at most 2.1 s at a node that
+ * the store answers (two polls of 1 s) and 2.6 s at one that relies on the decider's heartbeats.
+ */
+const MAX_CONFIRMATION_AGE_MS = 2700
+
+/** Version of the configuration that another node has in force. */
+export interface AnnouncedVersion {
+  /** Undefined in heartbeats of nodes of an earlier version of the program. */
+  version: number | undefined
+  /** ms since the store confirmed to that node that no newer version exists; undefined if that does not count as a confirmation here. */
+  age?: number
+}
+
 /** Gets versions of the configuration that other nodes have in force: from the store, or over a link if the store does not answer. */
 export class ConfigurationSync {
   /** Newest version that another node has in force. */
   private announcedVersion = 0
+  /** Monotonic ms at which the store confirmed to the decider that it has no newer version than this node. */
+  private confirmedByDeciderAt = -Infinity
   private isBusy = false
   /** Monotonic ms. */
   private lastAttemptAt = -Infinity
@@ -32,19 +49,30 @@
 
   constructor (private readonly options: { feed: ConfigurationFeed, clock: Clock, log: Log }) {}
 
-  /** @returns whether another node has a newer version in force than this one */
-  get isBehind (): boolean {
+  /** @returns ms since it was confirmed that the store has no newer version, by the store or by the decider; `Infinity` if it never was */
+  get confirmationAge (): number {
+    const { feed, clock } = this.options
+    return clock.now() - Math.max(feed.confirmedAt, this.confirmedByDeciderAt)
+  }
+
+  /** @returns whether a key that is not in the configuration in force was in no version for as long as a version takes to be in force */
+  get isConfirmed (): boolean {
+    return !this.isBehind && this.confirmationAge <= MAX_CONFIRMATION_AGE_MS
+  }
+
+  private get isBehind (): boolean {
     return this.announcedVersion > this.options.feed.currentVersion
   }
 
   /**
    * Handles the version that another node has in force.
    *
-   * @param version - the version; undefined in heartbeats of nodes of an earlier version of the program
+   * @param announced - the version
    * @param send - sends a message to that node
    */
-  handleVersion (version: number | undefined, send: (message: ConfigurationMessage) => void): void {
+  handleVersion ({ version, age }: AnnouncedVersion, send: (message: ConfigurationMessage) => void): void {
     const { feed, clock, log } = this.options
+    if (version === feed.currentVersion && age !== undefined) this.confirmedByDeciderAt = Math.max(this.confirmedByDeciderAt, clock.now() - age)
     if (version === undefined || !(version > feed.currentVersion)) return
     if (version > this.announcedVersion) {
       this.announcedVersion = version
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -4,6 +4,7 @@
 import type { Answer, ConfigurationMessage, DeciderMessage, Question, FollowerMessage } from '../types/links.js'
 import { LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO } from '../types/limits.js'
 import { Batch } from './Batch.js'
+import type { AnnouncedVersion } from './ConfigurationSync.js'
 import type { Advice } from '../types/ports.js'
 import type { WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
@@ -29,7 +30,7 @@
   /** Calls a worker on behalf of the decider. */
   execute: (call: WorkerCall) => Promise<WorkerCallResult>
   /** Receives the version of the configuration in force at the decider; `send` sends a message to it. */
-  onConfigurationVersion: (version: number, send: (message: ConfigurationMessage) => void) => void
+  onConfigurationVersion: (announced: AnnouncedVersion, send: (message: ConfigurationMessage) => void) => void
   /** Receives a message of the decider about the configuration; `send` answers it. */
   onConfigurationMessage: (message: ConfigurationMessage, send: (message: ConfigurationMessage) => void) => void
   /** Returns the version of the configuration in force at this node. */
@@ -185,7 +186,7 @@
         this.rank = message.rank
         this.interval = message.interval
         this.deciderStoreSilence = message.storeSilence
-        return this.options.callbacks.onConfigurationVersion(message.configuration, answer => { this.link.send(answer) })
+        return this.options.callbacks.onConfigurationVersion({ version: message.configuration, age: message.configurationAge }, answer => { this.link.send(answer) })
       case 'configuration-wanted':
       case 'configuration-text': return this.options.callbacks.onConfigurationMessage(message, answer => { this.link.send(answer) })
       case 'answer': return this.resolveCall(message.call, message.answer)
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -4,6 +4,7 @@
 import type { Answer, ConfigurationMessage, DeciderMessage, Question, SuccessionReason, FollowerMessage } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { Batch } from './Batch.js'
+import type { AnnouncedVersion } from './ConfigurationSync.js'
 import { CONFIRMATION_WINDOW_MS, DISTANT_HEARTBEAT_MS, LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO, STORE_REFUSAL_TIMEOUT_MS, STORE_TIMEOUT_MS, WATCHER_COUNT } from '../types/limits.js'
 import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
 import type { Advice } from '../types/ports.js'
@@ -51,8 +52,10 @@
   answer: (question: Question) => Promise<Answer>
   /** Returns the version of the configuration in force at the decider. */
   configurationVersion: () => number
+  /** Returns the ms since the store confirmed to the decider that no newer version exists. */
+  configurationAge: () => number
   /** Receives the version of the configuration in force at a follower; `send` sends a message to it. */
-  onConfigurationVersion: (version: number, send: (message: ConfigurationMessage) => void) => void
+  onConfigurationVersion: (announced: AnnouncedVersion, send: (message: ConfigurationMessage) => void) => void
   /** Receives a message of a follower about the configuration; `send` answers it. */
   onConfigurationMessage: (message: ConfigurationMessage, from: string, send: (message: ConfigurationMessage) => void) => void
   /** Writes a request to the store on behalf of a follower; `timeout` in ms. */
@@ -233,7 +236,7 @@
         follower.storeSilence = message.storeSilence
         follower.storeFailing = message.storeFailing ?? 0
         if (message.term > fence) callbacks.onNewerTerm()
-        return callbacks.onConfigurationVersion(message.configuration, answer => { follower.link.send(answer) })
+        return callbacks.onConfigurationVersion({ version: message.configuration }, answer => { follower.link.send(answer) })
       case 'job': return this.handleJob(follower, message)
       case 'cancel': return callbacks.onCancel(message.id)
       case 'configuration-wanted':
@@ -272,6 +275,7 @@
     const now = clock.now()
     let rank = 0
     const configuration = callbacks.configurationVersion()
+    const configurationAge = Math.min(callbacks.configurationAge(), Number.MAX_SAFE_INTEGER)
     const storeSilence = Math.min(callbacks.storeSilence(), Number.MAX_SAFE_INTEGER)
     const isSilent = (follower: FollowerState, limit = 0): boolean => now - follower.lastMessageAt > Math.max(limit, LINK_TIMEOUT_RATIO * follower.interval)
     const isBehind = 2 * [...this.followers.values()].filter(follower => isSilent(follower)).length > this.followers.size
@@ -286,7 +290,7 @@
       this.updateInterval(follower, place < WATCHER_COUNT ? LINK_HEARTBEAT_MS : DISTANT_HEARTBEAT_MS, now)
       if (now - follower.heartbeatAt < follower.interval - LINK_HEARTBEAT_MS / 2) continue
       follower.heartbeatAt = now
-      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, storeSilence })
+      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, configurationAge, storeSilence })
       if (place < WATCHER_COUNT) this.reportMembers(follower, now)
     }
   }
--- a/packages/cell/test/runtime/configurationSync.test.ts
+++ b/packages/cell/test/runtime/configurationSync.test.ts
@@ -108,7 +108,7 @@
     const { sync, clock } = createSync('resetting')
     const sent: ConfigurationMessage[] = []
     const hear = async (version: number): Promise<void> => {
-      sync.handleVersion(version, message => { sent.push(message) })
+      sync.handleVersion({ version }, message => { sent.push(message) })
       await clock.advance(120)
     }
     for (let beats = 0; beats < 100; beats++) await hear(4)
@@ -122,7 +122,7 @@
     const { sync, clock, store } = createSync('silent')
     const sent: ConfigurationMessage[] = []
     const hear = async (version: number): Promise<void> => {
-      sync.handleVersion(version, message => { sent.push(message) })
+      sync.handleVersion({ version }, message => { sent.push(message) })
       await clock.advance(400)
     }
     for (const version of [4, 5, 6]) {
@@ -139,12 +139,48 @@
     const sent: ConfigurationMessage[] = []
     for (const [condition, version] of [['normal', 4], ['resetting', 3], ['resetting', undefined]] as const) {
       const { sync, clock } = createSync(condition)
-      sync.handleVersion(version, message => { sent.push(message) })
+      sync.handleVersion({ version }, message => { sent.push(message) })
       await clock.advance(1000)
     }
     expect(sent).toEqual([])
   })
 
+  // Guards against 401 for a key that a version adds which the node has heard of and not got yet, and against a confirmation by a decider that has
+  // another version, or that does not say how old its own confirmation is.
+  test('counts its version as confirmed only by the same version with a recent confirmation', async () => {
+    const { sync, feed } = createSync('silent')
+    const hear = (version: number, age?: number): boolean => {
+      sync.handleVersion({ version, age }, () => {})
+      return sync.isConfirmed
+    }
+    expect([sync.isConfirmed, hear(3), hear(3, 2701), hear(2, 0), hear(3, 2600), hear(4, 0)]).toEqual([false, false, false, false, true, false])
+    feed.apply(JSON.stringify({ version: 4, routes: [], maxBody: 1 }), 'link')
+    expect(sync.isConfirmed).toEqual(true)
+  })
+
+  // Guards against 401 for a key that was stored while an answer was on its way, or while a change feed had stopped delivering changes.
+  test('counts an answer of the store as a confirmation from the time of the request', async () => {
+    const { feed, store, clock } = createSync('silent')
+    const read = async (after: () => void): Promise<number> => {
+      const answer = feed.refresh()
+      after()
+      await clock.advance(1500)
+      await answer
+      return clock.now() - feed.confirmedAt
+    }
+    expect(await read(() => {})).toEqual(Infinity)
+    store.condition = 'slow'
+    expect(await read(() => { store.condition = 'silent' })).toEqual(1500)
+    store.condition = 'normal'
+    const started = feed.start()
+    await clock.advance(980)
+    await started
+    expect(clock.now() - feed.confirmedAt).toEqual(1500 + 980)
+    await clock.advance(100)
+    expect(clock.now() - feed.confirmedAt).toBeLessThan(1100)
+    feed.stop()
+  })
+
   // Guards against a node that goes back to a version with revoked keys, and against a fault by a message without a text.
   test('ignores texts that are older, malformed or missing', () => {
     const { sync, feed } = createSync('resetting')
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -1,8 +1,8 @@
 import { Err, Ok } from 'ts-results-es'
 import type { Result } from 'ts-results-es'
 import { FakeClock } from '@rattanstep/core'
-import { MemoryLog } from '@rattanstep/telemetry'
-import { Cell, RowReader } from '../../src/index.js'
+import { MemoryLog, Metrics } from '@rattanstep/telemetry'
+import { AccessControl, Cell, RowReader } from '../../src/index.js'
 import { createJob } from '../../src/runtime/createJob.js'
 import type { Configuration, Organisation, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
 import { FakeAdvisor } from './FakeAdvisor.js'
@@ -23,6 +23,8 @@
   advisor: FakeAdvisor
   log: MemoryLog
   cell: Cell
+  access: AccessControl
+  metrics: Metrics
   endpoint: FakeEndpoint
 }
 
@@ -130,7 +132,9 @@
     })
     endpoint.acceptLink = link => { cell.acceptLink(link) }
     this.endpoints.set(address, endpoint)
-    const node: RigNode = { name, clock, store, workers, advisor, log, cell, endpoint }
+    const metrics = new Metrics()
+    const access = new AccessControl({ configuration: () => cell.configuration, isConfirmed: () => cell.isConfigurationConfirmed, metrics })
+    const node: RigNode = { name, clock, store, workers, advisor, log, cell, access, metrics, endpoint }
     const index = this.nodes.findIndex(each => each.name === name)
     if (index < 0) this.nodes.push(node)
     else this.nodes[index] = node
@@ -194,9 +198,9 @@
   }
 
   /** Submits a job at a node, and advances the clock until the outcome is known. */
-  async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r'): Promise<{ id: string, outcome: RequestOutcome }> {
+  async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r', organisation?: Organisation): Promise<{ id: string, outcome: RequestOutcome }> {
     const id = (this.nextJob++).toString(16).padStart(16, '0')
-    const job = createJob(id, node.cell.configuration!.routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now())
+    const job = createJob(id, node.cell.configuration!.routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now(), organisation)
     const pending = node.cell.gateway.submit(job, this.clock.now() + 2000)
     let outcome: RequestOutcome | undefined
     pending.then(value => { outcome = value }, error => { throw error })
