Route and key are checked before a body is read

Cause: the body of each request was read before its route and key were checked, so that callers without a valid key could fill the memory. Change: the body is read only for a POST that its route and key admit and whose id is valid; the key is checked again after a slow body. A refused caller whose connection is to be closed gets its answer at once and the connection stays for up to 500 ms until the body has arrived, because a reset could discard the answer. Node reads and drops the body on connections that are kept; bounds for that are left to the limits on callers. Taking out the early check, the second check, the delayed close or the early answer makes a test fail; the bound of 500 ms on the delay is not tested.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -7,6 +7,7 @@
 import { CELL_EVENTS } from '../types/events.js'
 import type { Gateway } from '../runtime/Gateway.js'
 import { AccessControl } from '../organisations/AccessControl.js'
+import type { AccessRequest } from '../organisations/AccessControl.js'
 import { createJob } from '../runtime/createJob.js'
 import { findSubmissionProblem } from '../runtime/findSubmissionProblem.js'
 import { detach } from '../runtime/detach.js'
@@ -17,6 +18,8 @@
 const RESPONSE_RESERVE_MS = 100
 /** Maximum age of a count of waiting jobs. The platform allows 2 s. */
 const MAX_COUNT_AGE_MS = 1500
+/** Time for the rest of a body that is not wanted. */
+const CLOSE_DELAY_MS = 500
 const JOB_ID = /^[0-9a-f]{16}$/
 
 interface Reply {
@@ -58,8 +61,8 @@
     this.server.keepAliveTimeout = 15_000
   }
 
-  listen (host: string, port: number): void {
-    this.server.listen(port, host)
+  listen (host: string, port: number): Server {
+    return this.server.listen(port, host)
   }
 
   /** Makes each response close its connection from now on. */
@@ -88,7 +91,16 @@
       ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) }),
       ...(this.isClosing ? { connection: 'close' } : {})
     })
-    response.end(body)
+    if (!response.shouldKeepAlive && !request.complete) await this.awaitRest(request, response, body)
+    else response.end(body)
+  }
+
+  /** Answers a request whose body is not wanted, and closes the connection a little later: closed at once, it is reset and the caller may lose the answer. */
+  private async awaitRest (request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+    response.write(body)
+    const ended = new Promise(resolve => { request.once('close', resolve).once('end', resolve).resume() })
+    await Promise.race([ended, this.options.clock.sleep(CLOSE_DELAY_MS)])
+    response.end()
   }
 
   private handleError (error: unknown): Reply {
@@ -97,18 +109,24 @@
   }
 
   private async handle (request: IncomingMessage, receivedAt: number): Promise<Reply> {
-    const { configuration, codec } = this.options
-    const current = configuration()
+    const { codec } = this.options
     const id = codec.requestId(request.headers)
-    const body = await readBody(request, current?.maxBody ?? 0)
     const path = (request.url ?? '/').split('?')[0]!
-    const admission = this.access.admit({ host: hostOf(request), path, credential: codec.credential(request.headersDistinct) })
+    const access: AccessRequest = { host: hostOf(request), path, credential: codec.credential(request.headersDistinct) }
+    const admission = this.access.admit(access)
     if (admission.kind === 'refused') return this.refuse(id, admission.status, admission.reason, admission.retryAfter)
-    const { route, organisation } = admission
-    if (body === undefined) return this.refuse(id, 413, 'body too large')
+    const { route, configuration } = admission
     const job = path.slice(route.prefix.length)
     const deadline = receivedAt + (codec.timeout(request.headers) ?? DEFAULT_TIMEOUT_MS) - RESPONSE_RESERVE_MS
-    if (request.method === 'POST') return await this.submit({ id, route, organisation, job, body, deadline, receivedAt })
+    if (request.method === 'POST') {
+      if (!JOB_ID.test(job)) return this.refuse(id, 400, 'the id is not 16 hexadecimal digits')
+      const body = await readBody(request, configuration.maxBody)
+      if (body === undefined) return this.refuse(id, 413, 'body too large')
+      // The key may have been revoked while the body arrived.
+      const latest = this.access.admit(access)
+      if (latest.kind === 'refused') return this.refuse(id, latest.status, latest.reason, latest.retryAfter)
+      return await this.submit({ id, route: latest.route, organisation: latest.organisation, job, body, deadline, receivedAt })
+    }
     if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
     if (request.method === 'DELETE') return this.replyTo(id, job, receivedAt, route, await this.options.gateway.cancel(job, deadline))
     if (request.method !== 'GET') return { status: 405 }
@@ -117,7 +135,6 @@
 
   private async submit (request: { id: string, route: Route, organisation: Organisation | undefined, job: string, body: string, deadline: number, receivedAt: number }): Promise<Reply> {
     const { codec, gateway, storeTime } = this.options
-    if (!JOB_ID.test(request.job)) return this.refuse(request.id, 400, 'the id is not 16 hexadecimal digits')
     const submission = codec.decodeSubmission(request.body)
     if (submission.isErr()) return this.refuse(request.id, 400, submission.error)
     const problem = findSubmissionProblem(submission.value)
--- /dev/null
+++ b/packages/cell/test/runtime/callerServer.test.ts
@@ -0,0 +1,81 @@
+import { connect } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { describe, test } from 'node:test'
+import { expect } from 'earl'
+import { SystemClock } from '@rattanstep/core'
+import { MemoryLog, Metrics } from '@rattanstep/telemetry'
+import { Err } from 'ts-results-es'
+import type { Result } from 'ts-results-es'
+import { CallerCodec, CallerServer } from '../../src/index.js'
+import type { Configuration, Credential, Gateway, JobSubmission } from '../../src/index.js'
+
+/** Time in which a loopback connection carries a message with certainty. */
+const WAIT_MS = 100
+
+/** Takes the whole header `authorization` as the key and can read no body. */
+class PlainCodec extends CallerCodec {
+  override decodeSubmission (): Result<JobSubmission, string> {
+    return Err('read')
+  }
+
+  override encodePhase (): string {
+    return ''
+  }
+
+  override encodeWaitingCount (): string {
+    return ''
+  }
+
+  override timeout (): undefined {}
+
+  override credential (headers: NodeJS.Dict<string[]>): Credential {
+    return { kind: 'key', key: headers.authorization?.join() ?? '' }
+  }
+
+  override requestId (): string {
+    return 'q'
+  }
+}
+
+function configurationOf (key: string): Configuration {
+  return { version: 1, routes: [{ name: 'r', host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 1, stretch: 1, latencyObjective: 1 }], maxBody: 100, organisations: [{ name: 'o', keys: [key], weight: 1, cap: { cpu: 0, memory: 0, accelerators: 0 } }] }
+}
+
+/** Sends the head of a submission with a body of 10 bytes, waits, calls `next`, then sends the body; returns the answer and the state of the connection before and after the body. */
+async function submit ({ head, next = () => {} }: { head: string, next?: (configure: (configuration: Configuration) => void) => void }): Promise<{ early: string, late: string }> {
+  let configuration = configurationOf('good')
+  const server = new CallerServer({
+    gateway: {} as unknown as Gateway, codec: new PlainCodec(), clock: new SystemClock(), log: new MemoryLog(), metrics: new Metrics(), configuration: () => configuration, isConfigurationConfirmed: () => true, arrivalTime: () => performance.now(), storeTime: () => 0, storeSilence: () => 0
+  })
+  const listening = server.listen('127.0.0.1', 0)
+  await new Promise(resolve => { listening.once('listening', resolve) })
+  const socket = connect((listening.address() as AddressInfo).port, '127.0.0.1')
+  let all = ''
+  let end = 'open'
+  socket.setEncoding('utf8').on('data', (text: string) => { all += text }).on('end', () => { end = 'ended' }).on('error', error => { end = error.message })
+  socket.write(`POST /00000000000000aa HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n${head}\r\n\r\n`)
+  await sleep(WAIT_MS)
+  const early = `${all.split('\r\n')[0]!}, ${end}`
+  next(value => { configuration = value })
+  socket.write('0123456789')
+  await sleep(WAIT_MS)
+  socket.destroy()
+  server.close()
+  listening.closeAllConnections()
+  return { early, late: `${all.split('\r\n')[0]!}, ${end}` }
+}
+
+describe('a submission whose body has not arrived', () => {
+  // Guards against memory that callers without a valid key can use up, and against answers that a reset of the connection discards.
+  test('is refused at once for a wrong key, and a connection that is to be closed stays until the body has arrived', async () => {
+    expect(await submit({ head: 'authorization: bad' })).toEqual({ early: 'HTTP/1.1 401 Unauthorized, open', late: 'HTTP/1.1 401 Unauthorized, open' })
+    expect(await submit({ head: 'authorization: bad\r\nconnection: close' })).toEqual({ early: 'HTTP/1.1 401 Unauthorized, open', late: 'HTTP/1.1 401 Unauthorized, ended' })
+  })
+
+  // Guards against a job that is accepted with a key that was revoked while a slow body arrived.
+  test('is read for a valid key, and refused if the key was revoked meanwhile', async () => {
+    expect(await submit({ head: 'authorization: good' })).toEqual({ early: ', open', late: 'HTTP/1.1 400 Bad Request, open' })
+    expect(await submit({ head: 'authorization: good', next: configure => { configure(configurationOf('other')) } })).toEqual({ early: ', open', late: 'HTTP/1.1 401 Unauthorized, open' })
+  })
+})
