Nodes that the store does not answer follow a new decider by its announcement; tests of keys

Cause: a node that the store refuses could not read who holds the term, so that after a change of the decider it followed nobody until the store answered again, and learned of no revoked key. Seen in the new test of a revoked key with the decider killed: three nodes of nine kept the old version. Change: the announcement of a claim names the decider, also goes to the former decider, and is used when the term can not be read and the announced term is newer than the known one. The earlier program ignores the new field and sends none. Tests of keys: valid, wrong, missing, malformed, routes without keys, keys revoked and added while the store refuses a third of the nodes (decider kept, killed, handing over), malformed configuration, and a job that keeps its organisation and cap through a takeover.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -169,7 +169,7 @@
   acceptLink (link: FollowerLink): void {
     link.onMessage = message => {
       if (message.kind === 'claimed') {
-        this.membership.handleClaim(message.fence)
+        this.membership.handleClaim(message)
         link.close()
       } else if (message.kind === 'hello' && this.followers !== undefined) this.followers.add(link, message)
       else link.send({ kind: 'elsewhere' })
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -4,6 +4,7 @@
 import membershipChart from '../charts/membership.json' with { type: 'json' }
 import { CELL_EVENTS } from '../types/events.js'
 import { FENCE_STEP, LINK_TIMEOUT_MS, SUCCESSION_STEP_MS, TERM_RECHECK_DELAY_MS } from '../types/limits.js'
+import type { FollowerMessage } from '../types/links.js'
 import type { RecordStore, Row, Transaction } from '../types/records.js'
 import { Follower } from './Follower.js'
 import type { FollowerCallbacks, DeciderConnector } from './Follower.js'
@@ -65,6 +66,8 @@
   /** Term as last read from the store or claimed by this node. */
   term: Term | undefined
   follower: Follower | undefined
+  /** Newest term that another node has announced over a link. */
+  private announcedTerm: Term | undefined
   /** Addresses of the nodes that followed the former decider, if this node was told. */
   private members: string[] = []
   /** Address of the former decider, or '' if there was none. */
@@ -118,9 +121,11 @@
     this.isClaimingStopped = true
   }
 
-  /** Handles the announcement of another node that it has claimed the term with a fencing token. */
-  handleClaim (fence: number): void {
-    if (fence > (this.term?.fence ?? 0)) this.follower?.supersede()
+  /** Handles the announcement of another node that it has claimed the term. */
+  handleClaim ({ fence, decider }: Omit<Extract<FollowerMessage, { kind: 'claimed' }>, 'kind'>): void {
+    if (fence <= (this.term?.fence ?? 0)) return
+    if (typeof decider?.address === 'string') this.announcedTerm = { ...decider, fence, serial: 0, isSuspicion: false }
+    this.follower?.supersede()
   }
 
   /** @returns addresses of the other nodes that were in the cell at the end of the former term, as far as this node was told */
@@ -128,13 +133,16 @@
     return [...this.members, this.formerDecider].filter(address => address !== '' && address !== this.options.address)
   }
 
-  /** Tells the nodes that followed the former decider that this node has claimed the term, since some of them don't watch the decider closely. */
+  /**
+   * Tells the nodes of the former term that this node has claimed the term, since some of them don't watch the decider closely, and some are not answered
+   * by the store and can't read who the decider is.
+   */
   async announceClaim (fence: number): Promise<void> {
-    const { connector, clock, address } = this.options
-    await Promise.all(this.members.filter(member => member !== address).map(async member => {
+    const { connector, clock, address, node, start } = this.options
+    await Promise.all(this.formerMembers.map(async member => {
       const link = await connector.connect(member, CONNECT_TIMEOUT_MS)
       if (link.isErr()) return
-      link.value.send({ kind: 'claimed', fence })
+      link.value.send({ kind: 'claimed', fence, decider: { node, start, address } })
       clock.schedule(CONNECT_TIMEOUT_MS, () => { link.value.close() })
     }))
   }
@@ -162,6 +170,7 @@
   private async findDecider (): Promise<MembershipEvent> {
     while (!await this.readTerm()) {
       if (this.isStopped()) return 'stop'
+      if (this.adoptAnnouncedTerm()) return 'found'
       await this.options.clock.sleep(STORE_RETRY_DELAY_MS)
     }
     const { node, start } = this.options
@@ -173,6 +182,20 @@
     return 'vacant'
   }
 
+  /**
+   * Takes the decider from its announcement while the store does not answer. Otherwise this node would follow nobody after a change of the decider, and
+   * would learn of no new configuration.
+   *
+   * @returns whether a newer term was announced than this node knows
+   */
+  private adoptAnnouncedTerm (): boolean {
+    const announced = this.announcedTerm
+    if (announced === undefined || announced.fence <= (this.term?.fence ?? 0)) return false
+    this.term = announced
+    this.noteTerm()
+    return true
+  }
+
   private async connect (): Promise<MembershipEvent> {
     const { connector, clock, log, node, dataCentre, address, strength, follower, store } = this.options
     const term = this.term!
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -16,8 +16,8 @@
   | { kind: 'advised', call: number, advice: Advice }
   /** The sender will not claim the term that it was offered, because the store does not answer it. */
   | { kind: 'declined' }
-  /** The sender has claimed the term with this fencing token. It is the only message on its link. */
-  | { kind: 'claimed', fence: number }
+  /** The sender has claimed the term with this fencing token. It is the only message on its link. Nodes of an earlier version of the program send no `decider`. */
+  | { kind: 'claimed', fence: number, decider?: { node: string, start: string, address: string } }
   | ConfigurationMessage
   /** Results of calls to workers. */
   | { kind: 'executed', results: Array<{ call: number, result: WorkerCallResult }> }
--- a/packages/cell/test/runtime/access.test.ts
+++ b/packages/cell/test/runtime/access.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl'
 import type { Credential, Organisation } from '../../src/index.js'
 import { createSteadyRig } from '../support/CellRig.js'
-import type { RigNode } from '../support/CellRig.js'
+import type { CellRig, RigNode } from '../support/CellRig.js'
 
 const NO_LIMIT = { cpu: 0, memory: 0, accelerators: 0 }
 const ACME: Organisation = { name: 'acme', keys: ['acme-1'], weight: 1, cap: NO_LIMIT }
@@ -55,3 +55,74 @@
     expect(statusAt(cut, 'acme-1')).toEqual(200)
   })
 })
+
+describe('a key', () => {
+  // Guards against requests that run without a valid key, and against routes that refuse callers who need none.
+  test('is required and must be valid, except that a route may need none', async () => {
+    const rig = await createSteadyRig({ organisations: [ACME], others: [{ name: 'open', prefix: '/open/', allowsAnonymous: true }] })
+    const [node] = rig.nodes as [RigNode]
+    expect((['acme-1', 'acme-2', { kind: 'none' }, { kind: 'malformed' }] as const).map(key => statusAt(node, key))).toEqual([200, 401, 401, 401])
+    const open = node.access.admit({ host: 'h', path: '/open/1', credential: { kind: 'none' } })
+    expect(open.kind === 'admitted' && open.organisation === undefined).toEqual(true)
+    expect(node.access.admit({ host: 'other', path: '/1', credential: { kind: 'none' } })).toEqual({ kind: 'refused', status: 404, reason: 'no such route' })
+    rig.configure(2, {}, [], undefined)
+    await rig.run(APPLY_LIMIT_MS)
+    expect(statusAt(node, { kind: 'none' })).toEqual(401)
+  })
+
+  // Guards against deployments without organisations that refuse their callers.
+  test('is not required where the configuration names no organisations', async () => {
+    const rig = await createSteadyRig()
+    expect((['x', { kind: 'none' }, { kind: 'malformed' }] as const).map(key => statusAt(rig.nodes[0]!, key))).toEqual([200, 200, 200])
+  })
+
+  // Guards against revoked keys that are served and new ones that are refused, while the store refuses some nodes and the decider is replaced.
+  const cases: Array<[string, (rig: CellRig) => void]> = [
+    ['refuses a third of the nodes', () => {}],
+    ['refuses a third of the nodes and the decider is killed', rig => { rig.kill(rig.decider!) }],
+    ['refuses a third of the nodes and the decider, which hands over', rig => { rig.decider!.store.condition = 'resetting' }]
+  ]
+  for (const [name, replace] of cases) {
+    test(`is revoked and added in time while the store ${name}`, async () => {
+      const rig = await createSteadyRig({ nodes: 9, organisations: [ACME] })
+      for (const { store } of rig.nodes.filter(node => node !== rig.decider).slice(-3)) store.condition = 'resetting'
+      await rig.run(1000)
+      expect(rig.nodes.map(node => [statusAt(node, 'acme-1'), statusAt(node, 'acme-2')])).toEqual(rig.nodes.map(() => [200, 401]))
+      rig.configure(4, {}, [], [{ ...ACME, keys: ['acme-2'] }])
+      replace(rig)
+      await rig.run(APPLY_LIMIT_MS)
+      const running = rig.nodes.filter(node => !node.clock.isDead)
+      expect(running.map(node => [statusAt(node, 'acme-1'), statusAt(node, 'acme-2')])).toEqual(running.map(() => [401, 200]))
+    })
+  }
+
+  // Guards against a malformed version by which all callers are refused or none needs a key.
+  test('stays valid when a later configuration is malformed', async () => {
+    const rig = await createSteadyRig({ organisations: [ACME] })
+    rig.tables.put({ table: 'op', part: '', key: 'config' }, 'no object')
+    await rig.run(APPLY_LIMIT_MS)
+    expect(rig.nodes.flatMap(node => [statusAt(node, 'acme-1'), statusAt(node, 'other')])).toEqual([200, 401, 200, 401, 200, 401])
+  })
+})
+
+describe('a job of an organisation', () => {
+  // Guards against a successor that counts the job for no organisation, or without a cap, because the configuration no longer names the organisation.
+  test('keeps its organisation and cap through a takeover after the organisation was removed', async () => {
+    const size = { cpu: 1000, memory: 100, accelerators: 0 }
+    const rig = await createSteadyRig({ organisations: [{ ...ACME, cap: { ...NO_LIMIT, cpu: 2000 } }, { ...ACME, name: 'other', keys: ['other-1'] }], behaviour: () => ({ duration: 300, ending: 'done', size }) })
+    const admission = rig.nodes[0]!.access.admit({ host: 'h', path: '/1', credential: { kind: 'key', key: 'acme-1' } })
+    const { id } = await rig.submit(rig.nodes[0]!, [{ count: 20 }], 'r', admission.kind === 'admitted' ? admission.organisation : undefined)
+    await rig.run(300)
+    rig.configure(2, {}, [], [{ ...ACME, name: 'other', keys: ['other-1'] }])
+    await rig.run(500)
+    rig.kill(rig.decider!)
+    await rig.until(() => rig.decider !== undefined)
+    expect(rig.decider!.cell.activeDecider!.registry.jobs.get(id)?.job.organisation).toEqual('acme')
+    let most = 0
+    for (let time = 0; time < 6000; time += 10) {
+      most = Math.max(most, [...rig.fleet.workers.values()].reduce((sum, { usedCapacity }) => sum + usedCapacity.cpu, 0))
+      await rig.run(10)
+    }
+    expect([most, ...await rig.phases([id])]).toEqual([2000, 'completed'])
+  })
+})
