Heartbeats tell the confirmation of a configuration as a time on the store's clock

Cause: the age in a heartbeat did not include its time on the link or in the buffer of a paused process, so that a node could take a confirmation of seconds ago for a recent one, and answer 401 for a key that is in force elsewhere. Change: the heartbeat carries the time on the store's clock, which each node estimates. A node that does not know the store's time counts none. Left: a process that was paused estimates that time from the first answer that it reads, which may be as old as the pause, until the next one arrives.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -80,7 +80,7 @@
     const store = new BoundedStore({ store: options.store, clock, log })
     this.options = { ...options, store }
     this.configurationFeed = new ConfigurationFeed({ store, clock, log, parse: options.readConfiguration })
-    this.configurationSync = new ConfigurationSync({ feed: this.configurationFeed, clock, log })
+    this.configurationSync = new ConfigurationSync({ feed: this.configurationFeed, store, clock, log })
     this.gateway = new Gateway({ store, clock, decider: this })
     this.membership = new Membership({
       store,
@@ -210,8 +210,7 @@
         onCancel: id => { decider.cancel(id) },
         answer: async question => decider.isReady ? await decider.answer(question) : unknownAnswer(question),
         configurationVersion: () => this.configurationFeed.currentVersion,
-        // Only confirmations by the store count, because the delay of a link is not part of the age.
-        configurationAge: () => clock.now() - this.configurationFeed.confirmedAt,
+        configurationConfirmedAt: () => this.configurationSync.confirmedAt,
         onConfigurationVersion: (announced, send) => { this.configurationSync.handleVersion(announced, send) },
         onConfigurationMessage: (message, from, send) => { this.configurationSync.handleMessage(message, from, send) },
         onNewerTerm: () => { decider.confirmTerm() },
--- a/packages/cell/src/runtime/ConfigurationSync.ts
+++ b/packages/cell/src/runtime/ConfigurationSync.ts
@@ -2,6 +2,7 @@
 import type { Log } from '@rattanstep/telemetry'
 import { CELL_EVENTS } from '../types/events.js'
 import type { ConfigurationMessage } from '../types/links.js'
+import type { RecordStore } from '../types/records.js'
 import type { ConfigurationFeed } from './ConfigurationFeed.js'
 import { detach } from './detach.js'
 
@@ -20,9 +21,9 @@
 const MAX_TEXT_CHARS = 400_000
 
 /**
- * Maximum age of the confirmation of a configuration by which a key counts as unknown for good. Together with the time that the decider's heartbeat
- * takes on a slow link (250 ms), it is less than the 3 s in which a version must be in force. Without faults, the age is at most 2.1 s at a node that
- * the store answers (two polls of 1 s) and 2.6 s at one that relies on the decider's heartbeats.
+ * Maximum age of the confirmation of a configuration by which a key counts as unknown for good. Together with the error of a node's estimate of the
+ * store's clock (125 ms on slow links), it is less than the 3 s in which a version must be in force. Without faults, the age is at most 2.1 s at a node
+ * that the store answers (two polls of 1 s) and 2.6 s at one that relies on the decider's heartbeats.
  */
 const MAX_CONFIRMATION_AGE_MS = 2700
 
@@ -30,15 +31,18 @@
 export interface AnnouncedVersion {
   /** Undefined in heartbeats of nodes of an earlier version of the program. */
   version: number | undefined
-  /** ms since the store confirmed to that node that no newer version exists; undefined if that does not count as a confirmation here. */
-  age?: number
+  /** ms on the store's clock at which the store confirmed to that node that no newer version exists; undefined if that is not known. */
+  confirmedAt?: number | undefined
 }
 
 /** Gets versions of the configuration that other nodes have in force: from the store, or over a link if the store does not answer. */
 export class ConfigurationSync {
   /** Newest version that another node has in force. */
   private announcedVersion = 0
-  /** Monotonic ms at which the store confirmed to the decider that it has no newer version than this node. */
+  /**
+   * Time on the store's clock in ms at which the store confirmed to the decider that it has no newer version than this node. An age would not do: a
+   * heartbeat may wait for seconds in a link or in a paused process.
+   */
   private confirmedByDeciderAt = -Infinity
   private isBusy = false
   /** Monotonic ms. */
@@ -47,12 +51,21 @@
   private attempts = 0
   private resolveAnswer: (() => void) | undefined
 
-  constructor (private readonly options: { feed: ConfigurationFeed, clock: Clock, log: Log }) {}
+  constructor (private readonly options: { feed: ConfigurationFeed, store: Pick<RecordStore, 'now'>, clock: Clock, log: Log }) {}
 
   /** @returns ms since it was confirmed that the store has no newer version, by the store or by the decider; `Infinity` if it never was */
   get confirmationAge (): number {
-    const { feed, clock } = this.options
-    return clock.now() - Math.max(feed.confirmedAt, this.confirmedByDeciderAt)
+    const { feed, store, clock } = this.options
+    const storeTime = store.now()
+    // Before its first answer, the store's clock is not known here.
+    const sinceDecider = storeTime === 0 ? Infinity : storeTime - this.confirmedByDeciderAt
+    return Math.max(0, Math.min(clock.now() - feed.confirmedAt, sinceDecider))
+  }
+
+  /** @returns ms on the store's clock at which it was confirmed that the store has no newer version; undefined if it never was */
+  get confirmedAt (): number | undefined {
+    const confirmedAt = this.options.store.now() - this.confirmationAge
+    return Number.isFinite(confirmedAt) ? confirmedAt : undefined
   }
 
   /** @returns whether a key that is not in the configuration in force was in no version for as long as a version takes to be in force */
@@ -70,9 +83,9 @@
    * @param announced - the version
    * @param send - sends a message to that node
    */
-  handleVersion ({ version, age }: AnnouncedVersion, send: (message: ConfigurationMessage) => void): void {
+  handleVersion ({ version, confirmedAt }: AnnouncedVersion, send: (message: ConfigurationMessage) => void): void {
     const { feed, clock, log } = this.options
-    if (version === feed.currentVersion && age !== undefined) this.confirmedByDeciderAt = Math.max(this.confirmedByDeciderAt, clock.now() - age)
+    if (version === feed.currentVersion && confirmedAt !== undefined) this.confirmedByDeciderAt = Math.max(this.confirmedByDeciderAt, confirmedAt)
     if (version === undefined || !(version > feed.currentVersion)) return
     if (version > this.announcedVersion) {
       this.announcedVersion = version
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -186,7 +186,7 @@
         this.rank = message.rank
         this.interval = message.interval
         this.deciderStoreSilence = message.storeSilence
-        return this.options.callbacks.onConfigurationVersion({ version: message.configuration, age: message.configurationAge }, answer => { this.link.send(answer) })
+        return this.options.callbacks.onConfigurationVersion({ version: message.configuration, confirmedAt: message.configurationConfirmedAt }, answer => { this.link.send(answer) })
       case 'configuration-wanted':
       case 'configuration-text': return this.options.callbacks.onConfigurationMessage(message, answer => { this.link.send(answer) })
       case 'answer': return this.resolveCall(message.call, message.answer)
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -52,8 +52,8 @@
   answer: (question: Question) => Promise<Answer>
   /** Returns the version of the configuration in force at the decider. */
   configurationVersion: () => number
-  /** Returns the ms since the store confirmed to the decider that no newer version exists. */
-  configurationAge: () => number
+  /** Returns the ms on the store's clock at which the store confirmed to the decider that no newer version exists. */
+  configurationConfirmedAt: () => number | undefined
   /** Receives the version of the configuration in force at a follower; `send` sends a message to it. */
   onConfigurationVersion: (announced: AnnouncedVersion, send: (message: ConfigurationMessage) => void) => void
   /** Receives a message of a follower about the configuration; `send` answers it. */
@@ -275,7 +275,7 @@
     const now = clock.now()
     let rank = 0
     const configuration = callbacks.configurationVersion()
-    const configurationAge = Math.min(callbacks.configurationAge(), Number.MAX_SAFE_INTEGER)
+    const configurationConfirmedAt = callbacks.configurationConfirmedAt()
     const storeSilence = Math.min(callbacks.storeSilence(), Number.MAX_SAFE_INTEGER)
     const isSilent = (follower: FollowerState, limit = 0): boolean => now - follower.lastMessageAt > Math.max(limit, LINK_TIMEOUT_RATIO * follower.interval)
     const isBehind = 2 * [...this.followers.values()].filter(follower => isSilent(follower)).length > this.followers.size
@@ -290,7 +290,7 @@
       this.updateInterval(follower, place < WATCHER_COUNT ? LINK_HEARTBEAT_MS : DISTANT_HEARTBEAT_MS, now)
       if (now - follower.heartbeatAt < follower.interval - LINK_HEARTBEAT_MS / 2) continue
       follower.heartbeatAt = now
-      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, configurationAge, storeSilence })
+      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, configurationConfirmedAt, storeSilence })
       if (place < WATCHER_COUNT) this.reportMembers(follower, now)
     }
   }
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -37,7 +37,7 @@
   | { kind: 'welcome', term: number }
   /** Answer to `hello` from a node that is not the decider. */
   | { kind: 'elsewhere' }
-  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms since the store confirmed that no newer version exists; absent from nodes of an earlier version of the program */ configurationAge?: number, /** ms since the store last answered the decider */ storeSilence: number }
+  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms on the store's clock at which the store confirmed that no newer version exists; absent if it has not, and from nodes of an earlier version of the program */ configurationConfirmedAt?: number, /** ms since the store last answered the decider */ storeSilence: number }
   | { kind: 'answer', call: number, answer: Answer }
   | { kind: 'recorded', call: number, outcome: WriteOutcome }
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
--- a/packages/cell/test/runtime/configurationSync.test.ts
+++ b/packages/cell/test/runtime/configurationSync.test.ts
@@ -99,7 +99,7 @@
   const log = new MemoryLog()
   const feed = new ConfigurationFeed({ store, clock, log, parse: value => Ok(JSON.parse(value) as Configuration) })
   feed.apply(JSON.stringify({ version: 3, routes: [], maxBody: 1 }), 'store')
-  return { sync: new ConfigurationSync({ feed, clock, log }), feed, store, clock }
+  return { sync: new ConfigurationSync({ feed, store, clock, log }), feed, store, clock }
 }
 
 describe('a node that hears of a newer version', () => {
@@ -148,9 +148,9 @@
   // Guards against 401 for a key that a version adds which the node has heard of and not got yet, and against a confirmation by a decider that has
   // another version, or that does not say how old its own confirmation is.
   test('counts its version as confirmed only by the same version with a recent confirmation', async () => {
-    const { sync, feed } = createSync('silent')
+    const { sync, feed, store } = createSync('silent')
     const hear = (version: number, age?: number): boolean => {
-      sync.handleVersion({ version, age }, () => {})
+      sync.handleVersion({ version, confirmedAt: age === undefined ? undefined : store.now() - age }, () => {})
       return sync.isConfirmed
     }
     expect([sync.isConfirmed, hear(3), hear(3, 2701), hear(2, 0), hear(3, 2600), hear(4, 0)]).toEqual([false, false, false, false, true, false])
@@ -158,6 +158,19 @@
     expect(sync.isConfirmed).toEqual(true)
   })
 
+  // Guards against 401 by a node that was paused, or whose link was, and then reads old heartbeats as if they were sent now, or that knows no time.
+  test('does not count a heartbeat as a confirmation that has been under way for long, or before it knows the time of the store', async () => {
+    const { sync, clock, store } = createSync('silent')
+    const sentAt = store.now()
+    await clock.advance(6000)
+    sync.handleVersion({ version: 3, confirmedAt: sentAt }, () => {})
+    expect(sync.isConfirmed).toEqual(false)
+    sync.handleVersion({ version: 3, confirmedAt: store.now() }, () => {})
+    expect([sync.isConfirmed, sync.confirmedAt]).toEqual([true, store.now()])
+    store.now = () => 0
+    expect([sync.isConfirmed, sync.confirmedAt]).toEqual([false, undefined])
+  })
+
   // Guards against 401 for a key that was stored while an answer was on its way, or while a change feed had stopped delivering changes.
   test('counts an answer of the store as a confirmation from the time of the request', async () => {
     const { feed, store, clock } = createSync('silent')
