--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -16,11 +16,19 @@
   | { kind: 'advised', call: number, advice: Advice }
   /** The sender will not claim the term that it was offered, because the store does not answer it. */
   | { kind: 'declined' }
-  /** The sender has claimed the term with this fencing token. It is the only message on its link. */
-  | { kind: 'claimed', fence: number }
+  /** The sender has claimed the term with this fencing token. It is the only message on its link. Nodes of an earlier version of the program send no `decider`. */
+  | { kind: 'claimed', fence: number, decider?: { node: string, start: string, address: string } }
+  | ConfigurationMessage
   /** Results of calls to workers. */
   | { kind: 'executed', results: Array<{ call: number, result: WorkerCallResult }> }
 
+/** Message by which a node that the store does not answer gets a newer version of the configuration. Nodes of an earlier version of the program ignore it. */
+export type ConfigurationMessage =
+  /** Asks for the text of a version that is newer than the sender's. */
+  | { kind: 'configuration-wanted', newerThan: number }
+  /** Text of the configuration, as in the store. */
+  | { kind: 'configuration-text', text: string }
+
 /** Reason for which the decider asks a follower to claim the term. */
 export type SuccessionReason = 'stopping' | 'store-unreachable' | 'stronger'
 
@@ -29,12 +37,13 @@
   | { kind: 'welcome', term: number }
   /** Answer to `hello` from a node that is not the decider. */
   | { kind: 'elsewhere' }
-  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms since the store last answered the decider */ storeSilence: number }
+  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms on the store's clock at which the store confirmed that no newer version exists; absent if it has not, and from nodes of an earlier version of the program */ configurationConfirmedAt?: number, /** ms since the store last answered the decider */ storeSilence: number }
   | { kind: 'answer', call: number, answer: Answer }
   | { kind: 'recorded', call: number, outcome: WriteOutcome }
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
   /** Addresses of all followers, for the announcement of the receiver's term if it claims one. */
   | { kind: 'members', addresses: string[] }
+  | ConfigurationMessage
   | ExecuteMessage
   /** The receiver should claim the term now. */
   | { kind: 'succeed', reason: SuccessionReason }
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -1,10 +1,10 @@
-import { Ok } from 'ts-results-es'
+import { Err, Ok } from 'ts-results-es'
 import type { Result } from 'ts-results-es'
 import { FakeClock } from '@rattanstep/core'
-import { MemoryLog } from '@rattanstep/telemetry'
-import { Cell, RowReader } from '../../src/index.js'
+import { MemoryLog, Metrics } from '@rattanstep/telemetry'
+import { AccessControl, Cell, RowReader } from '../../src/index.js'
 import { createJob } from '../../src/runtime/createJob.js'
-import type { Configuration, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
+import type { Configuration, Organisation, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
 import { FakeAdvisor } from './FakeAdvisor.js'
 import type { AdviceCondition } from './FakeAdvisor.js'
 import { FakeLinkConnector } from './FakeLinks.js'
@@ -23,6 +23,8 @@
   advisor: FakeAdvisor
   log: MemoryLog
   cell: Cell
+  access: AccessControl
+  metrics: Metrics
   endpoint: FakeEndpoint
 }
 
@@ -43,6 +45,8 @@
   route?: Partial<Route>
   /** Routes in addition to the first, which is named `r`. */
   others?: Array<Partial<Route> & { name: string }>
+  /** Organisations of the first configuration; without any, callers need no keys. */
+  organisations?: Organisation[]
   /** Returns the duration of a call to the advice service in ms. */
   advice?: (step: string, workers: number) => number
   /** Returns whether the advice service allows a worker to run a step; `born` is the start of the worker's incarnation. It gives no tickets for workers that are down. */
@@ -71,9 +75,9 @@
     for (let index = 0; index < nodes; index++) this.addNode(`n${index}`)
   }
 
-  configure (version: number, route: Partial<Route> = {}, others = this.options.others ?? []): void {
+  configure (version: number, route: Partial<Route> = {}, others = this.options.others ?? [], organisations = this.options.organisations): void {
     const configuration: Configuration = {
-      version, routes: [{ name: 'r', ...route }, ...others].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), maxBody: 1000
+      version, routes: [{ name: 'r', ...route }, ...others].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), maxBody: 1000, ...(organisations === undefined ? {} : { organisations })
     }
     this.tables.put({ table: 'op', part: '', key: 'config' }, JSON.stringify(configuration))
   }
@@ -122,13 +126,15 @@
       advisor,
       reader: new JsonReader(),
       connector: new FakeLinkConnector(endpoint, this.endpoints),
-      readConfiguration: value => Ok(JSON.parse(value) as Configuration),
+      readConfiguration: value => value.startsWith('{') ? Ok(JSON.parse(value) as Configuration) : Err('the row is not a JSON object'),
       clock,
       log
     })
     endpoint.acceptLink = link => { cell.acceptLink(link) }
     this.endpoints.set(address, endpoint)
-    const node: RigNode = { name, clock, store, workers, advisor, log, cell, endpoint }
+    const metrics = new Metrics()
+    const access = new AccessControl({ configuration: () => cell.configuration, isConfirmed: () => cell.isConfigurationConfirmed, metrics })
+    const node: RigNode = { name, clock, store, workers, advisor, log, cell, access, metrics, endpoint }
     const index = this.nodes.findIndex(each => each.name === name)
     if (index < 0) this.nodes.push(node)
     else this.nodes[index] = node
@@ -192,9 +198,9 @@
   }
 
   /** Submits a job at a node, and advances the clock until the outcome is known. */
-  async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r'): Promise<{ id: string, outcome: RequestOutcome }> {
+  async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r', organisation?: Organisation): Promise<{ id: string, outcome: RequestOutcome }> {
     const id = (this.nextJob++).toString(16).padStart(16, '0')
-    const job = createJob(id, node.cell.configuration!.routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now())
+    const job = createJob(id, node.cell.configuration!.routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now(), organisation)
     const pending = node.cell.gateway.submit(job, this.clock.now() + 2000)
     let outcome: RequestOutcome | undefined
     pending.then(value => { outcome = value }, error => { throw error })
