Jobs that an organisation submits beyond its rate rank after useful ones within it

Cause: a burst of one organisation delayed the work of all others, although it is owed nothing beyond its weight in jobs a second. Change: takeToken of packages/policy meters the submissions of each organisation; the decider sets JobState.isBeyondRate when a job becomes known. The flag is in the job's record; a successor meters the jobs without a record again, in order of their submission, with the ended ones that are not yet archived. rankSteps ranks useful work within the rate, useful work beyond it, then what is too late. The order without organisations is unchanged.

--- a/packages/cell/src/organisations/OrganisationTable.ts
+++ b/packages/cell/src/organisations/OrganisationTable.ts
@@ -1,4 +1,5 @@
-import { CapBudget } from '@rattanstep/policy'
+import { CapBudget, takeToken } from '@rattanstep/policy'
+import type { TokenBucket } from '@rattanstep/policy'
 import type { Organisation, OrganisationTerms } from '../types/configuration.js'
 import type { Job } from '../types/job.js'
 import type { Registry } from '../runtime/Registry.js'
@@ -6,6 +7,7 @@
 /** Terms of the organisations whose jobs a decider knows. */
 export class OrganisationTable {
   private readonly organisations = new Map<string, OrganisationTerms>()
+  private readonly buckets = new Map<string, TokenBucket>()
 
   /** @param registry - knows what the organisations have running */
   constructor (private readonly registry: Pick<Registry, 'usageOf'>) {}
@@ -20,6 +22,37 @@
     return organisation === undefined ? undefined : this.organisations.get(organisation) ?? organisationTerms
   }
 
+  /**
+   * Meters a job that becomes known. The rate is the organisation's weight at the submission, so that each decider gets the same result from the
+   * same jobs.
+   *
+   * @param job - the job; jobs are passed in the order of their submission, as far as it is known
+   * @param now - time on the store's clock in ms, or 0 if it is not known. A later time of the submission comes from a node whose clock is ahead; it
+   *   would leave the organisation without tokens until that time.
+   * @returns whether the job was submitted beyond the rate of its organisation
+   */
+  isBeyondRate ({ organisation, organisationTerms, acceptedAt }: Job, now: number): boolean {
+    if (organisation === undefined || organisationTerms === undefined) return false
+    const { bucket, isWithin } = takeToken(this.buckets.get(organisation), { rate: organisationTerms.weight, at: now === 0 ? acceptedAt : Math.min(acceptedAt, now) })
+    this.buckets.set(organisation, bucket)
+    return !isWithin
+  }
+
+  /**
+   * Meters the jobs that a former decider has left, in order of their submission.
+   *
+   * @param jobs - open jobs, also those announced before the records were read, and ended ones, which took tokens too
+   * @param now - time on the store's clock in ms
+   * @returns the ids of the jobs beyond the rates. Jobs that ended so long ago that they are archived are missing, so that up to as many
+   *   later ones count as within the rate although they were beyond it.
+   */
+  restoreRates (jobs: Job[], now: number): Set<string> {
+    this.buckets.clear()
+    const byId = new Map(jobs.filter(({ organisation }) => organisation !== undefined).map(job => [job.id, job]))
+    const ordered = [...byId.values()].sort((a, b) => a.acceptedAt - b.acceptedAt)
+    return new Set(ordered.filter(job => this.isBeyondRate(job, now)).map(({ id }) => id))
+  }
+
   /** @returns function that gives what is left of the cap of a job's organisation in one round of planning; `undefined` without a cap */
   startRound (): (job: Job) => CapBudget | undefined {
     const budgets = new Map<string, CapBudget>()
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -186,7 +186,10 @@
       this.archiver.add(id, phase)
     }
     let assumed = 0
-    for (const recorded of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, recovered.records.get(recorded.job.id), startedAt) }, log, 'recovery of a job')
+    const announced = [...this.registry.jobs.values()]
+    const beyondRate = this.organisations.restoreRates([...announced, ...recovered.jobs].map(({ job }) => job).concat(recovered.endedJobs), store.now())
+    for (const state of announced) state.isBeyondRate = beyondRate.has(state.job.id)
+    for (const recorded of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, { record: recovered.records.get(recorded.job.id), isBeyondRate: beyondRate.has(recorded.job.id), startedAt }) }, log, 'recovery of a job')
     for (const worker of this.registry.workers.values()) this.leases.assumeFormerOrders(worker, startedAt)
     for (const id of recovered.cancelled) this.cancel(id)
     this.submissionFeed.start(recovered.version, () => this.isStopped)
@@ -198,9 +201,11 @@
   }
 
   /** @returns number of the job's recorded runs that are not known to have ended */
-  private restoreJob (recorded: RecordedJob, record: JobRecord | undefined, startedAt: number): number {
+  private restoreJob (recorded: RecordedJob, { record, isBeyondRate, startedAt }: { record: JobRecord | undefined, isBeyondRate: boolean, startedAt: number }): number {
     const state = this.addJob(recorded, 'record')
-    if (record === undefined || state === undefined) return 0
+    if (state === undefined) return 0
+    state.isBeyondRate = isBeyondRate
+    if (record === undefined) return 0
     const runs = this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
     this.restoreCrashes(state)
     return runs
@@ -266,6 +271,7 @@
     this.updateRoutes()
     if (findScheduledRoute(job, name => this.routes.get(name)) === undefined) log.write(CELL_EVENTS.routeUnknown, { job: job.id, route: job.route })
     const state = this.registry.addJob(job, { now: clock.now(), age, wall: clock.wall() })
+    if (source !== 'record') state.isBeyondRate = this.organisations.isBeyondRate(job, store.now())
     this.requestRound()
     return state
   }
--- a/packages/cell/src/runtime/Recovery.ts
+++ b/packages/cell/src/runtime/Recovery.ts
@@ -1,11 +1,12 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
-import type { RecordedJob } from '../types/job.js'
+import type { Job, RecordedJob } from '../types/job.js'
 import type { RecordStore, Row } from '../types/records.js'
 import { CELL_EVENTS } from '../types/events.js'
 import type { EndedPhase } from './Registry.js'
 import type { JobRecord } from './jobRecord.js'
 import { submissionParts } from './rowNames.js'
+import { decodeSubmission } from './submissionRow.js'
 import { partitionSubmissions } from './partitionSubmissions.js'
 
 /** Delay between attempts while the store does not answer. */
@@ -23,6 +24,8 @@
   /** Final phases of the jobs that have ended and have no runs, by id. */
   ended: Map<string, EndedPhase>
   cancelled: string[]
+  /** Jobs of organisations that have ended and whose submissions are not yet archived, in order of their submission. */
+  endedJobs: Job[]
   records: Map<string, JobRecord>
   /** Version of the store after which to follow changes of submissions. */
   version: number
@@ -43,11 +46,13 @@
     const records = await this.readPart('tasks', 'd', isAbandoned)
     const parts = await this.readSubmissions(isAbandoned)
     if (records === undefined || parts.some(part => part === undefined)) return undefined
-    const state: RecoveredState = { jobs: [], cancelled: [], ended: new Map(), records: new Map(), version: Math.min(...parts.map(part => part!.version)) }
+    const state: RecoveredState = { jobs: [], cancelled: [], endedJobs: [], ended: new Map(), records: new Map(), version: Math.min(...parts.map(part => part!.version)) }
     for (const row of records.rows) this.addRecord(row, state)
-    const open = parts.flatMap(part => part!.rows).filter(row => !state.ended.has(row.key))
-    Object.assign(state, partitionSubmissions(open, this.options.log))
+    const rows = parts.flatMap(part => part!.rows)
+    Object.assign(state, partitionSubmissions(rows.filter(row => !state.ended.has(row.key)), this.options.log))
     state.jobs.sort((a, b) => a.job.acceptedAt - b.job.acceptedAt)
+    state.endedJobs = rows.filter(row => state.ended.has(row.key)).flatMap(row => decodeSubmission(row.value).map(job => [job]).unwrapOr([]))
+      .filter(job => job.organisation !== undefined).sort((a, b) => a.acceptedAt - b.acceptedAt)
     return state
   }
 
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -35,6 +35,8 @@
   next?: number
   /** Number of the last run of each gang that was counted as a failure, by open occurrence and step. Absent if there is none. */
   failedRuns?: number[][]
+  /** Whether the job was submitted beyond the rate of its organisation; absent if not. */
+  beyondRate?: 1
 }
 
 /**
@@ -48,6 +50,7 @@
     record.tasks = state.occurrences.map(occurrence => occurrence.steps.map(step => step.tasks.map(task => encodeTask(task, now))))
     const failedRuns = state.occurrences.map(occurrence => occurrence.steps.map(step => step.lastFailedRun))
     if (failedRuns.flat().some(run => run > 0)) record.failedRuns = failedRuns
+    if (state.isBeyondRate) record.beyondRate = 1
     if (state.job.repeat !== undefined) Object.assign(record, { occurrences: state.occurrences.map(({ index }) => index), next: state.nextOccurrence })
   }
   return JSON.stringify(record)
@@ -111,6 +114,7 @@
     const step = occurrences[occurrence]?.steps[index]
     if (step !== undefined) step.lastFailedRun = run
   }))
+  state.isBeyondRate = record.beyondRate === 1
   state.phase = record.phase
   if (record.phase !== 'open') {
     registry.markStarted(state)
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -139,6 +139,8 @@
   /** Monotonic ms from which the first occurrence may start. */
   firstDueAt: number
   isStarted: boolean
+  /** Whether the job was submitted beyond the rate of its organisation; this doesn't change later. */
+  isBeyondRate: boolean
   /** Tasks that are not done and under which a worker has crashed. */
   suspects: Set<Task>
   /** Whether a suspect has completed since the last crash under a task of the job. */
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -13,11 +13,15 @@
   lateness: 0 | 1 | 2
   /** Monotonic ms by which the step's occurrence of the job should have ended. */
   objectiveAt: number
+  /** Whether the job was submitted beyond the rate of its organisation. */
+  isBeyondRate: boolean
 }
 
 /**
  * Ranks steps by their value to the callers: first those whose jobs can still meet their objectives, then late ones, then those that
- * will be too late to be of use. Within each group, steps are ranked by the route's priority and then by the time left.
+ * will be too late to be of use. Within each group, steps are ranked by the route's priority and then by the time left. Steps of jobs that an
+ * organisation has submitted beyond its rate come after all useful ones within it, and before those that are of no use any more: callers
+ * gain nothing from the latter, and something from the former.
  *
  * @param steps - steps with waiting tasks
  * @param options - `routeOf`: returns the configured route with a name; `now`: monotonic ms
@@ -30,7 +34,7 @@
     if (route === undefined || step.occurrence.dueAt > options.now) continue
     ranked.push(rankStep(step, route, options.now))
   }
-  return ranked.sort((a, b) => a.lateness - b.lateness || a.route.priority - b.route.priority || a.objectiveAt - b.objectiveAt)
+  return ranked.sort((a, b) => groupOf(a) - groupOf(b) || a.lateness - b.lateness || a.route.priority - b.route.priority || a.objectiveAt - b.objectiveAt)
 }
 
 function rankStep (step: StepState, route: ScheduledRoute, now: number): RankedStep {
@@ -39,7 +43,12 @@
   const span = objectiveSpan(occurrence.steps.map(each => each.definition), route)
   const finish = now + chainLength(occurrence.steps.map(each => each.definition), step.index)
   const lateness = finish <= start + span ? 0 : finish <= start + MAX_USEFUL_OBJECTIVE_RATIO * span ? 1 : 2
-  return { step, route, lateness, objectiveAt: start + span }
+  return { step, route, lateness, objectiveAt: start + span, isBeyondRate: occurrence.job.isBeyondRate }
+}
+
+/** @returns the first criterion of a step's rank: 0 and 1 for useful work within and beyond the rate, 2 and 3 for work that is too late */
+function groupOf ({ lateness, isBeyondRate }: RankedStep): number {
+  return (lateness === 2 ? 2 : 0) + (isBeyondRate ? 1 : 0)
 }
 
 /**
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -4,7 +4,7 @@
 import { MemoryLog } from '@rattanstep/telemetry'
 import { Cell, RowReader } from '../../src/index.js'
 import { createJob } from '../../src/runtime/createJob.js'
-import type { Configuration, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
+import type { Configuration, Organisation, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
 import { FakeAdvisor } from './FakeAdvisor.js'
 import type { AdviceCondition } from './FakeAdvisor.js'
 import { FakeLinkConnector } from './FakeLinks.js'
@@ -43,6 +43,7 @@
   route?: Partial<Route>
   /** Routes in addition to the first, which is named `r`. */
   others?: Array<Partial<Route> & { name: string }>
+  organisations?: Organisation[]
   /** Returns the duration of a call to the advice service in ms. */
   advice?: (step: string, workers: number) => number
   /** Returns whether the advice service allows a worker to run a step; `born` is the start of the worker's incarnation. It gives no tickets for workers that are down. */
@@ -71,9 +72,9 @@
     for (let index = 0; index < nodes; index++) this.addNode(`n${index}`)
   }
 
-  configure (version: number, route: Partial<Route> = {}, others = this.options.others ?? []): void {
+  configure (version: number, route: Partial<Route> = {}, others = this.options.others ?? [], organisations = this.options.organisations): void {
     const configuration: Configuration = {
-      version, routes: [{ name: 'r', ...route }, ...others].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), maxBody: 1000
+      version, routes: [{ name: 'r', ...route }, ...others].map(each => ({ host: 'h', prefix: '/', service: 's', priority: 0, maxAttempts: 2, stretch: 2, latencyObjective: 1000, ...each })), maxBody: 1000, ...(organisations === undefined ? {} : { organisations })
     }
     this.tables.put({ table: 'op', part: '', key: 'config' }, JSON.stringify(configuration))
   }
@@ -192,9 +193,10 @@
   }
 
   /** Submits a job at a node, and advances the clock until the outcome is known. */
-  async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r'): Promise<{ id: string, outcome: RequestOutcome }> {
+  async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r', organisation?: string): Promise<{ id: string, outcome: RequestOutcome }> {
     const id = (this.nextJob++).toString(16).padStart(16, '0')
-    const job = createJob(id, node.cell.configuration!.routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now())
+    const { routes, organisations = [] } = node.cell.configuration!
+    const job = createJob(id, routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now(), organisations.find(({ name }) => name === organisation))
     const pending = node.cell.gateway.submit(job, this.clock.now() + 2000)
     let outcome: RequestOutcome | undefined
     pending.then(value => { outcome = value }, error => { throw error })
--- a/packages/policy/src/types/sharing.ts
+++ b/packages/policy/src/types/sharing.ts
@@ -6,3 +6,10 @@
   memory: number
   accelerators: number
 }
+
+/** Tokens that are left for an organisation's submissions. */
+export interface TokenBucket {
+  tokens: number
+  /** Time in ms at which that number was left. */
+  at: number
+}
