Organisations take turns by their shares while capacity is short

Cause: in a full service the organisation that submitted first took the capacity, whatever its weight. Change: takeTurns of packages/policy lists steps so that the organisation with the lowest dominant share for its weight is next. rankSteps applies it to steps that are equal in group, lateness and priority, while at least 0.85 of the service's capacity is in use; an organisation's own steps keep their order of time left. Without organisations the order is unchanged.

--- a/packages/cell/src/organisations/OrganisationTable.ts
+++ b/packages/cell/src/organisations/OrganisationTable.ts
@@ -1,9 +1,14 @@
-import { CapBudget, takeToken } from '@rattanstep/policy'
-import type { TokenBucket } from '@rattanstep/policy'
+import { CapBudget, takeToken, takeTurns } from '@rattanstep/policy'
+import type { Sharer, TokenBucket } from '@rattanstep/policy'
 import type { Organisation, OrganisationTerms } from '../types/configuration.js'
-import type { Job } from '../types/job.js'
+import type { Job, Size } from '../types/job.js'
+import type { StepState, WorkerState } from '../runtime/model.js'
+import type { RankedStep } from '../runtime/rankSteps.js'
 import type { Registry } from '../runtime/Registry.js'
 
+/** Share of a service's capacity in use above which its organisations take turns: below, a step that waits does so for tickets or for a gap of its size. */
+const SHORT_RATIO = 0.85
+
 /** Terms of the organisations whose jobs a decider knows. */
 export class OrganisationTable {
   private readonly organisations = new Map<string, OrganisationTerms>()
@@ -53,6 +58,32 @@
     return new Set(ordered.filter(job => this.isBeyondRate(job, now)).map(({ id }) => id))
   }
 
+  /**
+   * @param workersOf - returns the workers of a service on which tasks may be placed
+   * @returns function that orders steps of the same rank so that organisations take turns by their shares while the capacity of the service is
+   *   short, or `undefined` if no organisations are configured. Jobs without an organisation share like one of weight 1.
+   */
+  startTurns (workersOf: (service: string) => WorkerState[]): ((steps: RankedStep[]) => RankedStep[]) | undefined {
+    if (this.organisations.size === 0) return undefined
+    const capacities = new Map<string, { total: Size, isShort: boolean }>()
+    const sharers = new Map<string, Sharer>()
+    const capacityOf = (service: string): { total: Size, isShort: boolean } => {
+      let capacity = capacities.get(service)
+      if (capacity === undefined) capacities.set(service, capacity = measureCapacity(workersOf(service)))
+      return capacity
+    }
+    const sharerOf = ({ step, route }: RankedStep): Sharer => {
+      const { job } = step.occurrence.job
+      const key = `${route.service} ${job.organisation ?? ''}`
+      let sharer = sharers.get(key)
+      if (sharer === undefined) sharers.set(key, sharer = { weight: this.termsOf(job)?.weight ?? 1, share: dominantShare(this.registry.usageOf(job.organisation ?? ''), capacityOf(route.service).total) })
+      return sharer
+    }
+    return steps => steps.some(({ route }) => capacityOf(route.service).isShort)
+      ? takeTurns(steps, { sharerOf, costOf: ({ step, route }) => countWaiting(step) * dominantShare(step.definition.size, capacityOf(route.service).total) })
+      : steps
+  }
+
   /** @returns function that gives what is left of the cap of a job's organisation in one round of planning; `undefined` without a cap */
   startRound (): (job: Job) => CapBudget | undefined {
     const budgets = new Map<string, CapBudget>()
@@ -69,3 +100,31 @@
     }
   }
 }
+
+function measureCapacity (workers: WorkerState[]): { total: Size, isShort: boolean } {
+  const total = { cpu: 0, memory: 0, accelerators: 0 }
+  const used = { cpu: 0, memory: 0, accelerators: 0 }
+  for (const worker of workers) {
+    addTo(total, worker.report.capacity)
+    addTo(used, worker.used)
+  }
+  return { total, isShort: dominantShare(used, total) >= SHORT_RATIO }
+}
+
+function addTo (sum: Size, { cpu, memory, accelerators }: Size): void {
+  sum.cpu += cpu
+  sum.memory += memory
+  sum.accelerators += accelerators
+}
+
+/** @returns the largest share that a size has of any resource of the capacity */
+function dominantShare (size: Readonly<Size>, capacity: Size): number {
+  const ratio = (part: number, whole: number): number => part === 0 || whole === 0 ? 0 : part / whole
+  return Math.max(ratio(size.cpu, capacity.cpu), ratio(size.memory, capacity.memory), ratio(size.accelerators, capacity.accelerators))
+}
+
+function countWaiting ({ tasks }: StepState): number {
+  let count = 0
+  for (const { phase } of tasks) if (phase === 'waiting') count++
+  return count
+}
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -337,11 +337,13 @@
     if (!this.isReady || this.isPaused || now - this.recorder.confirmedAt > MAX_COMMIT_AGE_MS || this.isInstanceListOutdated()) return
     this.updateRoutes()
     this.registry.openDueOccurrences(now)
-    const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now })
-    if (ranked.length === 0) return
+    if (this.registry.readySteps.size === 0) return
     const usable = this.usableWorkers(now)
+    const workersOf = (service: string): WorkerState[] => usable.get(service) ?? []
+    const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now, arrange: this.organisations.startTurns(workersOf) })
+    if (ranked.length === 0) return
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
-    const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
+    const plan = planRound(ranked, { workersOf, now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
     this.holds = plan.holds
     this.lifecycle.place(plan.placements)
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -24,17 +24,33 @@
  * gain nothing from the latter, and something from the former.
  *
  * @param steps - steps with waiting tasks
- * @param options - `routeOf`: returns the configured route with a name; `now`: monotonic ms
+ * @param options - `routeOf`: returns the configured route with a name; `now`: monotonic ms; `arrange`: orders steps that differ only in the time left, which are passed in that order
  * @returns the steps in rank order, without steps whose route is not known or whose occurrence is not yet due
  */
-export function rankSteps (steps: Iterable<StepState>, options: { routeOf: (name: string) => ScheduledRoute | undefined, now: number }): RankedStep[] {
+export function rankSteps (steps: Iterable<StepState>, options: { routeOf: (name: string) => ScheduledRoute | undefined, now: number, arrange?: (run: RankedStep[]) => RankedStep[] }): RankedStep[] {
   const ranked: RankedStep[] = []
   for (const step of steps) {
     const route = findScheduledRoute(step.occurrence.job.job, options.routeOf)
     if (route === undefined || step.occurrence.dueAt > options.now) continue
     ranked.push(rankStep(step, route, options.now))
   }
-  return ranked.sort((a, b) => groupOf(a) - groupOf(b) || a.lateness - b.lateness || a.route.priority - b.route.priority || a.objectiveAt - b.objectiveAt)
+  ranked.sort((a, b) => groupOf(a) - groupOf(b) || a.lateness - b.lateness || a.route.priority - b.route.priority || a.objectiveAt - b.objectiveAt)
+  return options.arrange === undefined ? ranked : arrangeEach(ranked, options.arrange)
+}
+
+/** Arranges each series of steps that differ only in the time left. */
+function arrangeEach (ranked: RankedStep[], arrange: (steps: RankedStep[]) => RankedStep[]): RankedStep[] {
+  const arranged: RankedStep[] = []
+  for (let from = 0, to = 0; from < ranked.length; from = to) {
+    const first = ranked[from]!
+    while (to < ranked.length && isOfSameRank(ranked[to]!, first)) to++
+    for (const step of to - from === 1 ? [first] : arrange(ranked.slice(from, to))) arranged.push(step)
+  }
+  return arranged
+}
+
+function isOfSameRank (a: RankedStep, b: RankedStep): boolean {
+  return groupOf(a) === groupOf(b) && a.lateness === b.lateness && a.route.priority === b.route.priority
 }
 
 function rankStep (step: StepState, route: ScheduledRoute, now: number): RankedStep {
--- a/packages/policy/test/runtime/sharing.test.ts
+++ b/packages/policy/test/runtime/sharing.test.ts
@@ -1,6 +1,6 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
-import { takeToken } from '../../src/index.js'
+import { takeToken, takeTurns } from '../../src/index.js'
 import type { TokenBucket } from '../../src/index.js'
 
 /** @returns for each submission time whether it is within the rate */
@@ -29,3 +29,19 @@
     expect(meter(1, [1000, 1000, 1000, 1000, 0, 1000, 1500, 2000])).toEqual([true, true, true, true, false, false, false, true])
   })
 })
+
+describe('organisations that take turns', () => {
+  const small = { weight: 1, share: 0.1 }
+  const large = { weight: 4, share: 0.2 }
+  const items = [small, small, large, large, large, large, large].map((sharer, index) => ({ sharer, index }))
+
+  // Guards against an organisation that takes all free capacity by submitting first, and against capacity that is left to nobody.
+  test('are served by their shares for their weights, each in its own order and without leaving out any', () => {
+    const ordered = takeTurns(items, { sharerOf: ({ sharer }) => sharer, costOf: () => 0.1 })
+    expect(ordered.map(({ index }) => index)).toEqual([2, 3, 0, 4, 5, 6, 1])
+  })
+
+  test('keep the order of items if there is only one', () => {
+    expect(takeTurns(items.slice(2), { sharerOf: ({ sharer }) => sharer, costOf: () => 0.1 })).toEqual(items.slice(2))
+  })
+})
