Loads of organisations for the bench

Cause: the bench had no organisations, so that nothing measured what a burst of one costs the others. Change: a load may name organisations with weights, rates and caps, and bursts of single organisations. Loads without organisations draw the same jobs as before.

--- a/packages/cell/test/bench/loads.ts
+++ b/packages/cell/test/bench/loads.ts
@@ -1,4 +1,4 @@
-import type { Load } from './simulateLoad.js'
+import type { Load, LoadOrganisation } from './simulateLoad.js'
 
 const route = { host: 'h', prefix: '/', service: 's', maxAttempts: 3 }
 
@@ -55,3 +55,22 @@
   ...GANGS_ON_LARGE_WORKERS,
   bursts: [{ kind: 2, from: 5000, until: 11_000, factor: 2.4 }, { kind: 0, from: 12_000, until: 15_000, factor: 1.7 }, { kind: 1, from: 20_000, until: 24_000, factor: 1.9 }]
 }
+
+/** Capacity of the cell above in thousandths of a core, which the caps of the large organisations are shares of. */
+const LARGE_CELL_CPU = 245 * 64_000
+
+/** A few large organisations beside many small ones. Each submits 0.8 of its weight in jobs a second on average. */
+const ORGANISATIONS: LoadOrganisation[] = [40, 20, 12, 8, 6, 5, 4, 3, 2, 2, ...Array<number>(10).fill(1)].map((weight, index) => ({
+  name: `o${index}`, weight, rate: 0.8 * weight, cap: { cpu: index < 4 ? 0.65 * LARGE_CELL_CPU : index < 10 ? 0.3 * LARGE_CELL_CPU : 0, memory: 0, accelerators: 0 }
+}))
+
+/** An organisation submits 6.7 times its usual rate, beside bursts of the urgent kind and of the batches. */
+export const ORGANISATIONS_ON_LARGE_WORKERS: Load = {
+  ...GANGS_ON_LARGE_WORKERS,
+  organisations: ORGANISATIONS,
+  bursts: [{ kind: 0, from: 8000, until: 12_500, factor: 2 }, { kind: 2, from: 20_000, until: 24_500, factor: 2.3 }],
+  organisationBursts: [{ organisation: 1, from: 9000, until: 14_300, factor: 6.7 }, { organisation: 3, from: 21_000, until: 26_300, factor: 6.7 }]
+}
+
+/** The same with two thirds of the workers: more is asked for than fits, also without the bursts. */
+export const ORGANISATIONS_IN_A_FULL_CELL: Load = { ...ORGANISATIONS_ON_LARGE_WORKERS, workers: 165 }
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -1,4 +1,6 @@
 import { SeededRandom } from '@rattanstep/core'
+import { takeToken } from '@rattanstep/policy'
+import type { TokenBucket } from '@rattanstep/policy'
 import { AdviceScheduler } from '../../src/runtime/AdviceScheduler.js'
 import { applyAdvice, asAsked } from '../../src/runtime/applyAdvice.js'
 import { Registry } from '../../src/runtime/Registry.js'
@@ -6,7 +8,8 @@
 import type { GangHold, JobState, StepState, Task, WorkerState } from '../../src/runtime/model.js'
 import { planRound } from '../../src/runtime/planRound.js'
 import { objectiveSpan, rankSteps } from '../../src/runtime/rankSteps.js'
-import type { Route } from '../../src/index.js'
+import { OrganisationTable } from '../../src/index.js'
+import type { Job, OrganisationTerms, Route } from '../../src/index.js'
 import { stepOf } from '../support/CellRig.js'
 
 /** Jobs of one kind in a load. */
@@ -32,6 +35,13 @@
   worth: number
 }
 
+/** An organisation in a load. */
+export interface LoadOrganisation extends OrganisationTerms {
+  name: string
+  /** Usual number of jobs a second of all kinds; only its ratio to that of the other organisations counts. */
+  rate: number
+}
+
 /** A load on a cell. */
 export interface Load {
   kinds: JobKind[]
@@ -43,6 +53,19 @@
   duration: number
   /** Periods in which a kind arrives at a multiple of its rate. */
   bursts: Array<{ kind: number, from: number, until: number, factor: number }>
+  /** Organisations that submit the jobs. */
+  organisations?: LoadOrganisation[]
+  /** Periods in which an organisation submits a multiple of its usual rate, in addition to the load of the others. */
+  organisationBursts?: Array<{ organisation: number, from: number, until: number, factor: number }>
+}
+
+/** What the callers of an organisation got for the jobs within its rate. */
+export interface OrganisationResult {
+  name: string
+  jobs: number
+  beyondRate: number
+  /** Worth earned / worth owed, where a job counts as its kind's worth. Jobs beyond the rate are owed nothing. */
+  worth: number
 }
 
 /** What the callers of a kind got. */
@@ -80,6 +103,8 @@
 }
 
 interface Outcome {
+  organisation?: LoadOrganisation
+  isBeyondRate: boolean
   kind: number
   work: number
   submittedAt: number
@@ -95,8 +120,21 @@
  * @returns what the callers of each kind got
  */
 export function simulateLoad (load: Load, seed: number): KindResult[] {
+  return simulateOrganisations(load, seed).kinds
+}
+
+/**
+ * Plays a load of organisations against the cell's planning.
+ *
+ * @param load - the load
+ * @param seed - seed of the jobs
+ * @returns what the callers of each kind and of each organisation got for the jobs within the organisations' rates
+ */
+export function simulateOrganisations (load: Load, seed: number): { kinds: KindResult[], organisations: OrganisationResult[] } {
   const random = new SeededRandom(seed)
   const registry = new Registry()
+  const table = new OrganisationTable(registry)
+  table.update((load.organisations ?? []).map(organisation => ({ ...organisation, keys: [] })))
   const scheduler = new AdviceScheduler()
   const routes = new Map(load.kinds.map(({ route }) => [route.name, route]))
   const nodes = Array.from({ length: load.nodes }, (_, index) => `n${index}`)
@@ -107,6 +145,9 @@
   const events = new EventQueue()
   const outcomes: Outcome[] = []
   const nodeIdleAt = new Map<string, number>()
+  // A generator of its own, so that the loads without organisations stay the same.
+  const shareRandom = new SeededRandom(1000 + seed)
+  const buckets = new Map<string, TokenBucket>()
   let now = 0
   let roundAt = -1
   let holds: Map<StepState, GangHold> | undefined
@@ -131,8 +172,8 @@
   }
   const outcomeOf = new Map<string, Outcome>()
   function plan (): void {
-    const ranked = rankSteps(registry.readySteps, { routeOf: name => routes.get(name), now })
-    const result = planRound(ranked, { workersOf: () => workers, now, adviceRound: scheduler.startRound(nodes, now), allowedShare: route => scheduler.allowedShare(route), holds })
+    const ranked = rankSteps(registry.readySteps, { routeOf: name => routes.get(name), now, arrange: table.startTurns(() => workers) })
+    const result = planRound(ranked, { workersOf: () => workers, now, adviceRound: scheduler.startRound(nodes, now), allowedShare: route => scheduler.allowedShare(route), holds, capBudgetOf: table.startRound() })
     holds = result.holds
     // The members of a gang end together, when the slowest one ends.
     const gangSpeeds = new Map<StepState, number>()
@@ -166,20 +207,34 @@
     }
   }
 
+  const submit = (job: Job, index: number, at: number): void => {
+    const kind = load.kinds[index]!
+    const organisation = load.organisations?.find(({ name }) => name === job.organisation)
+    events.add(at, () => {
+      const state = registry.addJob(job, { now, age: 0, wall: 0 })
+      state.isBeyondRate = table.isBeyondRate({ ...job, acceptedAt: now }, now)
+      const isBeyondRate = organisation !== undefined && meter(buckets, organisation, now)
+      const outcome: Outcome = { isBeyondRate, ...(organisation === undefined ? {} : { organisation }), kind: index, work: job.steps.reduce((sum, step) => sum + step.count * step.size.cpu * step.estimate, 0), submittedAt: now, span: objectiveSpan(job.steps, kind.route), endedAt: Infinity }
+      outcomeOf.set(job.id, outcome)
+      outcomes.push(outcome)
+      if (state.phase === 'open') requestRound()
+    })
+  }
   load.kinds.forEach((kind, index) => {
     let number = 0
     for (let at = 0; at < load.duration;) {
       const burst = load.bursts.find(each => each.kind === index && at >= each.from && at < each.until)
       at += random.exponential(1000 / (kind.rate * (burst?.factor ?? 1)))
       const id = index.toString(16) + (number++).toString(16).padStart(15, '0')
-      const job = drawJob(kind, id, random)
-      events.add(at, () => {
-        const state = registry.addJob(job, { now, age: 0, wall: 0 })
-        const outcome = { kind: index, work: job.steps.reduce((sum, step) => sum + step.count * step.size.cpu * step.estimate, 0), submittedAt: now, span: objectiveSpan(job.steps, kind.route), endedAt: Infinity }
-        outcomeOf.set(id, outcome)
-        outcomes.push(outcome)
-        if (state.phase === 'open') requestRound()
-      })
+      submit({ ...drawJob(kind, id, random), ...drawOrganisation(load, shareRandom) }, index, at)
+    }
+    for (const { organisation: burstIndex, from, until, factor } of load.organisationBursts ?? []) {
+      const organisation = load.organisations![burstIndex]!
+      const rate = (factor - 1) * kind.rate * organisation.rate / totalRate(load)
+      for (let at = from + shareRandom.exponential(1000 / rate); at < until; at += shareRandom.exponential(1000 / rate)) {
+        const id = index.toString(16) + 'b' + (number++).toString(16).padStart(14, '0')
+        submit({ ...drawJob(kind, id, shareRandom), ...belongingTo(organisation) }, index, at)
+      }
     }
   })
   const end = load.duration + 3 * Math.max(...outcomesSpan(load))
@@ -187,7 +242,44 @@
     now = event.at
     event.run()
   }
-  return load.kinds.map((kind, index) => evaluate(kind, outcomes.filter(outcome => outcome.kind === index)))
+  const owed = outcomes.filter(({ isBeyondRate }) => !isBeyondRate)
+  return {
+    kinds: load.kinds.map((kind, index) => evaluate(kind, owed.filter(outcome => outcome.kind === index))),
+    organisations: (load.organisations ?? []).map(organisation => evaluateOrganisation(organisation, load, outcomes.filter(outcome => outcome.organisation === organisation)))
+  }
+}
+
+function meter (buckets: Map<string, TokenBucket>, { name, weight }: LoadOrganisation, at: number): boolean {
+  const { bucket, isWithin } = takeToken(buckets.get(name), { rate: weight, at })
+  buckets.set(name, bucket)
+  return !isWithin
+}
+
+function totalRate ({ organisations = [] }: Load): number {
+  return organisations.reduce((sum, { rate }) => sum + rate, 0)
+}
+
+function drawOrganisation (load: Load, random: SeededRandom): Partial<Job> {
+  if (load.organisations === undefined) return {}
+  let remaining = random.next() * totalRate(load)
+  return belongingTo(load.organisations.find(({ rate }) => (remaining -= rate) < 0) ?? load.organisations[0]!)
+}
+
+function belongingTo ({ name, weight, cap }: LoadOrganisation): Partial<Job> {
+  return { organisation: name, organisationTerms: { weight, cap } }
+}
+
+function evaluateOrganisation ({ name }: LoadOrganisation, { kinds }: Load, outcomes: Outcome[]): OrganisationResult {
+  const owed = outcomes.filter(({ isBeyondRate }) => !isBeyondRate)
+  const worthOf = ({ kind }: Outcome): number => kinds[kind]!.worth
+  const earned = owed.reduce((sum, outcome) => sum + worthOf(outcome) * earnedShare(outcome), 0)
+  return { name, jobs: outcomes.length, beyondRate: outcomes.length - owed.length, worth: owed.length === 0 ? 1 : earned / owed.reduce((sum, outcome) => sum + worthOf(outcome), 0) }
+}
+
+/** @returns the share of a job's worth that its end earns: a late one a fifth, as specified by the platform */
+function earnedShare ({ endedAt, submittedAt, span }: Outcome): number {
+  const ratio = (endedAt - submittedAt) / span
+  return ratio <= 1 ? 1 : ratio <= 3 ? 0.2 : 0
 }
 
 function outcomesSpan (load: Load): number[] {
@@ -231,10 +323,7 @@
 function evaluate (kind: JobKind, outcomes: Outcome[]): KindResult {
   const meanWork = outcomes.reduce((sum, outcome) => sum + outcome.work, 0) / Math.max(1, outcomes.length)
   const worthOf = (outcome: Outcome): number => Math.min(4, 0.3 + 0.7 * outcome.work / meanWork)
-  const earned = (outcome: Outcome): number => {
-    const ratio = (outcome.endedAt - outcome.submittedAt) / outcome.span
-    return worthOf(outcome) * (ratio <= 1 ? 1 : ratio <= 3 ? 0.2 : 0)
-  }
+  const earned = (outcome: Outcome): number => worthOf(outcome) * earnedShare(outcome)
   const share = (some: Outcome[]): number => some.reduce((sum, each) => sum + earned(each), 0) / Math.max(1e-9, some.reduce((sum, each) => sum + worthOf(each), 0))
   const bySize = [...outcomes].sort((a, b) => b.work - a.work)
   const count = (holds: (ratio: number) => boolean): number => outcomes.filter(each => holds((each.endedAt - each.submittedAt) / each.span)).length
