Caps: refusal of what can never run, a reason for waits, and tests through faults

Cause: a gang wider than its organisation's cap, or a task larger than it, was accepted and never ran; a step that waited for its cap was logged with another reason; nothing tested caps through takeovers, cuts and changes of the configuration. Change: findSubmissionProblem refuses such submissions with 400 and the reason; explainWait has the reason 'cap'; canProgress skips steps whose cap is used up.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -120,7 +120,7 @@
     if (!JOB_ID.test(request.job)) return this.refuse(request.id, 400, 'the id is not 16 hexadecimal digits')
     const submission = codec.decodeSubmission(request.body)
     if (submission.isErr()) return this.refuse(request.id, 400, submission.error)
-    const problem = findSubmissionProblem(submission.value)
+    const problem = findSubmissionProblem(submission.value, request.organisation)
     if (problem !== undefined) return this.refuse(request.id, 400, problem)
     const job = createJob(request.job, request.route, submission.value, Math.round(storeTime()), request.organisation)
     return this.replyTo(request.id, request.job, request.receivedAt, request.route, await gateway.submit(job, request.deadline))
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -361,9 +361,10 @@
     if (!this.isReady) return
     const now = this.options.clock.now()
     const usable = this.usableWorkers(now)
+    const capBudgetOf = this.organisations.startRound()
     this.waits.check(this.registry.readySteps, step => {
       const route = findScheduledRoute(step.occurrence.job.job, name => this.routes.get(name))
-      return { route, workers: usable.get(route?.service ?? '') ?? [], holds: this.holds, now }
+      return { route, workers: usable.get(route?.service ?? '') ?? [], holds: this.holds, now, capBudget: capBudgetOf(step.occurrence.job.job) }
     })
   }
 
--- a/packages/cell/src/runtime/explainWait.ts
+++ b/packages/cell/src/runtime/explainWait.ts
@@ -1,3 +1,4 @@
+import type { CapBudget } from '@rattanstep/policy'
 import { countFitting, freeCapacity } from './CapacitySnapshot.js'
 import { isEligible } from './placeTasks.js'
 import type { GangHold, StepState, TaskPhase, WorkerState } from './model.js'
@@ -9,6 +10,7 @@
  * - `no-route`: the decider doesn't know the route of the job
  * - `member-busy`: a gang of which some members are not waiting, so that it can't be placed
  * - `delayed`: all waiting tasks have a time before which they are not placed
+ * - `cap`: the cap of the job's organisation allows no further task, or not all tasks of a gang
  * - `no-worker`: the step may run on none of the usable workers, as far as known
  * - `no-room`: no worker on which the step may run has room for one task, or for all tasks of a gang
  * - `held`: there is room only where it is held for gangs
@@ -16,10 +18,10 @@
  * - `no-advice`: there is room, but no worker with a valid ticket
  * - `other`: none of these, for example because the next round of planning is due
  */
-export type WaitReason = 'no-route' | 'member-busy' | 'delayed' | 'no-worker' | 'no-room' | 'held' | 'advice-pending' | 'no-advice' | 'other'
+export type WaitReason = 'no-route' | 'member-busy' | 'delayed' | 'cap' | 'no-worker' | 'no-room' | 'held' | 'advice-pending' | 'no-advice' | 'other'
 
 /** All reasons, for metrics. */
-export const WAIT_REASONS: readonly WaitReason[] = ['no-route', 'member-busy', 'delayed', 'no-worker', 'no-room', 'held', 'advice-pending', 'no-advice', 'other']
+export const WAIT_REASONS: readonly WaitReason[] = ['no-route', 'member-busy', 'delayed', 'cap', 'no-worker', 'no-room', 'held', 'advice-pending', 'no-advice', 'other']
 
 /** What a decider knows about a ready step that isn't placed. */
 export interface WaitFacts {
@@ -49,13 +51,15 @@
   workers: WorkerState[]
   /** Holds of the last round of planning. */
   holds: ReadonlyMap<StepState, GangHold>
+  /** What is left of the cap of the job's organisation; absent without a cap. */
+  capBudget?: CapBudget | undefined
   /** Monotonic ms. */
   now: number
 }
 
 /** @returns why a ready step isn't placed, as far as the decider's state tells */
 export function explainWait (step: StepState, context: WaitContext): WaitFacts {
-  const { route, workers, holds, now } = context
+  const { route, workers, holds, now, capBudget } = context
   const facts: WaitFacts = { reason: 'other', waiting: 0, phases: {}, usable: workers.length, eligible: 0, allowed: step.allowedWorkers.size, rejected: step.rejectedWorkers.size, asked: step.askedWorkers.size, fitting: 0, unheld: 0, tickets: 0 }
   for (const { phase } of step.tasks) {
     if (phase === 'waiting') facts.waiting++
@@ -71,17 +75,18 @@
     facts.fitting += fitting
     if (!held.has(worker.report.id)) facts.unheld += fitting
   }
-  facts.reason = findReason(step, facts, { route, now })
+  facts.reason = findReason(step, facts, { route, now, capBudget })
   return facts
 }
 
-function findReason (step: StepState, facts: WaitFacts, { route, now }: { route: ScheduledRoute | undefined, now: number }): WaitReason {
+function findReason (step: StepState, facts: WaitFacts, { route, now, capBudget }: Pick<WaitContext, 'route' | 'now' | 'capBudget'>): WaitReason {
   const { gang } = step.definition
   if (route === undefined) return 'no-route'
   if (gang && facts.waiting < step.tasks.length) return 'member-busy'
   if (step.tasks.every(task => task.phase !== 'waiting' || task.notBefore > now)) return 'delayed'
-  if (facts.eligible === 0) return 'no-worker'
   const needed = gang ? step.tasks.length : 1
+  if (capBudget !== undefined && capBudget.countFitting(step.definition.size) < needed) return 'cap'
+  if (facts.eligible === 0) return 'no-worker'
   if (facts.fitting < needed) return 'no-room'
   if (facts.unheld < needed) return 'held'
   if (route.advice === undefined) return 'other'
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -156,9 +156,11 @@
 }
 
 /** Cheap check that, when many steps wait, excludes most of those for which the round can do nothing. */
-function canProgress ({ step, route, lateness }: RankedStep, { capacity, adviceRound, now, plan, servicesWithLongHold }: RoundContext): boolean {
+function canProgress ({ step, route, lateness }: RankedStep, context: RoundContext): boolean {
+  const { capacity, adviceRound, now, plan, servicesWithLongHold } = context
   const mayHold = step.definition.gang && lateness < 2 && (route.advice !== undefined || plan.holds.has(step) || !servicesWithLongHold.has(route.service))
   if (!mayHold && !capacity.mayFit(step.definition)) return false
+  if (countUnderCap(step, context) < 1) return false
   if (route.advice === undefined || step.allowedWorkers.size + step.rejectedWorkers.size > 0) return true
   return step.askedWorkers.size === 0 && step.nextAdviceAt <= now && adviceRound.canAssign(route.advice)
 }
--- a/packages/cell/test/runtime/findSubmissionProblem.test.ts
+++ b/packages/cell/test/runtime/findSubmissionProblem.test.ts
@@ -1,6 +1,7 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
 import { findSubmissionProblem, MAX_TASKS } from '../../src/runtime/findSubmissionProblem.js'
+import type { Step } from '../../src/index.js'
 import { stepOf } from '../support/CellRig.js'
 
 const REPEAT = { count: 10_080, first: 0, interval: 60_000 }
@@ -18,4 +19,15 @@
       expect(findSubmissionProblem({ spec: '', ...submission, steps: [...submission.steps] })).toEqual(problem)
     })
   }
+
+  // Guards against a job that is accepted and never runs, and against the refusal of a wide step, which runs in waves.
+  test('of an organisation is refused if a gang or a single task can never fit under the cap', () => {
+    const cap = { cpu: 5000, memory: 0, accelerators: 0 }
+    const problemOf = (step: Partial<Step>): string | undefined => findSubmissionProblem({ spec: '', steps: [stepOf({}), stepOf(step)] }, { weight: 1, cap })
+    const limit = 'more than the cap of the organisation, 5000 thousandths of a core, 0 MB and 0 accelerators (0: no limit)'
+    expect(problemOf({ count: 6 })).toEqual(undefined)
+    expect(problemOf({ count: 5, gang: true })).toEqual(undefined)
+    expect(problemOf({ count: 6, gang: true })).toEqual(`step 1 can never run: its tasks together need ${limit}`)
+    expect(problemOf({ size: { cpu: 5001, memory: 0, accelerators: 0 } })).toEqual(`step 1 can never run: one of its tasks needs ${limit}`)
+  })
 })
