--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -186,7 +186,10 @@
       this.archiver.add(id, phase)
     }
     let assumed = 0
-    for (const recorded of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, recovered.records.get(recorded.job.id), startedAt) }, log, 'recovery of a job')
+    const announced = [...this.registry.jobs.values()]
+    const beyondRate = this.organisations.restoreRates([...announced, ...recovered.jobs].map(({ job }) => job).concat(recovered.endedJobs), store.now())
+    for (const state of announced) state.isBeyondRate = beyondRate.has(state.job.id)
+    for (const recorded of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, { record: recovered.records.get(recorded.job.id), isBeyondRate: beyondRate.has(recorded.job.id), startedAt }) }, log, 'recovery of a job')
     for (const worker of this.registry.workers.values()) this.leases.assumeFormerOrders(worker, startedAt)
     for (const id of recovered.cancelled) this.cancel(id)
     this.submissionFeed.start(recovered.version, () => this.isStopped)
@@ -198,9 +201,11 @@
   }
 
   /** @returns number of the job's recorded runs that are not known to have ended */
-  private restoreJob (recorded: RecordedJob, record: JobRecord | undefined, startedAt: number): number {
+  private restoreJob (recorded: RecordedJob, { record, isBeyondRate, startedAt }: { record: JobRecord | undefined, isBeyondRate: boolean, startedAt: number }): number {
     const state = this.addJob(recorded, 'record')
-    if (record === undefined || state === undefined) return 0
+    if (state === undefined) return 0
+    state.isBeyondRate = isBeyondRate
+    if (record === undefined) return 0
     const runs = this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
     this.restoreCrashes(state)
     return runs
@@ -266,6 +271,7 @@
     this.updateRoutes()
     if (findScheduledRoute(job, name => this.routes.get(name)) === undefined) log.write(CELL_EVENTS.routeUnknown, { job: job.id, route: job.route })
     const state = this.registry.addJob(job, { now: clock.now(), age, wall: clock.wall() })
+    if (source !== 'record') state.isBeyondRate = this.organisations.isBeyondRate(job, store.now())
     this.requestRound()
     return state
   }
@@ -331,11 +337,13 @@
     if (!this.isReady || this.isPaused || now - this.recorder.confirmedAt > MAX_COMMIT_AGE_MS || this.isInstanceListOutdated()) return
     this.updateRoutes()
     this.registry.openDueOccurrences(now)
-    const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now })
-    if (ranked.length === 0) return
+    if (this.registry.readySteps.size === 0) return
     const usable = this.usableWorkers(now)
+    const workersOf = (service: string): WorkerState[] => usable.get(service) ?? []
+    const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now, arrange: this.organisations.startTurns(workersOf) })
+    if (ranked.length === 0) return
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
-    const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
+    const plan = planRound(ranked, { workersOf, now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
     this.holds = plan.holds
     this.lifecycle.place(plan.placements)
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
@@ -353,9 +361,10 @@
     if (!this.isReady) return
     const now = this.options.clock.now()
     const usable = this.usableWorkers(now)
+    const capBudgetOf = this.organisations.startRound()
     this.waits.check(this.registry.readySteps, step => {
       const route = findScheduledRoute(step.occurrence.job.job, name => this.routes.get(name))
-      return { route, workers: usable.get(route?.service ?? '') ?? [], holds: this.holds, now }
+      return { route, workers: usable.get(route?.service ?? '') ?? [], holds: this.holds, now, capBudget: capBudgetOf(step.occurrence.job.job) }
     })
   }
 
--- a/packages/cell/test/runtime/access.test.ts
+++ b/packages/cell/test/runtime/access.test.ts
@@ -111,7 +111,7 @@
     const size = { cpu: 1000, memory: 100, accelerators: 0 }
     const rig = await createSteadyRig({ organisations: [{ ...ACME, cap: { ...NO_LIMIT, cpu: 2000 } }, { ...ACME, name: 'other', keys: ['other-1'] }], behaviour: () => ({ duration: 300, ending: 'done', size }) })
     const admission = rig.nodes[0]!.access.admit({ host: 'h', path: '/1', credential: { kind: 'key', key: 'acme-1' } })
-    const { id } = await rig.submit(rig.nodes[0]!, [{ count: 20 }], 'r', admission.kind === 'admitted' ? admission.organisation : undefined)
+    const { id } = await rig.submit(rig.nodes[0]!, [{ count: 20 }], 'r', admission.kind === 'admitted' ? admission.organisation?.name : undefined)
     await rig.run(300)
     rig.configure(2, {}, [], [{ ...ACME, name: 'other', keys: ['other-1'] }])
     await rig.run(500)
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -198,9 +198,10 @@
   }
 
   /** Submits a job at a node, and advances the clock until the outcome is known. */
-  async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r', organisation?: Organisation): Promise<{ id: string, outcome: RequestOutcome }> {
+  async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r', organisation?: string): Promise<{ id: string, outcome: RequestOutcome }> {
     const id = (this.nextJob++).toString(16).padStart(16, '0')
-    const job = createJob(id, node.cell.configuration!.routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now(), organisation)
+    const { routes, organisations = [] } = node.cell.configuration!
+    const job = createJob(id, routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now(), organisations.find(({ name }) => name === organisation))
     const pending = node.cell.gateway.submit(job, this.clock.now() + 2000)
     let outcome: RequestOutcome | undefined
     pending.then(value => { outcome = value }, error => { throw error })
