Runs are stopped for more urgent steps that would start too late

Cause: in a full cell, gangs and urgent jobs waited for batches, which were served in full. Nothing was ever stopped for more urgent work.

Change: chooseCapacity in packages/policy decides, from plain data, whether tasks can wait for runs to end by themselves, and otherwise which runs to stop; the choice by cost is planPreemption's, which gained a weight for each lost ms. PreemptionRound describes the workers of one round to it and bounds it: only for jobs that can still be in time, lost work up to a multiple of the work that starts, stopped cores in flight, searches in a round, two preemptions of a task, no gangs and no lasting tasks as victims, no worker with a stop that is overdue. Runs for a gang are stopped when its tickets are about to arrive. The freed capacity is held for the step; the hold for gangs serves other steps too. A full cell's workers are now named in calls for advice of steps for which runs may be stopped.

Active if the configuration names organisations or overload.preemption is set.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -50,6 +50,7 @@
       address: settings.listen.linkAddress,
       retention: settings.bounds.finishedJobRetention,
       leaseMax: settings.bounds.leaseMax,
+      preempts: settings.overload?.preemption,
       connector: new TcpLinkConnector<DeciderMessage, FollowerMessage>(this.linkTraffic)
     })
     this.pauses = new PauseMonitor({ clock, log })
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -50,6 +50,8 @@
   retention: number
   /** Longest lease that workers accept, in ms. */
   leaseMax: number
+  /** Whether runs are stopped for more urgent work even if the configuration names no organisations; not by default. */
+  preempts?: boolean
   store: RecordStore
   workers: WorkerClient
   advisor: Advisor
@@ -183,7 +185,7 @@
   }
 
   private async decide (term: Term, version: number): Promise<void> {
-    const { store, workers, reader, clock, log, node, advisor, retention, leaseMax } = this.options
+    const { store, workers, reader, clock, log, node, advisor, retention, leaseMax, preempts = false } = this.options
     let resolveTermLost!: () => void
     const termLost = new Promise<void>(resolve => { resolveTermLost = resolve })
     const followers: Followers = new Followers({
@@ -225,7 +227,8 @@
       onTermLost: resolveTermLost,
       retention,
       lease: Math.min(LEASE_MS, leaseMax),
-      leaseMax
+      leaseMax,
+      preempts
     })
     this.decider = decider
     this.followers = followers
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -22,6 +22,8 @@
 import { findStartObstacle, isUsable } from './findStartObstacle.js'
 import { OrganisationTable } from '../organisations/OrganisationTable.js'
 import { planRound } from './planRound.js'
+import { PreemptionRound } from './PreemptionRound.js'
+import type { Preemption } from './PreemptionRound.js'
 import { rankSteps } from './rankSteps.js'
 import { runLogged } from './runLogged.js'
 import { JobArchiver } from './JobArchiver.js'
@@ -84,6 +86,8 @@
   lease: number
   /** Longest lease that workers accept, in ms. */
   leaseMax: number
+  /** Whether runs are stopped for more urgent work even if the configuration names no organisations. */
+  preempts: boolean
 }
 
 /** Decides which task runs on which worker, for as long as this node holds the term. */
@@ -115,6 +119,8 @@
   private readonly deletableRecords = new Set<string>()
   /** Capacity that the last round of planning holds for gangs. */
   private holds = new Map<StepState, GangHold>()
+  /** Number of runs stopped for more urgent work in this term, by priority and organisation of their jobs, as in `2 name`. */
+  readonly preemptions = new Map<string, number>()
   private readonly timers: Timer[] = []
   private isRoundScheduled = false
   /** Monotonic ms before which no round starts. */
@@ -335,12 +341,29 @@
     if (ranked.length === 0) return
     const usable = this.usableWorkers(now)
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
-    const plan = planRound(ranked, { workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
+    const preemption = this.startPreemption(now)
+    const plan = planRound(ranked, { preemption, workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
     this.holds = plan.holds
     this.lifecycle.place(plan.placements)
+    for (const preemption of plan.preemptions) this.preempt(preemption)
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
   }
 
+  /** @returns what finds runs to stop for more urgent work in one round, if that is enabled */
+  private startPreemption (now: number): PreemptionRound | undefined {
+    if (!this.options.preempts && (this.lastConfiguration?.organisations ?? []).length === 0) return undefined
+    const leastUrgent = Math.max(...[...this.routes.values()].map(route => route.priority))
+    return new PreemptionRound({ now, leastUrgent, routeOf: job => findScheduledRoute(job, name => this.routes.get(name)), workers: this.registry.workers.values() })
+  }
+
+  private preempt (preemption: Preemption): void {
+    this.lifecycle.preempt(preemption)
+    const { job } = preemption.victim.step.occurrence
+    const priority = this.routes.get(job.job.route)?.priority ?? 0
+    const key = `${priority} ${job.job.organisation ?? ''}`
+    this.preemptions.set(key, (this.preemptions.get(key) ?? 0) + 1)
+  }
+
   /** @returns the workers on which tasks may be placed, by service */
   private usableWorkers (now: number): Map<string, WorkerState[]> {
     const usable = new Map<string, WorkerState[]>()
--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -6,6 +6,7 @@
 import type { Registry } from './Registry.js'
 import { hasRemaining } from './Schedule.js'
 import type { Crash, JobState, Task, JobOccurrence, WorkerState } from './model.js'
+import type { Preemption } from './PreemptionRound.js'
 import type { Placement } from './planRound.js'
 
 /** Delay before a task whose start was refused is placed again. */
@@ -217,9 +218,18 @@
     this.options.log.write(CELL_EVENTS.stopOrdered, { task: task.name, run: task.run, worker: task.worker.report.id, reason })
     task.phase = 'stopping'
     task.stopConfirmedAt = 0
+    task.stopOrderedAt = this.options.clock.now()
     this.options.sendStop(task)
   }
 
+  /** Stops a run for more urgent work; its task continues from its checkpoint later. */
+  preempt ({ victim, beneficiary, loss }: Preemption): void {
+    if (victim.phase !== 'running') return
+    victim.preemptions++
+    this.options.log.write(CELL_EVENTS.runPreempted, { task: victim.name, run: victim.run, worker: victim.worker?.report.id, step: beneficiary.name, loss: Math.round(loss), preemptions: victim.preemptions })
+    this.stopRun(victim, 'preempted')
+  }
+
   private stopOrReset (task: Task, reason: string): void {
     if (task.phase === 'placed') this.resetToWaiting(task)
     else if (task.phase === 'ordered' || task.phase === 'running' || task.phase === 'assumed') this.stopRun(task, reason)
--- a/packages/cell/src/runtime/forecastReleases.ts
+++ b/packages/cell/src/runtime/forecastReleases.ts
@@ -28,8 +28,14 @@
   return releases.sort((a, b) => a.at - b.at)
 }
 
-/** Members of a gang end together, when the last one is done. */
-function expectedEnd (task: Task, now: number): number {
+/**
+ * Members of a gang end together, when the last one is done.
+ *
+ * @param task - a task that is assigned to a worker
+ * @param now - monotonic ms
+ * @returns monotonic ms at which the task's run is expected to end
+ */
+export function expectedEnd (task: Task, now: number): number {
   const { phase, step } = task
   if (phase === 'done' || phase === 'stopping') return now
   const projectedEndAt = step.definition.gang ? Math.max(...step.tasks.map(member => member.projectedEndAt)) : task.projectedEndAt
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -59,6 +59,10 @@
   confirmedAt: number
   /** Monotonic ms at which the order to stop was answered, or 0. */
   stopConfirmedAt: number
+  /** Monotonic ms at which the last run was ordered to stop, or 0. */
+  stopOrderedAt: number
+  /** Number of runs that this decider has stopped for more urgent work. */
+  preemptions: number
   /** Monotonic ms at which the run will end according to its progress, or 0 if that is not known. */
   projectedEndAt: number
   /** Monotonic ms before which the task is not placed again. */
@@ -102,6 +106,8 @@
   tickets: Map<string, ValidTicket>
   /** Ids of the workers that are named in calls to the advice service in flight. */
   askedWorkers: Set<string>
+  /** Monotonic ms at which the tickets that were last asked for are expected, or 0. */
+  ticketsExpectedAt: number
   /** Monotonic ms before which the advice service is not called again. */
   nextAdviceAt: number
   /** Monotonic ms before which a gang is not planned again, unless the advice service answers or runs on its workers end. */
--- a/packages/cell/src/runtime/planAdviceCalls.ts
+++ b/packages/cell/src/runtime/planAdviceCalls.ts
@@ -47,6 +47,12 @@
   return terms.base + terms.perWorker * WORKERS_PER_PARALLEL_CALL
 }
 
+/** @returns the workers in an order that differs between steps, so that steps that ask at the same time name different ones */
+export function spreadOver (slots: Slot[], step: StepState): Slot[] {
+  const stepHash = hashText(step.name)
+  return slots.map(slot => ({ slot, order: mixHashes(stepHash, hashText(slot.worker.report.id)) })).sort((a, b) => a.order - b.order).map(({ slot }) => slot)
+}
+
 /**
  * Sorts workers by the number of tasks that fit, what is held for gangs last. Workers with equal capacity are in a different order for each
  * step, since steps that ask at the same time would otherwise name the same workers, of which only the first answer can make use.
--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -1,3 +1,4 @@
+import { STOP_DURATION_MS } from '@rattanstep/policy'
 import type { AdviceTerms } from '../types/configuration.js'
 import { emptyTaskCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
@@ -74,7 +75,7 @@
     addPlacements(step, placements, context)
     return
   }
-  const gang = scheduleWithTickets(rankedStep, allowed, context)
+  const gang = preemptForGang(scheduleWithTickets(rankedStep, allowed, context), context)
   updateHold(gang, context)
   if (!plan.holds.has(step)) step.nextPlanAt = Math.max(step.nextPlanAt, now + replanInterval(step, UNHELD_REPLAN_RATIO))
   if (route.advice !== undefined && step.askedWorkers.size === 0 && step.nextAdviceAt <= now) askForTickets(gang, route.advice, context)
@@ -102,6 +103,25 @@
   return { ...gang, schedule: scheduleGang(step, asked, { now }) ?? scheduleGang(step, allowed, { now }), hasTickets: false }
 }
 
+/** If a gang would start too late, schedules it on workers on which runs are stopped so that these end when its tickets arrive. */
+function preemptForGang (gang: GangState, { now, preemption }: RoundContext): GangState {
+  const { rankedStep, schedule, allowed } = gang
+  const { step, route } = rankedStep
+  if (preemption?.mayHelp(rankedStep) !== true) return gang
+  const count = step.tasks.length
+  if (schedule !== undefined && schedule.startAt <= Math.max(preemption.latestStart(rankedStep), now + START_TOLERANCE_MS)) return gang
+  const find = (slots: Slot[], earliest: number): GangSchedule | undefined => preemption.findCapacity(rankedStep, slots, { count, earliest })
+  if (route.advice === undefined) return { ...gang, schedule: find(allowed, now) ?? schedule }
+  const stoppedAt = now + STOP_DURATION_MS
+  const ticketed = allowed.filter(slot => hasTicket(step, slot, stoppedAt))
+  const withTickets = ticketed.length === 0 ? undefined : find(ticketed, now)
+  if (withTickets !== undefined) return { ...gang, schedule: withTickets, hasTickets: true }
+  if (step.askedWorkers.size === 0) return { ...gang, schedule: find(allowed, now + ticketDelay(route.advice)) ?? schedule, hasTickets: false }
+  const expectedAt = Math.max(now, step.ticketsExpectedAt)
+  step.nextPlanAt = Math.min(step.nextPlanAt, Math.max(now, expectedAt - STOP_DURATION_MS))
+  return { ...gang, schedule: find(allowed.filter(slot => step.askedWorkers.has(slot.worker.report.id) || ticketed.includes(slot)), expectedAt) ?? schedule }
+}
+
 function ticketDelay (terms: AdviceTerms): number {
   return expectedCallDuration(terms) + CALL_OVERHEAD_MS
 }
@@ -134,7 +154,10 @@
   const scheduled = schedule !== undefined && !hasTickets && schedule.startAt <= ticketsAt ? [...schedule.shares.map(({ slot }) => slot), ...selectSpares(gang, now)] : []
   const named = [...scheduled, ...selectUnknown(gang, { isLate, isCheap: adviceRound.isMostlyIdle, allowedShare: allowedShare(route.name), start: { now, priority: route.priority } })]
   if (named.length === 0 && isLate) reviewRejections(rankedStep.step, { now, isUrgent: schedule === undefined, adviceRound })
-  if (named.length > 0) plan.adviceRequests.push(...planAdviceCalls(rankedStep, terms, maxNamed => named.slice(0, maxNamed), adviceRound))
+  if (named.length === 0) return
+  const requests = planAdviceCalls(rankedStep, terms, maxNamed => named.slice(0, maxNamed), adviceRound)
+  rankedStep.step.ticketsExpectedAt = now + CALL_OVERHEAD_MS + Math.max(0, ...requests.map(({ cost }) => cost))
+  plan.adviceRequests.push(...requests)
 }
 
 /** Selects allowed workers beyond the scheduled ones that are expected to be free next. */
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -2,21 +2,25 @@
 import type { AdviceTerms, ScheduledRoute } from '../types/configuration.js'
 import type { Job } from '../types/job.js'
 import type { AdviceRound } from './AdviceScheduler.js'
-import { CapacitySnapshot, reserveCapacity, taskCapacity } from './CapacitySnapshot.js'
+import { CapacitySnapshot, emptyTaskCapacity, reserveCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { hasTicket, isAllowed, isEligible, placeTasks } from './placeTasks.js'
-import { MAX_NONE_ALLOWED_RISK, planAdviceCalls, sortByCapacity } from './planAdviceCalls.js'
+import { MAX_NONE_ALLOWED_RISK, planAdviceCalls, sortByCapacity, spreadOver } from './planAdviceCalls.js'
 import { planGang } from './planGang.js'
 import { planSuspect, restoreReservation, SHARED_PATIENCE_MS } from './planSuspect.js'
 import { reviewRejections } from './reviewRejections.js'
+import type { Preemption, PreemptionRound } from './PreemptionRound.js'
 import type { RankedStep } from './rankSteps.js'
-import { holdSchedule } from './scheduleGang.js'
+import { holdSchedule, releaseHold } from './scheduleGang.js'
 import { suspectsOf, updateClearance } from './Suspicion.js'
 
 /** Assumed share of workers that the advice service allows, before the first answer for a route. */
 const DEFAULT_ALLOWED_SHARE = 0.5
 
+/** Ratio of the tasks that fit on the full workers that a step is asked about, were they empty, to the tasks that lack a worker. */
+const CONTENDED_RATIO = 12
+
 /** Maximum time for which the other tasks of a job wait for a suspect that can't be placed. */
 const MAX_HELD_BACK_MS = SHARED_PATIENCE_MS + 500
 
@@ -45,6 +49,8 @@
   adviceRequests: AdviceRequest[]
   /** Capacity that is held for gangs until the next round. */
   holds: Map<StepState, GangHold>
+  /** Runs to stop for more urgent steps. */
+  preemptions: Preemption[]
 }
 
 /** Input of a round of planning. */
@@ -63,6 +69,8 @@
   priorityOf?: (route: string) => number
   /** Returns what is left of the cap of a job's organisation, or `undefined` without a cap. */
   capBudgetOf?: (job: Job) => CapBudget | undefined
+  /** Stops runs for more urgent steps; absent to let all runs end. */
+  preemption?: PreemptionRound
 }
 
 /** What the steps of one service share in a round of planning. */
@@ -84,6 +92,7 @@
   reserved: Map<JobState, Slot>
   /** Jobs of which the round starts a suspect. */
   plannedSuspects: Set<JobState>
+  preemption?: PreemptionRound
 }
 
 /**
@@ -94,9 +103,9 @@
  * @param options - workers, time and nodes for the round
  * @returns placements, calls to the advice service, and capacity that is held for gangs
  */
-export function planRound (ranked: RankedStep[], { workersOf, now, adviceRound, allowedShare, holds = new Map(), priorityOf = () => 0, capBudgetOf = () => undefined }: PlanOptions): RoundPlan {
-  const plan: RoundPlan = { placements: [], adviceRequests: [], holds: new Map() }
-  const shared = { plan, now, allowedShare: (route: string) => allowedShare?.(route) ?? DEFAULT_ALLOWED_SHARE, adviceRound, servicesWithLongHold: new Set<string>(), priorityOf, capBudgetOf, plannedSuspects: new Set<JobState>() }
+export function planRound (ranked: RankedStep[], { workersOf, now, adviceRound, allowedShare, holds = new Map(), priorityOf = () => 0, capBudgetOf = () => undefined, preemption }: PlanOptions): RoundPlan {
+  const plan: RoundPlan = { placements: [], adviceRequests: [], holds: new Map(), preemptions: [] }
+  const shared = { plan, now, allowedShare: (route: string) => allowedShare?.(route) ?? DEFAULT_ALLOWED_SHARE, adviceRound, servicesWithLongHold: new Set<string>(), priorityOf, capBudgetOf, plannedSuspects: new Set<JobState>(), preemption }
   const contexts = new Map<string, RoundContext>()
   const contextOf = (service: string): RoundContext => {
     let context = contexts.get(service)
@@ -114,6 +123,7 @@
     if (suspects.length > 0) planSuspectedJob(rankedStep, suspects, context)
     else if (canProgress(rankedStep, context)) planStep(rankedStep, context)
   }
+  plan.preemptions = preemption?.preemptions ?? []
   return plan
 }
 
@@ -156,9 +166,10 @@
 }
 
 /** Cheap check that, when many steps wait, excludes most of those for which the round can do nothing. */
-function canProgress ({ step, route, lateness }: RankedStep, { capacity, adviceRound, now, plan, servicesWithLongHold }: RoundContext): boolean {
+function canProgress (rankedStep: RankedStep, { capacity, adviceRound, now, plan, servicesWithLongHold, preemption }: RoundContext): boolean {
+  const { step, route, lateness } = rankedStep
   const mayHold = step.definition.gang && lateness < 2 && (route.advice !== undefined || plan.holds.has(step) || !servicesWithLongHold.has(route.service))
-  if (!mayHold && !capacity.mayFit(step.definition)) return false
+  if (!mayHold && !capacity.mayFit(step.definition) && preemption?.mayHelp(rankedStep) !== true) return false
   if (route.advice === undefined || step.allowedWorkers.size + step.rejectedWorkers.size > 0) return true
   return step.askedWorkers.size === 0 && step.nextAdviceAt <= now && adviceRound.canAssign(route.advice)
 }
@@ -178,21 +189,48 @@
   const placements = placeTasks(waiting, usable, step, { now, priority: route.priority })
   addPlacements(step, placements, context)
   const missing = waiting.length - placements.length
+  if (missing > 0) holdCapacity(rankedStep, missing, route.advice === undefined ? eligible : eligible.filter(slot => isAllowed(slot, step)), context)
   if (missing === 0 || route.advice === undefined) return
-  if (step.askedWorkers.size > 0 || step.nextAdviceAt > now || !adviceRound.canAssign(route.advice)) return reserveForPendingAdvice(missing, eligible, step)
+  if (step.askedWorkers.size > 0 || step.nextAdviceAt > now || !adviceRound.canAssign(route.advice)) return reserveForPendingAdvice(missing, eligible, step, context.plan.holds)
   askAboutWorkers(rankedStep, route.advice, { missing, eligible }, context)
 }
 
+/** Holds capacity for the tasks of a step that don't fit now and should start soon, and stops runs for them if necessary. */
+function holdCapacity (rankedStep: RankedStep, missing: number, slots: Slot[], { capacity, plan, now, preemption }: RoundContext): void {
+  const { step, route } = rankedStep
+  if (preemption === undefined) return
+  releaseHold(step, capacity.slots)
+  plan.holds.delete(step)
+  for (let count = missing; count > 0 && preemption.mayHelp(rankedStep); count = Math.floor(count / 2)) {
+    const schedule = preemption.findCapacity(rankedStep, slots, { count, earliest: now })
+    if (schedule === undefined) continue
+    plan.holds.set(step, holdSchedule(step, schedule, { priority: route.priority, now }))
+    return
+  }
+}
+
 /** Plans a call to the advice service for the tasks of a step that are not placed. */
-function askAboutWorkers (rankedStep: RankedStep, terms: AdviceTerms, { missing, eligible }: { missing: number, eligible: Slot[] }, { now, plan, adviceRound, allowedShare }: RoundContext): void {
+function askAboutWorkers (rankedStep: RankedStep, terms: AdviceTerms, { missing, eligible }: { missing: number, eligible: Slot[] }, { now, plan, adviceRound, allowedShare, preemption }: RoundContext): void {
   const { step, route } = rankedStep
   const start = { now, priority: route.priority }
-  const candidates = eligible.filter(slot => taskCapacity(slot, step, start) > 0 && !hasTicket(step, slot, now))
+  const share = allowedShare(route.name)
+  const fitting = eligible.filter(slot => taskCapacity(slot, step, start) > 0 && !hasTicket(step, slot, now))
+  const candidates = fitting.length === 0 && preemption?.mayHelp(rankedStep) === true ? selectContended(eligible, step, { missing, share }) : fitting
   if (candidates.length === 0) return reviewRejections(step, { now, isUrgent: !eligible.some(slot => isAllowed(slot, step)), adviceRound })
   const allowed = candidates.filter(slot => isAllowed(slot, step))
   const unknown = candidates.filter(slot => !isAllowed(slot, step))
-  plan.adviceRequests.push(...planAdviceCalls(rankedStep, terms, maxNamed => selectWorkers(allowed, unknown, { step, start, missing, allowedShare: allowedShare(route.name), maxNamed }), adviceRound))
-  reserveForPendingAdvice(missing, allowed, step)
+  plan.adviceRequests.push(...planAdviceCalls(rankedStep, terms, maxNamed => selectWorkers(allowed, unknown, { step, start, missing, allowedShare: share, maxNamed }), adviceRound))
+  reserveForPendingAdvice(missing, allowed, step, plan.holds)
+}
+
+/** Selects full workers to ask about, on which runs could be stopped for a step, unless enough such workers are known. */
+function selectContended (eligible: Slot[], step: StepState, { missing, share }: { missing: number, share: number }): Slot[] {
+  const sum = (slots: Slot[]): number => slots.reduce((total, slot) => total + emptyTaskCapacity(slot, step), 0)
+  const wanted = CONTENDED_RATIO * missing
+  if (sum(eligible.filter(slot => isAllowed(slot, step))) >= wanted) return []
+  const unknown = eligible.filter(slot => !isAllowed(slot, step) && emptyTaskCapacity(slot, step) > 0)
+  const each = sum(unknown) / Math.max(1, unknown.length)
+  return spreadOver(unknown, step).slice(0, Math.ceil(wanted / Math.max(1e-9, share * each)))
 }
 
 interface Selection {
@@ -223,7 +261,8 @@
 }
 
 /** Reserves capacity on allowed workers for a step while a call for its tickets is in flight or planned. */
-function reserveForPendingAdvice (missing: number, eligible: Slot[], step: StepState): void {
+function reserveForPendingAdvice (missing: number, eligible: Slot[], step: StepState, holds: RoundPlan['holds']): void {
+  if (holds.has(step)) return
   let remaining = missing
   for (const slot of eligible) {
     if (remaining <= 0) return
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -61,7 +61,7 @@
  * @param perStep - ms to add for each step
  * @returns estimated duration in ms of the longest chain of steps that depend on each other
  */
-function chainLength (steps: StepState['definition'][], from: number, perStep = 0): number {
+export function chainLength (steps: StepState['definition'][], from: number, perStep = 0): number {
   const lengths: number[] = []
   let longest = 0
   for (let index = from; index < steps.length; index++) {
--- a/packages/cell/src/runtime/resolveSettings.ts
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -43,6 +43,7 @@
       leaseMax: read.duration('bounds', 'leaseMax'),
       finishedJobRetention: read.duration('bounds', 'finishedJobRetention')
     },
+    overload: { preemption: read.flagOr(false, 'overload', 'preemption') },
     logLevel: read.level('logLevel')
   }
   return findings.length > 0 ? Err(findings) : Ok(settings)
@@ -87,6 +88,12 @@
     return this.addFinding(path, value, 'a number of at least 0', 0)
   }
 
+  flagOr (fallback: boolean, ...path: string[]): boolean {
+    const value = this.document.getIn(path)
+    if (value === undefined || value === null) return fallback
+    return typeof value === 'boolean' ? value : this.addFinding(path, value, 'true or false', fallback)
+  }
+
   /** @returns ms */
   duration (...path: string[]): number {
     const value = this.document.getIn(path)
--- a/packages/cell/src/types/settings.ts
+++ b/packages/cell/src/types/settings.ts
@@ -24,5 +24,9 @@
     leaseMax: number
     finishedJobRetention: number
   }
+  overload?: {
+    /** Whether runs are stopped for more urgent work even if the configuration names no organisations. */
+    preemption: boolean
+  }
   logLevel: 'debug' | 'info' | 'warn' | 'error'
 }
--- a/packages/cell/test/bench/loads.ts
+++ b/packages/cell/test/bench/loads.ts
@@ -55,3 +55,36 @@
   ...GANGS_ON_LARGE_WORKERS,
   bursts: [{ kind: 2, from: 5000, until: 11_000, factor: 2.4 }, { kind: 0, from: 12_000, until: 15_000, factor: 1.7 }, { kind: 1, from: 20_000, until: 24_000, factor: 1.9 }]
 }
+
+/** Urgent jobs, gangs and batches, of which four fifths write checkpoints, on large workers; each kind arrives at a multiple of its rate for a while. */
+export const FULL_CELL_OF_LARGE_WORKERS: Load = {
+  nodes: 63,
+  workers: 246,
+  capacity: { cpu: 64_000, memory: 262_144 },
+  speeds: [0.8, 1, 1.25],
+  duration: 45_000,
+  kinds: [
+    { route: { ...route, name: 'urgent', priority: 0, stretch: 1.5, latencyObjective: 251, advice: { base: 11.7, perWorker: 0.169, validity: 1500 } }, allowedShare: 0.7, rate: 72.2, width: [3.2, 19], cpu: [9900, 30_000], memory: 10_000, duration: 640, gangShare: 0.33, steps: 1, worth: 0.41 },
+    { route: { ...route, name: 'gang', priority: 1, stretch: 2.2, latencyObjective: 1001, advice: { base: 559, perWorker: 8.06, validity: 1500 } }, allowedShare: 0.25, rate: 2.5, width: [20, 120], cpu: [18_000, 30_000], memory: 18_000, duration: 5000, gangShare: 1, steps: 1.2, worth: 10.8 },
+    { route: { ...route, name: 'batch', priority: 2, stretch: 4, latencyObjective: 3001, advice: { base: 104, perWorker: 1.43, validity: 1500 } }, allowedShare: 0.45, rate: 7.18, width: [25, 150], cpu: [6900, 21_000], memory: 13_000, duration: 3400, gangShare: 0, steps: 1.5, worth: 2.61, checkpointShare: 0.8 }
+  ],
+  bursts: [{ kind: 2, from: 8000, until: 12_500, factor: 2.2 }, { kind: 0, from: 18_000, until: 22_500, factor: 2.2 }, { kind: 1, from: 28_000, until: 32_500, factor: 1.6 }]
+}
+
+/** The same kinds on workers of a quarter of the size. */
+export const FULL_CELL_OF_SMALL_WORKERS: Load = {
+  nodes: 63,
+  workers: 170,
+  capacity: { cpu: 16_000, memory: 32_768 },
+  speeds: [0.8, 1, 1.25],
+  duration: 45_000,
+  kinds: [
+    { route: { ...route, name: 'urgent', priority: 0, stretch: 1.5, latencyObjective: 251, advice: { base: 11.7, perWorker: 0.169, validity: 1500 } }, allowedShare: 0.7, rate: 84.6, width: [3, 19], cpu: [2500, 8000], memory: 1500, duration: 540, gangShare: 0.33, steps: 1, worth: 0.41 },
+    { route: { ...route, name: 'gang', priority: 1, stretch: 2.2, latencyObjective: 1001, advice: { base: 630, perWorker: 9, validity: 1500 } }, allowedShare: 0.25, rate: 2.32, width: [20, 120], cpu: [4500, 7600], memory: 4500, duration: 5300, gangShare: 1, steps: 1.2, worth: 10.8 },
+    { route: { ...route, name: 'batch', priority: 2, stretch: 4, latencyObjective: 3001, advice: { base: 182, perWorker: 2.6, validity: 1500 } }, allowedShare: 0.45, rate: 4.85, width: [25, 150], cpu: [1700, 5500], memory: 1600, duration: 2900, gangShare: 0, steps: 1.5, worth: 2.61, checkpointShare: 0.8 }
+  ],
+  bursts: [{ kind: 2, from: 8000, until: 12_500, factor: 2.2 }, { kind: 0, from: 18_000, until: 22_500, factor: 2.2 }, { kind: 1, from: 28_000, until: 32_500, factor: 1.6 }]
+}
+
+/** The large workers after the loss of a fifth of them: more is asked for than fits for most of the time. */
+export const TOO_FEW_LARGE_WORKERS: Load = { ...FULL_CELL_OF_LARGE_WORKERS, workers: 197 }
--- a/packages/cell/test/bench/measureLoads.ts
+++ b/packages/cell/test/bench/measureLoads.ts
@@ -1,14 +1,18 @@
 import * as loads from './loads.js'
 import { simulateLoad } from './simulateLoad.js'
 
-/** Number of seeds that each load is played with. */
+/** Number of seeds that each load is played with, part of the names of the loads to play, and whether runs are stopped for more urgent work. */
 const SEEDS = Number(process.argv[2] ?? 3)
+const NAME = process.argv[3] ?? ''
+const PREEMPTS = process.argv[4] === 'preempts'
 
 for (const [name, load] of Object.entries(loads)) {
+  if (!name.includes(NAME)) continue
   for (let seed = 1; seed <= SEEDS; seed++) {
-    const results = simulateLoad(load, seed)
+    const results = simulateLoad(load, seed, { preempts: PREEMPTS })
     const owed = results.map((result, index) => result.jobs * load.kinds[index]!.worth)
     const total = results.reduce((sum, result, index) => sum + result.worth * owed[index]!, 0) / owed.reduce((sum, each) => sum + each, 0)
-    console.log(`${name} seed ${seed}: ${total.toFixed(3)}  ${results.map(({ name: kind, jobs, inTime, late, failed, worth, largest, large }) => `${kind} ${worth.toFixed(2)} (${inTime}/${late}/${failed} of ${jobs}, largest tenth ${largest.toFixed(2)}, next fifth ${large.toFixed(2)})`).join('; ')}`)
+    const stops = results.some(result => result.stops > 0) ? `; stopped ${results.map(({ stops, lost }) => `${stops} (${lost.toFixed(0)} core-s)`).join(', ')}` : ''
+    console.log(`${name} seed ${seed}: ${total.toFixed(3)}  ${results.map(({ name: kind, jobs, inTime, late, failed, worth, largest, large }) => `${kind} ${worth.toFixed(2)} (${inTime}/${late}/${failed} of ${jobs}, largest tenth ${largest.toFixed(2)}, next fifth ${large.toFixed(2)})`).join('; ')}${stops}`)
   }
 }
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -4,6 +4,7 @@
 import { Registry } from '../../src/runtime/Registry.js'
 import { hashFraction } from '../../src/runtime/hashText.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from '../../src/runtime/model.js'
+import { PreemptionRound } from '../../src/runtime/PreemptionRound.js'
 import { planRound } from '../../src/runtime/planRound.js'
 import { objectiveSpan, rankSteps } from '../../src/runtime/rankSteps.js'
 import type { Route } from '../../src/index.js'
@@ -30,6 +31,8 @@
   steps: number
   /** Worth of a job of mean size that ends within its objective; a late one is worth a fifth. */
   worth: number
+  /** Share of the steps whose tasks write checkpoints; none by default. */
+  checkpointShare?: number
 }
 
 /** A load on a cell. */
@@ -41,6 +44,8 @@
   capacity: { cpu: number, memory: number }
   /** ms in which jobs arrive; jobs that have not ended three times as late as they should count as failed. */
   duration: number
+  /** Speeds of the workers, in turn; `SPEEDS` by default. */
+  speeds?: number[]
   /** Periods in which a kind arrives at a multiple of its rate. */
   bursts: Array<{ kind: number, from: number, until: number, factor: number }>
 }
@@ -57,6 +62,9 @@
   /** Worth earned / worth owed of the largest tenth of the jobs and of the fifth below it. */
   largest: number
   large: number
+  /** Number of runs that were stopped for more urgent work, and the core-seconds that these stops cost. */
+  stops: number
+  lost: number
 }
 
 /** Time from a placement to the start of the run, from its end to the next round, and between rounds, in ms. */
@@ -71,6 +79,9 @@
 const SPREAD = 0.7
 /** How far declared durations are off. */
 const ESTIMATE_ERROR = 0.2
+/** Time from an order to stop until the run's end is known, and time that a run takes to restore a checkpoint: least and most, in ms. */
+const STOP_MS = [60, 230] as const
+const RESTORE_MS = [100, 600] as const
 /** Speeds of the workers, in turn. */
 const SPEEDS = [0.8, 1, 1.25]
 
@@ -87,14 +98,24 @@
   endedAt: number
 }
 
+/** A run in the simulation. */
+interface SimulatedRun {
+  run: number
+  beganAt: number
+  endsAt: number
+  /** Share of the task that was done when the run began. */
+  done: number
+}
+
 /**
  * Plays a load against the cell's planning, without processes, links or store.
  *
  * @param load - the load
  * @param seed - seed of the jobs
+ * @param options - `preempts`: whether runs are stopped for more urgent work
  * @returns what the callers of each kind got
  */
-export function simulateLoad (load: Load, seed: number): KindResult[] {
+export function simulateLoad (load: Load, seed: number, { preempts = false }: { preempts?: boolean } = {}): KindResult[] {
   const random = new SeededRandom(seed)
   const registry = new Registry()
   const scheduler = new AdviceScheduler()
@@ -130,10 +151,44 @@
     requestRound()
   }
   const outcomeOf = new Map<string, Outcome>()
+  const runs = new Map<Task, SimulatedRun>()
+  const doneBefore = new Map<Task, number>()
+  const durations = new Map<Task, number>()
+  const stopped = load.kinds.map(() => ({ stops: 0, lost: 0 }))
+  const speeds = load.speeds ?? SPEEDS
+  const speedOf = (worker: WorkerState): number => speeds[Number(worker.report.id.slice(1)) % speeds.length]!
+  const leastUrgent = Math.max(...load.kinds.map(({ route }) => route.priority))
+  const stopRun = (task: Task): void => {
+    task.phase = 'stopping'
+    task.stopOrderedAt = now
+    task.preemptions++
+    const run = runs.get(task)!
+    const stopAt = now + STOP_MS[0] + random.next() * (STOP_MS[1] - STOP_MS[0])
+    if (run.endsAt <= stopAt) return
+    events.add(stopAt, () => {
+      const { definition, occurrence } = task.step
+      const done = run.done + (1 - run.done) * Math.max(0, (now - run.beganAt) / (run.endsAt - run.beganAt))
+      const restore = RESTORE_MS[0] + random.next() * (RESTORE_MS[1] - RESTORE_MS[0])
+      const lostTime = definition.checkpoints ? restore : now - run.beganAt
+      const kind = stopped[outcomeOf.get(occurrence.job.job.id)!.kind]!
+      kind.stops++
+      kind.lost += lostTime * definition.size.cpu / 1e6
+      runs.delete(task)
+      if (definition.checkpoints) doneBefore.set(task, Math.max(0, done - restore / durations.get(task)!))
+      registry.release(task)
+      task.phase = 'waiting'
+      task.confirmedAt = 0
+      task.projectedEndAt = 0
+      registry.updateReadySteps(occurrence)
+      requestRound()
+    })
+  }
   function plan (): void {
     const ranked = rankSteps(registry.readySteps, { routeOf: name => routes.get(name), now })
-    const result = planRound(ranked, { workersOf: () => workers, now, adviceRound: scheduler.startRound(nodes, now), allowedShare: route => scheduler.allowedShare(route), holds })
+    const preemption = preempts ? new PreemptionRound({ now, routeOf: job => routes.get(job.route), workers, leastUrgent }) : undefined
+    const result = planRound(ranked, { workersOf: () => workers, now, adviceRound: scheduler.startRound(nodes, now), allowedShare: route => scheduler.allowedShare(route), holds, preemption })
     holds = result.holds
+    for (const { victim } of result.preemptions) stopRun(victim)
     // The members of a gang end together, when the slowest one ends.
     const gangSpeeds = new Map<StepState, number>()
     for (const { task: { step }, worker } of result.placements) if (step.definition.gang) gangSpeeds.set(step, Math.min(speedOf(worker), gangSpeeds.get(step) ?? Infinity))
@@ -144,9 +199,14 @@
       registry.assign(task, worker)
       registry.updateReadySteps(task.step.occurrence)
       const outcome = outcomeOf.get(task.step.occurrence.job.job.id)!
-      const endsAt = now + START_MS + durationOf(task.step, gangSpeeds.get(task.step) ?? speedOf(worker), random) + END_MS
-      events.add(endsAt, () => { endTask(task, outcome) })
-      if (endsAt > now + PROGRESS_MS) events.add(now + PROGRESS_MS, () => { task.projectedEndAt = endsAt })
+      const { run } = task
+      const done = doneBefore.get(task) ?? 0
+      const duration = durationOf(task.step, gangSpeeds.get(task.step) ?? speedOf(worker), random)
+      durations.set(task, duration)
+      const endsAt = now + START_MS + (1 - done) * duration + END_MS
+      runs.set(task, { run, beganAt: now + START_MS, endsAt, done })
+      events.add(endsAt, () => { if (runs.get(task)?.run === run) endTask(task, outcome) })
+      if (endsAt > now + PROGRESS_MS) events.add(now + PROGRESS_MS, () => { if (runs.get(task)?.run === run) task.projectedEndAt = endsAt })
     }
     for (const { step, route, workers: named, node, cost } of result.adviceRequests) {
       scheduler.callSent(node, cost, now)
@@ -187,7 +247,7 @@
     now = event.at
     event.run()
   }
-  return load.kinds.map((kind, index) => evaluate(kind, outcomes.filter(outcome => outcome.kind === index)))
+  return load.kinds.map((kind, index) => ({ ...evaluate(kind, outcomes.filter(outcome => outcome.kind === index)), ...stopped[index]! }))
 }
 
 function outcomesSpan (load: Load): number[] {
@@ -202,6 +262,7 @@
     size: { cpu: Math.round(drawAround(kind.cpu[0], kind.cpu[1], random)), memory: kind.memory, accelerators: 0 },
     estimate: Math.round(kind.duration * (0.5 + random.next())),
     after: index === 0 ? [] : [index - 1],
+    checkpoints: kind.checkpointShare !== undefined && random.next() < kind.checkpointShare,
     gang
   }))
   return { id, route: kind.route.name, spec: '', acceptedAt: 0, steps }
@@ -218,17 +279,13 @@
   return step.definition.estimate * (1 - ESTIMATE_ERROR + 2 * ESTIMATE_ERROR * offset) / speed
 }
 
-function speedOf (worker: WorkerState): number {
-  return SPEEDS[Number(worker.report.id.slice(1)) % SPEEDS.length]!
-}
-
 function isAllowedFor (step: StepState, worker: string, share: number): boolean {
   let hash = 0x811c9dc5
   for (const character of `${step.name} ${worker}`) hash = Math.imul(hash ^ character.charCodeAt(0), 0x01000193)
   return ((hash ^ (hash >>> 13)) >>> 0) % 1000 < share * 1000
 }
 
-function evaluate (kind: JobKind, outcomes: Outcome[]): KindResult {
+function evaluate (kind: JobKind, outcomes: Outcome[]): Omit<KindResult, 'stops' | 'lost'> {
   const meanWork = outcomes.reduce((sum, outcome) => sum + outcome.work, 0) / Math.max(1, outcomes.length)
   const worthOf = (outcome: Outcome): number => Math.min(4, 0.3 + 0.7 * outcome.work / meanWork)
   const earned = (outcome: Outcome): number => {
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -35,6 +35,8 @@
 
 /** Options of a rig. */
 export interface RigOptions {
+  /** Whether runs are stopped for more urgent work. */
+  preempts?: boolean
   nodes?: number
   workers?: number
   /** Capacity of each worker in thousandths of a core. */
@@ -117,6 +119,7 @@
       address,
       retention: 120_000,
       leaseMax: 10_000,
+      preempts: this.options.preempts ?? false,
       store,
       workers,
       advisor,
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -42,6 +42,8 @@
   /** Whether all members of the gang have been present. */
   isGangComplete: boolean
   crashesAt?: number
+  /** Share of the task that was done when the run began. */
+  done: number
 }
 
 /** Violation of a guarantee of the cell by an order. */
@@ -64,6 +66,8 @@
   size: Size
   /** Time in ms after the start at which the run crashes its worker. */
   crashAfter?: number
+  /** Whether a stopped run leaves a checkpoint, from which the next one continues. */
+  checkpoints?: boolean
   /** Number of members of the task's gang, which work only together. */
   gang?: number
 }
@@ -120,7 +124,8 @@
     if (this.isCutOffByStart) this.isCutOff = true
     this.fleet.recordStart(order.task, this)
     const { duration, size, crashAfter, gang } = behaviour
-    this.running.set(order.task, { task: order.task, run: order.run, startedAt: this.now, endsAt: this.now + duration, duration, size, isStopping: false, isGangComplete: false, ...(gang === undefined ? {} : { gang }), ...(crashAfter === undefined ? {} : { crashesAt: this.now + crashAfter }) })
+    const done = Number(order.checkpoint)
+    this.running.set(order.task, { task: order.task, run: order.run, startedAt: this.now, endsAt: this.now + (1 - done) * duration, duration, done, size, isStopping: false, isGangComplete: false, ...(gang === undefined ? {} : { gang }), ...(crashAfter === undefined ? {} : { crashesAt: this.now + crashAfter }) })
     this.fleet.checkCapacity(order.task, this)
     return { kind: 'taken', clock: this.now }
   }
@@ -132,6 +137,7 @@
     const present = this.running.get(task)
     if (present?.run === run && !present.isStopping) {
       present.isStopping = true
+      present.done = 1 - (present.endsAt - this.now) / present.duration
       present.endsAt = this.now + STOP_MS
     }
     return { kind: 'taken', clock: this.now }
@@ -252,7 +258,7 @@
   private finish (run: Run, ending: RunEnding): void {
     this.running.delete(run.task)
     this.highestClosedRun.set(run.task, Math.max(run.run, this.highestClosedRun.get(run.task) ?? 0))
-    this.ended.push({ number: this.nextEnd++, task: run.task, run: run.run, ending, checkpoint: '' })
+    this.ended.push({ number: this.nextEnd++, task: run.task, run: run.run, ending, checkpoint: ending === 'stopped' && this.fleet.behaviour(run.task).checkpoints === true ? run.done.toFixed(3) : '' })
     if (ending === 'done') this.fleet.done.add(run.task)
   }
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,8 @@
 export { Admission } from './runtime/Admission.js'
 export { Backoff } from './runtime/Backoff.js'
 export { CapBudget, fitsUnderCap } from './runtime/CapBudget.js'
+export { chooseCapacity, MAX_PREEMPTIONS, STOP_DURATION_MS } from './runtime/chooseCapacity.js'
+export type { CapacityChoice, CapacityRequest, ContendedWorker, ExpectedRelease, PreemptibleRun } from './runtime/chooseCapacity.js'
 export { chooseOwner } from './runtime/chooseOwner.js'
 export type { OwnerChoice, OwnerOptions, OwnerCandidate } from './runtime/chooseOwner.js'
 export type { PreemptionDemand } from './runtime/findPreemptionDemand.js'
--- a/packages/policy/src/runtime/planPreemption.ts
+++ b/packages/policy/src/runtime/planPreemption.ts
@@ -29,6 +29,8 @@
   checkpointTime: number
   /** Work in ms that a stop would lose. */
   lost: number
+  /** Cost of each ms that is lost; 1 by default. */
+  weight?: number
 }
 
 /** A worker with its free resources and the tasks that it runs. */
@@ -162,12 +164,12 @@
 }
 
 function strongestStep (worker: string, task: RunningTask, kinds: StepKind[], stepTimeout: number): CostedStep | null {
-  const { id, priority, resources } = task
+  const { id, priority, resources, weight = 1 } = task
   const checkpointInTime = task.checkpoints && task.checkpointTime * CHECKPOINT_SLACK <= stepTimeout
   if (kinds.includes('checkpoint') && checkpointInTime) {
-    return { kind: 'checkpoint', task: id, worker, priority, freed: resources, cost: task.checkpointTime }
+    return { kind: 'checkpoint', task: id, worker, priority, freed: resources, cost: weight * task.checkpointTime }
   }
-  if (kinds.includes('stop')) return { kind: 'stop', task: id, worker, priority, freed: resources, cost: task.lost }
+  if (kinds.includes('stop')) return { kind: 'stop', task: id, worker, priority, freed: resources, cost: weight * task.lost }
   if (kinds.includes('throttle') && task.speed > THROTTLED_SPEED) {
     const cores = resources.cores * (task.speed - THROTTLED_SPEED)
     return { kind: 'throttle', task: id, worker, priority, freed: { ...NO_RESOURCES, cores }, cost: 0 }
