--- a/packages/cell/test/runtime/callerServer.test.ts
+++ b/packages/cell/test/runtime/callerServer.test.ts
@@ -10,8 +10,15 @@
 import { CallerCodec, CallerServer } from '../../src/index.js'
 import type { Configuration, Credential, Gateway, JobSubmission } from '../../src/index.js'
 
-/** Time in which a loopback connection carries a message with certainty. */
-const WAIT_MS = 100
+/** Time for which a connection is watched for an answer that must not come. */
+const SILENCE_MS = 100
+/** Time limit for an answer that must come. */
+const LIMIT_MS = 10_000
+
+async function waitUntil (isMet: () => boolean, limit: number): Promise<void> {
+  const end = performance.now() + limit
+  while (!isMet() && performance.now() < end) await sleep(5)
+}
 
 /** Takes the whole header `authorization` as the key and can read no body. */
 class PlainCodec extends CallerCodec {
@@ -55,11 +62,11 @@
   let end = 'open'
   socket.setEncoding('utf8').on('data', (text: string) => { all += text }).on('end', () => { end = 'ended' }).on('error', error => { end = error.message })
   socket.write(`POST /00000000000000aa HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n${head}\r\n\r\n`)
-  await sleep(WAIT_MS)
+  await waitUntil(() => all !== '', head.includes('bad') ? LIMIT_MS : SILENCE_MS)
   const early = `${all.split('\r\n')[0]!}, ${end}`
   next(value => { configuration = value })
   socket.write('0123456789')
-  await sleep(WAIT_MS)
+  await waitUntil(() => all !== '' && (end !== 'open' || !head.includes('close')), LIMIT_MS)
   socket.destroy()
   server.close()
   listening.closeAllConnections()
--- a/packages/cell/test/runtime/caps.test.ts
+++ b/packages/cell/test/runtime/caps.test.ts
@@ -126,9 +126,10 @@
   })
 
   // Guards against capacity that stays held for a gang that may not start, so that others wait for nothing.
+  // What runs is a gang, since another run would be stopped for the more urgent gang.
   test('releases what is held for a gang that it no longer allows', async () => {
     const { rig, follower } = await createCappedRig({ workers: 1, cpu: 4000, others: [{ name: 'later', priority: 1 }] })
-    await rig.submit(follower, [{ count: 1, estimate: DURATION_MS }], 'later')
+    await rig.submit(follower, [{ count: 1, gang: true, estimate: DURATION_MS }], 'later')
     await rig.until(() => countRunning(rig) === 1)
     await submit(rig, follower, 4, true)
     await rig.run(DURATION_MS / 2 + 500)
