Gauges and log lines of organisations, and turns that cost less and wait for nobody long

Cause: on-call couldn't see what an organisation uses, or that it is at its cap or rate. Ordering 2,000 steps by turns cost as much as the rest of the round. A small organisation with one wide gang running stood behind all others of the same priority, however little time was left. Change: gauges organisation_cpu, organisation_memory_mb, organisation_share and organisation_waiting_jobs (at most 100 organisations); the lines organisation-at-cap (8066) and organisation-beyond-rate (8067) with a count, one of each in ten seconds for each organisation. takeTurns orders the first 300 steps of a rank, and an organisation's first step goes before the turns once half of the time of its objective is over.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -9,6 +9,7 @@
 import type { CellOptions } from '../runtime/Cell.js'
 import { WAIT_REASONS } from '../runtime/explainWait.js'
 import { InstrumentedStore } from '../runtime/InstrumentedStore.js'
+import type { OrganisationStatus } from '../organisations/OrganisationTable.js'
 import { PauseMonitor } from '../runtime/PauseMonitor.js'
 import { CallerServer } from './CallerServer.js'
 import { TcpLinkConnector, listenForLinks } from './TcpLink.js'
@@ -21,6 +22,9 @@
 /** Interval at which a stopping node checks whether all requests are answered. */
 const DRAIN_POLL_INTERVAL_MS = 20
 
+/** Maximum number of organisations with gauges: names come and go with versions of the configuration, and gauges stay until the process ends. */
+const MAX_MEASURED_ORGANISATIONS = 100
+
 /** Options of a node. */
 export interface CellNodeOptions extends Omit<CellOptions, 'node' | 'dataCentre' | 'strength' | 'address' | 'retention' | 'leaseMax' | 'connector'> {
   settings: CellSettings
@@ -35,6 +39,8 @@
   private readonly pauses: PauseMonitor
   private readonly servers: Array<{ close: () => unknown }> = []
   private readonly linkTraffic: TrafficMeter
+  /** Organisations with gauges. */
+  private readonly measuredOrganisations = new Set<string>()
   private stopped: Promise<void> | undefined
 
   constructor (private readonly options: CellNodeOptions) {
@@ -77,12 +83,32 @@
     this.servers.push(
       listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic),
       serveText(parseEndpoint(settings.listen.readiness), () => ({ status: this.isReady ? 200 : 503, text: '' })),
-      serveText([settings.ip, settings.listen.metricsPort], () => ({ status: 200, text: metrics.render() })))
+      serveText([settings.ip, settings.listen.metricsPort], () => {
+        this.registerOrganisations()
+        return { status: 200, text: metrics.render() }
+      }))
     this.pauses.start()
     this.cell.start()
     log.write(CELL_EVENTS.started, { addresses: settings.listen, dataCentre: settings.dataCentre })
   }
 
+  /** Adds gauges of the organisations that are new in the configuration. */
+  private registerOrganisations (): void {
+    const { metrics } = this.options
+    for (const { name: organisation } of this.cell.configuration?.organisations ?? []) {
+      if (this.measuredOrganisations.has(organisation) || this.measuredOrganisations.size >= MAX_MEASURED_ORGANISATIONS) continue
+      this.measuredOrganisations.add(organisation)
+      const read = (valueOf: (status: OrganisationStatus) => number) => (): number => {
+        const decider = this.cell.activeDecider
+        return decider === undefined ? 0 : valueOf(decider.organisationStatus(organisation))
+      }
+      metrics.gauge('organisation_cpu', read(({ usage }) => usage.cpu), { organisation })
+      metrics.gauge('organisation_memory_mb', read(({ usage }) => usage.memory), { organisation })
+      metrics.gauge('organisation_share', read(({ share }) => share), { organisation })
+      metrics.gauge('organisation_waiting_jobs', read(({ waiting }) => waiting), { organisation })
+    }
+  }
+
   /** Performs a planned stop: hands the term over, completes the requests in flight, then closes all sockets. Later calls wait for the first. */
   async stop (): Promise<void> {
     this.stopped ??= this.performStop()
--- a/packages/cell/src/organisations/OrganisationTable.ts
+++ b/packages/cell/src/organisations/OrganisationTable.ts
@@ -2,20 +2,35 @@
 import type { Sharer, TokenBucket } from '@rattanstep/policy'
 import type { Organisation, OrganisationTerms } from '../types/configuration.js'
 import type { Job, Size } from '../types/job.js'
-import type { StepState, WorkerState } from '../runtime/model.js'
+import type { WorkerState } from '../runtime/model.js'
 import type { RankedStep } from '../runtime/rankSteps.js'
 import type { Registry } from '../runtime/Registry.js'
 
 /** Share of a service's capacity in use above which its organisations take turns: below, a step that waits does so for tickets or for a gap of its size. */
 const SHORT_RATIO = 0.85
 
+/**
+ * Number of steps of one rank that are ordered by turns in a round. While capacity is short, a round places some tens of steps at most, and ordering
+ * thousands would cost more than the rest of the round.
+ */
+const MAX_TURNS = 300
+
+/** What an organisation has running and waiting. */
+export interface OrganisationStatus {
+  usage: Readonly<Size>
+  /** Largest share that it uses of any resource of all workers. */
+  share: number
+  /** Number of jobs of which no task has started. */
+  waiting: number
+}
+
 /** Terms of the organisations whose jobs a decider knows. */
 export class OrganisationTable {
   private readonly organisations = new Map<string, OrganisationTerms>()
   private readonly buckets = new Map<string, TokenBucket>()
 
   /** @param registry - knows what the organisations have running */
-  constructor (private readonly registry: Pick<Registry, 'usageOf'>) {}
+  constructor (private readonly registry: Pick<Registry, 'usageOf' | 'countWaitingOf'>) {}
 
   /** Applies a version of the configuration. Jobs of a removed organisation continue under its last terms that this decider knows. */
   update (organisations: Organisation[]): void {
@@ -60,28 +75,36 @@
 
   /**
    * @param workersOf - returns the workers of a service on which tasks may be placed
+   * @param now - monotonic ms
    * @returns function that orders steps of the same rank so that organisations take turns by their shares while the capacity of the service is
    *   short, or `undefined` if no organisations are configured. Jobs without an organisation share like one of weight 1.
    */
-  startTurns (workersOf: (service: string) => WorkerState[]): ((steps: RankedStep[]) => RankedStep[]) | undefined {
+  startTurns (workersOf: (service: string) => WorkerState[], now: number): ((steps: RankedStep[]) => RankedStep[]) | undefined {
     if (this.organisations.size === 0) return undefined
-    const capacities = new Map<string, { total: Size, isShort: boolean }>()
-    const sharers = new Map<string, Sharer>()
-    const capacityOf = (service: string): { total: Size, isShort: boolean } => {
-      let capacity = capacities.get(service)
-      if (capacity === undefined) capacities.set(service, capacity = measureCapacity(workersOf(service)))
-      return capacity
+    const services = new Map<string, ServiceShares>()
+    const sharesOf = (service: string): ServiceShares => {
+      let shares = services.get(service)
+      if (shares === undefined) services.set(service, shares = { ...measureCapacity(workersOf(service)), sharers: new Map() })
+      return shares
     }
     const sharerOf = ({ step, route }: RankedStep): Sharer => {
       const { job } = step.occurrence.job
-      const key = `${route.service} ${job.organisation ?? ''}`
-      let sharer = sharers.get(key)
-      if (sharer === undefined) sharers.set(key, sharer = { weight: this.termsOf(job)?.weight ?? 1, share: dominantShare(this.registry.usageOf(job.organisation ?? ''), capacityOf(route.service).total) })
+      const { sharers, total } = sharesOf(route.service)
+      const name = job.organisation ?? ''
+      let sharer = sharers.get(name)
+      if (sharer === undefined) sharers.set(name, sharer = { weight: this.termsOf(job)?.weight ?? 1, share: dominantShare(this.registry.usageOf(name), total) })
       return sharer
     }
-    return steps => steps.some(({ route }) => capacityOf(route.service).isShort)
-      ? takeTurns(steps, { sharerOf, costOf: ({ step, route }) => countWaiting(step) * dominantShare(step.definition.size, capacityOf(route.service).total) })
-      : steps
+    // The tasks of a step that run already count twice until the step is done; counting those that wait would cost more than the rest of the round.
+    const costOf = ({ step, route }: RankedStep): number => (step.tasks.length - step.doneTasks) * dominantShare(step.definition.size, sharesOf(route.service).total)
+    const isPressing = (step: RankedStep): boolean => step.lateness === 0 && isPastHalf(step, now)
+    return steps => steps.some(({ route }) => sharesOf(route.service).isShort) ? takeTurns(steps, { sharerOf, costOf, isPressing, limit: MAX_TURNS }) : steps
+  }
+
+  /** @returns what an organisation has running on the workers and waiting */
+  statusOf (name: string, workers: Iterable<WorkerState>): OrganisationStatus {
+    const usage = this.registry.usageOf(name)
+    return { usage, share: dominantShare(usage, measureCapacity(workers).total), waiting: this.registry.countWaitingOf(name) }
   }
 
   /** @returns function that gives what is left of the cap of a job's organisation in one round of planning; `undefined` without a cap */
@@ -101,7 +124,19 @@
   }
 }
 
-function measureCapacity (workers: WorkerState[]): { total: Size, isShort: boolean } {
+/** @returns whether half of the time in which the job should end is over */
+function isPastHalf ({ step: { occurrence }, objectiveAt }: RankedStep, now: number): boolean {
+  return 2 * now >= objectiveAt + Math.max(occurrence.dueAt, occurrence.job.submittedAt)
+}
+
+/** What one round of planning knows about the capacity of a service and the organisations that share it. */
+interface ServiceShares {
+  total: Size
+  isShort: boolean
+  sharers: Map<string, Sharer>
+}
+
+function measureCapacity (workers: Iterable<WorkerState>): { total: Size, isShort: boolean } {
   const total = { cpu: 0, memory: 0, accelerators: 0 }
   const used = { cpu: 0, memory: 0, accelerators: 0 }
   for (const worker of workers) {
@@ -119,12 +154,9 @@
 
 /** @returns the largest share that a size has of any resource of the capacity */
 function dominantShare (size: Readonly<Size>, capacity: Size): number {
-  const ratio = (part: number, whole: number): number => part === 0 || whole === 0 ? 0 : part / whole
-  return Math.max(ratio(size.cpu, capacity.cpu), ratio(size.memory, capacity.memory), ratio(size.accelerators, capacity.accelerators))
+  return Math.max(ratioOf(size.cpu, capacity.cpu), ratioOf(size.memory, capacity.memory), ratioOf(size.accelerators, capacity.accelerators))
 }
 
-function countWaiting ({ tasks }: StepState): number {
-  let count = 0
-  for (const { phase } of tasks) if (phase === 'waiting') count++
-  return count
+function ratioOf (part: number, whole: number): number {
+  return part === 0 || whole === 0 ? 0 : part / whole
 }
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -20,7 +20,9 @@
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
 import { findStartObstacle, isUsable } from './findStartObstacle.js'
+import { OrganisationMonitor } from '../organisations/OrganisationMonitor.js'
 import { OrganisationTable } from '../organisations/OrganisationTable.js'
+import type { OrganisationStatus } from '../organisations/OrganisationTable.js'
 import { planRound } from './planRound.js'
 import { rankSteps } from './rankSteps.js'
 import { runLogged } from './runLogged.js'
@@ -101,6 +103,7 @@
   readonly waits: WaitMonitor
   private readonly routes = new Map<string, Route>()
   private readonly organisations = new OrganisationTable(this.registry)
+  private readonly organisationMonitor: OrganisationMonitor
   private lastConfiguration: Configuration | undefined
   /** Callbacks that run once the next record of a job is written, by id of the job. */
   private readonly pendingCallbacks = new Map<string, Array<() => void>>()
@@ -132,6 +135,7 @@
     const { store, clock, log, term, workers } = options
     this.phaseWaiters = new PhaseWaiters(clock)
     this.waits = new WaitMonitor({ clock, log })
+    this.organisationMonitor = new OrganisationMonitor({ clock, log })
     this.recorder = new Recorder({
       store, clock, log, term, version: options.termRowVersion, encode: key => this.encode(key), callbacks: { onRecorded: keys => { this.handleRecorded(keys) }, onTermLost: ({ term: next }) => { this.loseTerm(next?.node) } }
     })
@@ -244,6 +248,11 @@
     return this.lifecycle.tasksGivenUp
   }
 
+  /** @returns what an organisation has running and waiting, for metrics */
+  organisationStatus (name: string): OrganisationStatus {
+    return this.organisations.statusOf(name, this.registry.workers.values())
+  }
+
   /** @returns number of transactions committed in this term */
   get commits (): number {
     return this.recorder.commits
@@ -272,6 +281,7 @@
     if (findScheduledRoute(job, name => this.routes.get(name)) === undefined) log.write(CELL_EVENTS.routeUnknown, { job: job.id, route: job.route })
     const state = this.registry.addJob(job, { now: clock.now(), age, wall: clock.wall() })
     if (source !== 'record') state.isBeyondRate = this.organisations.isBeyondRate(job, store.now())
+    if (state.isBeyondRate) this.organisationMonitor.noteBeyondRate(job.organisation!)
     this.requestRound()
     return state
   }
@@ -340,7 +350,7 @@
     if (this.registry.readySteps.size === 0) return
     const usable = this.usableWorkers(now)
     const workersOf = (service: string): WorkerState[] => usable.get(service) ?? []
-    const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now, arrange: this.organisations.startTurns(workersOf) })
+    const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now, arrange: this.organisations.startTurns(workersOf, now) })
     if (ranked.length === 0) return
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
     const plan = planRound(ranked, { workersOf, now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
@@ -362,6 +372,7 @@
     const now = this.options.clock.now()
     const usable = this.usableWorkers(now)
     const capBudgetOf = this.organisations.startRound()
+    this.organisationMonitor.check(this.registry.readySteps, capBudgetOf)
     this.waits.check(this.registry.readySteps, step => {
       const route = findScheduledRoute(step.occurrence.job.job, name => this.routes.get(name))
       return { route, workers: usable.get(route?.service ?? '') ?? [], holds: this.holds, now, capBudget: capBudgetOf(step.occurrence.job.job) }
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -31,6 +31,8 @@
   readonly suspectedJobs = new Set<JobState>()
   /** Number of jobs of which no task has started, by route. */
   private readonly waitingByRoute = new Map<string, number>()
+  /** Number of jobs of which no task has started, by organisation. */
+  private readonly waitingByOrganisation = new Map<string, number>()
   /** What the organisations have running or placed over all workers, by name. */
   private readonly usage = new Map<string, Size>()
   private readonly schedule = new Schedule()
@@ -48,7 +50,7 @@
     if (existing !== undefined) return existing
     const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], nextOccurrence: 0, firstDueAt: times.now + (job.repeat === undefined ? 0 : job.repeat.first - times.wall), isStarted: false, isBeyondRate: false, suspects: new Set(), isCleared: false, suspectedSince: 0, reservedWorker: '', endedAt: 0 }
     this.jobs.set(job.id, state)
-    this.adjustWaiting(job.route, 1)
+    this.adjustWaiting(job, 1)
     if (job.repeat !== undefined) this.schedule.add(state)
     else this.updateReadySteps(state.occurrences[state.nextOccurrence++] = createOccurrence(state, 0))
     return state
@@ -82,7 +84,7 @@
   markStarted (state: JobState): void {
     if (state.isStarted) return
     state.isStarted = true
-    this.adjustWaiting(state.job.route, -1)
+    this.adjustWaiting(state.job, -1)
     if (state.visiblePhase === 'queued') state.visiblePhase = 'running'
   }
 
@@ -94,6 +96,14 @@
     return this.waitingByRoute.get(route) ?? 0
   }
 
+  /**
+   * @param organisation - name of an organisation
+   * @returns number of its accepted jobs of which no task has started
+   */
+  countWaitingOf (organisation: string): number {
+    return this.waitingByOrganisation.get(organisation) ?? 0
+  }
+
   /** Updates the set of ready steps after a change of tasks of an occurrence. */
   updateReadySteps (occurrence: JobOccurrence): void {
     for (const step of occurrence.steps) {
@@ -200,8 +210,9 @@
     if (usage.cpu <= 0 && usage.memory <= 0 && usage.accelerators <= 0) this.usage.delete(organisation)
   }
 
-  private adjustWaiting (route: string, change: number): void {
+  private adjustWaiting ({ route, organisation }: Job, change: number): void {
     this.waitingByRoute.set(route, (this.waitingByRoute.get(route) ?? 0) + change)
+    if (organisation !== undefined) this.waitingByOrganisation.set(organisation, (this.waitingByOrganisation.get(organisation) ?? 0) + change)
   }
 }
 
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -172,7 +172,7 @@
   }
   const outcomeOf = new Map<string, Outcome>()
   function plan (): void {
-    const ranked = rankSteps(registry.readySteps, { routeOf: name => routes.get(name), now, arrange: table.startTurns(() => workers) })
+    const ranked = rankSteps(registry.readySteps, { routeOf: name => routes.get(name), now, arrange: table.startTurns(() => workers, now) })
     const result = planRound(ranked, { workersOf: () => workers, now, adviceRound: scheduler.startRound(nodes, now), allowedShare: route => scheduler.allowedShare(route), holds, capBudgetOf: table.startRound() })
     holds = result.holds
     // The members of a gang end together, when the slowest one ends.
--- a/packages/cell/test/runtime/caps.test.ts
+++ b/packages/cell/test/runtime/caps.test.ts
@@ -125,6 +125,17 @@
     expect(await rig.phases([gang])).toEqual(['completed'])
   })
 
+  // Guards against an organisation at its limits that on-call can't see, and against a line for each of its jobs.
+  test('and its rate are reported in one line each while they are reached, and in gauges', async () => {
+    const { rig, follower } = await createCappedRig({ organisations: [{ ...organisationsWith(4000)[0]!, weight: 1 }] })
+    for (let index = 0; index < 7; index++) await submit(rig, follower, 3)
+    await rig.run(1500)
+    const linesOf = (name: string): unknown[] => rig.decider!.log.lines.filter(({ event }) => event.name === name).map(({ fields }) => fields)
+    expect([linesOf('organisation-at-cap'), linesOf('organisation-beyond-rate')]).toEqual([[{ organisation: 'a', steps: 6 }], [{ organisation: 'a', jobs: 3 }]])
+    const { usage, share, waiting } = rig.decider!.cell.activeDecider!.organisationStatus('a')
+    expect([usage.cpu, share, waiting]).toEqual([4000, 0.125, 5])
+  })
+
   // Guards against capacity that stays held for a gang that may not start, so that others wait for nothing.
   test('releases what is held for a gang that it no longer allows', async () => {
     const { rig, follower } = await createCappedRig({ workers: 1, cpu: 4000, others: [{ name: 'later', priority: 1 }] })
--- a/packages/policy/src/runtime/takeTurns.ts
+++ b/packages/policy/src/runtime/takeTurns.ts
@@ -1,3 +1,6 @@
+/** Lowest weight that counts: one of 0 would leave the order undefined. */
+const MIN_WEIGHT = 1e-6
+
 /** An organisation that takes turns with others. */
 export interface Sharer {
   weight: number
@@ -10,39 +13,68 @@
  * listed, so that organisations alternate. No item is left out: a share that an organisation doesn't use falls to the others.
  *
  * @param items - items in order; those of the same organisation keep their order
- * @param options - `sharerOf`: returns the organisation of an item, the same object for all its items; `costOf`: returns the dominant share of the capacity that an item needs
+ * @param options - organisations and costs of the items
  * @returns the items in order of their turns; of organisations with equal shares, the one whose item comes first
  */
-export function takeTurns<Item> (items: Item[], { sharerOf, costOf }: { sharerOf: (item: Item) => Sharer, costOf: (item: Item) => number }): Item[] {
+export function takeTurns<Item> (items: Item[], { sharerOf, costOf, isPressing, limit = Infinity }: TurnOptions<Item>): Item[] {
   const flows = new Map<Sharer, Flow>()
-  items.forEach((item, index) => {
-    const sharer = sharerOf(item)
+  for (let index = 0; index < items.length; index++) {
+    const sharer = sharerOf(items[index]!)
     const flow = flows.get(sharer)
-    if (flow === undefined) flows.set(sharer, { weight: sharer.weight, share: sharer.share, indexes: [index], next: 0 })
-    else flow.indexes.push(index)
-  })
+    if (flow === undefined) {
+      const weight = Math.max(MIN_WEIGHT, sharer.weight)
+      flows.set(sharer, { weight, level: sharer.share / weight, indexes: [index], next: 0 })
+    } else if (flow.indexes.length < limit) flow.indexes.push(index)
+  }
   if (flows.size < 2) return items
   const active = [...flows.values()]
+  const isListed = new Uint8Array(items.length)
+  const pressing = isPressing === undefined ? [] : active.filter(({ indexes }) => isPressing(items[indexes[0]!]!))
   const ordered: Item[] = []
-  while (active.length > 0) {
-    let first = 0
-    for (let index = 1; index < active.length; index++) if (compareFlows(active[index]!, active[first]!) < 0) first = index
-    const flow = active[first]!
-    const item = items[flow.indexes[flow.next++]!]!
-    ordered.push(item)
-    flow.share += costOf(item)
-    if (flow.next === flow.indexes.length) active.splice(first, 1)
+  while (active.length > 0 && ordered.length < limit) {
+    const flow = pressing.shift() ?? findLowest(active)
+    const index = flow.indexes[flow.next++]!
+    isListed[index] = 1
+    ordered.push(items[index]!)
+    flow.level += costOf(items[index]!) / flow.weight
+    if (flow.next === flow.indexes.length) active.splice(active.indexOf(flow), 1)
   }
+  for (let index = 0; index < items.length; index++) if (isListed[index] === 0) ordered.push(items[index]!)
   return ordered
 }
 
+/** How items take turns. */
+export interface TurnOptions<Item> {
+  /** Returns the organisation of an item, the same object for all its items. */
+  sharerOf: (item: Item) => Sharer
+  /** Returns the dominant share of the capacity that an item needs. */
+  costOf: (item: Item) => number
+  /**
+   * Returns whether an item has waited so long that it goes before the turns, if it is the first of its organisation. Without that, a small
+   * organisation that runs one large item would wait until all others have caught up.
+   */
+  isPressing?: (item: Item) => boolean
+  /** Number of items after which the rest follows in the order given. */
+  limit?: number
+}
+
 /** Items of one organisation. */
-interface Flow extends Sharer {
+interface Flow {
+  weight: number
+  /** Share that the organisation uses or has been given, for its weight. */
+  level: number
+  /** Places of its items among all. */
   indexes: number[]
   /** Number of items that are listed. */
   next: number
 }
 
-function compareFlows (a: Flow, b: Flow): number {
-  return a.share * b.weight - b.share * a.weight || a.indexes[a.next]! - b.indexes[b.next]!
+/** @returns the flow with the lowest level; of those with the same, the one whose next item comes first */
+function findLowest (flows: Flow[]): Flow {
+  let lowest = flows[0]!
+  for (let index = 1; index < flows.length; index++) {
+    const flow = flows[index]!
+    if (flow.level < lowest.level || (flow.level === lowest.level && flow.indexes[flow.next]! < lowest.indexes[lowest.next]!)) lowest = flow
+  }
+  return lowest
 }
--- a/packages/policy/test/runtime/sharing.test.ts
+++ b/packages/policy/test/runtime/sharing.test.ts
@@ -41,6 +41,12 @@
     expect(ordered.map(({ index }) => index)).toEqual([2, 3, 0, 4, 5, 6, 1])
   })
 
+  // Guards against items that are lost or repeated where only the first turns are of interest.
+  test('are followed by the others in their order after a number of turns', () => {
+    const ordered = takeTurns(items, { sharerOf: ({ sharer }) => sharer, costOf: () => 0.1, limit: 2 })
+    expect(ordered.map(({ index }) => index)).toEqual([2, 3, 0, 1, 4, 5, 6])
+  })
+
   test('keep the order of items if there is only one', () => {
     expect(takeTurns(items.slice(2), { sharerOf: ({ sharer }) => sharer, costOf: () => 0.1 })).toEqual(items.slice(2))
   })
