--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -226,7 +226,7 @@
     })
   }
   function plan (): void {
-    const ranked = rankSteps(registry.readySteps, { routeOf: name => routes.get(name), now, arrange: table.startTurns(() => workers) })
+    const ranked = rankSteps(registry.readySteps, { routeOf: name => routes.get(name), now, arrange: table.startTurns(() => workers, now) })
     const preemption = preempts ? new PreemptionRound({ now, routeOf: job => routes.get(job.route), workers, leastUrgent }) : undefined
     const result = planRound(ranked, { workersOf: () => workers, now, adviceRound: scheduler.startRound(nodes, now), allowedShare: route => scheduler.allowedShare(route), holds, capBudgetOf: table.startRound(), preemption })
     holds = result.holds
