Bench loads with workers of unequal speed, bursts and a wave

The existing loads have workers of 0.8 to 1.25 of the nominal speed at most and durations that are declared equally well for all kinds.

--- a/packages/cell/test/bench/loads.ts
+++ b/packages/cell/test/bench/loads.ts
@@ -55,3 +55,38 @@
   ...GANGS_ON_LARGE_WORKERS,
   bursts: [{ kind: 2, from: 5000, until: 11_000, factor: 2.4 }, { kind: 0, from: 12_000, until: 15_000, factor: 1.7 }, { kind: 1, from: 20_000, until: 24_000, factor: 1.9 }]
 }
+
+/**
+ * Gangs, batches and urgent jobs on large workers of unequal speed. Batches ask for most of the capacity; in bursts and at the crest of the wave more is
+ * asked for than fits. The durations declared for urgent jobs say little.
+ */
+export const UNEVEN_LARGE_WORKERS: Load = {
+  nodes: 40,
+  workers: 246,
+  capacity: { cpu: 64_000, memory: 262_144 },
+  speeds: [0.8, 1, 1.25],
+  wave: { amplitude: 0.27, period: 11_000 },
+  duration: 40_000,
+  kinds: [
+    { route: { ...route, name: 'check', priority: 0, stretch: 1.5, latencyObjective: 251, advice: { base: 11.7, perWorker: 0.169, validity: 1500 } }, allowedShare: 0.7, rate: 72.2, width: [3.2, 19], cpu: [9900, 30_000], memory: 10_000, duration: 640, estimateError: 0.9, gangShare: 0.33, steps: 1, worth: 0.41 },
+    { route: { ...route, name: 'gang', priority: 1, stretch: 2.2, latencyObjective: 1001, advice: { base: 559, perWorker: 8.06, validity: 1500 } }, allowedShare: 0.25, rate: 2.5, width: [20, 120], cpu: [18_000, 30_000], memory: 18_000, duration: 5000, gangShare: 1, steps: 1.2, worth: 10.8 },
+    { route: { ...route, name: 'batch', priority: 2, stretch: 4, latencyObjective: 3001, advice: { base: 104, perWorker: 1.43, validity: 1500 } }, allowedShare: 0.45, rate: 7.18, width: [25, 150], cpu: [6900, 21_000], memory: 13_000, duration: 3400, gangShare: 0, steps: 1.5, worth: 2.61 }
+  ],
+  bursts: [{ kind: 2, from: 5000, until: 9500, factor: 2.2 }, { kind: 0, from: 14_000, until: 18_500, factor: 2.2 }, { kind: 1, from: 24_000, until: 28_500, factor: 1.6 }]
+}
+
+/** Smaller workers of which the fastest are almost three times as fast as the slowest, under a load that varies more. */
+export const UNEVEN_SMALL_WORKERS: Load = {
+  nodes: 63,
+  workers: 246,
+  capacity: { cpu: 16_000, memory: 32_768 },
+  speeds: [0.6, 1, 1.6],
+  wave: { amplitude: 0.55, period: 11_000 },
+  duration: 40_000,
+  kinds: [
+    { route: { ...route, name: 'check', priority: 0, stretch: 1.5, latencyObjective: 251, advice: { base: 17, perWorker: 0.234, validity: 1500 } }, allowedShare: 0.7, rate: 84.6, width: [3, 19], cpu: [2500, 7700], memory: 4800, duration: 540, estimateError: 0.9, gangShare: 0.33, steps: 1, worth: 0.405 },
+    { route: { ...route, name: 'gang', priority: 1, stretch: 2.2, latencyObjective: 1001, advice: { base: 908, perWorker: 9.1, validity: 1500 } }, allowedShare: 0.25, rate: 2.32, width: [20, 120], cpu: [4500, 7600], memory: 8500, duration: 5300, gangShare: 1, steps: 1.2, worth: 8.55 },
+    { route: { ...route, name: 'batch', priority: 2, stretch: 4, latencyObjective: 3001, advice: { base: 182, perWorker: 2.6, validity: 1500 } }, allowedShare: 0.45, rate: 4.85, width: [25, 150], cpu: [1700, 5100], memory: 3000, duration: 2900, gangShare: 0, steps: 1.5, worth: 3.2 }
+  ],
+  bursts: [{ kind: 2, from: 5000, until: 9500, factor: 2.2 }, { kind: 0, from: 14_000, until: 18_500, factor: 2.2 }, { kind: 1, from: 24_000, until: 28_500, factor: 1.6 }]
+}
--- a/packages/cell/test/bench/measureLoads.ts
+++ b/packages/cell/test/bench/measureLoads.ts
@@ -3,8 +3,10 @@
 
 /** Number of seeds that each load is played with. */
 const SEEDS = Number(process.argv[2] ?? 3)
+/** Loads to play: those whose names contain this text. */
+const FILTER = process.argv[3] ?? ''
 
-for (const [name, load] of Object.entries(loads)) {
+for (const [name, load] of Object.entries(loads).filter(([name]) => name.includes(FILTER))) {
   for (let seed = 1; seed <= SEEDS; seed++) {
     const results = simulateLoad(load, seed)
     const owed = results.map((result, index) => result.jobs * load.kinds[index]!.worth)
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -30,6 +30,8 @@
   steps: number
   /** Worth of a job of mean size that ends within its objective; a late one is worth a fifth. */
   worth: number
+  /** How far declared durations are off, as a share of them, if not by `ESTIMATE_ERROR`. */
+  estimateError?: number
 }
 
 /** A load on a cell. */
@@ -43,6 +45,10 @@
   duration: number
   /** Periods in which a kind arrives at a multiple of its rate. */
   bursts: Array<{ kind: number, from: number, until: number, factor: number }>
+  /** Speeds of the workers in turn, if not `SPEEDS`. */
+  speeds?: number[]
+  /** Variation of all rates about their means: amplitude as a share of the mean, and period in ms. */
+  wave?: { amplitude: number, period: number }
 }
 
 /** What the callers of a kind got. */
@@ -107,6 +113,9 @@
   const events = new EventQueue()
   const outcomes: Outcome[] = []
   const nodeIdleAt = new Map<string, number>()
+  const speeds = load.speeds ?? SPEEDS
+  const speedOf = (worker: WorkerState): number => speeds[Number(worker.report.id.slice(1)) % speeds.length]!
+  const estimateErrors = new Map(load.kinds.map(({ route, estimateError }) => [route.name, estimateError ?? ESTIMATE_ERROR]))
   let now = 0
   let roundAt = -1
   let holds: Map<StepState, GangHold> | undefined
@@ -144,7 +153,7 @@
       registry.assign(task, worker)
       registry.updateReadySteps(task.step.occurrence)
       const outcome = outcomeOf.get(task.step.occurrence.job.job.id)!
-      const endsAt = now + START_MS + durationOf(task.step, gangSpeeds.get(task.step) ?? speedOf(worker), random) + END_MS
+      const endsAt = now + START_MS + durationOf(task.step, { speed: gangSpeeds.get(task.step) ?? speedOf(worker), error: estimateErrors.get(task.step.occurrence.job.job.route)! }, random) + END_MS
       events.add(endsAt, () => { endTask(task, outcome) })
       if (endsAt > now + PROGRESS_MS) events.add(now + PROGRESS_MS, () => { task.projectedEndAt = endsAt })
     }
@@ -170,7 +179,7 @@
     let number = 0
     for (let at = 0; at < load.duration;) {
       const burst = load.bursts.find(each => each.kind === index && at >= each.from && at < each.until)
-      at += random.exponential(1000 / (kind.rate * (burst?.factor ?? 1)))
+      at += random.exponential(1000 / (kind.rate * (burst?.factor ?? 1) * waveFactor(load, at)))
       const id = index.toString(16) + (number++).toString(16).padStart(15, '0')
       const job = drawJob(kind, id, random)
       events.add(at, () => {
@@ -190,6 +199,10 @@
   return load.kinds.map((kind, index) => evaluate(kind, outcomes.filter(outcome => outcome.kind === index)))
 }
 
+function waveFactor ({ wave }: Load, at: number): number {
+  return wave === undefined ? 1 : 1 + wave.amplitude * Math.sin(2 * Math.PI * at / wave.period)
+}
+
 function outcomesSpan (load: Load): number[] {
   return load.kinds.map(kind => objectiveSpan([stepOf({ estimate: 2 * kind.duration })], kind.route))
 }
@@ -213,13 +226,9 @@
   return Math.min(max, mean * Math.exp(SPREAD * normal - SPREAD * SPREAD / 2))
 }
 
-function durationOf (step: StepState, speed: number, random: SeededRandom): number {
+function durationOf (step: StepState, { speed, error }: { speed: number, error: number }, random: SeededRandom): number {
   const offset = step.definition.gang ? hashFraction(step.name) : random.next()
-  return step.definition.estimate * (1 - ESTIMATE_ERROR + 2 * ESTIMATE_ERROR * offset) / speed
-}
-
-function speedOf (worker: WorkerState): number {
-  return SPEEDS[Number(worker.report.id.slice(1)) % SPEEDS.length]!
+  return step.definition.estimate * (1 - error + 2 * error * offset) / speed
 }
 
 function isAllowedFor (step: StepState, worker: string, share: number): boolean {
