The bundle takes packages/policy from its sources

Cause: in a fresh clone the deploy file's build failed, since the cell now imports packages/policy, which is not built there. Change: policy is among the packages that the bundle resolves to their sources. Measured: the build of a fresh clone passes.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,7 +1,7 @@
 import { build } from 'esbuild'
 
 /** Packages that are bundled from their sources, so that code which the cell does not use is left out. */
-const packages = ['cell', 'core', 'telemetry']
+const packages = ['cell', 'core', 'policy', 'telemetry']
 const common = { bundle: true, minify: true, keepNames: true, platform: 'node', target: 'node20', mainFields: ['module', 'main'], logLevel: 'warning' }
 
 /** Replaces http2 by an empty module: the cell does not use HTTP/2, and loading it took 22 of the 250 ms of a start. */
