Planning considers the speeds of workers, learned from completed runs

Workers at 0.6 to 1.6 of the nominal speed were used alike: urgent tasks ended late on slow workers while batches with slack ran on fast ones, and gangs were scheduled where they start first rather than where they end first. The decider now learns each worker's speed from declared and actual durations. While the speeds are uneven (spread above 0.1), tasks go on the slowest class that is fast enough, calls for advice name workers in that order, and gangs leave slower classes out if that ends them a tenth of their duration earlier.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -62,6 +62,9 @@
     metrics.gauge('processor_seconds', readProcessorSeconds)
     for (const reason of WAIT_REASONS) metrics.gauge('waiting_steps', () => this.cell.activeDecider?.waits.counts.get(reason) ?? 0, { reason })
     metrics.gauge('tasks_given_up', () => this.cell.activeDecider?.tasksGivenUp ?? 0)
+    metrics.gauge('worker_speed_lowest', () => this.cell.activeDecider?.workerSpeeds.lowest ?? 1)
+    metrics.gauge('worker_speed_highest', () => this.cell.activeDecider?.workerSpeeds.highest ?? 1)
+    metrics.gauge('worker_speed_spread', () => this.cell.activeDecider?.workerSpeeds.spread ?? 0)
     metrics.gauge('commits', () => this.cell.activeDecider?.commits ?? 0)
   }
 
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -34,6 +34,8 @@
 import type { Term } from './Term.js'
 import { WaitMonitor } from './WaitMonitor.js'
 import { WorkerLeases } from './WorkerLeases.js'
+import { countSpeedClasses, SPEED_UPDATE_INTERVAL_MS, updateSpeeds } from '../speeds/noteCompletedRun.js'
+import { WorkerSpeeds } from '../speeds/WorkerSpeeds.js'
 import { WorkerPoller } from './WorkerPoller.js'
 import { detach } from './detach.js'
 
@@ -100,6 +102,7 @@
   /** Steps that are ready and are not placed. */
   readonly waits: WaitMonitor
   private readonly routes = new Map<string, Route>()
+  private readonly speeds = new WorkerSpeeds()
   private readonly organisations = new OrganisationTable(this.registry)
   private lastConfiguration: Configuration | undefined
   /** Callbacks that run once the next record of a job is written, by id of the job. */
@@ -116,6 +119,7 @@
   /** Capacity that the last round of planning holds for gangs. */
   private holds = new Map<StepState, GangHold>()
   private readonly timers: Timer[] = []
+  private hasUnevenSpeeds = false
   private isRoundScheduled = false
   /** Monotonic ms before which no round starts. */
   private nextRoundAt = 0
@@ -139,7 +143,7 @@
     this.leases = new WorkerLeases(options)
     const recordSoon = ({ job }: JobState): void => { this.recorder.markDirtySoon(job.id) }
     this.poller = new WorkerPoller({
-      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, recordSoon, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
+      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, speeds: this.speeds, recordSoon, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
     })
     this.lifecycle = new TaskLifecycle({
       registry: this.registry,
@@ -177,7 +181,7 @@
   async start (): Promise<void> {
     const { clock, log, term, store } = this.options
     const startedAt = clock.now()
-    this.timers.push(clock.repeat(IDLE_COMMIT_INTERVAL_MS, () => { this.recorder.commitSoon() }), clock.repeat(ROUND_INTERVAL_MS, () => { this.requestRound() }), clock.repeat(WAIT_CHECK_INTERVAL_MS, () => { this.checkWaits() }))
+    this.timers.push(clock.repeat(IDLE_COMMIT_INTERVAL_MS, () => { this.recorder.commitSoon() }), clock.repeat(ROUND_INTERVAL_MS, () => { this.requestRound() }), clock.repeat(WAIT_CHECK_INTERVAL_MS, () => { this.checkWaits() }), clock.repeat(SPEED_UPDATE_INTERVAL_MS, () => { this.updateSpeeds() }))
     const recovery = new Recovery({ store, clock, log })
     const [recovered] = await Promise.all([recovery.read(() => this.isStopped), this.instanceFeed.start(() => this.isStopped)])
     if (recovered === undefined || this.isStopped) return
@@ -239,6 +243,12 @@
     return this.lifecycle.tasksGivenUp
   }
 
+  /** @returns lowest and highest speed that planning expects of a usable worker, and the spread of the learned speeds */
+  get workerSpeeds (): { lowest: number, highest: number, spread: number } {
+    const speeds = [...this.registry.workers.values()].map(({ speed }) => speed)
+    return { lowest: Math.min(1, ...speeds), highest: Math.max(1, ...speeds), spread: this.speeds.spread }
+  }
+
   /** @returns number of transactions committed in this term */
   get commits (): number {
     return this.recorder.commits
@@ -349,6 +359,13 @@
     return usable
   }
 
+  private updateSpeeds (): void {
+    const isUneven = updateSpeeds(this.speeds, this.registry.workers.values())
+    if (isUneven === this.hasUnevenSpeeds) return
+    this.hasUnevenSpeeds = isUneven
+    this.options.log.write(CELL_EVENTS.speedsJudged, { uneven: isUneven, spread: Number(this.speeds.spread.toFixed(3)), classes: countSpeedClasses(this.registry.workers.values()) })
+  }
+
   private checkWaits (): void {
     if (!this.isReady) return
     const now = this.options.clock.now()
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -163,6 +163,8 @@
       unknownRuns: 0,
       suspendedUntil: 0,
       isSlow: false,
+      speed: 1,
+      speedClass: 0,
       consecutiveFailures: 0
     }
     this.workers.set(report.id, state)
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -10,6 +10,8 @@
 import type { Registry } from './Registry.js'
 import type { JobState, Task, WorkerState } from './model.js'
 import { ProgressMonitor } from './ProgressMonitor.js'
+import { noteCompletedRun } from '../speeds/noteCompletedRun.js'
+import type { WorkerSpeeds } from '../speeds/WorkerSpeeds.js'
 import type { TaskLifecycle } from './TaskLifecycle.js'
 import { detach } from './detach.js'
 import { repeatWhile } from './repeatWhile.js'
@@ -41,6 +43,8 @@
   fence: number
   crashes: CrashLedger
   leases: WorkerLeases
+  /** Speeds of the workers, learned from the runs that complete. */
+  speeds: WorkerSpeeds
   /** Records the job's state together with other changes or after a moment. */
   recordSoon: (job: JobState) => void
   /** Returns whether leases may be renewed: the term was confirmed recently, or no other node can have claimed it. */
@@ -169,6 +173,7 @@
     this.polled.delete(worker)
     if (this.isStopped) return
     this.options.registry.workers.delete(worker.report.id)
+    this.options.speeds.forget(worker.report.id)
     this.options.workers.disconnect(worker.report)
   }
 
@@ -280,6 +285,7 @@
       const isCurrent = task.worker === worker && task.run === end.run
       if (!isCurrent && !completesTask(task, end)) continue
       worker.unrecordedEnds.add(end.number)
+      if (isCurrent && end.ending === 'done' && task.phase === 'running') noteCompletedRun(this.options.speeds, task, this.options.clock.now())
       if (isCurrent) this.lifecycle.handleEnd(task, end, worker)
       else this.lifecycle.handleFormerCompletion(task, end, worker)
       this.recordEnd(worker, task, end.number)
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -217,6 +217,10 @@
   suspendedUntil: number
   /** Whether the worker is much slower than the declared durations suggest. Slow workers are used last. */
   isSlow: boolean
+  /** Speed relative to the nominal one; 1 while it is not known or while the speeds of the workers hardly differ. */
+  speed: number
+  /** Class of that speed; 0 for the nominal speed. */
+  speedClass: number
   /** Number of consecutive failed runs. */
   consecutiveFailures: number
 }
--- a/packages/cell/src/runtime/placeTasks.ts
+++ b/packages/cell/src/runtime/placeTasks.ts
@@ -1,6 +1,7 @@
 import { reserveCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
 import type { StepState, Task } from './model.js'
+import { compareForSpeed } from '../speeds/speedClass.js'
 import type { Placement } from './planRound.js'
 
 /** Minimum remaining validity of a ticket when a task is placed: covers a commit and the order to the worker. */
@@ -42,11 +43,11 @@
  * @param waiting - tasks of the step
  * @param slots - workers on which the tasks may run now
  * @param step - the step
- * @param start - `now`: monotonic ms; `priority`: priority of the step's route
+ * @param start - `now`: monotonic ms; `priority`: priority of the step's route; `neededSpeedClass`: see `RankedStep`
  * @returns the placements, whose capacity is reserved in the slots
  */
-export function placeTasks (waiting: Task[], slots: Slot[], step: StepState, start: { now: number, priority: number }): Placement[] {
-  const ordered = orderSlots(slots, step)
+export function placeTasks (waiting: Task[], slots: Slot[], step: StepState, start: { now: number, priority: number, neededSpeedClass?: number }): Placement[] {
+  const ordered = orderSlots(slots, step, start.neededSpeedClass ?? 0)
   const chosen: Array<{ task: Task, slot: Slot }> = []
   for (const task of waiting) {
     const slot = findSlot(ordered, task, start)
@@ -69,14 +70,14 @@
 }
 
 /**
- * Sorts the workers by preferred rack, then by speed, failures and free capacity. Using the fullest workers first keeps others free for
- * gangs; workers that are held for a gang come last.
+ * Sorts the workers by preferred rack, then slow ones last, then by failures, by how well their speeds suit the step, and by free capacity. Using the
+ * fullest workers first keeps others free for gangs; workers that are held for a gang come last.
  */
-function orderSlots (slots: Slot[], step: StepState): Slot[] {
+function orderSlots (slots: Slot[], step: StepState, neededSpeedClass: number): Slot[] {
   const rack = step.definition.dataRack ?? (step.definition.sameRack ? findRackWithMostCapacity(slots, step) : undefined)
   const rackPenalty = (slot: Slot): number => rack !== undefined && !slot.worker.report.labels.includes(rack) ? 1 : 0
   const holdPenalty = ({ hold }: Slot): number => hold !== undefined && hold.owner !== step ? 1 : 0
-  return [...slots].sort((a, b) => rackPenalty(a) - rackPenalty(b) || Number(a.worker.isSlow) - Number(b.worker.isSlow) || a.worker.consecutiveFailures - b.worker.consecutiveFailures || holdPenalty(a) - holdPenalty(b) || a.free.cpu - b.free.cpu)
+  return [...slots].sort((a, b) => rackPenalty(a) - rackPenalty(b) || Number(a.worker.isSlow) - Number(b.worker.isSlow) || a.worker.consecutiveFailures - b.worker.consecutiveFailures || holdPenalty(a) - holdPenalty(b) || compareForSpeed(a.worker, b.worker, neededSpeedClass) || a.free.cpu - b.free.cpu)
 }
 
 /** @returns label of the rack on which most tasks of the step fit at present */
--- a/packages/cell/src/runtime/planAdviceCalls.ts
+++ b/packages/cell/src/runtime/planAdviceCalls.ts
@@ -3,6 +3,7 @@
 import { taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
 import { hashText, mixHashes } from './hashText.js'
+import { compareForSpeed } from '../speeds/speedClass.js'
 import type { StepState } from './model.js'
 import type { AdviceRequest } from './planRound.js'
 import type { RankedStep } from './rankSteps.js'
@@ -48,18 +49,19 @@
 }
 
 /**
- * Sorts workers by the number of tasks that fit, what is held for gangs last. Workers with equal capacity are in a different order for each
+ * Sorts workers by how well their speeds suit the step, then by the number of tasks that fit, what is held for gangs last. Workers with equal capacity are in a different order for each
  * step, since steps that ask at the same time would otherwise name the same workers, of which only the first answer can make use.
  *
  * @param slots - the workers
  * @param step - the step
- * @param start - `now`: monotonic ms; `priority`: priority of the step's route
+ * @param start - `now`: monotonic ms; `priority`: priority of the step's route; `neededSpeedClass`: see `RankedStep`
  * @returns the sorted workers
  */
-export function sortByCapacity (slots: Slot[], step: StepState, start: { now: number, priority: number }): Slot[] {
+export function sortByCapacity (slots: Slot[], step: StepState, start: { now: number, priority: number, neededSpeedClass?: number }): Slot[] {
+  const { neededSpeedClass } = start
   const stepHash = hashText(step.name)
   return slots
     .map(slot => ({ slot, unheld: taskCapacity(slot, step), usable: taskCapacity(slot, step, start), order: mixHashes(stepHash, hashText(slot.worker.report.id)) }))
-    .sort((a, b) => b.unheld - a.unheld || b.usable - a.usable || a.order - b.order)
+    .sort((a, b) => (neededSpeedClass === undefined ? 0 : Number(b.usable > 0) - Number(a.usable > 0) || compareForSpeed(a.slot.worker, b.slot.worker, neededSpeedClass)) || b.unheld - a.unheld || b.usable - a.usable || a.order - b.order)
     .map(({ slot }) => slot)
 }
--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -59,7 +59,7 @@
 export function planGang (rankedStep: RankedStep, context: RoundContext): void {
   const { step, route } = rankedStep
   const { capacity, now, plan } = context
-  const start = { now, priority: route.priority }
+  const start = { now, priority: route.priority, neededSpeedClass: rankedStep.neededSpeedClass }
   const allowed = allowedSlots(rankedStep, context)
   const releases = allowed.reduce((sum, { worker }) => sum + worker.releases, 0)
   const holdsOrAsks = plan.holds.has(step) || step.askedWorkers.size > 0
@@ -132,7 +132,7 @@
   const isLate = schedule === undefined || schedule.startAt > ticketsAt + START_TOLERANCE_MS
   if (hasTickets && !isLate) return
   const scheduled = schedule !== undefined && !hasTickets && schedule.startAt <= ticketsAt ? [...schedule.shares.map(({ slot }) => slot), ...selectSpares(gang, now)] : []
-  const named = [...scheduled, ...selectUnknown(gang, { isLate, isCheap: adviceRound.isMostlyIdle, allowedShare: allowedShare(route.name), start: { now, priority: route.priority } })]
+  const named = [...scheduled, ...selectUnknown(gang, { isLate, isCheap: adviceRound.isMostlyIdle, allowedShare: allowedShare(route.name), start: { now, priority: route.priority, neededSpeedClass: rankedStep.neededSpeedClass } })]
   if (named.length === 0 && isLate) reviewRejections(rankedStep.step, { now, isUrgent: schedule === undefined, adviceRound })
   if (named.length > 0) plan.adviceRequests.push(...planAdviceCalls(rankedStep, terms, maxNamed => named.slice(0, maxNamed), adviceRound))
 }
@@ -151,7 +151,7 @@
  * workers wouldn't do. While most nodes are idle, a gang that would otherwise wait longer than it runs asks even if it is unlikely that enough of
  * them are allowed.
  */
-function selectUnknown ({ rankedStep: { step }, eligible, allowed, schedule }: GangState, { isLate, isCheap, allowedShare, start }: { isLate: boolean, isCheap: boolean, allowedShare: number, start: { now: number, priority: number } }): Slot[] {
+function selectUnknown ({ rankedStep: { step }, eligible, allowed, schedule }: GangState, { isLate, isCheap, allowedShare, start }: { isLate: boolean, isCheap: boolean, allowedShare: number, start: { now: number, priority: number, neededSpeedClass?: number } }): Slot[] {
   const count = step.tasks.length
   const unknown = eligible.filter(slot => isEligible(slot, step) && !isAllowed(slot, step) && emptyTaskCapacity(slot, step) > 0)
   const sum = (slots: Slot[], capacityOf: (slot: Slot) => number): number => slots.reduce((total, slot) => total + capacityOf(slot), 0)
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -175,7 +175,7 @@
   }
   const eligible = capacity.slots.filter(slot => isEligible(slot, step))
   const usable = eligible.filter(slot => route.advice === undefined || hasTicket(step, slot, now))
-  const placements = placeTasks(waiting, usable, step, { now, priority: route.priority })
+  const placements = placeTasks(waiting, usable, step, { now, priority: route.priority, neededSpeedClass: rankedStep.neededSpeedClass })
   addPlacements(step, placements, context)
   const missing = waiting.length - placements.length
   if (missing === 0 || route.advice === undefined) return
@@ -186,7 +186,7 @@
 /** Plans a call to the advice service for the tasks of a step that are not placed. */
 function askAboutWorkers (rankedStep: RankedStep, terms: AdviceTerms, { missing, eligible }: { missing: number, eligible: Slot[] }, { now, plan, adviceRound, allowedShare }: RoundContext): void {
   const { step, route } = rankedStep
-  const start = { now, priority: route.priority }
+  const start = { now, priority: route.priority, neededSpeedClass: rankedStep.neededSpeedClass }
   const candidates = eligible.filter(slot => taskCapacity(slot, step, start) > 0 && !hasTicket(step, slot, now))
   if (candidates.length === 0) return reviewRejections(step, { now, isUrgent: !eligible.some(slot => isAllowed(slot, step)), adviceRound })
   const allowed = candidates.filter(slot => isAllowed(slot, step))
@@ -198,7 +198,7 @@
 interface Selection {
   step: StepState
   /** `now`: monotonic ms; `priority`: priority of the step's route. */
-  start: { now: number, priority: number }
+  start: { now: number, priority: number, neededSpeedClass?: number }
   /** Number of tasks that lack a worker. */
   missing: number
   allowedShare: number
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -1,10 +1,16 @@
 import type { RouteTerms, ScheduledRoute } from '../types/configuration.js'
+import { speedClassOf } from '../speeds/speedClass.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
 import type { StepState } from './model.js'
 
 /** Ratio of a job's duration to its objective above which the job's result is of no use to the caller, as specified by the platform. */
 const MAX_USEFUL_OBJECTIVE_RATIO = 3
 
+/** Share of the time left that a job may run: declared durations are wrong, and later steps wait too. */
+const MAX_RUN_SHARE = 0.5
+/** Class above those of all workers, for jobs that are late. */
+const MAX_SPEED_CLASS = 10
+
 /** A step with the criteria of its rank. */
 export interface RankedStep {
   step: StepState
@@ -13,6 +19,8 @@
   lateness: 0 | 1 | 2
   /** Monotonic ms by which the step's occurrence of the job should have ended. */
   objectiveAt: number
+  /** Class of the speed at which the rest of the step's job would run for `MAX_RUN_SHARE` of the time left. */
+  neededSpeedClass: number
 }
 
 /**
@@ -39,7 +47,11 @@
   const span = objectiveSpan(occurrence.steps.map(each => each.definition), route)
   const finish = now + chainLength(occurrence.steps.map(each => each.definition), step.index)
   const lateness = finish <= start + span ? 0 : finish <= start + MAX_USEFUL_OBJECTIVE_RATIO * span ? 1 : 2
-  return { step, route, lateness, objectiveAt: start + span }
+  return { step, route, lateness, objectiveAt: start + span, neededSpeedClass: neededSpeedClass(finish - now, start + span - now) }
+}
+
+function neededSpeedClass (duration: number, left: number): number {
+  return left <= 0 ? MAX_SPEED_CLASS : Math.min(MAX_SPEED_CLASS, speedClassOf(duration / (MAX_RUN_SHARE * left)))
 }
 
 /**
--- a/packages/cell/src/runtime/scheduleGang.ts
+++ b/packages/cell/src/runtime/scheduleGang.ts
@@ -4,6 +4,9 @@
 import type { GangHold, StepState } from './model.js'
 import { reservedSize } from './Registry.js'
 
+/** Time by which a gang must end earlier to wait for faster workers, as a share of its declared duration: forecasts are off by this much. */
+const MIN_GAIN_RATIO = 0.1
+
 /** Workers on which a gang is expected to fit at the same time. */
 export interface GangSchedule {
   /** Monotonic ms at which the gang is expected to start. */
@@ -24,14 +27,29 @@
 }
 
 /**
- * Finds the earliest time at which all tasks of a gang fit on workers that no other gang holds, or on any workers if the gang is held up.
+ * Finds the earliest time at which all tasks of a gang fit on workers that no other gang holds, or on any workers if the gang is held up. If the speeds of
+ * the workers differ, the time counts at which the gang ends, which is that of its slowest member: the slowest classes of workers are left out if that is
+ * clearly earlier.
  *
  * @param step - the gang
  * @param slots - workers on which the gang may run
  * @param options - `now`: monotonic ms; `earliest`: monotonic ms before which the gang can't start, for example for lack of tickets
  * @returns the schedule, or `undefined` if the gang doesn't fit on these workers even after the end of all their runs
  */
-export function scheduleGang (step: StepState, slots: Slot[], { now, earliest = now, count = step.tasks.length }: { now: number, earliest?: number, count?: number }): GangSchedule | undefined {
+export function scheduleGang (step: StepState, slots: Slot[], options: { now: number, earliest?: number, count?: number }): GangSchedule | undefined {
+  const classes = [...new Set(slots.map(({ worker }) => worker.speedClass))].sort((a, b) => a - b)
+  if (classes.length <= 1) return scheduleOnAny(step, slots, options)
+  let best: { schedule: GangSchedule, endAt: number } | undefined
+  for (const least of classes) {
+    const schedule = scheduleOnAny(step, slots.filter(({ worker }) => worker.speedClass >= least), options)
+    if (schedule === undefined) continue
+    const endAt = schedule.startAt + step.definition.estimate / Math.min(...schedule.shares.map(({ slot }) => slot.worker.speed))
+    if (best === undefined || endAt < best.endAt - MIN_GAIN_RATIO * step.definition.estimate) best = { schedule, endAt }
+  }
+  return best?.schedule
+}
+
+function scheduleOnAny (step: StepState, slots: Slot[], { now, earliest = now, count = step.tasks.length }: { now: number, earliest?: number, count?: number }): GangSchedule | undefined {
   const isUnheld = isHeldUp(step, now) ? () => true : ({ hold }: Slot) => hold === undefined || hold.owner === step
   const openings = slots.filter(isUnheld).flatMap(slot => findOpenings(slot, step, now))
   openings.sort((a, b) => a.at - b.at)
--- /dev/null
+++ b/packages/cell/src/speeds/WorkerSpeeds.ts
@@ -0,0 +1,111 @@
+/** Number of runs of ordinary spread by which a worker's own estimate outweighs the speed of its kind. */
+const PRIOR_WEIGHT = 2
+/** Maximum weight of former runs, in runs of ordinary spread, so that the estimate follows a worker whose speed changes. */
+const MAX_WEIGHT = 20
+/** Variance of the logarithm of actual to declared duration in runs of ordinary spread: durations are declared within a fifth. */
+const ORDINARY_VARIANCE = 0.0133
+/** Weight of the newest run in the averages of a route, and of the newest worker estimate in the average of a kind. */
+const SMOOTHING = 0.02
+/** Largest ratio of declared to actual duration, or of the inverse, that a run counts with: single outliers say little about the worker. */
+const MAX_RATIO = 4
+/** Weight from which a worker counts in the spread; the standard error of the estimate is then at most 0.06. */
+const MIN_KNOWN_WEIGHT = 4
+/** Number of workers with a known speed from which the spread counts. */
+const MIN_KNOWN_WORKERS = 6
+/**
+ * Standard deviation of the logarithms of the speeds above which speeds count as uneven. Equal workers show 0.03 to 0.06 by chance, workers of 0.8,
+ * 1 and 1.25 of the nominal speed 0.18.
+ */
+export const UNEVEN_SPREAD = 0.1
+/** Spread below which uneven speeds count as even again. */
+const EVEN_SPREAD = 0.08
+/** Number of steps of which the common deviation is kept. */
+const MAX_STEPS = 2000
+
+/** A run that has completed. */
+export interface CompletedRun {
+  worker: string
+  /** Kind of the worker: workers of one kind are expected to have one speed. */
+  kind: string
+  route: string
+  step: string
+  /** Duration declared for the task and duration of the run, in ms. */
+  declared: number
+  actual: number
+}
+
+/** A worker's estimate: weighted mean of the logarithm of its speed. */
+interface Estimate {
+  value: number
+  weight: number
+}
+
+/** How the declared durations of a route deviate, apart from the speeds of workers. */
+interface RouteDeviation {
+  mean: number
+  variance: number
+}
+
+/**
+ * Estimates the speeds of workers from completed runs. The logarithm of a run's declared / actual duration is the sum of those of the worker's speed, of
+ * a deviation common to the runs of its step, and of chance. What the runs of a step on several workers have in common is therefore not counted as
+ * speed, and a run counts by the variance that its route has shown.
+ */
+export class WorkerSpeeds {
+  private readonly estimates = new Map<string, Estimate>()
+  private readonly kinds = new Map<string, number>()
+  private readonly routes = new Map<string, RouteDeviation>()
+  private readonly steps = new Map<string, { sum: number, count: number }>()
+  private isUneven = false
+
+  /** Adds a completed run. */
+  add ({ worker, kind, route, step, declared, actual }: CompletedRun): void {
+    if (!(declared > 0 && actual > 0)) return
+    const observed = Math.max(-Math.log(MAX_RATIO), Math.min(Math.log(MAX_RATIO), Math.log(declared / actual)))
+    const estimate = this.estimates.get(worker) ?? { value: this.kinds.get(kind) ?? 0, weight: PRIOR_WEIGHT }
+    const deviation = this.routes.get(route) ?? { mean: 0, variance: 4 * ORDINARY_VARIANCE }
+    const common = this.steps.get(step) ?? { sum: 0, count: 0 }
+    const residual = observed - estimate.value
+    const stepMean = (deviation.mean + common.sum) / (1 + common.count)
+    const weight = Math.min(1, ORDINARY_VARIANCE / deviation.variance)
+    const total = estimate.weight + weight
+    this.estimates.set(worker, { value: estimate.value + weight / total * (residual - stepMean), weight: Math.min(MAX_WEIGHT, total) })
+    this.kinds.set(kind, (this.kinds.get(kind) ?? 0) + SMOOTHING * weight * (observed - stepMean - (this.kinds.get(kind) ?? 0)))
+    this.routes.set(route, { mean: deviation.mean + SMOOTHING * (residual - deviation.mean), variance: deviation.variance + SMOOTHING * ((residual - stepMean) ** 2 - deviation.variance) })
+    this.noteStep(step, { sum: common.sum + residual, count: common.count + 1 })
+  }
+
+  /** Discards what is known about a worker, for example because a new incarnation may run on another machine. */
+  forget (worker: string): void {
+    this.estimates.delete(worker)
+  }
+
+  /**
+   * @param worker - id of a worker
+   * @param kind - the worker's kind
+   * @returns the worker's speed relative to the nominal one, by its own runs or else by its kind
+   */
+  estimateOf (worker: string, kind: string): number {
+    return Math.exp(this.estimates.get(worker)?.value ?? this.kinds.get(kind) ?? 0)
+  }
+
+  /** @returns standard deviation of the logarithms of the known speeds; 0 while few are known */
+  get spread (): number {
+    const values = [...this.estimates.values()].flatMap(({ value, weight }) => weight >= MIN_KNOWN_WEIGHT ? [value] : [])
+    if (values.length < MIN_KNOWN_WORKERS) return 0
+    const mean = values.reduce((sum, value) => sum + value, 0) / values.length
+    return Math.sqrt(values.reduce((sum, value) => sum + (value - mean) ** 2, 0) / values.length)
+  }
+
+  /** @returns whether speeds differ so much that planning should consider them */
+  updateUneven (): boolean {
+    this.isUneven = this.spread > (this.isUneven ? EVEN_SPREAD : UNEVEN_SPREAD)
+    return this.isUneven
+  }
+
+  private noteStep (step: string, common: { sum: number, count: number }): void {
+    this.steps.delete(step)
+    this.steps.set(step, common)
+    if (this.steps.size > MAX_STEPS) this.steps.delete(this.steps.keys().next().value!)
+  }
+}
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -6,6 +6,8 @@
 import type { GangHold, JobState, StepState, Task, WorkerState } from '../../src/runtime/model.js'
 import { planRound } from '../../src/runtime/planRound.js'
 import { objectiveSpan, rankSteps } from '../../src/runtime/rankSteps.js'
+import { noteCompletedRun, SPEED_UPDATE_INTERVAL_MS, updateSpeeds } from '../../src/speeds/noteCompletedRun.js'
+import { WorkerSpeeds } from '../../src/speeds/WorkerSpeeds.js'
 import type { Route } from '../../src/index.js'
 import { stepOf } from '../support/CellRig.js'
 
@@ -116,6 +118,7 @@
   const speeds = load.speeds ?? SPEEDS
   const speedOf = (worker: WorkerState): number => speeds[Number(worker.report.id.slice(1)) % speeds.length]!
   const estimateErrors = new Map(load.kinds.map(({ route, estimateError }) => [route.name, estimateError ?? ESTIMATE_ERROR]))
+  const learned = new WorkerSpeeds()
   let now = 0
   let roundAt = -1
   let holds: Map<StepState, GangHold> | undefined
@@ -130,6 +133,7 @@
     registry.archive(job.job.id, { phase: 'completed', at: now, version: 0 })
   }
   const endTask = (task: Task, outcome: Outcome): void => {
+    noteCompletedRun(learned, task, now)
     registry.release(task)
     task.phase = 'done'
     const { step } = task
@@ -147,7 +151,7 @@
     const gangSpeeds = new Map<StepState, number>()
     for (const { task: { step }, worker } of result.placements) if (step.definition.gang) gangSpeeds.set(step, Math.min(speedOf(worker), gangSpeeds.get(step) ?? Infinity))
     for (const { task, worker } of result.placements) {
-      task.run++
+      task.sentRun = ++task.run
       task.phase = 'running'
       task.confirmedAt = now + START_MS
       registry.assign(task, worker)
@@ -191,6 +195,7 @@
       })
     }
   })
+  for (let at = SPEED_UPDATE_INTERVAL_MS; at < load.duration; at += SPEED_UPDATE_INTERVAL_MS) events.add(at, () => { updateSpeeds(learned, workers) })
   const end = load.duration + 3 * Math.max(...outcomesSpan(load))
   for (let event = events.next(); event !== undefined && event.at < end; event = events.next()) {
     now = event.at
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -84,6 +84,8 @@
   isCutOffByStart = false
   /** If greater than 0, orders get no answer and are carried out after this delay in ms. */
   orderDelay = 0
+  /** Speed of the runs relative to that of other workers. */
+  speed = 1
   /** Whether all runs on the worker are stalled. */
   isHung = false
   /** Whether the worker has crashed and is not back. */
@@ -119,7 +121,8 @@
     this.starts++
     if (this.isCutOffByStart) this.isCutOff = true
     this.fleet.recordStart(order.task, this)
-    const { duration, size, crashAfter, gang } = behaviour
+    const { size, crashAfter, gang } = behaviour
+    const duration = behaviour.duration / this.speed
     this.running.set(order.task, { task: order.task, run: order.run, startedAt: this.now, endsAt: this.now + duration, duration, size, isStopping: false, isGangComplete: false, ...(gang === undefined ? {} : { gang }), ...(crashAfter === undefined ? {} : { crashesAt: this.now + crashAfter }) })
     this.fleet.checkCapacity(order.task, this)
     return { kind: 'taken', clock: this.now }
