A command that explains where a job would go now, and why

Operators saw only the log line step-waits of a step that had waited for two seconds, and nothing about a job before it is submitted. GET /explain at the metrics port of any process, and the command 'explain job', ask the decider for the rank, the workers that fit and why the others don't, the cap, the projected start and a refusal. A described job lives in a registry of its own, so that nothing of the decider changes. A decider of an earlier version answers with a job's phase, which the node reports as 503.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
 import type { Metrics } from '@rattanstep/telemetry'
 import type { CallerCodec } from '../types/callers.js'
 import { CELL_EVENTS } from '../types/events.js'
@@ -10,6 +10,8 @@
 import { WAIT_REASONS } from '../runtime/explainWait.js'
 import { InstrumentedStore } from '../runtime/InstrumentedStore.js'
 import { PauseMonitor } from '../runtime/PauseMonitor.js'
+import { answerExplainRequest, isExplainPath } from '../explain/answerExplainRequest.js'
+import type { TextResponse } from '../explain/answerExplainRequest.js'
 import { CallerServer } from './CallerServer.js'
 import { TcpLinkConnector, listenForLinks } from './TcpLink.js'
 import { TrafficMeter } from './TrafficMeter.js'
@@ -80,7 +82,7 @@
     this.servers.push(
       listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic),
       serveText(parseEndpoint(settings.listen.readiness), () => ({ status: this.isReady ? 200 : 503, text: '' })),
-      serveText([settings.ip, settings.listen.metricsPort], () => ({ status: 200, text: metrics.render() })))
+      serveText([settings.ip, settings.listen.metricsPort], async ({ method, url = '/' }) => isExplainPath(url) ? await answerExplainRequest({ method, url }, async query => await this.cell.explain(query)) : { status: 200, text: metrics.render() }))
     this.pauses.start()
     this.cell.start()
     log.write(CELL_EVENTS.started, { addresses: settings.listen, dataCentre: settings.dataCentre })
@@ -120,10 +122,14 @@
   return [host!, Number(port)]
 }
 
-function serveText ([host, port]: [string, number], read: () => { status: number, text: string }): Server {
-  return createServer((_request, response) => {
-    const { status, text } = read()
-    response.writeHead(status, { 'content-type': 'text/plain', 'content-length': Buffer.byteLength(text) })
-    response.end(text)
+function serveText ([host, port]: [string, number], read: (request: IncomingMessage) => TextResponse | Promise<TextResponse>): Server {
+  return createServer((request, response) => {
+    const respond = ({ status, text, type = 'text/plain' }: TextResponse): void => {
+      response.writeHead(status, { 'content-type': type, 'content-length': Buffer.byteLength(text) })
+      response.end(text)
+    }
+    const result = read(request)
+    if (!(result instanceof Promise)) return respond(result)
+    result.then(respond, () => { respond({ status: 500, text: 'internal error\n' }) })
   }).listen(port, host)
 }
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -4,7 +4,8 @@
 import type { Configuration } from '../types/configuration.js'
 import type { RecordedJob } from '../types/job.js'
 import { LEASE_MS, LINK_TIMEOUT_MS, STORE_ADVANTAGE_MS, STORE_REFUSAL_TIMEOUT_MS, STORE_TIMEOUT_MS } from '../types/limits.js'
-import type { Answer, Question } from '../types/links.js'
+import type { ExplainQuery } from '../types/explain.js'
+import type { Answer, ExplanationAnswer, Question } from '../types/links.js'
 import type { Advice, Advisor, RowReader, WorkerClient } from '../types/ports.js'
 import type { RecordStore } from '../types/records.js'
 import { BoundedStore } from './BoundedStore.js'
@@ -38,6 +39,9 @@
 /** Interval at which a stopping node checks whether the hand-over is done. */
 const SUCCESSION_POLL_INTERVAL_MS = 10
 
+/** Time for which an answer of the decider to an operator is awaited. */
+const EXPLANATION_TIMEOUT_MS = 1000
+
 /** Options of a member of the cell. */
 export interface CellOptions {
   node: string
@@ -167,6 +171,17 @@
     return await this.membership.follower?.ask(question, timeout)
   }
 
+  /**
+   * Asks the decider where a job would go now, and why.
+   *
+   * @param query - the job
+   * @returns the answer, or `undefined` if no decider has given one in time; deciders of an earlier version of the program can't
+   */
+  async explain (query: ExplainQuery): Promise<ExplanationAnswer | undefined> {
+    const answer = await this.query({ about: 'explanation', query }, EXPLANATION_TIMEOUT_MS)
+    return answer?.about === 'explanation' ? answer : undefined
+  }
+
   override announceJob (recorded: RecordedJob): void {
     if (this.decider === undefined) this.membership.follower?.sendJob(recorded)
     else if (this.decider.isReady) this.decider.addJob(recorded, 'link')
@@ -275,5 +290,6 @@
 
 /** @returns the answer of a decider that has not read the records yet */
 function unknownAnswer (question: Question): Answer {
+  if (question.about === 'explanation') return { about: 'explanation', problem: 'not-ready' }
   return question.about === 'job' ? { about: 'job', phase: 'unknown' } : { about: 'queue', waiting: -1 }
 }
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -2,6 +2,7 @@
 import type { Log } from '@rattanstep/telemetry'
 import type { Configuration, Route } from '../types/configuration.js'
 import type { JobPhase, RecordedJob } from '../types/job.js'
+import type { ExplainQuery } from '../types/explain.js'
 import type { Answer, Question } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { CONFIRMATION_WINDOW_MS, IDLE_COMMIT_INTERVAL_MS } from '../types/limits.js'
@@ -18,6 +19,7 @@
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
 import type { JobRecord, RecordedRun } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
+import { explainJob } from '../explain/explainJob.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
 import { findStartObstacle, isUsable } from './findStartObstacle.js'
 import { OrganisationTable } from '../organisations/OrganisationTable.js'
@@ -58,6 +60,9 @@
 /** Interval between checks for steps that are ready and are not placed. */
 const WAIT_CHECK_INTERVAL_MS = 1000
 
+/** Minimum interval between explanations of jobs, each of which ranks all ready steps: a few ms in the largest cells. */
+const EXPLANATION_INTERVAL_MS = 200
+
 /** Where a decider learned of a job: an announcement over a link, the feed of submissions, or the records read at the start. */
 export type JobSource = 'link' | 'feed' | 'record'
 
@@ -125,6 +130,8 @@
   private nextRoundAt = 0
   /** Duration of the last round in ms. */
   private roundDuration = 0
+  /** Monotonic ms of the last explanation of a job. */
+  private explainedAt = -Infinity
   private isStopped = false
   private isPaused = false
   /** Monotonic ms at which the term was last offered to a follower. */
@@ -297,6 +304,7 @@
   /** Answers a query from the decider's state; a query for a job that is about to end waits a moment for its end. */
   async answer (question: Question): Promise<Answer> {
     if (question.about === 'queue') return { about: 'queue', waiting: this.registry.countWaiting(question.route) }
+    if (question.about === 'explanation') return this.explain(question.query)
     const { id } = question
     const job = this.registry.jobs.get(id)
     if (job !== undefined) {
@@ -308,6 +316,16 @@
     return { about: 'job', phase: this.registry.jobs.get(id)?.visiblePhase ?? this.registry.endedJobs.get(id)?.phase ?? 'unknown' }
   }
 
+  /** Explains where a job would go now, without any change of state. */
+  private explain (query: ExplainQuery): Answer {
+    const now = this.options.clock.now()
+    if (now - this.explainedAt < EXPLANATION_INTERVAL_MS) return { about: 'explanation', problem: 'busy' }
+    this.explainedAt = now
+    const { registry, organisations, holds } = this
+    const configuration = this.options.configuration()
+    return { about: 'explanation', explanation: explainJob(query, { registry, organisations, holds, now, configuration, routeOf: name => this.routes.get(name), usable: this.usableWorkers(now), isolated: isolatedWorkers(registry, now) }) }
+  }
+
   /** @returns whether another node may hold the term: it was offered, or not confirmed for a while */
   private mayBeDeposed (): boolean {
     const { confirmedAt } = this.recorder
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -1,3 +1,4 @@
+import type { ExplainQuery, Explanation } from './explain.js'
 import type { ExecuteMessage, WorkerCallResult } from './execution.js'
 import type { Job, JobPhase } from './job.js'
 import type { Advice } from './ports.js'
@@ -39,10 +40,14 @@
   /** The receiver should claim the term now. */
   | { kind: 'succeed', reason: SuccessionReason }
 
+/** `busy`: the decider has explained another job a moment ago; `not-ready`: it has not read the records yet */
+export type ExplanationAnswer = { about: 'explanation', explanation: Explanation } | { about: 'explanation', problem: 'busy' | 'not-ready' }
+
 /** Query of a node to the decider. */
 export type Question =
   | { about: 'job', id: string }
   | { about: 'queue', route: string }
+  | { about: 'explanation', query: ExplainQuery }
 
 /** Answer of the decider to a query. */
 export type Answer =
@@ -50,3 +55,4 @@
   | { about: 'job', phase: JobPhase | 'unknown', assumed?: JobPhase }
   /** `waiting`: number of accepted jobs of which no task has started, or -1 if it is not known */
   | { about: 'queue', waiting: number }
+  | ExplanationAnswer
--- a/packages/cli/src/cli/runProgram.ts
+++ b/packages/cli/src/cli/runProgram.ts
@@ -6,6 +6,7 @@
 import { CheckCommand } from './CheckCommand.js'
 import { DrainCommand } from './DrainCommand.js'
 import { ExplainCommand } from './ExplainCommand.js'
+import { ExplainJobCommand } from './ExplainJobCommand.js'
 import { JobsCommand } from './JobsCommand.js'
 import { LocalCommand } from './LocalCommand.js'
 import { NodeCommand } from './NodeCommand.js'
@@ -23,6 +24,7 @@
   CheckCommand,
   DrainCommand,
   ExplainCommand,
+  ExplainJobCommand,
   JobsCommand,
   LocalCommand,
   NodeCommand,
--- a/packages/cli/test/cli/commands.test.ts
+++ b/packages/cli/test/cli/commands.test.ts
@@ -118,6 +118,19 @@
   })
   after(async () => { await node.close() })
 
+  test('explain job sends its question unchanged and prints the answer as text or as JSON', async () => {
+    const metrics = ['--metrics', env.RATTANSTEP_NODE!]
+    const explanation = { phase: 'hypothetical', refusal: 'there is no route é&', steps: [], omitted: 0, pending: 0 }
+    node.responses['GET /explain?job=00000000000000a1'] = { status: 200, body: JSON.stringify({ phase: 'completed', steps: [], omitted: 0, pending: 0 }) }
+    node.responses['GET /explain?route=%C3%A9%26&steps=%5B%7B%7D%5D'] = { status: 200, body: JSON.stringify(explanation) }
+    node.responses['GET /explain?job=00000000000000a2'] = { status: 429, body: 'later\n' }
+    expect(await run(['explain', 'job', '00000000000000a1', ...metrics])).toEqual({ code: 0, out: 'phase: completed\n', err: '' })
+    const refused = await run(['explain', 'job', '--route', 'é&', '--steps', '[{}]', '--json', ...metrics])
+    expect([refused.code, JSON.parse(refused.out)]).toEqual([1, explanation])
+    expect(await run(['explain', 'job', '00000000000000a2', ...metrics])).toEqual({ code: 1, out: '', err: 'later\n' })
+    expect((await run(['explain', 'job', ...metrics])).code).toEqual(2)
+  })
+
   test('show prints the text byte for byte, and the version to standard error', async () => {
     const text = '# é\r\nclasses: []  \n\n'
     node.responses['GET /v1/rules'] = { status: 200, body: text, headers: { 'rattanstep-rules-version': '7' } }
