A successor learns the speeds of workers anew; the gauges of speed show what all workers have

worker_speed_lowest and worker_speed_highest were bounded by 1, which hid speeds that are all above or below it.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -250,10 +250,10 @@
     return this.lifecycle.tasksGivenUp
   }
 
-  /** @returns lowest and highest speed that planning expects of a usable worker, and the spread of the learned speeds */
+  /** @returns lowest and highest speed that planning expects of a worker, and the spread of the learned speeds */
   get workerSpeeds (): { lowest: number, highest: number, spread: number } {
     const speeds = [...this.registry.workers.values()].map(({ speed }) => speed)
-    return { lowest: Math.min(1, ...speeds), highest: Math.max(1, ...speeds), spread: this.speeds.spread }
+    return speeds.length === 0 ? { lowest: 1, highest: 1, spread: 0 } : { lowest: Math.min(...speeds), highest: Math.max(...speeds), spread: this.speeds.spread }
   }
 
   /** @returns number of transactions committed in this term */
--- a/packages/cell/src/speeds/WorkerSpeeds.ts
+++ b/packages/cell/src/speeds/WorkerSpeeds.ts
@@ -75,7 +75,7 @@
     this.noteStep(step, { sum: common.sum + residual, count: common.count + 1 })
   }
 
-  /** Discards what is known about a worker, for example because a new incarnation may run on another machine. */
+  /** Discards what is known about a worker that is gone. */
   forget (worker: string): void {
     this.estimates.delete(worker)
   }
--- a/packages/cell/test/runtime/workerSpeeds.test.ts
+++ b/packages/cell/test/runtime/workerSpeeds.test.ts
@@ -11,6 +11,7 @@
 import { WorkerSpeeds } from '../../src/speeds/WorkerSpeeds.js'
 import type { Route, Step } from '../../src/index.js'
 import { createSteadyRig, stepOf } from '../support/CellRig.js'
+import type { CellRig } from '../support/CellRig.js'
 
 const ROUTE: Route = { name: 'r', host: 'h', prefix: '/', service: 's', priority: 1, maxAttempts: 3, stretch: 2, latencyObjective: 100 }
 
@@ -146,15 +147,39 @@
 })
 
 describe('a decider', () => {
-  // Guards against estimates that no run feeds: the fakes end the tasks of some workers later than declared.
-  test('learns the speeds from the runs that it has ordered and logs that they are uneven', async () => {
+  /** @returns a rig whose workers run at 0.6, 1 and 1.6 in turn and have each run a task of many jobs */
+  async function createUnevenRig (): Promise<CellRig> {
     const rig = await createSteadyRig({ workers: 9, cpu: 1000 })
     for (let index = 0; index < 9; index++) rig.fleet.workers.get(`w${index}`)!.speed = [0.6, 1, 1.6][index % 3]!
-    for (let job = 0; job < 30; job++) await rig.submit(rig.nodes[0]!, [{ count: 9, perWorker: 1, estimate: 300 }])
+    await runJobs(rig)
+    return rig
+  }
+
+  async function runJobs (rig: CellRig): Promise<void> {
+    for (let job = 0; job < 30; job++) await rig.submit(rig.decider!, [{ count: 9, perWorker: 1, estimate: 300 }])
     await rig.run(20_000)
-    const line = rig.decider!.log.lines.find(({ event }) => event.name === 'worker-speeds-judged')
-    expect(line?.fields?.uneven).toEqual(true)
+  }
+
+  function knowsSpeeds (rig: CellRig): boolean {
     const { lowest, highest } = rig.decider!.cell.activeDecider!.workerSpeeds
-    expect(lowest < 0.75 && highest > 1.15).toEqual(true)
+    return lowest < 0.75 && highest > 1.15
+  }
+
+  // Guards against estimates that no run feeds: the fakes end the tasks of some workers later than declared.
+  test('learns the speeds from the runs that it has ordered and logs that they are uneven', async () => {
+    const rig = await createUnevenRig()
+    expect(knowsSpeeds(rig)).toEqual(true)
+    expect(rig.decider!.log.lines.find(({ event }) => event.name === 'worker-speeds-judged')?.fields?.uneven).toEqual(true)
+  })
+
+  // Guards against a successor that never learns the speeds, because they are on no record.
+  test('learns the speeds anew after it has replaced another', async () => {
+    const rig = await createUnevenRig()
+    rig.kill(rig.decider!)
+    await rig.until(() => rig.decider !== undefined)
+    expect(rig.decider!.cell.activeDecider!.workerSpeeds).toEqual({ lowest: 1, highest: 1, spread: 0 })
+    await rig.run(1000)
+    await runJobs(rig)
+    expect(knowsSpeeds(rig)).toEqual(true)
   })
 })
