--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
 import type { Metrics } from '@rattanstep/telemetry'
 import type { CallerCodec } from '../types/callers.js'
 import { CELL_EVENTS } from '../types/events.js'
@@ -11,6 +11,8 @@
 import { InstrumentedStore } from '../runtime/InstrumentedStore.js'
 import type { OrganisationStatus } from '../organisations/OrganisationTable.js'
 import { PauseMonitor } from '../runtime/PauseMonitor.js'
+import { answerExplainRequest, isExplainPath } from '../explain/answerExplainRequest.js'
+import type { TextResponse } from '../explain/answerExplainRequest.js'
 import { CallerServer } from './CallerServer.js'
 import { TcpLinkConnector, listenForLinks } from './TcpLink.js'
 import { TrafficMeter } from './TrafficMeter.js'
@@ -69,6 +71,9 @@
     metrics.gauge('processor_seconds', readProcessorSeconds)
     for (const reason of WAIT_REASONS) metrics.gauge('waiting_steps', () => this.cell.activeDecider?.waits.counts.get(reason) ?? 0, { reason })
     metrics.gauge('tasks_given_up', () => this.cell.activeDecider?.tasksGivenUp ?? 0)
+    metrics.gauge('worker_speed_lowest', () => this.cell.activeDecider?.workerSpeeds.lowest ?? 1)
+    metrics.gauge('worker_speed_highest', () => this.cell.activeDecider?.workerSpeeds.highest ?? 1)
+    metrics.gauge('worker_speed_spread', () => this.cell.activeDecider?.workerSpeeds.spread ?? 0)
     metrics.gauge('commits', () => this.cell.activeDecider?.commits ?? 0)
   }
 
@@ -84,7 +89,8 @@
     this.servers.push(
       listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic),
       serveText(parseEndpoint(settings.listen.readiness), () => ({ status: this.isReady ? 200 : 503, text: '' })),
-      serveText([settings.ip, settings.listen.metricsPort], () => {
+      serveText([settings.ip, settings.listen.metricsPort], async ({ method, url = '/' }) => {
+        if (isExplainPath(url)) return await answerExplainRequest({ method, url }, async query => await this.cell.explain(query))
         this.registerOrganisations()
         return { status: 200, text: metrics.render() }
       }))
@@ -144,10 +150,14 @@
   return [host!, Number(port)]
 }
 
-function serveText ([host, port]: [string, number], read: () => { status: number, text: string }): Server {
-  return createServer((_request, response) => {
-    const { status, text } = read()
-    response.writeHead(status, { 'content-type': 'text/plain', 'content-length': Buffer.byteLength(text) })
-    response.end(text)
+function serveText ([host, port]: [string, number], read: (request: IncomingMessage) => TextResponse | Promise<TextResponse>): Server {
+  return createServer((request, response) => {
+    const respond = ({ status, text, type = 'text/plain' }: TextResponse): void => {
+      response.writeHead(status, { 'content-type': type, 'content-length': Buffer.byteLength(text) })
+      response.end(text)
+    }
+    const result = read(request)
+    if (!(result instanceof Promise)) return respond(result)
+    result.then(respond, () => { respond({ status: 500, text: 'internal error\n' }) })
   }).listen(port, host)
 }
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -2,6 +2,7 @@
 import type { Log } from '@rattanstep/telemetry'
 import type { Configuration, Route } from '../types/configuration.js'
 import type { JobPhase, RecordedJob } from '../types/job.js'
+import type { ExplainQuery } from '../types/explain.js'
 import type { Answer, Question } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { CONFIRMATION_WINDOW_MS, IDLE_COMMIT_INTERVAL_MS } from '../types/limits.js'
@@ -18,6 +19,7 @@
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
 import type { JobRecord, RecordedRun } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
+import { explainJob } from '../explain/explainJob.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
 import { findStartObstacle, isUsable } from './findStartObstacle.js'
 import { OrganisationMonitor } from '../organisations/OrganisationMonitor.js'
@@ -38,6 +40,8 @@
 import type { Term } from './Term.js'
 import { WaitMonitor } from './WaitMonitor.js'
 import { WorkerLeases } from './WorkerLeases.js'
+import { countSpeedClasses, SPEED_UPDATE_INTERVAL_MS, updateSpeeds } from '../speeds/noteCompletedRun.js'
+import { STRONGLY_UNEVEN_SPREAD, WorkerSpeeds } from '../speeds/WorkerSpeeds.js'
 import { WorkerPoller } from './WorkerPoller.js'
 import { detach } from './detach.js'
 
@@ -60,6 +64,9 @@
 /** Interval between checks for steps that are ready and are not placed. */
 const WAIT_CHECK_INTERVAL_MS = 1000
 
+/** Minimum interval between explanations of jobs, each of which ranks all ready steps: a few ms in the largest cells. */
+const EXPLANATION_INTERVAL_MS = 200
+
 /** Where a decider learned of a job: an announcement over a link, the feed of submissions, or the records read at the start. */
 export type JobSource = 'link' | 'feed' | 'record'
 
@@ -106,6 +113,7 @@
   /** Steps that are ready and are not placed. */
   readonly waits: WaitMonitor
   private readonly routes = new Map<string, Route>()
+  private readonly speeds = new WorkerSpeeds()
   private readonly organisations = new OrganisationTable(this.registry)
   private readonly organisationMonitor: OrganisationMonitor
   private lastConfiguration: Configuration | undefined
@@ -125,11 +133,14 @@
   /** Number of runs stopped for more urgent work in this term, by priority and organisation of their jobs, as in `2 name`. */
   readonly preemptions = new Map<string, number>()
   private readonly timers: Timer[] = []
+  private hasUnevenSpeeds = false
   private isRoundScheduled = false
   /** Monotonic ms before which no round starts. */
   private nextRoundAt = 0
   /** Duration of the last round in ms. */
   private roundDuration = 0
+  /** Monotonic ms of the last explanation of a job. */
+  private explainedAt = -Infinity
   private isStopped = false
   private isPaused = false
   /** Monotonic ms at which the term was last offered to a follower. */
@@ -149,7 +160,7 @@
     this.leases = new WorkerLeases(options)
     const recordSoon = ({ job }: JobState): void => { this.recorder.markDirtySoon(job.id) }
     this.poller = new WorkerPoller({
-      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, recordSoon, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
+      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, speeds: this.speeds, recordSoon, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
     })
     this.lifecycle = new TaskLifecycle({
       registry: this.registry,
@@ -187,7 +198,7 @@
   async start (): Promise<void> {
     const { clock, log, term, store } = this.options
     const startedAt = clock.now()
-    this.timers.push(clock.repeat(IDLE_COMMIT_INTERVAL_MS, () => { this.recorder.commitSoon() }), clock.repeat(ROUND_INTERVAL_MS, () => { this.requestRound() }), clock.repeat(WAIT_CHECK_INTERVAL_MS, () => { this.checkWaits() }))
+    this.timers.push(clock.repeat(IDLE_COMMIT_INTERVAL_MS, () => { this.recorder.commitSoon() }), clock.repeat(ROUND_INTERVAL_MS, () => { this.requestRound() }), clock.repeat(WAIT_CHECK_INTERVAL_MS, () => { this.checkWaits() }), clock.repeat(SPEED_UPDATE_INTERVAL_MS, () => { this.updateSpeeds() }))
     const recovery = new Recovery({ store, clock, log })
     const [recovered] = await Promise.all([recovery.read(() => this.isStopped), this.instanceFeed.start(() => this.isStopped)])
     if (recovered === undefined || this.isStopped) return
@@ -259,6 +270,12 @@
     return this.organisations.statusOf(name, this.registry.workers.values())
   }
 
+  /** @returns lowest and highest speed that planning expects of a worker, and the spread of the learned speeds */
+  get workerSpeeds (): { lowest: number, highest: number, spread: number } {
+    const speeds = [...this.registry.workers.values()].map(({ speed }) => speed)
+    return speeds.length === 0 ? { lowest: 1, highest: 1, spread: 0 } : { lowest: Math.min(...speeds), highest: Math.max(...speeds), spread: this.speeds.spread }
+  }
+
   /** @returns number of transactions committed in this term */
   get commits (): number {
     return this.recorder.commits
@@ -309,6 +326,7 @@
   /** Answers a query from the decider's state; a query for a job that is about to end waits a moment for its end. */
   async answer (question: Question): Promise<Answer> {
     if (question.about === 'queue') return { about: 'queue', waiting: this.registry.countWaiting(question.route) }
+    if (question.about === 'explanation') return this.explain(question.query)
     const { id } = question
     const job = this.registry.jobs.get(id)
     if (job !== undefined) {
@@ -320,6 +338,16 @@
     return { about: 'job', phase: this.registry.jobs.get(id)?.visiblePhase ?? this.registry.endedJobs.get(id)?.phase ?? 'unknown' }
   }
 
+  /** Explains where a job would go now, without any change of state. */
+  private explain (query: ExplainQuery): Answer {
+    const now = this.options.clock.now()
+    if (now - this.explainedAt < EXPLANATION_INTERVAL_MS) return { about: 'explanation', problem: 'busy' }
+    this.explainedAt = now
+    const { registry, organisations, holds } = this
+    const configuration = this.options.configuration()
+    return { about: 'explanation', explanation: explainJob(query, { registry, organisations, holds, now, configuration, routeOf: name => this.routes.get(name), usable: this.usableWorkers(now), isolated: isolatedWorkers(registry, now) }) }
+  }
+
   /** @returns whether another node may hold the term: it was offered, or not confirmed for a while */
   private mayBeDeposed (): boolean {
     const { confirmedAt } = this.recorder
@@ -369,7 +397,7 @@
 
   /** @returns what finds runs to stop for more urgent work in one round, if that is enabled */
   private startPreemption (now: number): PreemptionRound | undefined {
-    if (!this.options.preempts && (this.lastConfiguration?.organisations ?? []).length === 0) return undefined
+    if (!this.options.preempts && !this.hasOrganisations) return undefined
     const leastUrgent = Math.max(...[...this.routes.values()].map(route => route.priority))
     return new PreemptionRound({ now, leastUrgent, routeOf: job => findScheduledRoute(job, name => this.routes.get(name)), workers: this.registry.workers.values() })
   }
@@ -390,6 +418,17 @@
     return usable
   }
 
+  private get hasOrganisations (): boolean {
+    return (this.lastConfiguration?.organisations ?? []).length > 0
+  }
+
+  private updateSpeeds (): void {
+    const isUneven = updateSpeeds(this.speeds, this.registry.workers.values(), this.hasOrganisations ? undefined : STRONGLY_UNEVEN_SPREAD)
+    if (isUneven === this.hasUnevenSpeeds) return
+    this.hasUnevenSpeeds = isUneven
+    this.options.log.write(CELL_EVENTS.speedsJudged, { uneven: isUneven, spread: Number(this.speeds.spread.toFixed(3)), classes: countSpeedClasses(this.registry.workers.values()) })
+  }
+
   private checkWaits (): void {
     if (!this.isReady) return
     const now = this.options.clock.now()
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -188,7 +188,7 @@
   }
   const eligible = capacity.slots.filter(slot => isEligible(slot, step))
   const usable = eligible.filter(slot => route.advice === undefined || hasTicket(step, slot, now))
-  const placements = placeTasks(waiting, usable, step, { now, priority: route.priority })
+  const placements = placeTasks(waiting, usable, step, { now, priority: route.priority, neededSpeedClass: rankedStep.neededSpeedClass })
   addPlacements(step, placements, context)
   const missing = waiting.length - placements.length
   if (missing > 0) holdCapacity(rankedStep, missing, route.advice === undefined ? eligible : eligible.filter(slot => isAllowed(slot, step)), context)
@@ -214,7 +214,7 @@
 /** Plans a call to the advice service for the tasks of a step that are not placed. */
 function askAboutWorkers (rankedStep: RankedStep, terms: AdviceTerms, { missing, eligible }: { missing: number, eligible: Slot[] }, { now, plan, adviceRound, allowedShare, preemption }: RoundContext): void {
   const { step, route } = rankedStep
-  const start = { now, priority: route.priority }
+  const start = { now, priority: route.priority, neededSpeedClass: rankedStep.neededSpeedClass }
   const share = allowedShare(route.name)
   const fitting = eligible.filter(slot => taskCapacity(slot, step, start) > 0 && !hasTicket(step, slot, now))
   const candidates = fitting.length === 0 && preemption?.mayHelp(rankedStep) === true ? selectContended(eligible, step, { missing, share }) : fitting
@@ -238,7 +238,7 @@
 interface Selection {
   step: StepState
   /** `now`: monotonic ms; `priority`: priority of the step's route. */
-  start: { now: number, priority: number }
+  start: { now: number, priority: number, neededSpeedClass?: number }
   /** Number of tasks that lack a worker. */
   missing: number
   allowedShare: number
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -10,6 +10,8 @@
 import { planRound } from '../../src/runtime/planRound.js'
 import { objectiveSpan, rankSteps } from '../../src/runtime/rankSteps.js'
 import { OrganisationTable } from '../../src/index.js'
+import { noteCompletedRun, SPEED_UPDATE_INTERVAL_MS, updateSpeeds } from '../../src/speeds/noteCompletedRun.js'
+import { WorkerSpeeds } from '../../src/speeds/WorkerSpeeds.js'
 import type { Job, OrganisationTerms, Route } from '../../src/index.js'
 import { stepOf } from '../support/CellRig.js'
 
@@ -36,6 +38,8 @@
   worth: number
   /** Share of the steps whose tasks write checkpoints; none by default. */
   checkpointShare?: number
+  /** How far declared durations are off, as a share of them, if not by `ESTIMATE_ERROR`. */
+  estimateError?: number
 }
 
 /** An organisation in a load. */
@@ -58,6 +62,8 @@
   speeds?: number[]
   /** Periods in which a kind arrives at a multiple of its rate. */
   bursts: Array<{ kind: number, from: number, until: number, factor: number }>
+  /** Variation of all rates about their means: amplitude as a share of the mean, and period in ms. */
+  wave?: { amplitude: number, period: number }
   /** Organisations that submit the jobs. */
   organisations?: LoadOrganisation[]
   /** Periods in which an organisation submits a multiple of its usual rate, in addition to the load of the others. */
@@ -170,6 +176,8 @@
   // A generator of its own, so that the loads without organisations stay the same.
   const shareRandom = new SeededRandom(1000 + seed)
   const buckets = new Map<string, TokenBucket>()
+  const estimateErrors = new Map(load.kinds.map(({ route, estimateError }) => [route.name, estimateError ?? ESTIMATE_ERROR]))
+  const learned = new WorkerSpeeds()
   let now = 0
   let roundAt = -1
   let holds: Map<StepState, GangHold> | undefined
@@ -184,6 +192,7 @@
     registry.archive(job.job.id, { phase: 'completed', at: now, version: 0 })
   }
   const endTask = (task: Task, outcome: Outcome): void => {
+    noteCompletedRun(learned, task, now)
     registry.release(task)
     task.phase = 'done'
     const { step } = task
@@ -235,7 +244,7 @@
     const gangSpeeds = new Map<StepState, number>()
     for (const { task: { step }, worker } of result.placements) if (step.definition.gang) gangSpeeds.set(step, Math.min(speedOf(worker), gangSpeeds.get(step) ?? Infinity))
     for (const { task, worker } of result.placements) {
-      task.run++
+      task.sentRun = ++task.run
       task.phase = 'running'
       task.confirmedAt = now + START_MS
       registry.assign(task, worker)
@@ -243,7 +252,7 @@
       const outcome = outcomeOf.get(task.step.occurrence.job.job.id)!
       const { run } = task
       const done = doneBefore.get(task) ?? 0
-      const duration = durationOf(task.step, gangSpeeds.get(task.step) ?? speedOf(worker), random)
+      const duration = durationOf(task.step, { speed: gangSpeeds.get(task.step) ?? speedOf(worker), error: estimateErrors.get(task.step.occurrence.job.job.route)! }, random)
       durations.set(task, duration)
       const endsAt = now + START_MS + (1 - done) * duration + END_MS
       runs.set(task, { run, beganAt: now + START_MS, endsAt, done })
@@ -285,7 +294,7 @@
     let number = 0
     for (let at = 0; at < load.duration;) {
       const burst = load.bursts.find(each => each.kind === index && at >= each.from && at < each.until)
-      at += random.exponential(1000 / (kind.rate * (burst?.factor ?? 1)))
+      at += random.exponential(1000 / (kind.rate * (burst?.factor ?? 1) * waveFactor(load, at)))
       const id = index.toString(16) + (number++).toString(16).padStart(15, '0')
       submit({ ...drawJob(kind, id, random), ...drawOrganisation(load, shareRandom) }, index, at)
     }
@@ -298,6 +307,7 @@
       }
     }
   })
+  for (let at = SPEED_UPDATE_INTERVAL_MS; at < load.duration; at += SPEED_UPDATE_INTERVAL_MS) events.add(at, () => { updateSpeeds(learned, workers) })
   const end = load.duration + 3 * Math.max(...outcomesSpan(load))
   for (let event = events.next(); event !== undefined && event.at < end; event = events.next()) {
     now = event.at
@@ -343,6 +353,10 @@
   return ratio <= 1 ? 1 : ratio <= 3 ? 0.2 : 0
 }
 
+function waveFactor ({ wave }: Load, at: number): number {
+  return wave === undefined ? 1 : 1 + wave.amplitude * Math.sin(2 * Math.PI * at / wave.period)
+}
+
 function outcomesSpan (load: Load): number[] {
   return load.kinds.map(kind => objectiveSpan([stepOf({ estimate: 2 * kind.duration })], kind.route))
 }
@@ -367,9 +381,9 @@
   return Math.min(max, mean * Math.exp(SPREAD * normal - SPREAD * SPREAD / 2))
 }
 
-function durationOf (step: StepState, speed: number, random: SeededRandom): number {
+function durationOf (step: StepState, { speed, error }: { speed: number, error: number }, random: SeededRandom): number {
   const offset = step.definition.gang ? hashFraction(step.name) : random.next()
-  return step.definition.estimate * (1 - ESTIMATE_ERROR + 2 * ESTIMATE_ERROR * offset) / speed
+  return step.definition.estimate * (1 - error + 2 * error * offset) / speed
 }
 
 function isAllowedFor (step: StepState, worker: string, share: number): boolean {
