--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -39,6 +39,8 @@
   configuration: () => Configuration | undefined
   /** Returns whether a key that is not in the configuration is known to be in no newer one. */
   isConfigurationConfirmed: () => boolean
+  /** Returns where the configuration was read, and the ms since it was confirmed that no newer one exists. */
+  configurationOrigin: () => { source: 'store' | 'link' | undefined, age: number }
   /** Returns the monotonic ms from which a request that is read now may have waited. */
   arrivalTime: () => number
   /** Returns the time on the store's clock in ms. */
@@ -128,7 +130,7 @@
       return await this.submit({ id, route: latest.route, organisation: latest.organisation, job, body, deadline, receivedAt })
     }
     if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
-    if (request.method === 'DELETE') return this.replyTo(id, job, receivedAt, route, await this.options.gateway.cancel(job, deadline))
+    if (request.method === 'DELETE') return this.replyTo({ id, job, receivedAt, route, organisation: admission.organisation }, await this.options.gateway.cancel(job, deadline))
     if (request.method !== 'GET') return { status: 405 }
     return job === '' ? await this.getCount(id, route) : await this.getPhase(id, job)
   }
@@ -140,7 +142,7 @@
     const problem = findSubmissionProblem(submission.value)
     if (problem !== undefined) return this.refuse(request.id, 400, problem)
     const job = createJob(request.job, request.route, submission.value, Math.round(storeTime()), request.organisation)
-    return this.replyTo(request.id, request.job, request.receivedAt, request.route, await gateway.submit(job, request.deadline))
+    return this.replyTo(request, await gateway.submit(job, request.deadline))
   }
 
   private async getPhase (id: string, job: string): Promise<Reply> {
@@ -156,12 +158,12 @@
     return { status: 200, body: this.options.codec.encodeWaitingCount(count) }
   }
 
-  private replyTo (id: string, job: string, receivedAt: number, route: Route, outcome: RequestOutcome): Reply {
+  private replyTo ({ id, job, receivedAt, route, organisation }: { id: string, job: string, receivedAt: number, route: Route, organisation: Organisation | undefined }, outcome: RequestOutcome): Reply {
     const { log, clock } = this.options
     const duration = Math.round(clock.now() - receivedAt)
     switch (outcome.kind) {
       case 'accepted':
-        log.write(CELL_EVENTS.submissionAccepted, { request: id, job, route: route.name, duration, repeated: outcome.repeated })
+        log.write(CELL_EVENTS.submissionAccepted, { request: id, job, route: route.name, organisation: organisation?.name, duration, repeated: outcome.repeated })
         return { status: 200 }
       case 'cancelled':
         log.write(CELL_EVENTS.cancellationRecorded, { request: id, job })
@@ -175,8 +177,9 @@
   }
 
   private refuse (request: string, status: number, reason: string, retryAfter?: number): Reply {
-    const { log, storeSilence, configuration } = this.options
-    log.write(CELL_EVENTS.requestRefused, { request, status, reason, storeSilence: Math.round(storeSilence()), configuration: configuration()?.version })
+    const { log, storeSilence, configuration, configurationOrigin } = this.options
+    const { source, age } = configurationOrigin()
+    log.write(CELL_EVENTS.requestRefused, { request, status, reason, storeSilence: Math.round(storeSilence()), configuration: configuration()?.version, configurationAge: Math.round(age), configurationSource: source })
     return { status, retryAfter }
   }
 }
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -113,6 +113,11 @@
     return this.configurationSync.isConfirmed
   }
 
+  /** @returns where this node got the configuration in force */
+  get configurationSource (): 'store' | 'link' | undefined {
+    return this.configurationFeed.source
+  }
+
   /** @returns ms since the store or the decider confirmed that no newer configuration exists */
   get configurationAge (): number {
     return this.configurationSync.confirmationAge
--- a/packages/cell/src/runtime/ConfigurationFeed.ts
+++ b/packages/cell/src/runtime/ConfigurationFeed.ts
@@ -19,6 +19,8 @@
   current: Configuration | undefined
   /** Text of the configuration in force, for nodes that the store does not answer. */
   text = ''
+  /** Where the configuration in force was read. */
+  source: 'store' | 'link' | undefined
   /** The last text that could not be read; it is logged once, however often it is read. */
   private refusedText: string | undefined
   private refreshing: Promise<boolean> | undefined
@@ -75,6 +77,7 @@
     if (this.current !== undefined && configuration.value.version <= this.current.version) return
     this.current = configuration.value
     this.text = text
+    this.source = source
     log.write(CELL_EVENTS.configured, { version: this.current.version, routes: this.current.routes.length, source })
   }
 
--- a/packages/cell/test/runtime/access.test.ts
+++ b/packages/cell/test/runtime/access.test.ts
@@ -1,5 +1,7 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
+import { Metrics } from '@rattanstep/telemetry'
+import { AccessControl } from '../../src/index.js'
 import type { Credential, Organisation } from '../../src/index.js'
 import { createSteadyRig } from '../support/CellRig.js'
 import type { CellRig, RigNode } from '../support/CellRig.js'
@@ -70,6 +72,23 @@
     expect(statusAt(node, { kind: 'none' })).toEqual(401)
   })
 
+  // Guards against 401 or 404 by a node that has started while the store does not answer.
+  test('is answered by 503 at a node that has no configuration', () => {
+    const access = new AccessControl({ configuration: () => undefined, isConfirmed: () => true, metrics: new Metrics() })
+    expect(access.admit({ host: 'h', path: '/1', credential: { kind: 'key', key: 'acme-1' } })).toEqual({ kind: 'refused', status: 503, reason: 'no configuration yet', retryAfter: 1 })
+  })
+
+  // Guards against refusals that no metric shows, and against a series for each key.
+  test('that is refused is counted by status and reason', async () => {
+    const rig = await createSteadyRig({ organisations: [ACME] })
+    const node = rig.nodes[0]!
+    for (const key of ['a', 'b', 'acme-1', { kind: 'none' }] as const) statusAt(node, key)
+    expect(node.metrics.snapshot()).toEqual([
+      { kind: 'counter', name: 'access_refusals', labels: { status: '401', reason: 'unknown key' }, value: 2 },
+      { kind: 'counter', name: 'access_refusals', labels: { status: '401', reason: 'no key' }, value: 1 }
+    ])
+  })
+
   // Guards against deployments without organisations that refuse their callers.
   test('is not required where the configuration names no organisations', async () => {
     const rig = await createSteadyRig()
--- a/packages/cell/test/runtime/callerServer.test.ts
+++ b/packages/cell/test/runtime/callerServer.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'earl'
 import { SystemClock } from '@rattanstep/core'
 import { MemoryLog, Metrics } from '@rattanstep/telemetry'
+import type { LogFields } from '@rattanstep/telemetry'
 import { Err } from 'ts-results-es'
 import type { Result } from 'ts-results-es'
 import { CallerCodec, CallerServer } from '../../src/index.js'
@@ -43,10 +44,11 @@
 }
 
 /** Sends the head of a submission with a body of 10 bytes, waits, calls `next`, then sends the body; returns the answer and the state of the connection before and after the body. */
-async function submit ({ head, next = () => {} }: { head: string, next?: (configure: (configuration: Configuration) => void) => void }): Promise<{ early: string, late: string }> {
+async function submit ({ head, next = () => {} }: { head: string, next?: (configure: (configuration: Configuration) => void) => void }): Promise<{ early: string, late: string, refusals: LogFields[] }> {
   let configuration = configurationOf('good')
+  const log = new MemoryLog()
   const server = new CallerServer({
-    gateway: {} as unknown as Gateway, codec: new PlainCodec(), clock: new SystemClock(), log: new MemoryLog(), metrics: new Metrics(), configuration: () => configuration, isConfigurationConfirmed: () => true, arrivalTime: () => performance.now(), storeTime: () => 0, storeSilence: () => 0
+    gateway: {} as unknown as Gateway, codec: new PlainCodec(), clock: new SystemClock(), log, metrics: new Metrics(), configuration: () => configuration, isConfigurationConfirmed: () => true, configurationOrigin: () => ({ source: 'link', age: 5 }), arrivalTime: () => performance.now(), storeTime: () => 0, storeSilence: () => 0
   })
   const listening = server.listen('127.0.0.1', 0)
   await new Promise(resolve => { listening.once('listening', resolve) })
@@ -63,19 +65,30 @@
   socket.destroy()
   server.close()
   listening.closeAllConnections()
-  return { early, late: `${all.split('\r\n')[0]!}, ${end}` }
+  return { early, late: `${all.split('\r\n')[0]!}, ${end}`, refusals: log.lines.map(({ fields }) => fields) }
+}
+
+async function answersOf (request: Parameters<typeof submit>[0]): Promise<{ early: string, late: string }> {
+  const { early, late } = await submit(request)
+  return { early, late }
 }
 
 describe('a submission whose body has not arrived', () => {
   // Guards against memory that callers without a valid key can use up, and against answers that a reset of the connection discards.
   test('is refused at once for a wrong key, and a connection that is to be closed stays until the body has arrived', async () => {
-    expect(await submit({ head: 'authorization: bad' })).toEqual({ early: 'HTTP/1.1 401 Unauthorized, open', late: 'HTTP/1.1 401 Unauthorized, open' })
-    expect(await submit({ head: 'authorization: bad\r\nconnection: close' })).toEqual({ early: 'HTTP/1.1 401 Unauthorized, open', late: 'HTTP/1.1 401 Unauthorized, ended' })
+    expect(await answersOf({ head: 'authorization: bad' })).toEqual({ early: 'HTTP/1.1 401 Unauthorized, open', late: 'HTTP/1.1 401 Unauthorized, open' })
+    expect(await answersOf({ head: 'authorization: bad\r\nconnection: close' })).toEqual({ early: 'HTTP/1.1 401 Unauthorized, open', late: 'HTTP/1.1 401 Unauthorized, ended' })
+  })
+
+  // Guards against a refusal whose cause can't be found, and against keys in the log.
+  test('is logged when it is refused, with version, source and age of the configuration and without the key', async () => {
+    const { refusals } = await submit({ head: 'authorization: bad' })
+    expect(refusals.map(({ storeSilence, ...fields }) => fields)).toEqual([{ request: 'q', status: 401, reason: 'unknown key', configuration: 1, configurationAge: 5, configurationSource: 'link' }])
   })
 
   // Guards against a job that is accepted with a key that was revoked while a slow body arrived.
   test('is read for a valid key, and refused if the key was revoked meanwhile', async () => {
-    expect(await submit({ head: 'authorization: good' })).toEqual({ early: ', open', late: 'HTTP/1.1 400 Bad Request, open' })
-    expect(await submit({ head: 'authorization: good', next: configure => { configure(configurationOf('other')) } })).toEqual({ early: ', open', late: 'HTTP/1.1 401 Unauthorized, open' })
+    expect(await answersOf({ head: 'authorization: good' })).toEqual({ early: ', open', late: 'HTTP/1.1 400 Bad Request, open' })
+    expect(await answersOf({ head: 'authorization: good', next: configure => { configure(configurationOf('other')) } })).toEqual({ early: ', open', late: 'HTTP/1.1 401 Unauthorized, open' })
   })
 })
--- a/packages/cell/test/runtime/configurationSync.test.ts
+++ b/packages/cell/test/runtime/configurationSync.test.ts
@@ -71,6 +71,21 @@
     expect(versions(rig.nodes)).toEqual(rig.nodes.map(() => 20))
   })
 
+  // Guards against a rolling update that stops the nodes that have been updated, or lets them refuse keys for good by what an earlier node tells.
+  test('does not reach a node that the store refuses from a decider of the earlier program, and the node goes on', async () => {
+    const rig = await createSteadyRig()
+    rig.decider!.endpoint.isEarlierVersion = true
+    const cut = rig.nodes.find(node => node !== rig.decider)!
+    cut.store.condition = 'resetting'
+    rig.configure(5)
+    await rig.run(APPLY_LIMIT_MS)
+    expect(rig.nodes.map(node => [node.cell.configuration?.version, node.cell.isConfigurationConfirmed])).toEqual(rig.nodes.map(node => node === cut ? [1, false] : [5, true]))
+    const { id, outcome } = await rig.submit(cut, [{ count: 2 }])
+    expect(outcome.kind).toEqual('accepted')
+    await rig.run(2000)
+    expect(await rig.phases([id])).toEqual(['completed'])
+  })
+
   // Guards against the loss of the last valid version, and against a line of the log for each heartbeat.
   test('that is malformed is logged once, and the former version stays in force', async () => {
     const rig = await createSteadyRig()
--- a/packages/cell/test/support/FakeLinks.ts
+++ b/packages/cell/test/support/FakeLinks.ts
@@ -20,7 +20,9 @@
   override send (message: Outgoing): void {
     this.own.sentMessages++
     if (this.closed || isCut(this.own, this.other)) return
-    const text = JSON.stringify(message)
+    const seen = [this.own, this.other].some(each => each.isEarlierVersion) ? withoutNews(message as object) : message
+    if (seen === undefined) return
+    const text = JSON.stringify(seen)
     this.other.clock.schedule(ONE_WAY_DELAY_MS + this.other.inboundDelay, () => { if (!this.peer.closed) this.peer.onMessage(JSON.parse(text) as Outgoing) })
   }
 
@@ -44,6 +46,8 @@
   isSilenced: boolean
   /** Name of the part of the network that the node is in; nodes of different parts can't reach each other. */
   networkPart: string
+  /** Whether the node behaves on its links as one of the version of the program before configurations were sent over links. */
+  isEarlierVersion?: boolean
   /** ms by which messages to the node are late. */
   inboundDelay: number
   /** Accepts a new link; absent if no process listens. */
@@ -53,6 +57,12 @@
   sentMessages: number
 }
 
+/** @returns a message as a node of the earlier version of the program sends or understands it; `undefined` if it knows no such message */
+function withoutNews (message: { kind?: string, configurationConfirmedAt?: number, decider?: object }): object | undefined {
+  const { configurationConfirmedAt, decider, ...rest } = message
+  return rest.kind === 'configuration-wanted' || rest.kind === 'configuration-text' ? undefined : rest
+}
+
 function isCut (a: FakeEndpoint, b: FakeEndpoint): boolean {
   return a.isSilenced || b.isSilenced || a.networkPart !== b.networkPart
 }
