Gangs beyond the rate hold no capacity

Cause: capacity held for a gang of a burst stayed empty, or was kept from work of others within their rate and of the same or less priority. Change: mayHoldCapacity excludes gangs beyond the rate, as it did those that are too late; they start when all of them fits at once. The new test fails without the check; 65 tests of nine files of cell pass.

--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -7,6 +7,7 @@
 import { addPlacements } from './planRound.js'
 import type { RoundContext } from './planRound.js'
 import type { StepState } from './model.js'
+import { mayHoldCapacity } from './rankSteps.js'
 import type { RankedStep } from './rankSteps.js'
 import { holdSchedule, releaseHold, scheduleGang } from './scheduleGang.js'
 import type { GangSchedule } from './scheduleGang.js'
@@ -111,10 +112,10 @@
  * even the widest gang starts at some time.
  */
 function updateHold ({ rankedStep, schedule }: GangState, { capacity, now, plan, servicesWithLongHold }: RoundContext): void {
-  const { step, route, lateness } = rankedStep
+  const { step, route } = rankedStep
   releaseHold(step, capacity.slots)
   plan.holds.delete(step)
-  if (schedule === undefined || lateness === 2) return
+  if (schedule === undefined || !mayHoldCapacity(rankedStep)) return
   const limit = Math.max(MAX_HOLD_RATIO * step.definition.estimate, route.advice === undefined ? 0 : ticketDelay(route.advice) + START_TOLERANCE_MS)
   if (schedule.startAt - now > limit) {
     if (servicesWithLongHold.has(route.service)) return
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -10,6 +10,7 @@
 import { planGang } from './planGang.js'
 import { planSuspect, restoreReservation, SHARED_PATIENCE_MS } from './planSuspect.js'
 import { reviewRejections } from './reviewRejections.js'
+import { mayHoldCapacity } from './rankSteps.js'
 import type { RankedStep } from './rankSteps.js'
 import { holdSchedule } from './scheduleGang.js'
 import { suspectsOf, updateClearance } from './Suspicion.js'
@@ -134,9 +135,10 @@
 }
 
 /** Holds a gang's workers as in the last round, so that no gang of lower rank or later schedule takes them. */
-function restoreHold ({ step, route, lateness }: RankedStep, holds: Map<StepState, GangHold>, contextOf: (service: string) => RoundContext): void {
+function restoreHold (rankedStep: RankedStep, holds: Map<StepState, GangHold>, contextOf: (service: string) => RoundContext): void {
+  const { step, route } = rankedStep
   const hold = holds.get(step)
-  if (hold === undefined || lateness === 2) return
+  if (hold === undefined || !mayHoldCapacity(rankedStep)) return
   const context = contextOf(route.service)
   if (countUnderCap(step, context) < step.tasks.length) return
   const { capacity, now, plan } = context
@@ -156,9 +158,10 @@
 }
 
 /** Cheap check that, when many steps wait, excludes most of those for which the round can do nothing. */
-function canProgress ({ step, route, lateness }: RankedStep, context: RoundContext): boolean {
+function canProgress (rankedStep: RankedStep, context: RoundContext): boolean {
+  const { step, route } = rankedStep
   const { capacity, adviceRound, now, plan, servicesWithLongHold } = context
-  const mayHold = step.definition.gang && lateness < 2 && (route.advice !== undefined || plan.holds.has(step) || !servicesWithLongHold.has(route.service))
+  const mayHold = step.definition.gang && mayHoldCapacity(rankedStep) && (route.advice !== undefined || plan.holds.has(step) || !servicesWithLongHold.has(route.service))
   if (!mayHold && !capacity.mayFit(step.definition)) return false
   if (countUnderCap(step, context) < 1) return false
   if (route.advice === undefined || step.allowedWorkers.size + step.rejectedWorkers.size > 0) return true
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -62,6 +62,14 @@
   return { step, route, lateness, objectiveAt: start + span, isBeyondRate: occurrence.job.isBeyondRate }
 }
 
+/**
+ * @returns whether capacity may be held for a gang until it starts. Capacity that is held stays empty or is kept from others, which work that is too late
+ * or beyond the rate is not worth; such a gang starts when all of it fits at once.
+ */
+export function mayHoldCapacity ({ lateness, isBeyondRate }: RankedStep): boolean {
+  return lateness < 2 && !isBeyondRate
+}
+
 /** @returns the first criterion of a step's rank: 0 and 1 for useful work within and beyond the rate, 2 and 3 for work that is too late */
 function groupOf ({ lateness, isBeyondRate }: RankedStep): number {
   return (lateness === 2 ? 2 : 0) + (isBeyondRate ? 1 : 0)
--- a/packages/cell/test/runtime/organisationRates.test.ts
+++ b/packages/cell/test/runtime/organisationRates.test.ts
@@ -2,6 +2,9 @@
 import { expect } from 'earl'
 import { OrganisationTable } from '../../src/index.js'
 import { Registry } from '../../src/runtime/Registry.js'
+import { AdviceScheduler } from '../../src/runtime/AdviceScheduler.js'
+import { planRound } from '../../src/runtime/planRound.js'
+import type { RoundPlan } from '../../src/runtime/planRound.js'
 import { rankSteps } from '../../src/runtime/rankSteps.js'
 import type { Job } from '../../src/index.js'
 import { createSteadyRig, stepOf } from '../support/CellRig.js'
@@ -31,6 +34,21 @@
     expect(rankSteps(registry.readySteps, { routeOf: () => ROUTE, now: 100_000 }).map(({ step }) => step.occurrence.job.job.id)).toEqual(['useful', 'late', 'burst', 'late burst', 'useless'])
   })
 
+  // Guards against capacity that is kept empty for a burst, or kept from work that is owed.
+  test('hold no capacity for their gangs, which start when they fit', () => {
+    const planGangBeside = (used: number, isBeyondRate: boolean): RoundPlan => {
+      const registry = new Registry()
+      const worker = registry.ensureWorker({ id: 'w', service: 's', address: '', dataCentre: 'd', state: 'ready', capacity: { cpu: 4000, memory: 1000, accelerators: 0 }, labels: [], born: 1 })
+      const [running] = registry.addJob({ ...jobOf('running', 0), steps: [stepOf({ size: { cpu: used, memory: 1, accelerators: 0 } })] }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks
+      running!.phase = 'running'
+      registry.assign(running!, worker)
+      const gang = registry.addJob({ ...jobOf('gang', 0), steps: [stepOf({ count: 4, gang: true, estimate: 3000 })] }, { now: 0, age: 0, wall: 0 })
+      gang.isBeyondRate = isBeyondRate
+      return planRound(rankSteps([gang.occurrences[0]!.steps[0]!], { routeOf: () => ROUTE, now: 0 }), { workersOf: () => [worker], now: 0, adviceRound: new AdviceScheduler().startRound([], 0) })
+    }
+    expect([planGangBeside(1000, false).holds.size, planGangBeside(1000, true).holds.size, planGangBeside(0, true).placements.length]).toEqual([1, 0, 4])
+  })
+
   // Guards against a successor that takes a burst for work that is owed, because it sees none of the jobs within the rate any more.
   test('are the same for a successor, also where other jobs have ended or changed the order of their arrival', () => {
     const jobs = Array.from({ length: 30 }, (_, index) => jobOf(String(index), 100 * index))
