Nodes refuse jobs that would end too late to be of any use

Cause: nodes accepted whatever was submitted, however much waited.

Change: the decider's heartbeats carry its backlog: waiting core-seconds by priority and the cores that work is given to (the measured start rate, or the cores in use if that is more). judgeBacklog in packages/policy refuses by it, with 503 and a spread Retry-After, a job of the least urgent priority, or of an organisation listed as far beyond its rate, whose projected end is 1.5 times later than its result is of use. It accepts without a report, with one older than 1.5 s, and priority 0 in any case. A decider reports after it has measured for 10 s. Before a refusal the node reads the store, so that a job that an earlier request has submitted is not refused. Each refusal is logged and counted by priority and organisation.

Nothing fills the list of organisations beyond their rate yet: the rate is measured with the shares.

Active if the configuration names organisations or overload.admission is set.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -51,6 +51,7 @@
       retention: settings.bounds.finishedJobRetention,
       leaseMax: settings.bounds.leaseMax,
       preempts: settings.overload?.preemption,
+      refuses: settings.overload?.admission,
       connector: new TcpLinkConnector<DeciderMessage, FollowerMessage>(this.linkTraffic)
     })
     this.pauses = new PauseMonitor({ clock, log })
@@ -63,6 +64,8 @@
     metrics.gauge('processor_seconds', readProcessorSeconds)
     for (const reason of WAIT_REASONS) metrics.gauge('waiting_steps', () => this.cell.activeDecider?.waits.counts.get(reason) ?? 0, { reason })
     metrics.gauge('tasks_given_up', () => this.cell.activeDecider?.tasksGivenUp ?? 0)
+    metrics.gauge('backlog_core_seconds', () => this.cell.activeDecider?.backlog?.waiting.reduce((sum, each) => sum + each, 0) ?? 0)
+    metrics.gauge('start_rate_cores', () => this.cell.activeDecider?.backlog?.rate ?? 0)
     metrics.gauge('commits', () => this.cell.activeDecider?.commits ?? 0)
   }
 
@@ -71,14 +74,28 @@
     return this.stopped === undefined && this.cell.isReady
   }
 
+  /** Renders the metrics, with the counts by priority and organisation as they are now. */
+  private renderMetrics (): string {
+    const { metrics } = this.options
+    const setAll = (name: string, counts: ReadonlyMap<string, number>): void => {
+      for (const [key, count] of counts) {
+        const [priority = '', organisation = ''] = key.split(' ', 2)
+        metrics.gauge(name, () => count, { priority, organisation })
+      }
+    }
+    setAll('jobs_refused', this.cell.admission.refusals)
+    setAll('runs_preempted', this.cell.activeDecider?.preemptions ?? new Map<string, number>())
+    return metrics.render()
+  }
+
   /** Opens the ports and joins the cell. */
   start (): void {
-    const { settings, log, metrics } = this.options
+    const { settings, log } = this.options
     this.callers.listen(...parseEndpoint(settings.listen.callers))
     this.servers.push(
       listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic),
       serveText(parseEndpoint(settings.listen.readiness), () => ({ status: this.isReady ? 200 : 503, text: '' })),
-      serveText([settings.ip, settings.listen.metricsPort], () => ({ status: 200, text: metrics.render() })))
+      serveText([settings.ip, settings.listen.metricsPort], () => ({ status: 200, text: this.renderMetrics() })))
     this.pauses.start()
     this.cell.start()
     log.write(CELL_EVENTS.started, { addresses: settings.listen, dataCentre: settings.dataCentre })
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -1,3 +1,4 @@
+import { SystemRandom } from '@rattanstep/core'
 import type { Clock, Timer } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { Result } from 'ts-results-es'
@@ -7,6 +8,8 @@
 import type { Answer, Question } from '../types/links.js'
 import type { Advice, Advisor, RowReader, WorkerClient } from '../types/ports.js'
 import type { RecordStore } from '../types/records.js'
+import { AdmissionGate } from './AdmissionGate.js'
+import type { ReceivedBacklog } from './AdmissionGate.js'
 import { BoundedStore } from './BoundedStore.js'
 import { BoundedWorkerClient } from './BoundedWorkerClient.js'
 import { ConfigurationFeed } from './ConfigurationFeed.js'
@@ -52,6 +55,8 @@
   leaseMax: number
   /** Whether runs are stopped for more urgent work even if the configuration names no organisations; not by default. */
   preempts?: boolean
+  /** Whether nodes refuse jobs that would end too late to be of use even if the configuration names no organisations; not by default. */
+  refuses?: boolean
   store: RecordStore
   workers: WorkerClient
   advisor: Advisor
@@ -65,6 +70,7 @@
 /** One member of the cell, without its sockets: gateway for callers, follower and, while it holds the term, decider. */
 export class Cell extends DeciderClient {
   readonly gateway: Gateway
+  readonly admission: AdmissionGate
   private readonly configurationFeed: ConfigurationFeed
   private readonly membership: Membership
   private decider: Decider | undefined
@@ -80,7 +86,8 @@
     const store = new BoundedStore({ store: options.store, clock, log })
     this.options = { ...options, store }
     this.configurationFeed = new ConfigurationFeed({ store, clock, log, parse: options.readConfiguration })
-    this.gateway = new Gateway({ store, clock, decider: this })
+    this.admission = new AdmissionGate({ clock, log, random: new SystemRandom(), lastReport: () => this.lastBacklog() })
+    this.gateway = new Gateway({ store, clock, decider: this, admission: this.admission })
     this.membership = new Membership({
       store,
       connector: options.connector,
@@ -185,7 +192,7 @@
   }
 
   private async decide (term: Term, version: number): Promise<void> {
-    const { store, workers, reader, clock, log, node, advisor, retention, leaseMax, preempts = false } = this.options
+    const { store, workers, reader, clock, log, node, advisor, retention, leaseMax, preempts = false, refuses = false } = this.options
     let resolveTermLost!: () => void
     const termLost = new Promise<void>(resolve => { resolveTermLost = resolve })
     const followers: Followers = new Followers({
@@ -200,7 +207,8 @@
         configurationVersion: () => this.configuration?.version ?? 0,
         onNewerTerm: () => { decider.confirmTerm() },
         write: async (request, timeout) => await this.gateway.write(request, clock.now() + timeout - FORWARD_RESERVE_MS),
-        storeSilence: () => store.silentFor()
+        storeSilence: () => store.silentFor(),
+        backlog: () => decider.backlog
       }
     })
     const decider: Decider = new Decider({
@@ -228,7 +236,8 @@
       retention,
       lease: Math.min(LEASE_MS, leaseMax),
       leaseMax,
-      preempts
+      preempts,
+      refuses
     })
     this.decider = decider
     this.followers = followers
@@ -271,6 +280,13 @@
     this.followers.nominateSuccessor('stronger', 0)
   }
 
+  /** @returns the backlog of this node's decider, or as the decider that it follows has last reported it */
+  private lastBacklog (): ReceivedBacklog | undefined {
+    if (this.decider === undefined) return this.membership.follower?.backlog
+    const report = this.decider.backlog
+    return report === undefined ? undefined : { report, at: this.options.clock.now() }
+  }
+
   private updateConfiguration (version: number): void {
     if (version > (this.configuration?.version ?? 0)) detach(this.configurationFeed.refresh(), this.options.log, 'configuration')
   }
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -1,4 +1,5 @@
 import type { Clock, Timer } from '@rattanstep/core'
+import type { BacklogReport } from '@rattanstep/policy'
 import type { Log } from '@rattanstep/telemetry'
 import type { Configuration, Route } from '../types/configuration.js'
 import type { JobPhase, RecordedJob } from '../types/job.js'
@@ -9,6 +10,7 @@
 import type { RecordStore } from '../types/records.js'
 import type { WorkerReport } from '../types/worker.js'
 import { AdviceScheduler } from './AdviceScheduler.js'
+import { BacklogMeter } from './BacklogMeter.js'
 import { PhaseWaiters } from './PhaseWaiters.js'
 import { Registry } from './Registry.js'
 import { SubmissionFeed } from './SubmissionFeed.js'
@@ -88,6 +90,8 @@
   leaseMax: number
   /** Whether runs are stopped for more urgent work even if the configuration names no organisations. */
   preempts: boolean
+  /** Whether the backlog is reported, so that nodes refuse what would end too late, even if the configuration names no organisations. */
+  refuses: boolean
 }
 
 /** Decides which task runs on which worker, for as long as this node holds the term. */
@@ -121,6 +125,7 @@
   private holds = new Map<StepState, GangHold>()
   /** Number of runs stopped for more urgent work in this term, by priority and organisation of their jobs, as in `2 name`. */
   readonly preemptions = new Map<string, number>()
+  private readonly backlogMeter = new BacklogMeter(this.registry)
   private readonly timers: Timer[] = []
   private isRoundScheduled = false
   /** Monotonic ms before which no round starts. */
@@ -345,15 +350,30 @@
     const plan = planRound(ranked, { preemption, workersOf: service => usable.get(service) ?? [], now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
     this.holds = plan.holds
     this.lifecycle.place(plan.placements)
+    this.backlogMeter.addPlacements(plan.placements, now)
     for (const preemption of plan.preemptions) this.preempt(preemption)
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
   }
 
   /** @returns what finds runs to stop for more urgent work in one round, if that is enabled */
   private startPreemption (now: number): PreemptionRound | undefined {
-    if (!this.options.preempts && (this.lastConfiguration?.organisations ?? []).length === 0) return undefined
-    const leastUrgent = Math.max(...[...this.routes.values()].map(route => route.priority))
-    return new PreemptionRound({ now, leastUrgent, routeOf: job => findScheduledRoute(job, name => this.routes.get(name)), workers: this.registry.workers.values() })
+    if (!this.options.preempts && !this.hasOrganisations) return undefined
+    return new PreemptionRound({ now, leastUrgent: this.leastUrgent, routeOf: job => findScheduledRoute(job, name => this.routes.get(name)), workers: this.registry.workers.values() })
+  }
+
+  /** @returns the work that waits, if nodes may refuse more of it and enough was measured */
+  get backlog (): BacklogReport | undefined {
+    if (!this.isReady || (!this.options.refuses && !this.hasOrganisations)) return undefined
+    return this.backlogMeter.report({ now: this.options.clock.now(), leastUrgent: this.leastUrgent, routeOf: job => findScheduledRoute(job, name => this.routes.get(name)) })
+  }
+
+  private get hasOrganisations (): boolean {
+    return (this.lastConfiguration?.organisations ?? []).length > 0
+  }
+
+  /** @returns the least urgent priority of the known routes */
+  private get leastUrgent (): number {
+    return Math.max(0, ...[...this.routes.values()].map(route => route.priority))
   }
 
   private preempt (preemption: Preemption): void {
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -10,6 +10,7 @@
 import type { Link, LinkConnector } from './Link.js'
 import { WorkerCallDecoder } from './WorkerCallCodec.js'
 import type { NumberedCall } from './WorkerCallCodec.js'
+import type { ReceivedBacklog } from './AdmissionGate.js'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
 import { runLogged } from './runLogged.js'
@@ -58,6 +59,8 @@
   private lastMessageAt: number
   /** ms since the store last answered the decider, as of its last message. */
   deciderStoreSilence = Infinity
+  /** The last report of the decider's backlog. */
+  backlog: ReceivedBacklog | undefined
   private readonly calls = new Map<number, (answer: unknown) => void>()
   private nextCall = 1
   private timer: Timer | undefined
@@ -183,6 +186,7 @@
         this.rank = message.rank
         this.interval = message.interval
         this.deciderStoreSilence = message.storeSilence
+        this.backlog = message.backlog === undefined ? undefined : { report: message.backlog, at: this.lastMessageAt }
         return this.options.callbacks.onConfigurationVersion(message.configuration)
       case 'answer': return this.resolveCall(message.call, message.answer)
       case 'recorded': return this.resolveCall(message.call, message.outcome)
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -1,4 +1,5 @@
 import type { Clock, Timer } from '@rattanstep/core'
+import type { BacklogReport } from '@rattanstep/policy'
 import type { Log } from '@rattanstep/telemetry'
 import type { RecordedJob } from '../types/job.js'
 import type { Answer, DeciderMessage, Question, SuccessionReason, FollowerMessage } from '../types/links.js'
@@ -55,6 +56,8 @@
   write: (request: WriteRequest, timeout: number) => Promise<WriteOutcome>
   /** Returns the ms since the store last answered this node. */
   storeSilence: () => number
+  /** Returns the decider's backlog, if nodes may refuse jobs by it. */
+  backlog?: () => BacklogReport | undefined
   /** Called when a follower knows of a newer term. */
   onNewerTerm: () => void
 }
@@ -266,6 +269,7 @@
     const now = clock.now()
     let rank = 0
     const configuration = callbacks.configurationVersion()
+    const backlog = callbacks.backlog?.()
     const storeSilence = Math.min(callbacks.storeSilence(), Number.MAX_SAFE_INTEGER)
     const isSilent = (follower: FollowerState, limit = 0): boolean => now - follower.lastMessageAt > Math.max(limit, LINK_TIMEOUT_RATIO * follower.interval)
     const isBehind = 2 * [...this.followers.values()].filter(follower => isSilent(follower)).length > this.followers.size
@@ -280,7 +284,7 @@
       this.updateInterval(follower, place < WATCHER_COUNT ? LINK_HEARTBEAT_MS : DISTANT_HEARTBEAT_MS, now)
       if (now - follower.heartbeatAt < follower.interval - LINK_HEARTBEAT_MS / 2) continue
       follower.heartbeatAt = now
-      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, storeSilence })
+      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, storeSilence, ...(backlog === undefined ? {} : { backlog }) })
       if (place < WATCHER_COUNT) this.reportMembers(follower, now)
     }
   }
--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -2,6 +2,7 @@
 import type { PhaseOutcome, RequestOutcome } from '../types/callers.js'
 import type { Job, RecordedJob } from '../types/job.js'
 import type { Answer, Question } from '../types/links.js'
+import type { AdmissionGate } from './AdmissionGate.js'
 import type { RecordStore } from '../types/records.js'
 import type { EndedPhase } from './Registry.js'
 import { encodeSubmission } from './submissionRow.js'
@@ -63,7 +64,7 @@
   private readonly lastCounts = new Map<string, { count: number, at: number }>()
   private readonly writer: SubmissionWriter
 
-  constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderClient }) {
+  constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderClient, admission?: AdmissionGate }) {
     this.writer = new SubmissionWriter(options)
   }
 
@@ -80,6 +81,12 @@
    * @param deadline - time until which the caller waits, in monotonic ms
    */
   async submit (job: Job, deadline: number): Promise<RequestOutcome> {
+    const refusal = this.options.admission?.judge(job)
+    // A job that an earlier request has submitted is not refused: it may run.
+    if (refusal !== undefined && (await this.readRecordedPhase(job.id)).kind === 'unknown-job') {
+      this.options.admission!.note(job, refusal)
+      return { kind: 'refused', reason: 'too much work waits for the job to end in time', retryAfter: refusal.retryAfter }
+    }
     const outcome = await this.persist({ kind: 'job', job }, deadline)
     return explainFailure(outcome) ?? { kind: 'accepted', repeated: outcome === 'repeated' }
   }
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -3,7 +3,7 @@
 import type { StepState } from './model.js'
 
 /** Ratio of a job's duration to its objective above which the job's result is of no use to the caller, as specified by the platform. */
-const MAX_USEFUL_OBJECTIVE_RATIO = 3
+export const MAX_USEFUL_OBJECTIVE_RATIO = 3
 
 /** A step with the criteria of its rank. */
 export interface RankedStep {
--- a/packages/cell/src/runtime/resolveSettings.ts
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -43,7 +43,7 @@
       leaseMax: read.duration('bounds', 'leaseMax'),
       finishedJobRetention: read.duration('bounds', 'finishedJobRetention')
     },
-    overload: { preemption: read.flagOr(false, 'overload', 'preemption') },
+    overload: { preemption: read.flagOr(false, 'overload', 'preemption'), admission: read.flagOr(false, 'overload', 'admission') },
     logLevel: read.level('logLevel')
   }
   return findings.length > 0 ? Err(findings) : Ok(settings)
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -1,3 +1,4 @@
+import type { BacklogReport } from '@rattanstep/policy'
 import type { ExecuteMessage, WorkerCallResult } from './execution.js'
 import type { Job, JobPhase } from './job.js'
 import type { Advice } from './ports.js'
@@ -29,7 +30,7 @@
   | { kind: 'welcome', term: number }
   /** Answer to `hello` from a node that is not the decider. */
   | { kind: 'elsewhere' }
-  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms since the store last answered the decider */ storeSilence: number }
+  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms since the store last answered the decider */ storeSilence: number, /** waiting work, if nodes may refuse more of it */ backlog?: BacklogReport }
   | { kind: 'answer', call: number, answer: Answer }
   | { kind: 'recorded', call: number, outcome: WriteOutcome }
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
--- a/packages/cell/src/types/settings.ts
+++ b/packages/cell/src/types/settings.ts
@@ -27,6 +27,8 @@
   overload?: {
     /** Whether runs are stopped for more urgent work even if the configuration names no organisations. */
     preemption: boolean
+    /** Whether nodes refuse jobs that would end too late to be of use even if the configuration names no organisations. */
+    admission: boolean
   }
   logLevel: 'debug' | 'info' | 'warn' | 'error'
 }
--- a/packages/cell/test/bench/loads.ts
+++ b/packages/cell/test/bench/loads.ts
@@ -88,3 +88,9 @@
 
 /** The large workers after the loss of a fifth of them: more is asked for than fits for most of the time. */
 export const TOO_FEW_LARGE_WORKERS: Load = { ...FULL_CELL_OF_LARGE_WORKERS, workers: 197 }
+
+/** Twice as many gangs and batches as fit, for half a minute. */
+export const TWICE_TOO_MUCH: Load = {
+  ...FULL_CELL_OF_LARGE_WORKERS,
+  bursts: [{ kind: 2, from: 3000, until: 33_000, factor: 3.5 }, { kind: 1, from: 3000, until: 33_000, factor: 1.5 }]
+}
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -1,12 +1,15 @@
 import { SeededRandom } from '@rattanstep/core'
+import { judgeBacklog } from '@rattanstep/policy'
+import type { BacklogReport } from '@rattanstep/policy'
 import { AdviceScheduler } from '../../src/runtime/AdviceScheduler.js'
 import { applyAdvice, asAsked } from '../../src/runtime/applyAdvice.js'
+import { BacklogMeter } from '../../src/runtime/BacklogMeter.js'
 import { Registry } from '../../src/runtime/Registry.js'
 import { hashFraction } from '../../src/runtime/hashText.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from '../../src/runtime/model.js'
 import { PreemptionRound } from '../../src/runtime/PreemptionRound.js'
 import { planRound } from '../../src/runtime/planRound.js'
-import { objectiveSpan, rankSteps } from '../../src/runtime/rankSteps.js'
+import { chainLength, objectiveSpan, rankSteps } from '../../src/runtime/rankSteps.js'
 import type { Route } from '../../src/index.js'
 import { stepOf } from '../support/CellRig.js'
 
@@ -57,6 +60,8 @@
   inTime: number
   late: number
   failed: number
+  /** Number of the failed ones that were refused. */
+  refused: number
   /** Worth earned / worth owed. */
   worth: number
   /** Worth earned / worth owed of the largest tenth of the jobs and of the fifth below it. */
@@ -82,6 +87,8 @@
 /** Time from an order to stop until the run's end is known, and time that a run takes to restore a checkpoint: least and most, in ms. */
 const STOP_MS = [60, 230] as const
 const RESTORE_MS = [100, 600] as const
+/** Age of the decider's report of its backlog when nodes use it, in ms. */
+const BACKLOG_AGE_MS = 300
 /** Speeds of the workers, in turn. */
 const SPEEDS = [0.8, 1, 1.25]
 
@@ -96,6 +103,7 @@
   submittedAt: number
   span: number
   endedAt: number
+  isRefused?: boolean
 }
 
 /** A run in the simulation. */
@@ -112,10 +120,10 @@
  *
  * @param load - the load
  * @param seed - seed of the jobs
- * @param options - `preempts`: whether runs are stopped for more urgent work
+ * @param options - `preempts`: whether runs are stopped for more urgent work; `refuses`: whether jobs are refused that would end too late
  * @returns what the callers of each kind got
  */
-export function simulateLoad (load: Load, seed: number, { preempts = false }: { preempts?: boolean } = {}): KindResult[] {
+export function simulateLoad (load: Load, seed: number, { preempts = false, refuses = false }: { preempts?: boolean, refuses?: boolean } = {}): KindResult[] {
   const random = new SeededRandom(seed)
   const registry = new Registry()
   const scheduler = new AdviceScheduler()
@@ -154,6 +162,13 @@
   const runs = new Map<Task, SimulatedRun>()
   const doneBefore = new Map<Task, number>()
   const durations = new Map<Task, number>()
+  const meter = new BacklogMeter(registry)
+  const reportBacklog = (): void => { events.add(now + BACKLOG_AGE_MS, setReport(meter.report({ now, leastUrgent, routeOf: job => routes.get(job.route) }))) }
+  let report: BacklogReport | undefined
+  const setReport = (next: BacklogReport | undefined) => () => {
+    report = next
+    reportBacklog()
+  }
   const stopped = load.kinds.map(() => ({ stops: 0, lost: 0 }))
   const speeds = load.speeds ?? SPEEDS
   const speedOf = (worker: WorkerState): number => speeds[Number(worker.report.id.slice(1)) % speeds.length]!
@@ -188,6 +203,7 @@
     const preemption = preempts ? new PreemptionRound({ now, routeOf: job => routes.get(job.route), workers, leastUrgent }) : undefined
     const result = planRound(ranked, { workersOf: () => workers, now, adviceRound: scheduler.startRound(nodes, now), allowedShare: route => scheduler.allowedShare(route), holds, preemption })
     holds = result.holds
+    meter.addPlacements(result.placements, now)
     for (const { victim } of result.preemptions) stopRun(victim)
     // The members of a gang end together, when the slowest one ends.
     const gangSpeeds = new Map<StepState, number>()
@@ -226,6 +242,7 @@
     }
   }
 
+  reportBacklog()
   load.kinds.forEach((kind, index) => {
     let number = 0
     for (let at = 0; at < load.duration;) {
@@ -234,8 +251,13 @@
       const id = index.toString(16) + (number++).toString(16).padStart(15, '0')
       const job = drawJob(kind, id, random)
       events.add(at, () => {
+        const refusal = refuses ? judgeBacklog({ priority: kind.route.priority, duration: chainLength(job.steps, 0), usefulFor: 3 * objectiveSpan(job.steps, kind.route) }, report, { age: BACKLOG_AGE_MS, random }) : undefined
+        if (refusal !== undefined) {
+          outcomes.push({ kind: index, work: workOf(job), submittedAt: now, span: 1, endedAt: Infinity, isRefused: true })
+          return
+        }
         const state = registry.addJob(job, { now, age: 0, wall: 0 })
-        const outcome = { kind: index, work: job.steps.reduce((sum, step) => sum + step.count * step.size.cpu * step.estimate, 0), submittedAt: now, span: objectiveSpan(job.steps, kind.route), endedAt: Infinity }
+        const outcome = { kind: index, work: workOf(job), submittedAt: now, span: objectiveSpan(job.steps, kind.route), endedAt: Infinity }
         outcomeOf.set(id, outcome)
         outcomes.push(outcome)
         if (state.phase === 'open') requestRound()
@@ -254,6 +276,10 @@
   return load.kinds.map(kind => objectiveSpan([stepOf({ estimate: 2 * kind.duration })], kind.route))
 }
 
+function workOf ({ steps }: ReturnType<typeof drawJob>): number {
+  return steps.reduce((sum, step) => sum + step.count * step.size.cpu * step.estimate, 0)
+}
+
 function drawJob (kind: JobKind, id: string, random: SeededRandom): { id: string, route: string, spec: string, acceptedAt: number, steps: Array<ReturnType<typeof stepOf>> } {
   const gang = random.next() < kind.gangShare
   const count = random.next() < kind.steps - 1 ? 2 : 1
@@ -301,6 +327,7 @@
     inTime: count(ratio => ratio <= 1),
     late: count(ratio => ratio > 1 && ratio <= 3),
     failed: count(ratio => !(ratio <= 3)),
+    refused: outcomes.filter(({ isRefused }) => isRefused === true).length,
     worth: share(outcomes),
     largest: share(bySize.slice(0, Math.ceil(outcomes.length * 0.1))),
     large: share(bySize.slice(Math.ceil(outcomes.length * 0.1), Math.ceil(outcomes.length * 0.3)))
--- a/packages/cell/test/runtime/settings.test.ts
+++ b/packages/cell/test/runtime/settings.test.ts
@@ -34,6 +34,13 @@
     expect(settings.logLevel).toEqual('info')
   })
 
+  test('leave what is done under overload to the configuration, unless they name it', () => {
+    // Guards against deployments without organisations that stop or refuse work.
+    expect(resolveSettings(fill(), 'boot.yaml').unwrap().overload).toEqual({ preemption: false, admission: false })
+    expect(resolveSettings(fill() + '\noverload:\n  preemption: true\n  admission: true', 'boot.yaml').unwrap().overload).toEqual({ preemption: true, admission: true })
+    expect(resolveSettings(fill() + '\noverload:\n  preemption: 1', 'boot.yaml').unwrapErr().map(({ message }) => message)).toEqual(['overload.preemption is 1; expected true or false'])
+  })
+
   test('give an instance with a slow network link less strength', () => {
     expect(resolveSettings(fill({ 'limits.link_mbps': '10' }), 'boot.yaml').unwrap().strength).toEqual(0.675 / 4)
   })
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -37,6 +37,8 @@
 export interface RigOptions {
   /** Whether runs are stopped for more urgent work. */
   preempts?: boolean
+  /** Whether nodes refuse jobs that would end too late. */
+  refuses?: boolean
   nodes?: number
   workers?: number
   /** Capacity of each worker in thousandths of a core. */
@@ -120,6 +122,7 @@
       retention: 120_000,
       leaseMax: 10_000,
       preempts: this.options.preempts ?? false,
+      refuses: this.options.refuses ?? false,
       store,
       workers,
       advisor,
@@ -194,9 +197,15 @@
     }
   }
 
+  /** @returns id of the job that is submitted next */
+  get nextId (): string {
+    return this.nextJob.toString(16).padStart(16, '0')
+  }
+
   /** Submits a job at a node, and advances the clock until the outcome is known. */
   async submit (node: RigNode, steps: Array<Partial<Step>>, route = 'r'): Promise<{ id: string, outcome: RequestOutcome }> {
-    const id = (this.nextJob++).toString(16).padStart(16, '0')
+    const id = this.nextId
+    this.nextJob++
     const job = createJob(id, node.cell.configuration!.routes.find(each => each.name === route)!, { spec: 'x', steps: steps.map(stepOf) }, node.store.now())
     const pending = node.cell.gateway.submit(job, this.clock.now() + 2000)
     let outcome: RequestOutcome | undefined
