--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -59,6 +59,7 @@
       retention: settings.bounds.finishedJobRetention,
       leaseMax: settings.bounds.leaseMax,
       preempts: settings.overload?.preemption,
+      refuses: settings.overload?.admission,
       connector: new TcpLinkConnector<DeciderMessage, FollowerMessage>(this.linkTraffic)
     })
     this.pauses = new PauseMonitor({ clock, log })
@@ -77,6 +78,8 @@
     metrics.gauge('worker_speed_lowest', () => this.cell.activeDecider?.workerSpeeds.lowest ?? 1)
     metrics.gauge('worker_speed_highest', () => this.cell.activeDecider?.workerSpeeds.highest ?? 1)
     metrics.gauge('worker_speed_spread', () => this.cell.activeDecider?.workerSpeeds.spread ?? 0)
+    metrics.gauge('backlog_core_seconds', () => this.cell.activeDecider?.backlog?.waiting.reduce((sum, each) => sum + each, 0) ?? 0)
+    metrics.gauge('start_rate_cores', () => this.cell.activeDecider?.backlog?.rate ?? 0)
     metrics.gauge('commits', () => this.cell.activeDecider?.commits ?? 0)
   }
 
@@ -85,9 +88,23 @@
     return this.stopped === undefined && this.cell.isReady
   }
 
+  /** Renders the metrics, with the counts by priority and organisation as they are now. */
+  private renderMetrics (): string {
+    const { metrics } = this.options
+    const setAll = (name: string, counts: ReadonlyMap<string, number>): void => {
+      for (const [key, count] of counts) {
+        const [priority = '', organisation = ''] = key.split(' ', 2)
+        metrics.gauge(name, () => count, { priority, organisation })
+      }
+    }
+    setAll('jobs_refused', this.cell.admission.refusals)
+    setAll('runs_preempted', this.cell.activeDecider?.preemptions ?? new Map<string, number>())
+    return metrics.render()
+  }
+
   /** Opens the ports and joins the cell. */
   start (): void {
-    const { settings, log, metrics } = this.options
+    const { settings, log } = this.options
     this.callers.listen(...parseEndpoint(settings.listen.callers))
     this.servers.push(
       listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic),
@@ -95,7 +112,7 @@
       serveText([settings.ip, settings.listen.metricsPort], async ({ method, url = '/' }) => {
         if (isExplainPath(url)) return await answerExplainRequest({ method, url }, async query => await this.cell.explain(query))
         this.registerOrganisations()
-        return { status: 200, text: metrics.render() }
+        return { status: 200, text: this.renderMetrics() }
       }))
     this.pauses.start()
     this.cell.start()
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -1,3 +1,4 @@
+import { SystemRandom } from '@rattanstep/core'
 import type { Clock, Timer } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { Result } from 'ts-results-es'
@@ -8,6 +9,8 @@
 import type { Answer, ExplanationAnswer, Question } from '../types/links.js'
 import type { Advice, Advisor, RowReader, WorkerClient } from '../types/ports.js'
 import type { RecordStore } from '../types/records.js'
+import { AdmissionGate } from './AdmissionGate.js'
+import type { ReceivedBacklog } from './AdmissionGate.js'
 import { BoundedStore } from './BoundedStore.js'
 import { BoundedWorkerClient } from './BoundedWorkerClient.js'
 import { ConfigurationFeed } from './ConfigurationFeed.js'
@@ -57,6 +60,8 @@
   leaseMax: number
   /** Whether runs are stopped for more urgent work even if the configuration names no organisations; not by default. */
   preempts?: boolean
+  /** Whether nodes refuse jobs that would end too late to be of use even if the configuration names no organisations; not by default. */
+  refuses?: boolean
   store: RecordStore
   workers: WorkerClient
   advisor: Advisor
@@ -70,6 +75,7 @@
 /** One member of the cell, without its sockets: gateway for callers, follower and, while it holds the term, decider. */
 export class Cell extends DeciderClient {
   readonly gateway: Gateway
+  readonly admission: AdmissionGate
   private readonly configurationFeed: ConfigurationFeed
   private readonly configurationSync: ConfigurationSync
   private readonly membership: Membership
@@ -87,7 +93,8 @@
     this.options = { ...options, store }
     this.configurationFeed = new ConfigurationFeed({ store, clock, log, parse: options.readConfiguration })
     this.configurationSync = new ConfigurationSync({ feed: this.configurationFeed, store, clock, log })
-    this.gateway = new Gateway({ store, clock, decider: this })
+    this.admission = new AdmissionGate({ clock, log, random: new SystemRandom(), lastReport: () => this.lastBacklog() })
+    this.gateway = new Gateway({ store, clock, decider: this, admission: this.admission })
     this.membership = new Membership({
       store,
       connector: options.connector,
@@ -219,7 +226,7 @@
   }
 
   private async decide (term: Term, version: number): Promise<void> {
-    const { store, workers, reader, clock, log, node, advisor, retention, leaseMax, preempts = false } = this.options
+    const { store, workers, reader, clock, log, node, advisor, retention, leaseMax, preempts = false, refuses = false } = this.options
     let resolveTermLost!: () => void
     const termLost = new Promise<void>(resolve => { resolveTermLost = resolve })
     const followers: Followers = new Followers({
@@ -237,7 +244,8 @@
         onConfigurationMessage: (message, from, send) => { this.configurationSync.handleMessage(message, from, send) },
         onNewerTerm: () => { decider.confirmTerm() },
         write: async (request, timeout) => await this.gateway.write(request, clock.now() + timeout - FORWARD_RESERVE_MS),
-        storeSilence: () => store.silentFor()
+        storeSilence: () => store.silentFor(),
+        backlog: () => decider.backlog
       }
     })
     const decider: Decider = new Decider({
@@ -265,7 +273,8 @@
       retention,
       lease: Math.min(LEASE_MS, leaseMax),
       leaseMax,
-      preempts
+      preempts,
+      refuses
     })
     this.decider = decider
     this.followers = followers
@@ -307,6 +316,13 @@
     decider.noteOffer()
     this.followers.nominateSuccessor('stronger', 0)
   }
+
+  /** @returns the backlog of this node's decider, or as the decider that it follows has last reported it */
+  private lastBacklog (): ReceivedBacklog | undefined {
+    if (this.decider === undefined) return this.membership.follower?.backlog
+    const report = this.decider.backlog
+    return report === undefined ? undefined : { report, at: this.options.clock.now() }
+  }
 }
 
 /** @returns the answer of a decider that has not read the records yet */
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -11,6 +11,7 @@
 import type { Link, LinkConnector } from './Link.js'
 import { WorkerCallDecoder } from './WorkerCallCodec.js'
 import type { NumberedCall } from './WorkerCallCodec.js'
+import type { ReceivedBacklog } from './AdmissionGate.js'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
 import { runLogged } from './runLogged.js'
@@ -61,6 +62,8 @@
   private lastMessageAt: number
   /** ms since the store last answered the decider, as of its last message. */
   deciderStoreSilence = Infinity
+  /** The last report of the decider's backlog. */
+  backlog: ReceivedBacklog | undefined
   private readonly calls = new Map<number, (answer: unknown) => void>()
   private nextCall = 1
   private timer: Timer | undefined
@@ -186,6 +189,7 @@
         this.rank = message.rank
         this.interval = message.interval
         this.deciderStoreSilence = message.storeSilence
+        this.backlog = message.backlog === undefined ? undefined : { report: message.backlog, at: this.lastMessageAt }
         return this.options.callbacks.onConfigurationVersion({ version: message.configuration, confirmedAt: message.configurationConfirmedAt }, answer => { this.link.send(answer) })
       case 'configuration-wanted':
       case 'configuration-text': return this.options.callbacks.onConfigurationMessage(message, answer => { this.link.send(answer) })
--- a/packages/cell/test/bench/loads.ts
+++ b/packages/cell/test/bench/loads.ts
@@ -142,3 +142,9 @@
   ],
   bursts: [{ kind: 2, from: 5000, until: 9500, factor: 2.2 }, { kind: 0, from: 14_000, until: 18_500, factor: 2.2 }, { kind: 1, from: 24_000, until: 28_500, factor: 1.6 }]
 }
+
+/** Twice as many gangs and batches as fit, for half a minute. */
+export const TWICE_TOO_MUCH: Load = {
+  ...FULL_CELL_OF_LARGE_WORKERS,
+  bursts: [{ kind: 2, from: 3000, until: 33_000, factor: 3.5 }, { kind: 1, from: 3000, until: 33_000, factor: 1.5 }]
+}
