Limits on what clients can make a process hold, each a setting

Node's HTTP parser starts every request of a piece that was read, a body was kept as one object per chunk and read before its key was checked, and nothing bounded the connections, the bodies or the requests that wait for the store. So a few clients ended a process.

Connections, heads, times without progress, unread responses, pipelined requests, waiting writes and queries, waiting phase queries and log lines are bounded.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -1,7 +1,10 @@
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import type { Clock } from '@rattanstep/core'
 import type { Log, Metrics } from '@rattanstep/telemetry'
+import type { LimitMonitor, LimitName } from '../callers/LimitMonitor.js'
+import { PortServer } from '../callers/PortServer.js'
+import type { PortReply, PortRequest } from '../callers/PortServer.js'
+import type { ClientLimits } from '../callers/limits.js'
 import type { CallerCodec, RequestOutcome } from '../types/callers.js'
 import type { Configuration, Organisation, Route } from '../types/configuration.js'
 import { CELL_EVENTS } from '../types/events.js'
@@ -10,7 +13,6 @@
 import { createJob } from '../runtime/createJob.js'
 import { findRoute } from '../runtime/findRoute.js'
 import { findSubmissionProblem } from '../runtime/findSubmissionProblem.js'
-import { detach } from '../runtime/detach.js'
 
 /** Timeout of a request whose headers don't contain one. */
 const DEFAULT_TIMEOUT_MS = 3000
@@ -20,15 +22,24 @@
 const MAX_COUNT_AGE_MS = 1500
 const JOB_ID = /^[0-9a-f]{16}$/
 
+/** Methods that are counted by name. */
+const METHODS = new Set(['GET', 'POST', 'DELETE'])
+/** Limits that this port may reach. */
+export const CALLER_LIMITS: readonly LimitName[] = ['connections', 'bodyBytes', 'headBytes', 'headCount', 'headTimeout', 'bodyTimeout', 'idleTimeout', 'responseTimeout', 'pipelinedRequests']
+
 interface Reply {
   status: number
   body?: string
+  /** Whether to close the connection. */
+  close?: boolean
   /** s */
   retryAfter?: number
 }
 
 /** Options of a caller server. */
 export interface CallerServerOptions {
+  limits: ClientLimits
+  monitor: LimitMonitor
   gateway: Gateway
   codec: CallerCodec
   clock: Clock
@@ -48,16 +59,26 @@
   /** Number of requests in flight. */
   openRequests = 0
   private isClosing = false
-  private readonly server: Server
+  private readonly server: PortServer
   private readonly keys = new KeyIndex()
 
   constructor (private readonly options: CallerServerOptions) {
-    this.server = createServer((request, response) => { detach(this.serve(request, response), this.options.log, 'caller request') })
-    this.server.keepAliveTimeout = 15_000
+    const { clock, log, limits, monitor } = options
+    this.server = new PortServer({ clock, log, limits, bodyBytes: limits.bodyBytes, monitor, connectionLimit: 'connections', handle: async request => await this.serve(request) })
   }
 
   listen (host: string, port: number): void {
-    this.server.listen(port, host)
+    this.server.listen(host, port)
+  }
+
+  /** @returns number of open connections */
+  get connections (): number {
+    return this.server.size
+  }
+
+  /** @returns bytes that bodies and bytes read ahead hold */
+  get heldBytes (): number {
+    return this.server.heldBytes
   }
 
   /** Makes each response close its connection from now on. */
@@ -68,25 +89,25 @@
   /** Stops accepting connections and closes idle ones. */
   close (): void {
     this.server.close()
-    this.server.closeIdleConnections()
   }
 
-  private async serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async serve (request: PortRequest): Promise<PortReply> {
     const { clock, metrics } = this.options
-    const receivedAt = this.options.arrivalTime()
+    const receivedAt = Math.min(request.arrivedAt, this.options.arrivalTime())
+    const { method = '' } = request.message
     this.openRequests++
     const reply = await this.handle(request, receivedAt).catch((error: unknown) => this.handleError(error))
     this.openRequests--
-    metrics.timer('caller_request', { method: request.method ?? '', status: String(reply.status) }).record(clock.now() - receivedAt)
-    if (response.destroyed) return
-    const body = reply.body ?? ''
-    response.writeHead(reply.status, {
-      'content-length': Buffer.byteLength(body),
-      ...(reply.body === undefined ? {} : { 'content-type': 'application/json' }),
-      ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) }),
-      ...(this.isClosing ? { connection: 'close' } : {})
-    })
-    response.end(body)
+    metrics.timer('caller_request', { method: METHODS.has(method) ? method : 'other', status: String(reply.status) }).record(clock.now() - receivedAt)
+    return {
+      status: reply.status,
+      headers: {
+        ...(reply.body === undefined ? {} : { 'content-type': 'application/json' }),
+        ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) })
+      },
+      body: reply.body,
+      close: reply.close === true || this.isClosing
+    }
   }
 
   private handleError (error: unknown): Reply {
@@ -94,21 +115,23 @@
     return { status: 500 }
   }
 
-  private async handle (request: IncomingMessage, receivedAt: number): Promise<Reply> {
+  private async handle ({ message: request, readBody }: PortRequest, receivedAt: number): Promise<Reply> {
     const { configuration, codec } = this.options
     const current = configuration()
     const id = codec.requestId(request.headers)
-    const body = await readBody(request, current?.maxBody ?? 0)
     if (current === undefined) return this.refuse(id, 503, 'no configuration yet', 1)
     const path = (request.url ?? '/').split('?')[0]!
     const route = findRoute(current, hostOf(request), path)
     if (route === undefined) return this.refuse(id, 404, 'no such route')
     const access = this.keys.authorize(current, route, codec.credential(request.headersDistinct))
     if (access.kind === 'denied') return this.refuse(id, 401, access.reason)
-    if (body === undefined) return this.refuse(id, 413, 'body too large')
+    const body = await readBody(current.maxBody)
+    if (body.kind === 'too-large') return { ...this.refuse(id, 413, 'body too large'), close: true }
+    // Nobody reads this response: the connection ended before the body did.
+    if (body.kind === 'closed') return this.refuse(id, 400, 'the body is incomplete')
     const job = path.slice(route.prefix.length)
     const deadline = receivedAt + (codec.timeout(request.headers) ?? DEFAULT_TIMEOUT_MS) - RESPONSE_RESERVE_MS
-    if (request.method === 'POST') return await this.submit({ id, route, organisation: access.organisation, job, body, deadline, receivedAt })
+    if (request.method === 'POST') return await this.submit({ id, route, organisation: access.organisation, job, body: body.text, deadline, receivedAt })
     if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
     if (request.method === 'DELETE') return this.replyTo(id, job, receivedAt, route, await this.options.gateway.cancel(job, deadline))
     if (request.method !== 'GET') return { status: 405 }
@@ -167,13 +190,3 @@
 function hostOf (request: IncomingMessage): string {
   return (request.headers.host ?? '').split(':')[0]!
 }
-
-async function readBody (request: IncomingMessage, limit: number): Promise<string | undefined> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.length
-    if (size <= limit) chunks.push(chunk)
-  }
-  return size > limit ? undefined : Buffer.concat(chunks).toString('utf8')
-}
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -15,7 +15,7 @@
 import { detach } from './detach.js'
 import { executeWorkerCall } from './executeWorkerCall.js'
 import { DeciderClient, Gateway } from './Gateway.js'
-import type { WriteRequest } from './Gateway.js'
+import type { WaitingLimits, WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
 import type { DeciderConnector } from './Follower.js'
 import { Followers } from './Followers.js'
@@ -58,6 +58,10 @@
   readConfiguration: (value: string) => Result<Configuration, string>
   clock: Clock
   log: Log
+  /** Numbers of callers' requests that may wait. */
+  limits?: WaitingLimits
+  /** Called when a request is refused because too many wait. */
+  onLimit?: (limit: keyof WaitingLimits) => void
 }
 
 /** One member of the cell, without its sockets: gateway for callers, follower and, while it holds the term, decider. */
@@ -78,7 +82,7 @@
     const store = new BoundedStore({ store: options.store, clock, log })
     this.options = { ...options, store }
     this.configurationFeed = new ConfigurationFeed({ store, clock, log, parse: options.readConfiguration })
-    this.gateway = new Gateway({ store, clock, decider: this })
+    this.gateway = new Gateway({ store, clock, decider: this, limits: options.limits, onLimit: options.onLimit })
     this.membership = new Membership({
       store,
       connector: options.connector,
--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -15,6 +15,8 @@
 const QUERY_TIMEOUT_MS = 300
 /** Retry delay for callers of a node that the store doesn't answer: a short outage is over by then, and callers try other nodes at once anyway. */
 const STORE_RETRY_AFTER_S = 1
+/** Retry delay for callers of a node at which too many requests wait: a write takes 10 to 20 ms, and 200 to 300 ms when the store is slow. */
+const OVERLOAD_RETRY_AFTER_S = 1
 /** Store silence from which writes are refused without an attempt. */
 const MAX_STORE_SILENCE_MS = 1800
 
@@ -54,17 +56,26 @@
 /** Job, cancellation, or cancellation of a job that is not on record, which a caller wants on record. */
 export type WriteRequest = { kind: 'job', job: Job } | { kind: 'cancel' | 'withdraw', id: string }
 
-/** `late`: too little of the caller's time was left, and nothing was written. */
-type PersistOutcome = WriteOutcome | 'late'
+/** `late`: too little of the caller's time was left; `full`: too many writes wait. Nothing was written in either case. */
+type PersistOutcome = WriteOutcome | 'late' | 'full'
+
+/** Numbers of requests that may wait for their outcome. */
+export interface WaitingLimits {
+  waitingWrites: number
+  waitingQueries: number
+}
 
 /** Handles callers' requests at a node: records jobs and cancellations in the store, and answers queries. */
 export class Gateway {
   /** Last count of waiting jobs that the decider reported, by route. */
   private readonly lastCounts = new Map<string, { count: number, at: number }>()
   private readonly writer: SubmissionWriter
+  /** Writes of callers, and queries, that wait for their outcome. */
+  private readonly waiting = { waitingWrites: 0, waitingQueries: 0 }
 
-  constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderClient }) {
-    this.writer = new SubmissionWriter(options)
+  /** @param options - `limits`: numbers of writes and queries that may wait; `onLimit`: called when one is refused for that */
+  constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderClient, limits?: WaitingLimits, onLimit?: (limit: keyof WaitingLimits) => void }) {
+    this.writer = new SubmissionWriter({ ...options, maxWaiting: options.limits?.waitingWrites ?? Infinity, onFull: () => { options.onLimit?.('waitingWrites') } })
   }
 
   /** @returns whether the store has answered recently enough for this node to attempt a write */
@@ -89,6 +100,10 @@
    * @returns the job's phase, from the decider or else from the store
    */
   async phase (id: string): Promise<PhaseOutcome> {
+    return await this.runWithin('waitingQueries', async () => await this.findPhase(id)) ?? { kind: 'refused', reason: 'too many queries wait', retryAfter: OVERLOAD_RETRY_AFTER_S }
+  }
+
+  private async findPhase (id: string): Promise<PhaseOutcome> {
     const answer = await this.options.decider.query({ about: 'job', id }, QUERY_TIMEOUT_MS)
     if (answer?.about === 'job' && answer.phase !== 'unknown') return { kind: 'phase', phase: answer.phase }
     const recorded = await this.readRecordedPhase(id)
@@ -123,7 +138,7 @@
    */
   async countWaiting (route: string, maxAge: number): Promise<number | undefined> {
     const { decider, clock } = this.options
-    const answer = await decider.query({ about: 'queue', route }, QUERY_TIMEOUT_MS)
+    const answer = await this.runWithin('waitingQueries', async () => await decider.query({ about: 'queue', route }, QUERY_TIMEOUT_MS))
     if (answer?.about === 'queue' && answer.waiting >= 0) {
       this.lastCounts.set(route, { count: answer.waiting, at: clock.now() })
       return answer.waiting
@@ -155,6 +170,25 @@
    * decider; a node that the store refuses depends on the decider's access to the store.
    */
   private async persist (request: WriteRequest, deadline: number): Promise<PersistOutcome> {
+    return await this.runWithin('waitingWrites', async () => await this.persistWaiting(request, deadline)) ?? 'full'
+  }
+
+  /** Runs an operation unless too many of its kind are under way; then the result is `undefined`. */
+  private async runWithin<Value> (limit: keyof WaitingLimits, operation: () => Promise<Value>): Promise<Value | undefined> {
+    const { waiting, options: { limits, onLimit } } = this
+    if (limits !== undefined && waiting[limit] >= limits[limit]) {
+      onLimit?.(limit)
+      return undefined
+    }
+    waiting[limit]++
+    try {
+      return await operation()
+    } finally {
+      waiting[limit]--
+    }
+  }
+
+  private async persistWaiting (request: WriteRequest, deadline: number): Promise<PersistOutcome> {
     if (deadline - this.options.clock.now() < MIN_WRITE_TIME_MS) return 'late'
     const canWriteHere = this.isStoreReachable && !this.writer.isSlow
     const ownOutcome = canWriteHere ? await this.write(request, deadline, { retryWhenBusy: false }) : 'busy'
@@ -204,6 +238,7 @@
     case 'refused':
     case 'busy': return storeUnavailable()
     case 'withdrawn': return { kind: 'refused', reason: 'the job was cancelled before it was submitted' }
+    case 'full': return { kind: 'refused', reason: 'too many jobs wait to be written', retryAfter: OVERLOAD_RETRY_AFTER_S }
     case 'late': return { kind: 'refused', reason: 'too little time is left', retryAfter: STORE_RETRY_AFTER_S }
     case 'unknown': return { kind: 'unsettled', reason: 'the write was not answered in time' }
   }
--- a/packages/cell/src/runtime/PhaseWaiters.ts
+++ b/packages/cell/src/runtime/PhaseWaiters.ts
@@ -8,14 +8,21 @@
  */
 const MAX_WAIT_MS = 100
 
+/** Number of queries that wait at the same time, of callers of all nodes; several times what 1,000 queries a second need. */
+const MAX_WAITING = 2000
+
 /** Lets queries for jobs that are about to end, or whose record is being written, wait a moment for the new phase. */
 export class PhaseWaiters {
   private readonly waiters = new Map<string, Set<() => void>>()
 
-  constructor (private readonly clock: Clock) {}
+  private count = 0
+
+  /** @param options - `maxWaiting`: number of queries that may wait; further ones are answered at once */
+  constructor (private readonly clock: Clock, private readonly options: { maxWaiting?: number } = {}) {}
 
   /** Waits until a job's next phase is visible, if it is expected soon. `isChanging`: whether the next phase is being recorded. */
   async wait (job: JobState, isChanging: boolean): Promise<void> {
+    if (this.count >= (this.options.maxWaiting ?? MAX_WAITING)) return
     if (!isChanging && !mayEndSoon(job)) return
     const { id } = job.job
     await new Promise<void>(resolve => {
@@ -25,6 +32,7 @@
         resolve()
       }
       const timer = this.clock.schedule(MAX_WAIT_MS, waiter)
+      this.count++
       const present = this.waiters.get(id)
       if (present === undefined) this.waiters.set(id, new Set([waiter]))
       else present.add(waiter)
@@ -33,12 +41,12 @@
 
   /** @returns number of queries that wait */
   get size (): number {
-    return [...this.waiters.values()].reduce((sum, waiters) => sum + waiters.size, 0)
+    return this.count
   }
 
   private remove (id: string, waiter: () => void): void {
     const waiters = this.waiters.get(id)
-    waiters?.delete(waiter)
+    if (waiters?.delete(waiter) === true) this.count--
     if (waiters?.size === 0) this.waiters.delete(id)
   }
 
--- a/packages/cell/src/runtime/RateLimitedLog.ts
+++ b/packages/cell/src/runtime/RateLimitedLog.ts
@@ -8,6 +8,9 @@
 /** Maximum number of lines written in a burst after a quiet time. */
 const BURST_LINES = 3000
 
+/** Longest text of a field; longer than what the process itself writes in any line. */
+const MAX_FIELD_CHARS = 2000
+
 /** Limits the rate of log lines and counts the dropped ones. The last tenth of the budget is reserved for warnings and errors. */
 export class RateLimitedLog extends Log {
   private tokens = BURST_LINES
@@ -32,6 +35,15 @@
       this.inner.write(CELL_EVENTS.linesDropped, { lines: this.dropped })
       this.dropped = 0
     }
-    this.inner.write(event, fields)
+    this.inner.write(event, fields === undefined ? undefined : shortenFields(fields))
+  }
+}
+
+/** @returns the fields, with texts cut off above the maximum length: headers of callers may be much longer */
+function shortenFields (fields: LogFields): LogFields {
+  let shortened = fields
+  for (const [name, value] of Object.entries(fields)) {
+    if (typeof value === 'string' && value.length > MAX_FIELD_CHARS) shortened = { ...shortened, [name]: value.slice(0, MAX_FIELD_CHARS) }
   }
+  return shortened
 }
--- a/packages/cell/src/runtime/SubmissionWriter.ts
+++ b/packages/cell/src/runtime/SubmissionWriter.ts
@@ -54,7 +54,10 @@
   private lastDuration = 0
   private busyAt = -Infinity
 
-  constructor (private readonly options: { store: RecordStore, clock: Clock }) {}
+  private waiting = 0
+
+  /** @param options - `maxWaiting`: number of writes that may wait, above which further ones are `busy`; `onFull`: called for each of these */
+  constructor (private readonly options: { store: RecordStore, clock: Clock, maxWaiting?: number, onFull?: () => void }) {}
 
   /** @returns whether writes are so slow that this node should forward them, to share transactions with other nodes */
   get isSlow (): boolean {
@@ -72,13 +75,18 @@
    * @returns the result, as far as it is known by the deadline
    */
   async write (row: SubmissionRow, deadline: number, { retryWhenBusy = false } = {}): Promise<WriteResult> {
-    const { clock } = this.options
+    const { clock, maxWaiting = Infinity, onFull } = this.options
+    if (this.waiting >= maxWaiting) {
+      onFull?.()
+      return { outcome: 'busy' }
+    }
     let part = this.parts.get(row.name.part)
     if (part === undefined) this.parts.set(row.name.part, part = { queue: [], sentAt: undefined, retryDelay: RETRY_DELAY_MS })
     const { queue } = part
     return await new Promise<WriteResult>(resolve => {
       const item: PendingWrite = { row, maybeWritten: false, isSending: false, retryWhenBusy, resolve, timer: clock.schedule(Math.max(0, deadline - clock.now()), () => { this.expire(part, item) }) }
       queue.push(item)
+      this.waiting++
       if (part.sentAt === undefined) this.flush(part)
     })
   }
@@ -143,7 +151,10 @@
   private resolveWrite (part: PartQueue, item: PendingWrite, result: WriteResult): void {
     item.timer.cancel()
     const index = part.queue.indexOf(item)
-    if (index >= 0) part.queue.splice(index, 1)
+    if (index >= 0) {
+      part.queue.splice(index, 1)
+      this.waiting--
+    }
     item.resolve(result)
   }
 }
--- a/packages/cell/src/runtime/resolveSettings.ts
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -3,10 +3,14 @@
 import { LineCounter, parseDocument } from 'yaml'
 import type { Document } from 'yaml'
 import type { Finding } from '@rattanstep/core'
+import { SMALLEST_MACHINE, defaultLimits } from '../callers/limits.js'
+import type { ClientLimits } from '../callers/limits.js'
 import type { CellSettings } from '../types/settings.js'
 
 const ADDRESS = /^[0-9.]+:[0-9]+$/
 const DURATION = /^([0-9]+(?:\.[0-9]+)?) *(ms|s)$/
+const SIZE = /^([0-9]+(?:\.[0-9]+)?) *(B|KB|MB)$/
+const BYTES_PER_UNIT = { B: 1, KB: 1024, MB: 1_048_576 }
 const LEVELS = ['debug', 'info', 'warn', 'error'] as const
 
 /**
@@ -43,6 +47,7 @@
       leaseMax: read.duration('bounds', 'leaseMax'),
       finishedJobRetention: read.duration('bounds', 'finishedJobRetention')
     },
+    limits: readLimits(read),
     logLevel: read.level('logLevel')
   }
   return findings.length > 0 ? Err(findings) : Ok(settings)
@@ -55,6 +60,34 @@
   return cores * Math.min(1, linkRate / DECIDER_LINK_RATE_MBPS)
 }
 
+/** Reads the section `limits`. Each setting is optional; most defaults follow from the memory and the descriptors of the machine. */
+function readLimits (read: SettingsReader): ClientLimits {
+  const memory = read.sizeOr(SMALLEST_MACHINE.memory * BYTES_PER_UNIT.MB, 'limits', 'memory') / BYTES_PER_UNIT.MB
+  const defaults = defaultLimits(memory, read.countOr(SMALLEST_MACHINE.descriptors, 'limits', 'descriptors'))
+  const count = (name: keyof ClientLimits): number => read.countOr(defaults[name], 'limits', name)
+  const size = (name: keyof ClientLimits): number => read.sizeOr(defaults[name], 'limits', name)
+  const duration = (name: keyof ClientLimits): number => read.durationOr(defaults[name], 'limits', name)
+  return {
+    connections: count('connections'),
+    headBytes: size('headBytes'),
+    headCount: count('headCount'),
+    headTimeout: duration('headTimeout'),
+    bodyTimeout: duration('bodyTimeout'),
+    idleTimeout: duration('idleTimeout'),
+    responseTimeout: duration('responseTimeout'),
+    pipelinedRequests: count('pipelinedRequests'),
+    bodyBytes: size('bodyBytes'),
+    waitingWrites: count('waitingWrites'),
+    waitingQueries: count('waitingQueries'),
+    statusConnections: count('statusConnections'),
+    links: count('links'),
+    newLinks: count('newLinks'),
+    helloChars: count('helloChars'),
+    helloTimeout: duration('helloTimeout'),
+    logBytes: size('logBytes')
+  }
+}
+
 /** Reads single settings and collects the findings. */
 class SettingsReader {
   constructor (private readonly document: Document.Parsed, private readonly lines: LineCounter, private readonly file: string, private readonly findings: Finding[]) {}
@@ -87,6 +120,26 @@
     return this.addFinding(path, value, 'a number of at least 0', 0)
   }
 
+  countOr (fallback: number, ...path: string[]): number {
+    const value = this.document.getIn(path)
+    return value === undefined || value === null ? fallback : this.count(...path)
+  }
+
+  /** @returns bytes */
+  sizeOr (fallback: number, ...path: string[]): number {
+    const value = this.document.getIn(path)
+    if (value === undefined || value === null) return fallback
+    const match = typeof value === 'string' ? SIZE.exec(value) : null
+    if (match !== null) return Math.round(Number(match[1]) * BYTES_PER_UNIT[match[2] as keyof typeof BYTES_PER_UNIT])
+    return this.addFinding(path, value, 'a size such as 210 MB, 64 KB or 512 B', fallback)
+  }
+
+  /** @returns ms */
+  durationOr (fallback: number, ...path: string[]): number {
+    const value = this.document.getIn(path)
+    return value === undefined || value === null ? fallback : this.duration(...path)
+  }
+
   /** @returns ms */
   duration (...path: string[]): number {
     const value = this.document.getIn(path)
--- a/packages/cell/src/types/events.ts
+++ b/packages/cell/src/types/events.ts
@@ -55,6 +55,7 @@
   crashAttributed: { number: 8055, name: 'worker-crash-attributed', level: 'warn', message: 'a worker may have crashed under a task, or more is known about such a crash', fields: { task, run: 'number of the run', worker, certainty: 'possible, presumed, confirmed, excused or disproved', alone: 'whether only tasks of the same job ran on the worker', crashes: 'number of crashes that count for the task' } },
   taskGivenUp: { number: 8056, name: 'task-given-up', level: 'error', message: 'a task has crashed the workers that started it and is not started again; its job fails', fields: { job, task, crashes: 'run, worker and certainty of each crash' } },
   workerSuspended: { number: 8054, name: 'worker-rested', level: 'warn', message: 'no tasks are placed on a worker for a while', fields: { worker, reason: 'why the worker is suspended', duration: 'ms' } },
+  limitReached: { number: 8095, name: 'limit-reached', level: 'warn', message: 'clients have reached a limit of the settings', fields: { limit: 'name of the limit', count: 'how often it was reached since its last line, or 1' } },
   fault: { number: 8090, name: 'cell-fault', level: 'error', message: 'an internal operation has failed', fields: { step: 'name of the operation', error: 'the error that was thrown' } },
   linesDropped: { number: 8091, name: 'log-lines-dropped', level: 'warn', message: 'log lines above the rate limit were dropped', fields: { lines: 'number of dropped lines' } }
 } as const satisfies Record<string, LogEvent>
--- a/packages/cell/src/types/settings.ts
+++ b/packages/cell/src/types/settings.ts
@@ -1,3 +1,5 @@
+import type { ClientLimits } from '../callers/limits.js'
+
 /** Settings of one process. */
 export interface CellSettings {
   node: string
@@ -24,5 +26,7 @@
     leaseMax: number
     finishedJobRetention: number
   }
+  /** Limits on what clients can make the process hold; by default those of the smallest machine. */
+  limits?: ClientLimits
   logLevel: 'debug' | 'info' | 'warn' | 'error'
 }
--- a/packages/cell/test/runtime/phaseWaiters.test.ts
+++ b/packages/cell/test/runtime/phaseWaiters.test.ts
@@ -34,4 +34,18 @@
     await clock.advance(1)
     expect([answered, waiters.size]).toEqual([READS, 0])
   })
+
+  test('are answered at once while too many wait', async () => {
+    const clock = new FakeClock()
+    const waiters = new PhaseWaiters(clock, { maxWaiting: 3 })
+    const registry = new Registry()
+    const state = registry.addJob({ id: 'a', route: 'r', spec: '', steps: [stepOf({})], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 })
+    let answered = 0
+    for (let read = 0; read < 5; read++) waiters.wait(state, true).then(() => { answered++ }, error => { throw error })
+    await clock.advance(1)
+    expect([answered, waiters.size]).toEqual([2, 3])
+    waiters.release('a')
+    await clock.advance(1)
+    expect([answered, waiters.size]).toEqual([5, 0])
+  })
 })
--- a/packages/cell/test/runtime/settings.test.ts
+++ b/packages/cell/test/runtime/settings.test.ts
@@ -15,6 +15,8 @@
   'internal_ports.0': '7720',
   'platform.address|json': '"127.0.0.1:8169"',
   'advice|json': '"127.0.0.1:8170"',
+  'limits.memory_mb': '602',
+  'limits.max_fds': '10250',
   'bounds.grace_s': '4.5',
   'bounds.hold_max_ms': '10000',
   'bounds.status_s': '120'
@@ -38,6 +40,25 @@
     expect(resolveSettings(fill({ 'limits.link_mbps': '10' }), 'boot.yaml').unwrap().strength).toEqual(0.675 / 4)
   })
 
+  test('derive limits from the memory and the descriptors of the machine', () => {
+    const { limits } = resolveSettings(fill(), 'boot.yaml').unwrap()
+    expect([limits!.connections, limits!.bodyBytes, limits!.waitingWrites, limits!.links]).toEqual([2408, 39_452_672, 4816, 2010])
+    expect(resolveSettings(fill({ 'limits.memory_mb': '210', 'limits.max_fds': '2212' }), 'boot.yaml').unwrap().limits!.connections).toEqual(840)
+  })
+
+  test('without the section of limits have those of the smallest machine', () => {
+    const { limits } = resolveSettings(fill().replace(/limits:[^]*$/, ''), 'boot.yaml').unwrap()
+    expect([limits!.connections, limits!.bodyBytes]).toEqual([840, 13_762_560])
+  })
+
+  test('name limits with their units', () => {
+    const text = `${fill()}  bodyBytes: 2 MB\n  headBytes: 32 KB\n  headTimeout: 7 s\n  connections: 12\n`
+    const { limits } = resolveSettings(text, 'boot.yaml').unwrap()
+    expect([limits!.bodyBytes, limits!.headBytes, limits!.headTimeout, limits!.connections]).toEqual([2_097_152, 32_768, 7000, 12])
+    const findings = resolveSettings(text.replace('bodyBytes: 2 MB', 'bodyBytes: 2'), 'boot.yaml').unwrapErr()
+    expect(findings.map(({ message }) => message)).toEqual(['limits.bodyBytes is 2; expected a size such as 210 MB, 64 KB or 512 B'])
+  })
+
   test('that are invalid are all reported with their position and the expected form', () => {
     const findings = resolveSettings(fill({ 'ip|json': '', 'platform.address|json': '"store"', 'bounds.grace_s': '-1' }), 'boot.yaml').unwrapErr()
     expect(findings.map(({ code, place, message }) => `${place.file}:${place.line} ${code} ${message}`)).toEqual([
