--- a/packages/cell/src/callers/PortServer.ts
+++ b/packages/cell/src/callers/PortServer.ts
@@ -16,7 +16,7 @@
 const CHECK_INTERVAL_MS = 500
 /** How long a connection is kept between requests, as callers are told. */
 const KEEP_ALIVE_TIMEOUT_MS = 15_000
-/** Time without progress from which a connection may be closed for a new one. */
+/** Time without progress from which an unfinished request may be closed for a new connection. */
 const MIN_CLOSABLE_MS = 200
 /** Longest time for which the rest of a refused body is read and discarded, so that its sender sees the response and not a reset connection. */
 const DISCARD_TIMEOUT_MS = 2000
@@ -128,8 +128,8 @@
     let best: { socket: Socket, rank: number, progressAt: number } | undefined
     for (const [socket, { phase, progressAt }] of this.connections) {
       const rank = CLOSABLE_PHASES.indexOf(phase)
-      // A connection that has just been opened or made progress is as likely to be an ordinary caller's as the new one.
-      if (rank < 0 || now - progressAt < MIN_CLOSABLE_MS) continue
+      // A request that has just made progress is as likely to be an ordinary caller's as the new one.
+      if (rank < 0 || ((phase === 'head' || phase === 'body') && now - progressAt < MIN_CLOSABLE_MS)) continue
       if (best === undefined || rank < best.rank || (rank === best.rank && progressAt < best.progressAt)) best = { socket, rank, progressAt }
     }
     return best?.socket
--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -89,7 +89,7 @@
     const { settings, log, metrics } = this.options
     this.callers.listen(...parseEndpoint(settings.listen.callers))
     this.servers.push(
-      listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic),
+      listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic, { ...this.limits, monitor: this.limitMonitor }),
       this.serveText(parseEndpoint(settings.listen.readiness), () => ({ status: this.isReady ? 200 : 503, text: '' })),
       this.serveText([settings.ip, settings.listen.metricsPort], () => ({ status: 200, text: metrics.render() })))
     this.pauses.start()
--- a/packages/cell/src/node/TcpLink.ts
+++ b/packages/cell/src/node/TcpLink.ts
@@ -4,6 +4,7 @@
 import type { Result } from 'ts-results-es'
 import { Link, LinkConnector } from '../runtime/Link.js'
 import type { LinkFailure } from '../runtime/Link.js'
+import type { LimitMonitor } from '../callers/LimitMonitor.js'
 import type { TrafficMeter } from './TrafficMeter.js'
 
 /** Maximum length of a message; several times the largest job submission. */
@@ -17,7 +18,11 @@
 /** A link over TCP. Each message is one line of JSON. */
 export class TcpLink<Incoming extends Message, Outgoing extends Message> extends Link<Incoming, Outgoing> {
   private partialLine = ''
+  private hasSaidHello = true
+  private maxChars = MAX_MESSAGE_CHARS
   private isClosed = false
+  private onHello: () => void = () => {}
+  private onTooLong: () => void = () => {}
 
   constructor (private readonly socket: Socket, private readonly traffic?: TrafficMeter) {
     super()
@@ -45,12 +50,21 @@
     this.socket.destroy()
   }
 
+  /** Accepts only messages of up to a number of characters until the other end has said hello. `onHello` is called then. */
+  expectHello (maxChars: number, { onHello, onTooLong }: { onHello: () => void, onTooLong: () => void }): void {
+    this.hasSaidHello = false
+    this.maxChars = maxChars
+    this.onHello = onHello
+    this.onTooLong = onTooLong
+  }
+
   private handleData (text: string): void {
     const lines = (this.partialLine + text).split('\n')
     this.partialLine = lines.pop()!
-    if (this.partialLine.length > MAX_MESSAGE_CHARS) return this.fail('message too long')
+    if (this.partialLine.length > this.maxChars) return this.failTooLong()
     for (const line of lines) {
       if (this.isClosed) return
+      if (line.length > this.maxChars) return this.failTooLong()
       let message: Incoming | null
       try {
         message = JSON.parse(line) as Incoming | null
@@ -58,11 +72,21 @@
         return this.fail(String(error))
       }
       if (typeof message?.kind !== 'string') return this.fail('the message has no kind')
+      if (!this.hasSaidHello && message.kind === 'hello') {
+        this.hasSaidHello = true
+        this.maxChars = MAX_MESSAGE_CHARS
+        this.onHello()
+      }
       this.traffic?.record('received', message.kind, line.length + 1)
       this.onMessage(message)
     }
   }
 
+  private failTooLong (): void {
+    this.onTooLong()
+    this.fail('message too long')
+  }
+
   private fail (reason: string): void {
     this.end(reason)
     this.close()
@@ -108,9 +132,59 @@
  * @param address - host and port on which to listen
  * @param onLink - called for each new link
  * @param traffic - counts the messages
+ * @param limits - limits on nodes that have not said hello, and on all
  * @returns the server
  */
-export function listenForLinks<Incoming extends Message, Outgoing extends Message> (address: { host: string, port: number }, onLink: (link: Link<Incoming, Outgoing>) => void, traffic?: TrafficMeter): Server {
-  const server = createServer(socket => { onLink(new TcpLink<Incoming, Outgoing>(socket, traffic)) })
+export function listenForLinks<Incoming extends Message, Outgoing extends Message> (address: { host: string, port: number }, onLink: (link: Link<Incoming, Outgoing>) => void, traffic?: TrafficMeter, limits?: LinkLimits): Server {
+  let open = 0
+  /** Links without a hello, the oldest first. */
+  const fresh = new Set<Socket>()
+  const server = createServer(socket => {
+    if (limits !== undefined && open >= limits.links) {
+      limits.monitor.reach('links')
+      socket.destroy()
+      return
+    }
+    const link = new TcpLink<Incoming, Outgoing>(socket, traffic)
+    if (limits !== undefined) {
+      open++
+      socket.once('close', () => { open-- })
+      expectHello(link, socket, fresh, limits)
+    }
+    onLink(link)
+  })
   return server.listen(address.port, address.host)
 }
+
+/** Limits on links that other nodes open. */
+export interface LinkLimits {
+  /** Links at the same time. */
+  links: number
+  /** Links without a hello at the same time; the oldest is closed first. */
+  newLinks: number
+  /** Characters of a message before the hello. */
+  helloChars: number
+  /** Time to the hello in ms. */
+  helloTimeout: number
+  monitor: LimitMonitor
+}
+
+function expectHello (link: Pick<TcpLink<Message, Message>, 'expectHello'>, socket: Socket, fresh: Set<Socket>, { newLinks, helloChars, helloTimeout, monitor }: LinkLimits): void {
+  const [oldest] = fresh
+  if (oldest !== undefined && fresh.size >= newLinks) {
+    monitor.reach('newLinks')
+    oldest.destroy()
+    fresh.delete(oldest)
+  }
+  fresh.add(socket)
+  const timer = setTimeout(() => {
+    monitor.reach('helloTimeout')
+    socket.destroy()
+  }, helloTimeout)
+  const end = (): void => {
+    clearTimeout(timer)
+    fresh.delete(socket)
+  }
+  socket.once('close', end)
+  link.expectHello(helloChars, { onHello: end, onTooLong: () => { monitor.reach('helloChars') } })
+}
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -227,6 +227,8 @@
       askAdvice: async (asker, question): Promise<Advice> => asker === node ? await advisor.advise(question) : await followers.ask(asker, question),
       isStoreLostForAll: () => followers.isStoreLostForAll(),
       onTermLost: resolveTermLost,
+      maxWaitingQueries: this.options.limits?.waitingQueries,
+      onTooManyQueries: () => { this.options.onLimit?.('waitingQueries') },
       retention,
       lease: Math.min(LEASE_MS, leaseMax),
       leaseMax
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -84,6 +84,10 @@
   lease: number
   /** Longest lease that workers accept, in ms. */
   leaseMax: number
+  /** Number of queries that may wait for the next phase of a job; further ones are answered at once. */
+  maxWaitingQueries?: number
+  /** Called for each of these. */
+  onTooManyQueries?: () => void
 }
 
 /** Decides which task runs on which worker, for as long as this node holds the term. */
@@ -130,7 +134,7 @@
 
   constructor (private readonly options: DeciderOptions) {
     const { store, clock, log, term, workers } = options
-    this.phaseWaiters = new PhaseWaiters(clock)
+    this.phaseWaiters = new PhaseWaiters(clock, { maxWaiting: options.maxWaitingQueries, onFull: options.onTooManyQueries })
     this.waits = new WaitMonitor({ clock, log })
     this.recorder = new Recorder({
       store, clock, log, term, version: options.termRowVersion, encode: key => this.encode(key), callbacks: { onRecorded: keys => { this.handleRecorded(keys) }, onTermLost: ({ term: next }) => { this.loseTerm(next?.node) } }
--- a/packages/cell/src/runtime/PhaseWaiters.ts
+++ b/packages/cell/src/runtime/PhaseWaiters.ts
@@ -8,22 +8,23 @@
  */
 const MAX_WAIT_MS = 100
 
-/** Number of queries that wait at the same time, of callers of all nodes; several times what 1,000 queries a second need. */
-const MAX_WAITING = 2000
-
 /** Lets queries for jobs that are about to end, or whose record is being written, wait a moment for the new phase. */
 export class PhaseWaiters {
   private readonly waiters = new Map<string, Set<() => void>>()
 
   private count = 0
 
-  /** @param options - `maxWaiting`: number of queries that may wait; further ones are answered at once */
-  constructor (private readonly clock: Clock, private readonly options: { maxWaiting?: number } = {}) {}
+  /** @param options - `maxWaiting`: number of queries that may wait; further ones are answered at once; `onFull`: called for each of these */
+  constructor (private readonly clock: Clock, private readonly options: { maxWaiting?: number, onFull?: () => void } = {}) {}
 
   /** Waits until a job's next phase is visible, if it is expected soon. `isChanging`: whether the next phase is being recorded. */
   async wait (job: JobState, isChanging: boolean): Promise<void> {
-    if (this.count >= (this.options.maxWaiting ?? MAX_WAITING)) return
+    const { maxWaiting = Infinity, onFull } = this.options
     if (!isChanging && !mayEndSoon(job)) return
+    if (this.count >= maxWaiting) {
+      onFull?.()
+      return
+    }
     const { id } = job.job
     await new Promise<void>(resolve => {
       const waiter = (): void => {
--- a/packages/cell/test/callers/portServer.test.ts
+++ b/packages/cell/test/callers/portServer.test.ts
@@ -15,6 +15,8 @@
 const MAX_BODY = 262_144
 /** Bound on a hang; no measure of speed. */
 const TIMEOUT_MS = 15_000
+/** More than the kernel keeps for an end that does not read. */
+const BIG_RESPONSE = 'x'.repeat(16_000_000)
 const POST = 'POST /p HTTP/1.1\r\nHost: x\r\n'
 
 interface Served {
@@ -75,7 +77,7 @@
       if (body.kind !== 'complete') return { status: 413, close: true }
       handled.push(`${message.method} ${message.url} ${body.text.length}`)
       await sleep(delay)
-      return { status: 200, body: message.url }
+      return { status: 200, body: message.url === '/big' ? BIG_RESPONSE : message.url }
     }
   })
   const port = await findFreePort()
@@ -222,6 +224,21 @@
     expect(log.lines.map(({ event, fields }) => [event.number, fields.limit, fields.count]).sort()).toEqual([[8095, 'bodyTimeout', 1], [8095, 'headTimeout', 1], [8095, 'idleTimeout', 1]])
   })
 
+  // Guards against responses that pile up for a client which doesn't read them.
+  test('handles no further requests of a client that does not read, and closes its connection', async context => {
+    const { open, handled, metrics } = await serve(context, { responseTimeout: 1000 })
+    const client = await open()
+    client.socket.pause()
+    client.socket.write('GET /big HTTP/1.1\r\nHost: x\r\n\r\n'.repeat(5))
+    await until(() => reached(metrics).length > 0)
+    expect(handled).toEqual(['GET /big 0'])
+    expect(reached(metrics)).toEqual(['responseTimeout'])
+    const reading = await open()
+    reading.socket.write('GET /big HTTP/1.1\r\nHost: x\r\n\r\n'.repeat(2))
+    await until(() => reading.received.length > 2 * BIG_RESPONSE.length)
+    expect(await reading.statuses(2)).toEqual(['200', '200'])
+  })
+
   // Guards against a server that is full of connections which do nothing.
   test('closes a connection that waits for a new one when there are too many, and none whose request is being handled', async context => {
     const { open, metrics, server } = await serve(context, { connections: 3 }, 1500)
