--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -1,7 +1,10 @@
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
 import type { Clock } from '@rattanstep/core'
 import type { Log, Metrics } from '@rattanstep/telemetry'
+import type { LimitMonitor, LimitName } from '../callers/LimitMonitor.js'
+import { PortServer } from '../callers/PortServer.js'
+import type { PortReply, PortRequest } from '../callers/PortServer.js'
+import type { ClientLimits } from '../callers/limits.js'
 import type { CallerCodec, RequestOutcome } from '../types/callers.js'
 import type { Configuration, Organisation, Route } from '../types/configuration.js'
 import { CELL_EVENTS } from '../types/events.js'
@@ -10,7 +13,6 @@
 import type { AccessRequest } from '../organisations/AccessControl.js'
 import { createJob } from '../runtime/createJob.js'
 import { findSubmissionProblem } from '../runtime/findSubmissionProblem.js'
-import { detach } from '../runtime/detach.js'
 
 /** Timeout of a request whose headers don't contain one. */
 const DEFAULT_TIMEOUT_MS = 3000
@@ -18,19 +20,26 @@
 const RESPONSE_RESERVE_MS = 100
 /** Maximum age of a count of waiting jobs. The platform allows 2 s. */
 const MAX_COUNT_AGE_MS = 1500
-/** Time for the rest of a body that is not wanted. */
-const CLOSE_DELAY_MS = 500
 const JOB_ID = /^[0-9a-f]{16}$/
 
+/** Methods that are counted by name. */
+const METHODS = new Set(['GET', 'POST', 'DELETE'])
+/** Limits that this port may reach. */
+export const CALLER_LIMITS: readonly LimitName[] = ['connections', 'bodyBytes', 'headBytes', 'headCount', 'headTimeout', 'bodyTimeout', 'idleTimeout', 'responseTimeout', 'pipelinedRequests']
+
 interface Reply {
   status: number
   body?: string
+  /** Whether to close the connection. */
+  close?: boolean
   /** s */
   retryAfter?: number
 }
 
 /** Options of a caller server. */
 export interface CallerServerOptions {
+  limits: ClientLimits
+  monitor: LimitMonitor
   gateway: Gateway
   codec: CallerCodec
   clock: Clock
@@ -54,17 +63,27 @@
   /** Number of requests in flight. */
   openRequests = 0
   private isClosing = false
-  private readonly server: Server
+  private readonly server: PortServer
   private readonly access: AccessControl
 
   constructor (private readonly options: CallerServerOptions) {
-    this.access = new AccessControl({ configuration: options.configuration, isConfirmed: options.isConfigurationConfirmed, metrics: options.metrics })
-    this.server = createServer((request, response) => { detach(this.serve(request, response), this.options.log, 'caller request') })
-    this.server.keepAliveTimeout = 15_000
+    const { clock, log, limits, monitor, configuration, isConfigurationConfirmed, metrics } = options
+    this.access = new AccessControl({ configuration, isConfirmed: isConfigurationConfirmed, metrics })
+    this.server = new PortServer({ clock, log, limits, bodyBytes: limits.bodyBytes, monitor, connectionLimit: 'connections', handle: async request => await this.serve(request) })
   }
 
   listen (host: string, port: number): Server {
-    return this.server.listen(port, host)
+    return this.server.listen(host, port)
+  }
+
+  /** @returns number of open connections */
+  get connections (): number {
+    return this.server.size
+  }
+
+  /** @returns bytes that bodies and bytes read ahead hold */
+  get heldBytes (): number {
+    return this.server.heldBytes
   }
 
   /** Makes each response close its connection from now on. */
@@ -75,34 +94,25 @@
   /** Stops accepting connections and closes idle ones. */
   close (): void {
     this.server.close()
-    this.server.closeIdleConnections()
   }
 
-  private async serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async serve (request: PortRequest): Promise<PortReply> {
     const { clock, metrics } = this.options
-    const receivedAt = this.options.arrivalTime()
+    const receivedAt = Math.min(request.arrivedAt, this.options.arrivalTime())
+    const { method = '' } = request.message
     this.openRequests++
     const reply = await this.handle(request, receivedAt).catch((error: unknown) => this.handleError(error))
     this.openRequests--
-    metrics.timer('caller_request', { method: request.method ?? '', status: String(reply.status) }).record(clock.now() - receivedAt)
-    if (response.destroyed) return
-    const body = reply.body ?? ''
-    response.writeHead(reply.status, {
-      'content-length': Buffer.byteLength(body),
-      ...(reply.body === undefined ? {} : { 'content-type': 'application/json' }),
-      ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) }),
-      ...(this.isClosing ? { connection: 'close' } : {})
-    })
-    if (!response.shouldKeepAlive && !request.complete) await this.awaitRest(request, response, body)
-    else response.end(body)
-  }
-
-  /** Answers a request whose body is not wanted, and closes the connection a little later: closed at once, it is reset and the caller may lose the answer. */
-  private async awaitRest (request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
-    response.write(body)
-    const ended = new Promise(resolve => { request.once('close', resolve).once('end', resolve).resume() })
-    await Promise.race([ended, this.options.clock.sleep(CLOSE_DELAY_MS)])
-    response.end()
+    metrics.timer('caller_request', { method: METHODS.has(method) ? method : 'other', status: String(reply.status) }).record(clock.now() - receivedAt)
+    return {
+      status: reply.status,
+      headers: {
+        ...(reply.body === undefined ? {} : { 'content-type': 'application/json' }),
+        ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) })
+      },
+      body: reply.body,
+      close: reply.close === true || this.isClosing
+    }
   }
 
   private handleError (error: unknown): Reply {
@@ -110,7 +120,7 @@
     return { status: 500 }
   }
 
-  private async handle (request: IncomingMessage, receivedAt: number): Promise<Reply> {
+  private async handle ({ message: request, readBody }: PortRequest, receivedAt: number): Promise<Reply> {
     const { codec } = this.options
     const id = codec.requestId(request.headers)
     const path = (request.url ?? '/').split('?')[0]!
@@ -122,12 +132,14 @@
     const deadline = receivedAt + (codec.timeout(request.headers) ?? DEFAULT_TIMEOUT_MS) - RESPONSE_RESERVE_MS
     if (request.method === 'POST') {
       if (!JOB_ID.test(job)) return this.refuse(id, 400, 'the id is not 16 hexadecimal digits')
-      const body = await readBody(request, configuration.maxBody)
-      if (body === undefined) return this.refuse(id, 413, 'body too large')
+      const body = await readBody(configuration.maxBody)
+      if (body.kind === 'too-large') return { ...this.refuse(id, 413, 'body too large'), close: true }
+      // Nobody reads this response: the connection ended before the body did.
+      if (body.kind === 'closed') return this.refuse(id, 400, 'the body is incomplete')
       // The key may have been revoked while the body arrived.
       const latest = this.access.admit(access)
       if (latest.kind === 'refused') return this.refuse(id, latest.status, latest.reason, latest.retryAfter)
-      return await this.submit({ id, route: latest.route, organisation: latest.organisation, job, body, deadline, receivedAt })
+      return await this.submit({ id, route: latest.route, organisation: latest.organisation, job, body: body.text, deadline, receivedAt })
     }
     if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
     if (request.method === 'DELETE') return this.replyTo({ id, job, receivedAt, route, organisation: admission.organisation }, await this.options.gateway.cancel(job, deadline))
@@ -187,13 +199,3 @@
 function hostOf (request: IncomingMessage): string {
   return (request.headers.host ?? '').split(':')[0]!
 }
-
-async function readBody (request: IncomingMessage, limit: number): Promise<string | undefined> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.length
-    if (size <= limit) chunks.push(chunk)
-  }
-  return size > limit ? undefined : Buffer.concat(chunks).toString('utf8')
-}
--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -1,6 +1,9 @@
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import type { Metrics } from '@rattanstep/telemetry'
+import { LimitMonitor } from '../callers/LimitMonitor.js'
+import { PortServer } from '../callers/PortServer.js'
+import { SMALLEST_MACHINE, defaultLimits } from '../callers/limits.js'
+import type { ClientLimits } from '../callers/limits.js'
 import type { CallerCodec } from '../types/callers.js'
 import { CELL_EVENTS } from '../types/events.js'
 import type { DeciderMessage, FollowerMessage } from '../types/links.js'
@@ -13,7 +16,7 @@
 import { PauseMonitor } from '../runtime/PauseMonitor.js'
 import { answerExplainRequest, isExplainPath } from '../explain/answerExplainRequest.js'
 import type { TextResponse } from '../explain/answerExplainRequest.js'
-import { CallerServer } from './CallerServer.js'
+import { CALLER_LIMITS, CallerServer } from './CallerServer.js'
 import { TcpLinkConnector, listenForLinks } from './TcpLink.js'
 import { TrafficMeter } from './TrafficMeter.js'
 
@@ -26,9 +29,11 @@
 
 /** Maximum number of organisations with gauges: names come and go with versions of the configuration, and gauges stay until the process ends. */
 const MAX_MEASURED_ORGANISATIONS = 100
+/** Bytes that a connection of a status port may have read ahead: two reads from the kernel's buffer. */
+const STATUS_CONNECTION_BYTES = 131_072
 
 /** Options of a node. */
-export interface CellNodeOptions extends Omit<CellOptions, 'node' | 'dataCentre' | 'strength' | 'address' | 'retention' | 'leaseMax' | 'connector'> {
+export interface CellNodeOptions extends Omit<CellOptions, 'node' | 'dataCentre' | 'strength' | 'address' | 'retention' | 'leaseMax' | 'connector' | 'limits' | 'onLimit'> {
   settings: CellSettings
   codec: CallerCodec
   metrics: Metrics
@@ -43,11 +48,16 @@
   private readonly linkTraffic: TrafficMeter
   /** Organisations with gauges. */
   private readonly measuredOrganisations = new Set<string>()
+  private readonly limits: ClientLimits
+  private readonly limitMonitor: LimitMonitor
   private stopped: Promise<void> | undefined
 
   constructor (private readonly options: CellNodeOptions) {
     const { settings, clock, log, metrics, codec } = options
     this.linkTraffic = new TrafficMeter({ metrics, name: 'link' })
+    this.limits = settings.limits ?? defaultLimits(SMALLEST_MACHINE.memory, SMALLEST_MACHINE.descriptors)
+    this.limitMonitor = new LimitMonitor({ clock, log, metrics })
+    this.limitMonitor.register([...CALLER_LIMITS, 'statusConnections', 'links', 'newLinks', 'helloChars', 'helloTimeout', 'waitingWrites', 'waitingQueries', 'logBytes'])
     const store = new InstrumentedStore({ store: options.store, clock, log, metrics })
     this.cell = new Cell({
       ...options,
@@ -60,11 +70,13 @@
       leaseMax: settings.bounds.leaseMax,
       preempts: settings.overload?.preemption,
       refuses: settings.overload?.admission,
+      limits: this.limits,
+      onLimit: limit => { this.limitMonitor.reach(limit) },
       connector: new TcpLinkConnector<DeciderMessage, FollowerMessage>(this.linkTraffic)
     })
     this.pauses = new PauseMonitor({ clock, log })
     this.callers = new CallerServer({
-      gateway: this.cell.gateway, codec, clock, log, metrics, configuration: () => this.cell.configuration, isConfigurationConfirmed: () => this.cell.isConfigurationConfirmed, configurationOrigin: () => ({ source: this.cell.configurationSource, age: this.cell.configurationAge }), arrivalTime: () => this.pauses.earliestArrival(), storeTime: () => store.now(), storeSilence: () => store.silentFor()
+      limits: this.limits, monitor: this.limitMonitor, gateway: this.cell.gateway, codec, clock, log, metrics, configuration: () => this.cell.configuration, isConfigurationConfirmed: () => this.cell.isConfigurationConfirmed, configurationOrigin: () => ({ source: this.cell.configurationSource, age: this.cell.configurationAge }), arrivalTime: () => this.pauses.earliestArrival(), storeTime: () => store.now(), storeSilence: () => store.silentFor()
     })
     metrics.gauge('deciding', () => this.cell.activeDecider === undefined ? 0 : 1)
     metrics.gauge('store_silence_ms', () => Math.min(store.silentFor(), Number.MAX_SAFE_INTEGER))
@@ -72,6 +84,8 @@
     metrics.gauge('configuration_age_ms', () => Math.min(this.cell.configurationAge, Number.MAX_SAFE_INTEGER))
     metrics.gauge('configuration_from_link', () => this.cell.configurationSource === 'link' ? 1 : 0)
     metrics.gauge('open_requests', () => this.callers.openRequests)
+    metrics.gauge('caller_connections', () => this.callers.connections)
+    metrics.gauge('caller_body_bytes', () => this.callers.heldBytes)
     metrics.gauge('processor_seconds', readProcessorSeconds)
     for (const reason of WAIT_REASONS) metrics.gauge('waiting_steps', () => this.cell.activeDecider?.waits.counts.get(reason) ?? 0, { reason })
     metrics.gauge('tasks_given_up', () => this.cell.activeDecider?.tasksGivenUp ?? 0)
@@ -107,9 +121,9 @@
     const { settings, log } = this.options
     this.callers.listen(...parseEndpoint(settings.listen.callers))
     this.servers.push(
-      listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic),
-      serveText(parseEndpoint(settings.listen.readiness), () => ({ status: this.isReady ? 200 : 503, text: '' })),
-      serveText([settings.ip, settings.listen.metricsPort], async ({ method, url = '/' }) => {
+      listenForLinks<FollowerMessage, DeciderMessage>({ host: settings.ip, port: settings.listen.linkPort }, link => { this.cell.acceptLink(link) }, this.linkTraffic, { ...this.limits, monitor: this.limitMonitor }),
+      this.serveText(parseEndpoint(settings.listen.readiness), async () => ({ status: this.isReady ? 200 : 503, text: '' })),
+      this.serveText([settings.ip, settings.listen.metricsPort], async ({ method, url = '/' }) => {
         if (isExplainPath(url)) return await answerExplainRequest({ method, url }, async query => await this.cell.explain(query))
         this.registerOrganisations()
         return { status: 200, text: this.renderMetrics() }
@@ -156,6 +170,25 @@
     this.pauses.stop()
     this.cell.stop()
     for (const server of this.servers) server.close()
+    this.limitMonitor.stop()
+  }
+
+  private serveText ([host, port]: [string, number], read: (request: IncomingMessage) => Promise<TextResponse>): PortServer {
+    const { limits, limitMonitor, options: { clock, log } } = this
+    const server = new PortServer({
+      clock,
+      log,
+      limits: { ...limits, connections: limits.statusConnections },
+      bodyBytes: limits.statusConnections * STATUS_CONNECTION_BYTES,
+      monitor: limitMonitor,
+      connectionLimit: 'statusConnections',
+      handle: async ({ message }) => {
+        const { status, text, type = 'text/plain' } = await read(message)
+        return { status, headers: { 'content-type': type }, body: text }
+      }
+    })
+    server.listen(host, port)
+    return server
   }
 }
 
@@ -169,15 +202,3 @@
   const [host, port] = address.split(':')
   return [host!, Number(port)]
 }
-
-function serveText ([host, port]: [string, number], read: (request: IncomingMessage) => TextResponse | Promise<TextResponse>): Server {
-  return createServer((request, response) => {
-    const respond = ({ status, text, type = 'text/plain' }: TextResponse): void => {
-      response.writeHead(status, { 'content-type': type, 'content-length': Buffer.byteLength(text) })
-      response.end(text)
-    }
-    const result = read(request)
-    if (!(result instanceof Promise)) return respond(result)
-    result.then(respond, () => { respond({ status: 500, text: 'internal error\n' }) })
-  }).listen(port, host)
-}
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -20,7 +20,7 @@
 import { detach } from './detach.js'
 import { executeWorkerCall } from './executeWorkerCall.js'
 import { DeciderClient, Gateway } from './Gateway.js'
-import type { WriteRequest } from './Gateway.js'
+import type { WaitingLimits, WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
 import type { DeciderConnector } from './Follower.js'
 import { Followers } from './Followers.js'
@@ -70,6 +70,10 @@
   readConfiguration: (value: string) => Result<Configuration, string>
   clock: Clock
   log: Log
+  /** Numbers of callers' requests that may wait. */
+  limits?: WaitingLimits
+  /** Called when a request is refused because too many wait. */
+  onLimit?: (limit: keyof WaitingLimits) => void
 }
 
 /** One member of the cell, without its sockets: gateway for callers, follower and, while it holds the term, decider. */
@@ -94,7 +98,7 @@
     this.configurationFeed = new ConfigurationFeed({ store, clock, log, parse: options.readConfiguration })
     this.configurationSync = new ConfigurationSync({ feed: this.configurationFeed, store, clock, log })
     this.admission = new AdmissionGate({ clock, log, random: new SystemRandom(), lastReport: () => this.lastBacklog() })
-    this.gateway = new Gateway({ store, clock, decider: this, admission: this.admission })
+    this.gateway = new Gateway({ store, clock, decider: this, admission: this.admission, limits: options.limits, onLimit: options.onLimit })
     this.membership = new Membership({
       store,
       connector: options.connector,
@@ -270,6 +274,8 @@
       askAdvice: async (asker, question): Promise<Advice> => asker === node ? await advisor.advise(question) : await followers.ask(asker, question),
       isStoreLostForAll: () => followers.isStoreLostForAll(),
       onTermLost: resolveTermLost,
+      maxWaitingQueries: this.options.limits?.waitingQueries,
+      onTooManyQueries: () => { this.options.onLimit?.('waitingQueries') },
       retention,
       lease: Math.min(LEASE_MS, leaseMax),
       leaseMax,
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -101,6 +101,10 @@
   preempts: boolean
   /** Whether the backlog is reported, so that nodes refuse what would end too late, even if the configuration names no organisations. */
   refuses: boolean
+  /** Number of queries that may wait for the next phase of a job; further ones are answered at once. */
+  maxWaitingQueries?: number
+  /** Called for each of these. */
+  onTooManyQueries?: () => void
 }
 
 /** Decides which task runs on which worker, for as long as this node holds the term. */
@@ -155,7 +159,7 @@
 
   constructor (private readonly options: DeciderOptions) {
     const { store, clock, log, term, workers } = options
-    this.phaseWaiters = new PhaseWaiters(clock)
+    this.phaseWaiters = new PhaseWaiters(clock, { maxWaiting: options.maxWaitingQueries, onFull: options.onTooManyQueries })
     this.waits = new WaitMonitor({ clock, log })
     this.organisationMonitor = new OrganisationMonitor({ clock, log })
     this.recorder = new Recorder({
--- a/packages/cell/src/runtime/PhaseWaiters.ts
+++ b/packages/cell/src/runtime/PhaseWaiters.ts
@@ -12,11 +12,19 @@
 export class PhaseWaiters {
   private readonly waiters = new Map<string, Set<() => void>>()
 
-  constructor (private readonly clock: Clock) {}
+  private count = 0
+
+  /** @param options - `maxWaiting`: number of queries that may wait; further ones are answered at once; `onFull`: called for each of these */
+  constructor (private readonly clock: Clock, private readonly options: { maxWaiting?: number, onFull?: () => void } = {}) {}
 
   /** Waits until a job's next phase is visible, if it is expected soon. `isChanging`: whether the next phase is being recorded. */
   async wait (job: JobState, isChanging: boolean): Promise<void> {
+    const { maxWaiting = Infinity, onFull } = this.options
     if (!isChanging && !mayEndSoon(job)) return
+    if (this.count >= maxWaiting) {
+      onFull?.()
+      return
+    }
     const { id } = job.job
     await new Promise<void>(resolve => {
       const waiter = (): void => {
@@ -25,6 +33,7 @@
         resolve()
       }
       const timer = this.clock.schedule(MAX_WAIT_MS, waiter)
+      this.count++
       const present = this.waiters.get(id)
       if (present === undefined) this.waiters.set(id, new Set([waiter]))
       else present.add(waiter)
@@ -33,12 +42,12 @@
 
   /** @returns number of queries that wait */
   get size (): number {
-    return [...this.waiters.values()].reduce((sum, waiters) => sum + waiters.size, 0)
+    return this.count
   }
 
   private remove (id: string, waiter: () => void): void {
     const waiters = this.waiters.get(id)
-    waiters?.delete(waiter)
+    if (waiters?.delete(waiter) === true) this.count--
     if (waiters?.size === 0) this.waiters.delete(id)
   }
 
--- a/packages/cell/src/types/events.ts
+++ b/packages/cell/src/types/events.ts
@@ -60,6 +60,7 @@
   taskGivenUp: { number: 8056, name: 'task-given-up', level: 'error', message: 'a task has crashed the workers that started it and is not started again; its job fails', fields: { job, task, crashes: 'run, worker and certainty of each crash' } },
   speedsJudged: { number: 8059, name: 'worker-speeds-judged', level: 'info', message: 'the speeds learned from the runs of the workers have become uneven, so that planning considers them, or even again', fields: { uneven: 'whether planning considers the speeds', spread: 'standard deviation of the logarithms of the learned speeds', classes: 'number of workers by speed relative to the nominal one' } },
   workerSuspended: { number: 8054, name: 'worker-rested', level: 'warn', message: 'no tasks are placed on a worker for a while', fields: { worker, reason: 'why the worker is suspended', duration: 'ms' } },
+  limitReached: { number: 8095, name: 'limit-reached', level: 'warn', message: 'clients have reached a limit of the settings', fields: { limit: 'name of the limit', count: 'how often it was reached since its last line, or 1' } },
   fault: { number: 8090, name: 'cell-fault', level: 'error', message: 'an internal operation has failed', fields: { step: 'name of the operation', error: 'the error that was thrown' } },
   linesDropped: { number: 8091, name: 'log-lines-dropped', level: 'warn', message: 'log lines above the rate limit were dropped', fields: { lines: 'number of dropped lines' } }
 } as const satisfies Record<string, LogEvent>
--- a/packages/cell/src/types/settings.ts
+++ b/packages/cell/src/types/settings.ts
@@ -1,3 +1,5 @@
+import type { ClientLimits } from '../callers/limits.js'
+
 /** Settings of one process. */
 export interface CellSettings {
   node: string
@@ -30,5 +32,7 @@
     /** Whether nodes refuse jobs that would end too late to be of use even if the configuration names no organisations. */
     admission: boolean
   }
+  /** Limits on what clients can make the process hold; by default those of the smallest machine. */
+  limits?: ClientLimits
   logLevel: 'debug' | 'info' | 'warn' | 'error'
 }
--- a/packages/cell/test/runtime/callerServer.test.ts
+++ b/packages/cell/test/runtime/callerServer.test.ts
@@ -8,7 +8,7 @@
 import type { LogFields } from '@rattanstep/telemetry'
 import { Err } from 'ts-results-es'
 import type { Result } from 'ts-results-es'
-import { CallerCodec, CallerServer } from '../../src/index.js'
+import { CallerCodec, CallerServer, defaultLimits, LimitMonitor, SMALLEST_MACHINE } from '../../src/index.js'
 import type { Configuration, Credential, Gateway, JobSubmission } from '../../src/index.js'
 
 /** Time for which a connection is watched for an answer that must not come. */
@@ -54,8 +54,10 @@
 async function submit ({ head, next = () => {} }: { head: string, next?: (configure: (configuration: Configuration) => void) => void }): Promise<{ early: string, late: string, refusals: LogFields[] }> {
   let configuration = configurationOf('good')
   const log = new MemoryLog()
+  const metrics = new Metrics()
+  const clock = new SystemClock()
   const server = new CallerServer({
-    gateway: {} as unknown as Gateway, codec: new PlainCodec(), clock: new SystemClock(), log, metrics: new Metrics(), configuration: () => configuration, isConfigurationConfirmed: () => true, configurationOrigin: () => ({ source: 'link', age: 5 }), arrivalTime: () => performance.now(), storeTime: () => 0, storeSilence: () => 0
+    limits: defaultLimits(SMALLEST_MACHINE.memory, SMALLEST_MACHINE.descriptors), monitor: new LimitMonitor({ clock, log, metrics }), gateway: {} as unknown as Gateway, codec: new PlainCodec(), clock, log, metrics, configuration: () => configuration, isConfigurationConfirmed: () => true, configurationOrigin: () => ({ source: 'link', age: 5 }), arrivalTime: () => performance.now(), storeTime: () => 0, storeSilence: () => 0
   })
   const listening = server.listen('127.0.0.1', 0)
   await new Promise(resolve => { listening.once('listening', resolve) })
