--- a/packages/cell/test/runtime/configurationSync.test.ts
+++ b/packages/cell/test/runtime/configurationSync.test.ts
@@ -3,7 +3,7 @@
 import { FakeClock } from '@rattanstep/core'
 import { MemoryLog } from '@rattanstep/telemetry'
 import { Ok } from 'ts-results-es'
-import type { Configuration, ConfigurationMessage } from '../../src/index.js'
+import type { Configuration, ConfigurationMessage, FollowerLink } from '../../src/index.js'
 import { ConfigurationFeed } from '../../src/runtime/ConfigurationFeed.js'
 import { ConfigurationSync } from '../../src/runtime/ConfigurationSync.js'
 import { createSteadyRig } from '../support/CellRig.js'
@@ -86,6 +86,22 @@
     expect(await rig.phases([id])).toEqual(['completed'])
   })
 
+  // Guards against connections to no address, repeated until the store answers, of a node that is told of a new term by a node of the earlier program, which sends no address.
+  test('reaches a node again that was told of a new term without an address while the store refused it', async () => {
+    const rig = await createSteadyRig()
+    const cut = rig.nodes.find(node => node !== rig.decider)!
+    cut.store.condition = 'resetting'
+    const link: Pick<FollowerLink, 'onMessage' | 'close'> = { onMessage: () => {}, close: () => {} }
+    cut.cell.acceptLink(link as FollowerLink)
+    link.onMessage({ kind: 'claimed', fence: 1_000_000 })
+    rig.configure(5)
+    await rig.run(1000)
+    cut.store.condition = 'normal'
+    await rig.run(APPLY_LIMIT_MS)
+    expect(versions(rig.nodes)).toEqual([5, 5, 5])
+    expect(cut.log.lines.filter(({ event }) => event.name === 'decider-lost' || event.name === 'cell-fault').map(({ fields }) => fields)).toEqual([])
+  })
+
   // Guards against the loss of the last valid version, and against a line of the log for each heartbeat.
   test('that is malformed is logged once, and the former version stays in force', async () => {
     const rig = await createSteadyRig()
