Late gangs of organisations hold no capacity

Cause: a gang that will be late earns a fifth of one in time; the capacity that was held for it was kept from gangs in time and from batches. Change: mayHoldCapacity excludes late gangs of an organisation too, unless most of the service's capacity is free; gangs beyond the rate may hold it then as well. Work without an organisation is planned as before.

--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -115,7 +115,7 @@
   const { step, route } = rankedStep
   releaseHold(step, capacity.slots)
   plan.holds.delete(step)
-  if (schedule === undefined || !mayHoldCapacity(rankedStep)) return
+  if (schedule === undefined || !mayHoldCapacity(rankedStep, capacity.isMostlyFree)) return
   const limit = Math.max(MAX_HOLD_RATIO * step.definition.estimate, route.advice === undefined ? 0 : ticketDelay(route.advice) + START_TOLERANCE_MS)
   if (schedule.startAt - now > limit) {
     if (servicesWithLongHold.has(route.service)) return
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -138,9 +138,9 @@
 function restoreHold (rankedStep: RankedStep, holds: Map<StepState, GangHold>, contextOf: (service: string) => RoundContext): void {
   const { step, route } = rankedStep
   const hold = holds.get(step)
-  if (hold === undefined || !mayHoldCapacity(rankedStep)) return
+  if (hold === undefined) return
   const context = contextOf(route.service)
-  if (countUnderCap(step, context) < step.tasks.length) return
+  if (!mayHoldCapacity(rankedStep, context.capacity.isMostlyFree) || countUnderCap(step, context) < step.tasks.length) return
   const { capacity, now, plan } = context
   const shares = capacity.slotsOf(hold.tasksByWorker.keys()).map(slot => ({ slot, tasks: hold.tasksByWorker.get(slot.worker.report.id)! }))
   plan.holds.set(step, holdSchedule(step, { startAt: hold.startAt, shares }, { priority: route.priority, now }))
@@ -161,7 +161,7 @@
 function canProgress (rankedStep: RankedStep, context: RoundContext): boolean {
   const { step, route } = rankedStep
   const { capacity, adviceRound, now, plan, servicesWithLongHold } = context
-  const mayHold = step.definition.gang && mayHoldCapacity(rankedStep) && (route.advice !== undefined || plan.holds.has(step) || !servicesWithLongHold.has(route.service))
+  const mayHold = step.definition.gang && mayHoldCapacity(rankedStep, capacity.isMostlyFree) && (route.advice !== undefined || plan.holds.has(step) || !servicesWithLongHold.has(route.service))
   if (!mayHold && !capacity.mayFit(step.definition)) return false
   if (countUnderCap(step, context) < 1) return false
   if (route.advice === undefined || step.allowedWorkers.size + step.rejectedWorkers.size > 0) return true
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -63,11 +63,16 @@
 }
 
 /**
- * @returns whether capacity may be held for a gang until it starts. Capacity that is held stays empty or is kept from others, which work that is too late
- * or beyond the rate is not worth; such a gang starts when all of it fits at once.
+ * Decides whether capacity may be held for a gang until it starts. Capacity that is held stays empty or is kept from others. Work that is too late is not
+ * worth that; nor, unless most of the capacity is free, is work beyond the rate or late work of an organisation, which earns a fifth of work in
+ * time. Such a gang starts when all of it fits at once. Work without an organisation is served as before there were any.
+ *
+ * @param rankedStep - the gang
+ * @param isMostlyFree - whether most of the service's capacity is free
  */
-export function mayHoldCapacity ({ lateness, isBeyondRate }: RankedStep): boolean {
-  return lateness < 2 && !isBeyondRate
+export function mayHoldCapacity ({ step, lateness, isBeyondRate }: RankedStep, isMostlyFree: boolean): boolean {
+  const isWorthHolding = !isBeyondRate && (lateness === 0 || step.occurrence.job.job.organisation === undefined)
+  return lateness < 2 && (isMostlyFree || isWorthHolding)
 }
 
 /** @returns the first criterion of a step's rank: 0 and 1 for useful work within and beyond the rate, 2 and 3 for work that is too late */
--- a/packages/cell/test/runtime/organisationRates.test.ts
+++ b/packages/cell/test/runtime/organisationRates.test.ts
@@ -21,6 +21,18 @@
   return [...rig.decider!.cell.activeDecider!.registry.jobs.values()].filter(state => state.isBeyondRate).map(({ job }) => job.id)
 }
 
+/** Plans a gang of four tasks beside a run on a worker of four cores. */
+function planGangBeside (used: number, { isBeyondRate = false, age = 0, ...rest }: { isBeyondRate?: boolean, age?: number, organisation?: undefined }): RoundPlan {
+  const registry = new Registry()
+  const worker = registry.ensureWorker({ id: 'w', service: 's', address: '', dataCentre: 'd', state: 'ready', capacity: { cpu: 4000, memory: 1000, accelerators: 0 }, labels: [], born: 1 })
+  const [running] = registry.addJob({ ...jobOf('running', 0), steps: [stepOf({ size: { cpu: used, memory: 1, accelerators: 0 } })] }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks
+  running!.phase = 'running'
+  registry.assign(running!, worker)
+  const gang = registry.addJob({ ...jobOf('gang', 0), ...rest, steps: [stepOf({ count: 4, gang: true, estimate: 3000 })] }, { now: -age, age: 0, wall: 0 })
+  gang.isBeyondRate = isBeyondRate
+  return planRound(rankSteps([gang.occurrences[0]!.steps[0]!], { routeOf: () => ROUTE, now: 0 }), { workersOf: () => [worker], now: 0, adviceRound: new AdviceScheduler().startRound([], 0) })
+}
+
 describe('jobs beyond the rate of their organisation', () => {
   // Guards against a burst that delays others, and against one that is served before work that callers wait for.
   test('rank after late jobs within the rate and before those that are of no use', () => {
@@ -35,18 +47,13 @@
   })
 
   // Guards against capacity that is kept empty for a burst, or kept from work that is owed.
-  test('hold no capacity for their gangs, which start when they fit', () => {
-    const planGangBeside = (used: number, isBeyondRate: boolean): RoundPlan => {
-      const registry = new Registry()
-      const worker = registry.ensureWorker({ id: 'w', service: 's', address: '', dataCentre: 'd', state: 'ready', capacity: { cpu: 4000, memory: 1000, accelerators: 0 }, labels: [], born: 1 })
-      const [running] = registry.addJob({ ...jobOf('running', 0), steps: [stepOf({ size: { cpu: used, memory: 1, accelerators: 0 } })] }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks
-      running!.phase = 'running'
-      registry.assign(running!, worker)
-      const gang = registry.addJob({ ...jobOf('gang', 0), steps: [stepOf({ count: 4, gang: true, estimate: 3000 })] }, { now: 0, age: 0, wall: 0 })
-      gang.isBeyondRate = isBeyondRate
-      return planRound(rankSteps([gang.occurrences[0]!.steps[0]!], { routeOf: () => ROUTE, now: 0 }), { workersOf: () => [worker], now: 0, adviceRound: new AdviceScheduler().startRound([], 0) })
-    }
-    expect([planGangBeside(1000, false).holds.size, planGangBeside(1000, true).holds.size, planGangBeside(0, true).placements.length]).toEqual([1, 0, 4])
+  test('hold no capacity for their gangs, which start when they fit, unless most of it is free', () => {
+    expect([planGangBeside(3000, {}).holds.size, planGangBeside(3000, { isBeyondRate: true }).holds.size, planGangBeside(1000, { isBeyondRate: true }).holds.size, planGangBeside(0, { isBeyondRate: true }).placements.length]).toEqual([1, 0, 1, 4])
+  })
+
+  // Guards against capacity that is kept from work in time for a late gang, and against a change where no organisation is configured.
+  test('hold no capacity for late gangs of an organisation either', () => {
+    expect([planGangBeside(3000, { age: 5000 }).holds.size, planGangBeside(3000, { age: 5000, organisation: undefined }).holds.size, planGangBeside(0, { age: 5000 }).placements.length]).toEqual([0, 1, 4])
   })
 
   // Guards against a successor that takes a burst for work that is owed, because it sees none of the jobs within the rate any more.
