Learned speeds follow few runs, and jobs plan for a third of the time left

The estimates were half as far apart as the speeds: a prior of two runs, and a variance of each route that included the still unknown speeds, let the first runs count for little, and what the runs of a step had in common was taken for its deviation even where routes show none. The prior is now half a run, the variance leaves out what is not known of the worker, and the common deviation counts by its own variance. Speeds are relative to the mean of the known ones, which drifted. Since faster workers are now told apart, a job asks for the speed at which it runs for a third instead of half of the time left.

--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -6,8 +6,8 @@
 /** Ratio of a job's duration to its objective above which the job's result is of no use to the caller, as specified by the platform. */
 const MAX_USEFUL_OBJECTIVE_RATIO = 3
 
-/** Share of the time left that a job may run: declared durations are wrong, and later steps wait too. */
-const MAX_RUN_SHARE = 0.5
+/** Share of the time left that a job should run by its declared durations, which are up to nine tenths too short; later steps and gangs wait too. */
+const MAX_RUN_SHARE = 0.33
 /** Class above those of all workers, for jobs that are late. */
 const MAX_SPEED_CLASS = 10
 
--- a/packages/cell/src/speeds/WorkerSpeeds.ts
+++ b/packages/cell/src/speeds/WorkerSpeeds.ts
@@ -1,20 +1,22 @@
 /** Number of runs of ordinary spread by which a worker's own estimate outweighs the speed of its kind. */
-const PRIOR_WEIGHT = 2
+const PRIOR_WEIGHT = 0.5
 /** Maximum weight of former runs, in runs of ordinary spread, so that the estimate follows a worker whose speed changes. */
 const MAX_WEIGHT = 20
 /** Variance of the logarithm of actual to declared duration in runs of ordinary spread: durations are declared within a fifth. */
 const ORDINARY_VARIANCE = 0.0133
 /** Weight of the newest run in the averages of a route, and of the newest worker estimate in the average of a kind. */
 const SMOOTHING = 0.02
+/** Number of runs for which the initial values of a route's averages count. */
+const FIRST_RUNS = 10
 /** Largest ratio of declared to actual duration, or of the inverse, that a run counts with: single outliers say little about the worker. */
 const MAX_RATIO = 4
-/** Weight from which a worker counts in the spread; the standard error of the estimate is then at most 0.06. */
-const MIN_KNOWN_WEIGHT = 4
+/** Weight from which a worker counts in the spread; the standard error of the estimate is then at most 0.05. */
+const MIN_KNOWN_WEIGHT = 6
 /** Number of workers with a known speed from which the spread counts. */
 const MIN_KNOWN_WORKERS = 6
 /**
- * Standard deviation of the logarithms of the speeds above which speeds count as uneven. Equal workers show 0.03 to 0.06 by chance, workers of 0.8,
- * 1 and 1.25 of the nominal speed 0.18.
+ * Standard deviation of the logarithms of the speeds above which speeds count as uneven. Equal workers show 0.03 to 0.07 by chance, workers of 0.8,
+ * 1 and 1.25 of the nominal speed 0.17.
  */
 export const UNEVEN_SPREAD = 0.1
 /** Spread below which uneven speeds count as even again. */
@@ -40,10 +42,19 @@
   weight: number
 }
 
+/** What the runs of a step that have ended deviate by. */
+interface CommonDeviation {
+  sum: number
+  count: number
+}
+
 /** How the declared durations of a route deviate, apart from the speeds of workers. */
 interface RouteDeviation {
   mean: number
+  /** Variance of the runs of a step about what they have in common, and of what the runs of a step have in common. */
   variance: number
+  commonVariance: number
+  runs: number
 }
 
 /**
@@ -55,7 +66,11 @@
   private readonly estimates = new Map<string, Estimate>()
   private readonly kinds = new Map<string, number>()
   private readonly routes = new Map<string, RouteDeviation>()
-  private readonly steps = new Map<string, { sum: number, count: number }>()
+  private readonly steps = new Map<string, CommonDeviation>()
+  /** Mean of the logarithms of the known speeds. It is not told apart from what the durations of all routes are declared wrong by. */
+  private mean = 0
+  /** Standard deviation of the logarithms of the known speeds; 0 while few are known. */
+  spread = 0
   private isUneven = false
 
   /** Adds a completed run. */
@@ -63,15 +78,15 @@
     if (!(declared > 0 && actual > 0)) return
     const observed = Math.max(-Math.log(MAX_RATIO), Math.min(Math.log(MAX_RATIO), Math.log(declared / actual)))
     const estimate = this.estimates.get(worker) ?? { value: this.kinds.get(kind) ?? 0, weight: PRIOR_WEIGHT }
-    const deviation = this.routes.get(route) ?? { mean: 0, variance: 4 * ORDINARY_VARIANCE }
+    const deviation = this.routes.get(route) ?? { mean: 0, variance: ORDINARY_VARIANCE, commonVariance: ORDINARY_VARIANCE / 4, runs: 0 }
     const common = this.steps.get(step) ?? { sum: 0, count: 0 }
     const residual = observed - estimate.value
-    const stepMean = (deviation.mean + common.sum) / (1 + common.count)
+    const expected = expectedDeviation(deviation, common)
     const weight = Math.min(1, ORDINARY_VARIANCE / deviation.variance)
     const total = estimate.weight + weight
-    this.estimates.set(worker, { value: estimate.value + weight / total * (residual - stepMean), weight: Math.min(MAX_WEIGHT, total) })
-    this.kinds.set(kind, (this.kinds.get(kind) ?? 0) + SMOOTHING * weight * (observed - stepMean - (this.kinds.get(kind) ?? 0)))
-    this.routes.set(route, { mean: deviation.mean + SMOOTHING * (residual - deviation.mean), variance: deviation.variance + SMOOTHING * ((residual - stepMean) ** 2 - deviation.variance) })
+    this.estimates.set(worker, { value: estimate.value + weight / total * (residual - expected), weight: Math.min(MAX_WEIGHT, total) })
+    this.kinds.set(kind, (this.kinds.get(kind) ?? 0) + SMOOTHING * weight * (observed - expected - (this.kinds.get(kind) ?? 0)))
+    this.routes.set(route, updateDeviation(deviation, common, residual, estimate.weight / total))
     this.noteStep(step, { sum: common.sum + residual, count: common.count + 1 })
   }
 
@@ -83,29 +98,43 @@
   /**
    * @param worker - id of a worker
    * @param kind - the worker's kind
-   * @returns the worker's speed relative to the nominal one, by its own runs or else by its kind
+   * @returns the worker's speed relative to the mean one as of the last `update`, by its own runs or else by its kind
    */
   estimateOf (worker: string, kind: string): number {
-    return Math.exp(this.estimates.get(worker)?.value ?? this.kinds.get(kind) ?? 0)
+    return Math.exp((this.estimates.get(worker)?.value ?? this.kinds.get(kind) ?? 0) - this.mean)
   }
 
-  /** @returns standard deviation of the logarithms of the known speeds; 0 while few are known */
-  get spread (): number {
+  /** Updates the mean and the spread of the speeds; returns whether they differ so much that planning should consider them. */
+  update (): boolean {
     const values = [...this.estimates.values()].flatMap(({ value, weight }) => weight >= MIN_KNOWN_WEIGHT ? [value] : [])
-    if (values.length < MIN_KNOWN_WORKERS) return 0
-    const mean = values.reduce((sum, value) => sum + value, 0) / values.length
-    return Math.sqrt(values.reduce((sum, value) => sum + (value - mean) ** 2, 0) / values.length)
-  }
-
-  /** @returns whether speeds differ so much that planning should consider them */
-  updateUneven (): boolean {
+    const isKnown = values.length >= MIN_KNOWN_WORKERS
+    this.mean = isKnown ? values.reduce((sum, value) => sum + value, 0) / values.length : 0
+    this.spread = isKnown ? Math.sqrt(values.reduce((sum, value) => sum + (value - this.mean) ** 2, 0) / values.length) : 0
     this.isUneven = this.spread > (this.isUneven ? EVEN_SPREAD : UNEVEN_SPREAD)
     return this.isUneven
   }
 
-  private noteStep (step: string, common: { sum: number, count: number }): void {
+  private noteStep (step: string, common: CommonDeviation): void {
     this.steps.delete(step)
     this.steps.set(step, common)
     if (this.steps.size > MAX_STEPS) this.steps.delete(this.steps.keys().next().value!)
   }
 }
+
+/** @returns by how much the runs of a step are expected to deviate: the mean of its route, moved towards the mean of the runs of the step that have ended */
+function expectedDeviation ({ mean, variance, commonVariance }: RouteDeviation, { sum, count }: CommonDeviation): number {
+  return count === 0 ? mean : mean + count * commonVariance / (count * commonVariance + variance) * (sum / count - mean)
+}
+
+/** Adds a run; `certainty` is the share of the run's deviation from what was expected that is chance rather than an unknown speed of the worker. */
+function updateDeviation (deviation: RouteDeviation, common: CommonDeviation, residual: number, certainty: number): RouteDeviation {
+  const { mean, variance, commonVariance, runs } = deviation
+  const smoothing = Math.max(SMOOTHING, 1 / (runs + FIRST_RUNS))
+  return {
+    mean: mean + smoothing * (residual - mean),
+    variance: variance + smoothing * (certainty * (residual - expectedDeviation(deviation, common)) ** 2 - variance),
+    // The deviations of two runs of a step vary together only by what they have in common.
+    commonVariance: common.count === 0 ? commonVariance : Math.max(0, commonVariance + smoothing * (certainty * (residual - mean) * (common.sum / common.count - mean) - commonVariance)),
+    runs: runs + 1
+  }
+}
--- a/packages/cell/src/speeds/noteCompletedRun.ts
+++ b/packages/cell/src/speeds/noteCompletedRun.ts
@@ -31,7 +31,7 @@
  * @returns whether speeds are uneven
  */
 export function updateSpeeds (speeds: WorkerSpeeds, workers: Iterable<WorkerState>): boolean {
-  const isUneven = speeds.updateUneven()
+  const isUneven = speeds.update()
   for (const worker of workers) {
     worker.speed = isUneven ? speeds.estimateOf(worker.report.id, kindOf(worker)) : 1
     worker.speedClass = speedClassOf(worker.speed)
--- a/packages/cell/test/runtime/workerSpeeds.test.ts
+++ b/packages/cell/test/runtime/workerSpeeds.test.ts
@@ -86,6 +86,13 @@
     expect(speedClassOf(learn([0.6, 1, 1.6], { steps: 60 }).estimateOf('new', 'k2'))).toEqual(2)
   })
 
+  // Guards against taking all workers for slow where all durations are declared too short: tasks with little time would then find none that is fast enough.
+  test('is relative to the mean one', () => {
+    const learned = learn([0.4, 0.5, 0.625], { steps: 60 })
+    learned.update()
+    expect(estimates(learned)).toEqual([-1, 0, 1, -1, 0, 1, -1, 0, 1])
+  })
+
   // Guards a deployment of equal workers against a change of its plans by chance.
   test('has no effect while workers are equal', () => {
     const { registry } = new SpeedRig([1, 1, 1, 1, 1, 1, 1, 1, 1])
