--- a/packages/cell/src/speeds/noteCompletedRun.ts
+++ b/packages/cell/src/speeds/noteCompletedRun.ts
@@ -32,7 +32,7 @@
  * @returns whether speeds are uneven
  */
 export function updateSpeeds (speeds: WorkerSpeeds, workers: Iterable<WorkerState>, minSpread?: number): boolean {
-  const isUneven = speeds.updateUneven(minSpread)
+  const isUneven = speeds.update(minSpread)
   for (const worker of workers) {
     worker.speed = isUneven ? speeds.estimateOf(worker.report.id, kindOf(worker)) : 1
     worker.speedClass = speedClassOf(worker.speed)
