--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -390,17 +390,19 @@
     if (!this.isReady || this.isPaused || now - this.recorder.confirmedAt > MAX_COMMIT_AGE_MS || this.isInstanceListOutdated()) return
     this.updateRoutes()
     this.registry.openDueOccurrences(now)
-    if (this.registry.readySteps.size === 0) return
     const usable = this.usableWorkers(now)
     const workersOf = (service: string): WorkerState[] => usable.get(service) ?? []
     const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now, arrange: this.organisations.startTurns(workersOf, now) })
-    if (ranked.length === 0) return
+    if (ranked.length === 0) {
+      this.backlogMeter.addRound(ranked, [], now)
+      return
+    }
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
     const preemption = this.startPreemption(now)
     const plan = planRound(ranked, { preemption, workersOf, now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
     this.holds = plan.holds
     this.lifecycle.place(plan.placements)
-    this.backlogMeter.addPlacements(plan.placements, now)
+    this.backlogMeter.addRound(ranked, plan.placements, now)
     for (const preemption of plan.preemptions) this.preempt(preemption)
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
   }
@@ -414,7 +416,7 @@
   /** @returns the work that waits, if nodes may refuse more of it and enough was measured */
   get backlog (): BacklogReport | undefined {
     if (!this.isReady || (!this.options.refuses && !this.hasOrganisations)) return undefined
-    return this.backlogMeter.report({ now: this.options.clock.now(), leastUrgent: this.leastUrgent, routeOf: job => findScheduledRoute(job, name => this.routes.get(name)) })
+    return this.backlogMeter.report({ now: this.options.clock.now(), leastUrgent: this.leastUrgent })
   }
 
   /** @returns the least urgent priority of the known routes */
