The simulated loads refuse jobs by the backlog again

The simulation describes jobs with the function of AdmissionGate, and one function classifies how a job ended. Reports of the backlog are not events in the queue: there they changed the order of simultaneous events, and with it the placements. Jobs that are refused still count towards the rate that an organisation is owed.

--- a/packages/cell/src/runtime/AdmissionGate.ts
+++ b/packages/cell/src/runtime/AdmissionGate.ts
@@ -39,6 +39,7 @@
   }
 }
 
-function describeJob ({ steps, organisation }: Job, terms: RouteTerms): Parameters<typeof judgeBacklog>[0] {
+/** @returns a job as it is judged by the backlog */
+export function describeJob ({ steps, organisation }: Job, terms: RouteTerms): Parameters<typeof judgeBacklog>[0] {
   return { priority: terms.priority, organisation, duration: chainLength(steps, 0), usefulFor: MAX_USEFUL_OBJECTIVE_RATIO * objectiveSpan(steps, terms) }
 }
--- a/packages/cell/test/bench/simulateLoad.ts
+++ b/packages/cell/test/bench/simulateLoad.ts
@@ -1,14 +1,16 @@
 import { SeededRandom } from '@rattanstep/core'
-import { takeToken } from '@rattanstep/policy'
-import type { TokenBucket } from '@rattanstep/policy'
+import { judgeBacklog, takeToken } from '@rattanstep/policy'
+import type { BacklogReport, TokenBucket } from '@rattanstep/policy'
+import { describeJob } from '../../src/runtime/AdmissionGate.js'
 import { AdviceScheduler } from '../../src/runtime/AdviceScheduler.js'
 import { applyAdvice, asAsked } from '../../src/runtime/applyAdvice.js'
+import { BacklogMeter } from '../../src/runtime/BacklogMeter.js'
 import { Registry } from '../../src/runtime/Registry.js'
 import { hashFraction } from '../../src/runtime/hashText.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from '../../src/runtime/model.js'
 import { PreemptionRound } from '../../src/runtime/PreemptionRound.js'
 import { planRound } from '../../src/runtime/planRound.js'
-import { objectiveSpan, rankSteps } from '../../src/runtime/rankSteps.js'
+import { MAX_USEFUL_OBJECTIVE_RATIO, objectiveSpan, rankSteps } from '../../src/runtime/rankSteps.js'
 import { OrganisationTable } from '../../src/index.js'
 import { noteCompletedRun, SPEED_UPDATE_INTERVAL_MS, updateSpeeds } from '../../src/speeds/noteCompletedRun.js'
 import { WorkerSpeeds } from '../../src/speeds/WorkerSpeeds.js'
@@ -86,6 +88,8 @@
   inTime: number
   late: number
   failed: number
+  /** Number of the failed ones that were refused. */
+  refused: number
   /** Worth earned / worth owed. */
   worth: number
   /** Worth earned / worth owed of the largest tenth of the jobs and of the fifth below it. */
@@ -111,6 +115,8 @@
 /** Time from an order to stop until the run's end is known, and time that a run takes to restore a checkpoint: least and most, in ms. */
 const STOP_MS = [60, 230] as const
 const RESTORE_MS = [100, 600] as const
+/** Age of the decider's report of its backlog when nodes use it, and time between reports, in ms. */
+const BACKLOG_AGE_MS = 300
 /** Speeds of the workers, in turn. */
 const SPEEDS = [0.8, 1, 1.25]
 
@@ -127,6 +133,15 @@
   submittedAt: number
   span: number
   endedAt: number
+  isRefused: boolean
+}
+
+/** What the cell does while more is asked for than fits. */
+export interface OverloadOptions {
+  /** Whether runs are stopped for more urgent work; false by default. */
+  preempts?: boolean
+  /** Whether jobs are refused that would end too late to be of any use; false by default. */
+  refuses?: boolean
 }
 
 /** A run in the simulation. */
@@ -143,10 +158,10 @@
  *
  * @param load - the load
  * @param seed - seed of the jobs
- * @param options - `preempts`: whether runs are stopped for more urgent work
+ * @param options - what the cell does while more is asked for than fits
  * @returns what the callers of each kind got
  */
-export function simulateLoad (load: Load, seed: number, options: { preempts?: boolean } = {}): KindResult[] {
+export function simulateLoad (load: Load, seed: number, options: OverloadOptions = {}): KindResult[] {
   return simulateOrganisations(load, seed, options).kinds
 }
 
@@ -155,10 +170,10 @@
  *
  * @param load - the load
  * @param seed - seed of the jobs
- * @param options - `preempts`: whether runs are stopped for more urgent work
+ * @param options - what the cell does while more is asked for than fits
  * @returns what the callers of each kind and of each organisation got for the jobs within the organisations' rates
  */
-export function simulateOrganisations (load: Load, seed: number, { preempts = false }: { preempts?: boolean } = {}): { kinds: KindResult[], organisations: OrganisationResult[] } {
+export function simulateOrganisations (load: Load, seed: number, { preempts = false, refuses = false }: OverloadOptions = {}): { kinds: KindResult[], organisations: OrganisationResult[] } {
   const random = new SeededRandom(seed)
   const registry = new Registry()
   const table = new OrganisationTable(registry)
@@ -205,6 +220,17 @@
   const runs = new Map<Task, SimulatedRun>()
   const doneBefore = new Map<Task, number>()
   const durations = new Map<Task, number>()
+  const backlogMeter = new BacklogMeter(registry)
+  let backlog: BacklogReport | undefined
+  let sentBacklog: BacklogReport | undefined
+  let nextReportAt = 0
+  // Not in the queue of events: there, reports would change the order of simultaneous events, and with it the placements, also if nothing is refused.
+  const reportBacklog = (until: number): void => {
+    for (; nextReportAt <= until; nextReportAt += BACKLOG_AGE_MS) {
+      backlog = sentBacklog
+      sentBacklog = backlogMeter.report({ now: nextReportAt, leastUrgent, routeOf: job => routes.get(job.route) })
+    }
+  }
   const stopped = load.kinds.map(() => ({ stops: 0, lost: 0 }))
   const speeds = load.speeds ?? SPEEDS
   const speedOf = (worker: WorkerState): number => speeds[Number(worker.report.id.slice(1)) % speeds.length]!
@@ -239,6 +265,7 @@
     const preemption = preempts ? new PreemptionRound({ now, routeOf: job => routes.get(job.route), workers, leastUrgent }) : undefined
     const result = planRound(ranked, { workersOf: () => workers, now, adviceRound: scheduler.startRound(nodes, now), allowedShare: route => scheduler.allowedShare(route), holds, capBudgetOf: table.startRound(), preemption })
     holds = result.holds
+    backlogMeter.addPlacements(result.placements, now)
     for (const { victim } of result.preemptions) stopRun(victim)
     // The members of a gang end together, when the slowest one ends.
     const gangSpeeds = new Map<StepState, number>()
@@ -281,12 +308,16 @@
     const kind = load.kinds[index]!
     const organisation = load.organisations?.find(({ name }) => name === job.organisation)
     events.add(at, () => {
+      // Refused jobs count towards the rate that is owed too: callers submitted them.
+      const isBeyondRate = organisation !== undefined && isBeyondOwedRate(buckets, organisation, now)
+      const isRefused = refuses && judgeBacklog(describeJob(job, kind.route), backlog, { age: BACKLOG_AGE_MS, random }) !== undefined
+      const work = job.steps.reduce((sum, step) => sum + step.count * step.size.cpu * step.estimate, 0)
+      const outcome: Outcome = { isBeyondRate, isRefused, ...(organisation === undefined ? {} : { organisation }), kind: index, work, submittedAt: now, span: objectiveSpan(job.steps, kind.route), endedAt: Infinity }
+      outcomes.push(outcome)
+      if (isRefused) return
       const state = registry.addJob(job, { now, age: 0, wall: 0 })
       state.isBeyondRate = table.isBeyondRate({ ...job, acceptedAt: now }, now)
-      const isBeyondRate = organisation !== undefined && meter(buckets, organisation, now)
-      const outcome: Outcome = { isBeyondRate, ...(organisation === undefined ? {} : { organisation }), kind: index, work: job.steps.reduce((sum, step) => sum + step.count * step.size.cpu * step.estimate, 0), submittedAt: now, span: objectiveSpan(job.steps, kind.route), endedAt: Infinity }
       outcomeOf.set(job.id, outcome)
-      outcomes.push(outcome)
       if (state.phase === 'open') requestRound()
     })
   }
@@ -310,6 +341,7 @@
   for (let at = SPEED_UPDATE_INTERVAL_MS; at < load.duration; at += SPEED_UPDATE_INTERVAL_MS) events.add(at, () => { updateSpeeds(learned, workers) })
   const end = load.duration + 3 * Math.max(...outcomesSpan(load))
   for (let event = events.next(); event !== undefined && event.at < end; event = events.next()) {
+    if (refuses) reportBacklog(event.at)
     now = event.at
     event.run()
   }
@@ -320,7 +352,7 @@
   }
 }
 
-function meter (buckets: Map<string, TokenBucket>, { name, weight }: LoadOrganisation, at: number): boolean {
+function isBeyondOwedRate (buckets: Map<string, TokenBucket>, { name, weight }: LoadOrganisation, at: number): boolean {
   const { bucket, isWithin } = takeToken(buckets.get(name), { rate: weight, at })
   buckets.set(name, bucket)
   return !isWithin
@@ -348,9 +380,13 @@
 }
 
 /** @returns the share of a job's worth that its end earns: a late one a fifth, as specified by the platform */
-function earnedShare ({ endedAt, submittedAt, span }: Outcome): number {
+function earnedShare (outcome: Outcome): number {
+  return { inTime: 1, late: 0.2, failed: 0 }[endOf(outcome)]
+}
+
+function endOf ({ endedAt, submittedAt, span }: Outcome): 'inTime' | 'late' | 'failed' {
   const ratio = (endedAt - submittedAt) / span
-  return ratio <= 1 ? 1 : ratio <= 3 ? 0.2 : 0
+  return ratio <= 1 ? 'inTime' : ratio <= MAX_USEFUL_OBJECTIVE_RATIO ? 'late' : 'failed'
 }
 
 function waveFactor ({ wave }: Load, at: number): number {
@@ -398,13 +434,14 @@
   const earned = (outcome: Outcome): number => worthOf(outcome) * earnedShare(outcome)
   const share = (some: Outcome[]): number => some.reduce((sum, each) => sum + earned(each), 0) / Math.max(1e-9, some.reduce((sum, each) => sum + worthOf(each), 0))
   const bySize = [...outcomes].sort((a, b) => b.work - a.work)
-  const count = (holds: (ratio: number) => boolean): number => outcomes.filter(each => holds((each.endedAt - each.submittedAt) / each.span)).length
+  const count = (end: ReturnType<typeof endOf>): number => outcomes.filter(each => endOf(each) === end).length
   return {
     name: kind.route.name,
     jobs: outcomes.length,
-    inTime: count(ratio => ratio <= 1),
-    late: count(ratio => ratio > 1 && ratio <= 3),
-    failed: count(ratio => !(ratio <= 3)),
+    inTime: count('inTime'),
+    late: count('late'),
+    failed: count('failed'),
+    refused: outcomes.filter(({ isRefused }) => isRefused).length,
     worth: share(outcomes),
     largest: share(bySize.slice(0, Math.ceil(outcomes.length * 0.1))),
     large: share(bySize.slice(Math.ceil(outcomes.length * 0.1), Math.ceil(outcomes.length * 0.3)))
