--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -390,6 +390,10 @@
     if (!this.isReady || this.isPaused || now - this.recorder.confirmedAt > MAX_COMMIT_AGE_MS || this.isInstanceListOutdated()) return
     this.updateRoutes()
     this.registry.openDueOccurrences(now)
+    if (this.registry.readySteps.size === 0) {
+      this.backlogMeter.addRound([], [], now)
+      return
+    }
     const usable = this.usableWorkers(now)
     const workersOf = (service: string): WorkerState[] => usable.get(service) ?? []
     const ranked = rankSteps(this.registry.readySteps, { routeOf: name => this.routes.get(name), now, arrange: this.organisations.startTurns(workersOf, now) })
