--- a/packages/cell/src/callers/PortServer.ts
+++ b/packages/cell/src/callers/PortServer.ts
@@ -162,7 +162,9 @@
     }
     try {
       const reply = this.findRefusal(message) ?? await this.options.handle({ message, arrivedAt: connection.arrivedAt, readBody })
-      if (!message.socket.destroyed) await this.reply(message, response, reply)
+      if (message.socket.destroyed) return
+      this.writeReply(message, response, reply)
+      if (!response.writableEnded) await this.discardRest(message, response)
     } finally {
       reader?.release()
     }
@@ -179,22 +181,23 @@
     return expect !== undefined && expect.toLowerCase() !== '100-continue' ? { status: 417 } : undefined
   }
 
-  private async reply (message: IncomingMessage, response: ServerResponse, { status, headers, body = '', close = false }: PortReply): Promise<void> {
+  /** Writes a response. It is ended later if there is more of the body to read, which the sender may go on sending until it has read the response. */
+  private writeReply (message: IncomingMessage, response: ServerResponse, { status, headers = {}, body = '', close = false }: PortReply): void {
     // A body that the sender still waits to be asked for is not read after a refusal.
     const isRestRefused = !message.complete && (message.headers.expect !== undefined || message.headers['content-length'] === undefined || close)
-    response.writeHead(status, { 'content-length': Buffer.byteLength(body), ...headers, ...(close || isRestRefused ? { connection: 'close' } : {}) })
+    headers['content-length'] = Buffer.byteLength(body)
+    if (close || isRestRefused) headers.connection = 'close'
+    response.writeHead(status, headers)
     if (message.complete) {
       response.end(body)
       return
     }
-    // The response is sent before the rest of the body is discarded, and ends after it.
     response.flushHeaders()
     if (body !== '') response.write(body)
-    await this.discardRest(message)
-    response.end()
   }
 
-  private async discardRest (message: IncomingMessage): Promise<void> {
+  /** Reads the rest of a body, then ends the response. */
+  private async discardRest (message: IncomingMessage, response: ServerResponse): Promise<void> {
     await new Promise<void>(resolve => {
       const timer = this.options.clock.schedule(DISCARD_TIMEOUT_MS, resolve)
       const end = (): void => {
@@ -204,7 +207,8 @@
       message.once('end', end).once('close', end).once('error', end)
       message.resume()
     })
-    if (!message.complete) message.socket.destroy()
+    if (message.complete) response.end()
+    else message.socket.destroy()
   }
 }
 
--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -64,7 +64,7 @@
 
   constructor (private readonly options: CallerServerOptions) {
     const { clock, log, limits, monitor } = options
-    this.server = new PortServer({ clock, log, limits, bodyBytes: limits.bodyBytes, monitor, connectionLimit: 'connections', handle: async request => await this.serve(request) })
+    this.server = new PortServer({ clock, log, limits, bodyBytes: limits.bodyBytes, monitor, connectionLimit: 'connections', handle: this.serve })
   }
 
   listen (host: string, port: number): void {
@@ -91,7 +91,7 @@
     this.server.close()
   }
 
-  private async serve (request: PortRequest): Promise<PortReply> {
+  private readonly serve = async (request: PortRequest): Promise<PortReply> => {
     const { clock, metrics } = this.options
     const receivedAt = Math.min(request.arrivedAt, this.options.arrivalTime())
     const { method = '' } = request.message
@@ -99,15 +99,10 @@
     const reply = await this.handle(request, receivedAt).catch((error: unknown) => this.handleError(error))
     this.openRequests--
     metrics.timer('caller_request', { method: METHODS.has(method) ? method : 'other', status: String(reply.status) }).record(clock.now() - receivedAt)
-    return {
-      status: reply.status,
-      headers: {
-        ...(reply.body === undefined ? {} : { 'content-type': 'application/json' }),
-        ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) })
-      },
-      body: reply.body,
-      close: reply.close === true || this.isClosing
-    }
+    const headers: PortReply['headers'] = {}
+    if (reply.body !== undefined) headers['content-type'] = 'application/json'
+    if (reply.retryAfter !== undefined) headers['retry-after'] = String(reply.retryAfter)
+    return { status: reply.status, headers, body: reply.body, close: reply.close === true || this.isClosing }
   }
 
   private handleError (error: unknown): Reply {
