--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -125,8 +125,10 @@
     const { route, configuration } = admission
     const job = path.slice(route.prefix.length)
     const deadline = receivedAt + (codec.timeout(request.headers) ?? DEFAULT_TIMEOUT_MS) - RESPONSE_RESERVE_MS
-    if (request.method === 'POST') {
-      if (!JOB_ID.test(job)) return this.refuse(id, 400, 'the id is not 16 hexadecimal digits')
+    if (request.method === 'POST' && !JOB_ID.test(job)) return this.refuse(id, 400, 'the id is not 16 hexadecimal digits')
+    if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
+    if (request.method === 'POST' || request.method === 'DELETE') {
+      // A cancellation needs no body, but one that was cut short must not be carried out.
       const body = await readBody(configuration.maxBody)
       if (body.kind === 'too-large') return { ...this.refuse(id, 413, 'body too large'), close: true }
       // Nobody reads this response: the connection ended before the body did.
@@ -134,10 +136,9 @@
       // The key may have been revoked while the body arrived.
       const latest = this.access.admit(access)
       if (latest.kind === 'refused') return this.refuse(id, latest.status, latest.reason, latest.retryAfter)
-      return await this.submit({ id, route: latest.route, organisation: latest.organisation, job, body: body.text, deadline, receivedAt })
+      if (request.method === 'POST') return await this.submit({ id, route: latest.route, organisation: latest.organisation, job, body: body.text, deadline, receivedAt })
+      return this.replyTo({ id, job, receivedAt, route: latest.route, organisation: latest.organisation }, await this.options.gateway.cancel(job, deadline))
     }
-    if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
-    if (request.method === 'DELETE') return this.replyTo({ id, job, receivedAt, route, organisation: admission.organisation }, await this.options.gateway.cancel(job, deadline))
     if (request.method !== 'GET') return { status: 405 }
     return job === '' ? await this.getCount(id, route) : await this.getPhase(id, job)
   }
