--- a/packages/cell/src/explain/explainJob.ts
+++ b/packages/cell/src/explain/explainJob.ts
@@ -122,7 +122,7 @@
 }
 
 function isCandidate (worker: WorkerState, step: StepState): boolean {
-  return hasLabel(worker, step) && step.rejectedWorkers.get(worker.report.id) !== worker.presence
+  return hasLabel(worker, step) && !step.hasRejected(worker.report.id, worker.presence)
 }
 
 function describeCap ({ definition, occurrence: { job: { job } } }: StepState, { registry, organisations }: ExplainContext): StepExplanation['cap'] {
@@ -141,5 +141,5 @@
 }
 
 function countWaiting ({ tasks }: StepState): number {
-  return tasks.reduce((sum, { phase }) => phase === 'waiting' ? sum + 1 : sum, 0)
+  return tasks.countWaiting()
 }
--- a/packages/cell/src/runtime/BacklogMeter.ts
+++ b/packages/cell/src/runtime/BacklogMeter.ts
@@ -43,7 +43,7 @@
       // Late work goes behind work that can be in time, so that new jobs don't wait for it.
       if (lateness > 0) continue
       const priority = Math.min(leastUrgent, route.priority)
-      for (const { phase } of tasks) if (phase === 'waiting') waiting[priority]! += definition.size.cpu * definition.estimate / 1e6
+      waiting[priority]! += tasks.countWaiting() * definition.size.cpu * definition.estimate / 1e6
     }
     // While little is started because much long work runs, the work that runs shows the rate.
     let used = 0
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -530,7 +530,7 @@
   }
 
   private restoreCrashes ({ occurrences }: JobState): void {
-    for (const task of occurrences.flatMap(({ steps }) => steps.flatMap(({ tasks }) => tasks))) {
+    for (const task of occurrences.flatMap(({ steps }) => steps.flatMap(({ tasks }) => [...tasks.touched()]))) {
       if (task.crashes.length === 0) continue
       this.crashes.restore(task)
       this.registry.updateSuspicion(task)
--- a/packages/cell/src/runtime/PhaseWaiters.ts
+++ b/packages/cell/src/runtime/PhaseWaiters.ts
@@ -61,5 +61,5 @@
 function mayEndSoon (job: JobState): boolean {
   if (job.visiblePhase !== 'running') return false
   if (job.phase !== 'open') return true
-  return !hasRemaining(job) && job.occurrences.every(({ steps }) => steps.every(step => !step.definition.lasting && step.tasks.every(task => task.phase === 'done' || task.phase === 'running')))
+  return !hasRemaining(job) && job.occurrences.every(({ steps }) => steps.every(step => !step.definition.lasting && step.tasks.areAllStarted))
 }
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -1,6 +1,7 @@
 import type { Job, Size, Step } from '../types/job.js'
 import type { WorkerReport } from '../types/worker.js'
 import { countCrashes } from './CrashBudget.js'
+import { TaskCounter } from '../openJobs/TaskCounter.js'
 import { createOccurrence } from './createOccurrence.js'
 import type { JobState, StepState, Task, JobOccurrence, WorkerState } from './model.js'
 import { Schedule } from './Schedule.js'
@@ -35,9 +36,14 @@
   private readonly waitingByOrganisation = new Map<string, number>()
   /** What the organisations have running or placed over all workers, by name. */
   private readonly usage = new Map<string, Size>()
-  private readonly schedule = new Schedule()
+  private readonly schedule: Schedule
   private nextPresence = 1
 
+  /** @param tasks - counts the task objects */
+  constructor (readonly tasks = new TaskCounter()) {
+    this.schedule = new Schedule(tasks)
+  }
+
   /**
    * Adds a job, unless it is known already.
    *
@@ -48,11 +54,11 @@
   addJob (job: Job, times: { now: number, age: number, wall: number }): JobState {
     const existing = this.jobs.get(job.id)
     if (existing !== undefined) return existing
-    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], nextOccurrence: 0, firstDueAt: times.now + (job.repeat === undefined ? 0 : job.repeat.first - times.wall), isStarted: false, isBeyondRate: false, suspects: new Set(), isCleared: false, suspectedSince: 0, reservedWorker: '', endedAt: 0 }
+    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], nextOccurrence: 0, firstDueAt: times.now + (job.repeat === undefined ? 0 : job.repeat.first - times.wall), isStarted: false, touchedTasks: 0, isBeyondRate: false, suspects: new Set(), isCleared: false, suspectedSince: 0, reservedWorker: '', endedAt: 0 }
     this.jobs.set(job.id, state)
     this.adjustWaiting(job, 1)
     if (job.repeat !== undefined) this.schedule.add(state)
-    else this.updateReadySteps(state.occurrences[state.nextOccurrence++] = createOccurrence(state, 0))
+    else this.updateReadySteps(state.occurrences[state.nextOccurrence++] = createOccurrence(state, 0, this.tasks))
     return state
   }
 
@@ -60,6 +66,7 @@
   archive (id: string, archived: ArchivedJob): void {
     const state = this.jobs.get(id)
     if (state?.job.repeat !== undefined) this.schedule.remove(state)
+    for (const { steps } of state?.occurrences ?? []) for (const step of steps) step.tasks.clear()
     this.jobs.delete(id)
     this.endedJobs.set(id, archived)
   }
@@ -76,7 +83,7 @@
 
   /** Removes an occurrence of a scheduled job if all its tasks are done and none is still assigned to a worker. */
   closeOccurrence (occurrence: JobOccurrence): void {
-    const isOpen = occurrence.doneSteps < occurrence.steps.length || occurrence.steps.some(step => step.tasks.some(task => task.worker !== undefined))
+    const isOpen = occurrence.doneSteps < occurrence.steps.length || occurrence.steps.some(step => step.tasks.hasRuns)
     if (occurrence.job.job.repeat !== undefined && !isOpen) this.schedule.close(occurrence)
   }
 
@@ -106,14 +113,17 @@
 
   /** Updates the set of ready steps after a change of tasks of an occurrence. */
   updateReadySteps (occurrence: JobOccurrence): void {
-    for (const step of occurrence.steps) {
-      const isReady = occurrence.job.phase === 'open' && step.tasks.some(task => task.phase === 'waiting') &&
-        step.definition.after.every(earlier => isStepDone(occurrence.steps[earlier]))
-      if (isReady) this.readySteps.add(step)
-      else {
-        this.readySteps.delete(step)
-        step.waitingSince = undefined
-      }
+    for (const step of occurrence.steps) this.updateReadyStep(step)
+  }
+
+  /** Updates whether a step is ready after a change of its tasks by which it has not become done. */
+  updateReadyStep (step: StepState): void {
+    const { occurrence, definition } = step
+    const isReady = occurrence.job.phase === 'open' && step.tasks.hasWaiting && definition.after.every(earlier => isStepDone(occurrence.steps[earlier]))
+    if (isReady) this.readySteps.add(step)
+    else {
+      this.readySteps.delete(step)
+      step.waitingSince = undefined
     }
   }
 
@@ -139,6 +149,7 @@
     const worker = task.worker
     if (worker === undefined) return
     task.worker = undefined
+    if (task.phase === 'done') task.step.tasks.release(task)
     if (!worker.tasks.delete(task.name)) return
     addSize(worker.used, reservedSize(task.step.definition), -1)
     this.adjustUsage(task, -1)
@@ -194,7 +205,7 @@
    */
   findTask (name: string): Task | undefined {
     const [id, occurrence, step, index] = name.split('.')
-    return this.jobs.get(id ?? '')?.occurrences.find(each => each.index === Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)]
+    return this.jobs.get(id ?? '')?.occurrences.find(each => each.index === Number(occurrence))?.steps[Number(step)]?.tasks.at(Number(index))
   }
 
   /**
--- a/packages/cell/src/runtime/Schedule.ts
+++ b/packages/cell/src/runtime/Schedule.ts
@@ -1,3 +1,4 @@
+import type { TaskCounter } from '../openJobs/TaskCounter.js'
 import { countTasks } from './countTasks.js'
 import { createOccurrence } from './createOccurrence.js'
 import type { JobOccurrence, JobState } from './model.js'
@@ -18,6 +19,9 @@
   /** Monotonic ms before which no occurrence is due, as far as none waits for earlier ones. */
   private nextDueAt = Infinity
 
+  /** @param tasks - counts the task objects of the occurrences */
+  constructor (private readonly tasks: TaskCounter) {}
+
   /** Adds a scheduled job. */
   add (job: JobState): void {
     this.jobs.add(job)
@@ -39,7 +43,7 @@
    * @returns the occurrence
    */
   restore (job: JobState, index: number): JobOccurrence {
-    const occurrence = createOccurrence(job, index)
+    const occurrence = createOccurrence(job, index, this.tasks)
     job.occurrences.push(occurrence)
     this.openTasks += countTasks(job.job.steps)
     return occurrence
@@ -49,6 +53,7 @@
   close (occurrence: JobOccurrence): void {
     const { job } = occurrence
     job.occurrences.splice(job.occurrences.indexOf(occurrence), 1)
+    for (const step of occurrence.steps) step.tasks.clear()
     this.openTasks -= countTasks(job.job.steps)
     this.nextDueAt = -Infinity
   }
--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -3,6 +3,7 @@
 import type { ListedEnd, OrderOutcome } from '../types/worker.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { countCrashes, incarnationTag, judgeCrashes } from './CrashBudget.js'
+import { isStepDone } from './Registry.js'
 import type { Registry } from './Registry.js'
 import { hasRemaining } from './Schedule.js'
 import type { Crash, JobState, Task, JobOccurrence, WorkerState } from './model.js'
@@ -69,10 +70,10 @@
     task.stopConfirmedAt = 0
     task.projectedEndAt = 0
     task.incarnation = incarnationTag(worker.report.born)
-    if (task.step.definition.gang) task.checkpoint = newestCheckpoint(task.step.tasks)
+    if (task.step.definition.gang) task.checkpoint = newestCheckpoint(task.step.tasks.touched())
     registry.assign(task, worker)
     prepareStart(worker)
-    registry.updateReadySteps(task.step.occurrence)
+    registry.updateReadyStep(task.step)
     const { job } = task.step.occurrence
     job.suspectedSince = 0
     job.reservedWorker = ''
@@ -99,7 +100,7 @@
 
   /** Of a gang, all placed members must be able to start. */
   private findStartObstacle (task: Task, needsTicket: boolean): string | undefined {
-    const members = task.step.definition.gang ? task.step.tasks.filter(member => member.phase === 'placed') : [task]
+    const members = task.step.definition.gang ? [...task.step.tasks.touched()].filter(member => member.phase === 'placed') : [task]
     for (const member of members) {
       const obstacle = this.options.findStartObstacle(member, needsTicket)
       if (obstacle !== undefined) return obstacle
@@ -206,7 +207,7 @@
     this.closeJob(job)
     for (const occurrence of job.occurrences) {
       for (const step of occurrence.steps) {
-        for (const task of step.tasks) this.stopOrReset(task, phase)
+        for (const task of step.tasks.touched()) this.stopOrReset(task, phase)
       }
       this.options.registry.updateReadySteps(occurrence)
     }
@@ -250,11 +251,14 @@
       member.phase = 'done'
       this.clearCrashes(member)
       task.step.doneTasks++
+      if (member.worker === undefined) member.step.tasks.release(member)
     }
   }
 
-  private finishCompletion ({ step: { occurrence } }: Task): void {
-    this.updateOccurrence(occurrence)
+  private finishCompletion ({ step }: Task): void {
+    const { occurrence } = step
+    if (isStepDone(step)) this.updateOccurrence(occurrence)
+    else this.options.registry.updateReadyStep(step)
     this.options.registry.closeOccurrence(occurrence)
     this.options.record(occurrence.job)
     this.options.onChange()
@@ -277,7 +281,7 @@
 
   private updateOccurrence (occurrence: JobOccurrence): void {
     const { registry } = this.options
-    occurrence.doneSteps = occurrence.steps.filter(step => step.doneTasks === step.tasks.length).length
+    occurrence.doneSteps = occurrence.steps.filter(isStepDone).length
     registry.updateReadySteps(occurrence)
     const { job } = occurrence
     if (job.phase !== 'open' || hasRemaining(job) || !job.occurrences.every(each => each.doneSteps === each.steps.length)) return
@@ -318,14 +322,14 @@
     task.phase = 'waiting'
     const { step } = task
     if (step.definition.gang && step.occurrence.job.phase === 'open') this.stopGang(task)
-    registry.updateReadySteps(step.occurrence)
+    registry.updateReadyStep(step)
     record(step.occurrence.job)
     onChange()
   }
 
   /** Stops the other members of a gang after one has ended, since they would only wait for it in vain. */
   private stopGang (task: Task): void {
-    for (const member of task.step.tasks) this.stopOrReset(member, 'gang-broken')
+    for (const member of task.step.tasks.touched()) this.stopOrReset(member, 'gang-broken')
   }
 
   /** Prevents the placement of tasks on a worker for a while; `duration` in ms. */
@@ -337,12 +341,14 @@
 
 /** @returns the tasks of which the end of one as done represents all: those of its gang, or the task alone */
 function membersOf (task: Task): Task[] {
-  return task.step.definition.gang ? task.step.tasks : [task]
+  return task.step.definition.gang ? [...task.step.tasks] : [task]
 }
 
 /** Checkpoints of a gang have the same form and increase with progress, so they can be compared as strings. */
-function newestCheckpoint (tasks: Task[]): string {
-  return tasks.reduce((newest, task) => task.checkpoint > newest ? task.checkpoint : newest, '')
+function newestCheckpoint (tasks: Iterable<Task>): string {
+  let newest = ''
+  for (const { checkpoint } of tasks) if (checkpoint > newest) newest = checkpoint
+  return newest
 }
 
 function describeCrash ({ run, worker, certainty, isAlone }: Crash): string {
--- a/packages/cell/src/runtime/WaitMonitor.ts
+++ b/packages/cell/src/runtime/WaitMonitor.ts
@@ -53,7 +53,7 @@
   }
 
   private updateWait (step: StepState, now: number): Wait {
-    const waiting = step.tasks.reduce((count, task) => task.phase === 'waiting' ? count + 1 : count, 0)
+    const waiting = step.tasks.countWaiting()
     const known = this.waits.get(step)
     return known?.waiting === waiting ? known : { since: now, waiting, reportAt: now + FIRST_REPORT_MS }
   }
--- a/packages/cell/src/runtime/explainWait.ts
+++ b/packages/cell/src/runtime/explainWait.ts
@@ -60,16 +60,16 @@
 /** @returns why a ready step isn't placed, as far as the decider's state tells */
 export function explainWait (step: StepState, context: WaitContext): WaitFacts {
   const { route, workers, holds, now, capBudget } = context
-  const facts: WaitFacts = { reason: 'other', waiting: 0, phases: {}, usable: workers.length, eligible: 0, allowed: step.allowedWorkers.size, rejected: step.rejectedWorkers.size, asked: step.askedWorkers.size, fitting: 0, unheld: 0, tickets: 0 }
-  for (const { phase } of step.tasks) {
-    if (phase === 'waiting') facts.waiting++
-    else facts.phases[phase] = (facts.phases[phase] ?? 0) + 1
-  }
+  const facts: WaitFacts = { reason: 'other', waiting: 0, phases: {}, usable: workers.length, eligible: 0, ...step.adviceCounts, fitting: 0, unheld: 0, tickets: 0 }
+  const { tasks } = step
+  facts.waiting = tasks.countWaiting()
+  for (const { phase, worker } of tasks.touched()) if (phase !== 'waiting' && (phase !== 'done' || worker !== undefined)) facts.phases[phase] = (facts.phases[phase] ?? 0) + 1
+  if (step.doneTasks > 0) facts.phases.done = step.doneTasks
   const held = new Set([...holds].flatMap(([owner, { tasksByWorker }]) => owner === step ? [] : [...tasksByWorker.keys()]))
   for (const worker of workers) {
     if (!isEligible({ worker }, step)) continue
     facts.eligible++
-    const ticket = step.tickets.get(worker.report.id)
+    const ticket = step.ticketFor(worker.report.id)
     if (ticket !== undefined && ticket.validUntil > now) facts.tickets++
     const fitting = countFitting(freeCapacity(worker), step.definition)
     facts.fitting += fitting
@@ -83,7 +83,7 @@
   const { gang } = step.definition
   if (route === undefined) return 'no-route'
   if (gang && facts.waiting < step.tasks.length) return 'member-busy'
-  if (step.tasks.every(task => task.phase !== 'waiting' || task.notBefore > now)) return 'delayed'
+  if (isNoneDue(step, now)) return 'delayed'
   const needed = gang ? step.tasks.length : 1
   if (capBudget !== undefined && capBudget.countFitting(step.definition.size) < needed) return 'cap'
   if (facts.eligible === 0) return 'no-worker'
@@ -93,3 +93,8 @@
   if (facts.asked > 0 || step.nextAdviceAt > now) return 'advice-pending'
   return facts.tickets === 0 ? 'no-advice' : 'other'
 }
+
+/** @returns whether all waiting tasks of a step have a time before which they are not placed */
+function isNoneDue ({ tasks }: StepState, now: number): boolean {
+  return tasks.untouched === 0 && tasks.waiting({ now }).touched.length === 0
+}
--- a/packages/cell/src/runtime/findStartObstacle.ts
+++ b/packages/cell/src/runtime/findStartObstacle.ts
@@ -23,7 +23,7 @@
  */
 export function findStartObstacle ({ worker, step }: Task, { now, needsTicket }: { now: number, needsTicket: boolean }): string | undefined {
   if (worker === undefined || !isUsable(worker, now)) return 'the worker is not usable any more'
-  if (needsTicket && (step.tickets.get(worker.report.id)?.validUntil ?? 0) <= now) return 'the ticket has expired'
+  if (needsTicket && (step.ticketFor(worker.report.id)?.validUntil ?? 0) <= now) return 'the ticket has expired'
   const { label } = step.definition
   if (label !== undefined && !worker.report.labels.includes(label)) return 'the worker has not the required label any more'
   const size = reservedSize(step.definition)
--- a/packages/cell/src/runtime/forecastReleases.ts
+++ b/packages/cell/src/runtime/forecastReleases.ts
@@ -1,5 +1,5 @@
 import type { Size } from '../types/job.js'
-import type { Task, WorkerState } from './model.js'
+import type { StepState, Task, WorkerState } from './model.js'
 import { reservedSize } from './Registry.js'
 
 /** Resources that a worker's run is expected to release. */
@@ -38,8 +38,14 @@
 export function expectedEnd (task: Task, now: number): number {
   const { phase, step } = task
   if (phase === 'done' || phase === 'stopping') return now
-  const projectedEndAt = step.definition.gang ? Math.max(...step.tasks.map(member => member.projectedEndAt)) : task.projectedEndAt
+  const projectedEndAt = step.definition.gang ? latestProjectedEnd(step) : task.projectedEndAt
   const declaredEndAt = (task.confirmedAt > 0 ? task.confirmedAt : now) + step.definition.estimate
   const endAt = projectedEndAt > 0 ? projectedEndAt : declaredEndAt
   return endAt > now ? endAt : now + OVERRUN_RATIO * step.definition.estimate
 }
+
+function latestProjectedEnd ({ tasks }: StepState): number {
+  let latest = 0
+  for (const { projectedEndAt } of tasks.touched()) latest = Math.max(latest, projectedEndAt)
+  return latest
+}
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -1,10 +1,12 @@
 import type { JobPhase } from '../types/job.js'
+import { isStepDone } from './Registry.js'
 import type { Registry } from './Registry.js'
-import type { Crash, CrashCertainty, JobOccurrence, JobState, Task, WorkerState } from './model.js'
+import type { Crash, CrashCertainty, JobOccurrence, JobState, StepState, Task, WorkerState } from './model.js'
 
 /**
  * Recorded state of a task: 0 if it has not run, 1 if it is done, or else number of the last run, worker or '', failures, 0, checkpoint, tag
- * of the worker's incarnation, crashes, number of the last run that is known to have begun, ms left of the lease if it may be longer than usual. Trailing elements that are 0 or empty are omitted. Records of earlier versions contain the first five
+ * of the worker's incarnation, crashes, number of the last run that is known to have begun, ms left of the lease if it may be longer than usual. Trailing elements that are 0 or empty are omitted,
+ * and so are tasks that have not run at the end of a step, but for one. Records of earlier versions contain the first five
  * elements, and 1 as the fourth if the task is done.
  */
 type TaskRecord = 0 | 1 | [run: number, worker?: string, failures?: number, done?: number, checkpoint?: string, incarnation?: number, crashes?: CrashRecord[], begunRun?: number, leaseLeft?: number]
@@ -47,7 +49,7 @@
 export function encodeJobRecord (state: JobState, now: number): string {
   const record: JobRecord = { phase: state.phase }
   if (state.phase === 'open' || hasRuns(state)) {
-    record.tasks = state.occurrences.map(occurrence => occurrence.steps.map(step => step.tasks.map(task => encodeTask(task, now))))
+    record.tasks = state.occurrences.map(occurrence => occurrence.steps.map(step => encodeTasks(step, now)))
     const failedRuns = state.occurrences.map(occurrence => occurrence.steps.map(step => step.lastFailedRun))
     if (failedRuns.flat().some(run => run > 0)) record.failedRuns = failedRuns
     if (state.isBeyondRate) record.beyondRate = 1
@@ -56,6 +58,12 @@
   return JSON.stringify(record)
 }
 
+/** @returns the records of a step's tasks; of those that wait at its end, at most one is recorded */
+function encodeTasks (step: StepState, now: number): TaskRecord[] {
+  const records = step.tasks.map(task => task === undefined ? 1 : encodeTask(task, now))
+  return step.tasks.untouched > 0 ? [...records, 0] : records
+}
+
 function encodeTask ({ phase, run, worker, failures, checkpoint, incarnation, crashes, begunRun }: Task, now: number): TaskRecord {
   if (phase === 'done' && worker === undefined) return 1
   if (run === 0) return 0
@@ -97,19 +105,12 @@
 export function applyRecord (registry: Registry, state: JobState, record: JobRecord): RecordedRun[] {
   const runs: RecordedRun[] = []
   const occurrences = state.job.repeat === undefined ? state.occurrences : restoreOccurrences(registry, state, record)
-  record.tasks?.forEach((steps, occurrence) => steps.forEach((tasks, step) => tasks.forEach((taskRecord, index) => {
-    const task = occurrences[occurrence]?.steps[step]?.tasks[index]
-    if (task === undefined) return
-    const [run, worker = '', failures = 0, done = 0, checkpoint = '', incarnation = 0, crashes = [], begunRun = 0, leaseLeft = 0] = typeof taskRecord === 'number' ? [taskRecord, '', 0, taskRecord] : taskRecord
-    Object.assign(task, { run, begunRun, failures, checkpoint, incarnation, crashes: crashes.map(decodeCrash) })
-    if (begunRun > 0 || failures > 0 || done === 1 || checkpoint !== '') registry.markStarted(state)
-    // Callers may have been shown the placement, even if its order was never sent.
-    else if (run > 0) state.visiblePhase = 'running'
-    if (done === 1) {
-      task.phase = 'done'
-      task.step.doneTasks++
-    } else if (worker !== '') runs.push({ task, worker, leaseLeft })
-  })))
+  record.tasks?.forEach((steps, occurrence) => {
+    steps.forEach((tasks, index) => {
+      const step = occurrences[occurrence]?.steps[index]
+      if (step !== undefined) runs.push(...restoreTasks(registry, step, tasks))
+    })
+  })
   record.failedRuns?.forEach((steps, occurrence) => steps.forEach((run, index) => {
     const step = occurrences[occurrence]?.steps[index]
     if (step !== undefined) step.lastFailedRun = run
@@ -121,12 +122,40 @@
     state.visiblePhase = record.phase
   }
   for (const occurrence of state.occurrences) {
-    occurrence.doneSteps = occurrence.steps.filter(step => step.doneTasks === step.tasks.length).length
+    occurrence.doneSteps = occurrence.steps.filter(isStepDone).length
     registry.updateReadySteps(occurrence)
   }
   return runs
 }
 
+/** @returns recorded runs of a step that are not known to have ended. Tasks that wait at its end get no objects. */
+function restoreTasks (registry: Registry, step: StepState, records: TaskRecord[]): RecordedRun[] {
+  const runs: RecordedRun[] = []
+  const { tasks, occurrence: { job } } = step
+  const end = Math.min(tasks.length, 1 + records.findLastIndex(record => record !== 0))
+  for (let index = 0; index < end; index++) {
+    const record = records[index]!
+    if (record === 1) {
+      tasks.skipDone()
+      step.doneTasks++
+      registry.markStarted(job)
+      continue
+    }
+    const task = tasks.at(index)!
+    const [run, worker = '', failures = 0, done = 0, checkpoint = '', incarnation = 0, crashes = [], begunRun = 0, leaseLeft = 0] = record === 0 ? [0] : record
+    Object.assign(task, { run, begunRun, failures, checkpoint, incarnation, crashes: crashes.map(decodeCrash) })
+    if (begunRun > 0 || failures > 0 || done === 1 || checkpoint !== '') registry.markStarted(job)
+    // Callers may have been shown the placement, even if its order was never sent.
+    else if (run > 0) job.visiblePhase = 'running'
+    if (done === 1) {
+      task.phase = 'done'
+      step.doneTasks++
+      tasks.release(task)
+    } else if (worker !== '') runs.push({ task, worker, leaseLeft })
+  }
+  return runs
+}
+
 /** @returns the open occurrences of a scheduled job by their place in the record; places of others are empty */
 function restoreOccurrences (registry: Registry, state: JobState, { tasks = [], occurrences, next }: JobRecord): Array<JobOccurrence | undefined> {
   state.nextOccurrence = next ?? 1 + tasks.findLastIndex(steps => steps.flat().some(task => task !== 0))
@@ -139,5 +168,5 @@
 
 /** @returns whether the job has a run that is not known to have ended */
 export function hasRuns (state: JobState): boolean {
-  return state.occurrences.some(occurrence => occurrence.steps.some(step => step.tasks.some(task => task.worker !== undefined)))
+  return state.occurrences.some(occurrence => occurrence.steps.some(step => step.tasks.hasRuns))
 }
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -1,6 +1,9 @@
-import type { Job, JobPhase, Size, Step } from '../types/job.js'
+import type { StepState } from '../openJobs/StepState.js'
+import type { Job, JobPhase, Size } from '../types/job.js'
 import type { WorkerReport } from '../types/worker.js'
 
+export type { StepState } from '../openJobs/StepState.js'
+
 /**
  * - `waiting`: no run exists
  * - `placed`: the task is assigned to a worker, and the order to start is not yet sent
@@ -88,38 +91,6 @@
   tasksByWorker: Map<string, number>
 }
 
-/** State of a step in one occurrence of a job. */
-export interface StepState {
-  name: string
-  occurrence: JobOccurrence
-  index: number
-  definition: Step
-  tasks: Task[]
-  doneTasks: number
-  /** Incarnations of the workers on which the advice service allows the step, by id of the worker. */
-  allowedWorkers: Map<string, number>
-  /** Periods of presence of the workers for which the advice service gave no ticket, by id of the worker. */
-  rejectedWorkers: Map<string, number>
-  /** Monotonic ms from which rejected workers may be asked about again if the step has no others, and ms to add for the time after that. */
-  nextReviewAt: number
-  reviewDelay: number
-  tickets: Map<string, ValidTicket>
-  /** Ids of the workers that are named in calls to the advice service in flight. */
-  askedWorkers: Set<string>
-  /** Monotonic ms at which the tickets that were last asked for are expected, or 0. */
-  ticketsExpectedAt: number
-  /** Monotonic ms before which the advice service is not called again. */
-  nextAdviceAt: number
-  /** Monotonic ms before which a gang is not planned again, unless the advice service answers or runs on its workers end. */
-  nextPlanAt: number
-  /** Number of runs that had ended on the gang's workers when it was last planned. */
-  plannedReleases: number
-  /** Monotonic ms since which the step has waited while most of its service's capacity was free. */
-  waitingSince?: number
-  /** Number of the last run of the gang that was counted as a failure. */
-  lastFailedRun: number
-}
-
 /** One occurrence of a job. */
 export interface JobOccurrence {
   job: JobState
@@ -145,6 +116,8 @@
   /** Monotonic ms from which the first occurrence may start. */
   firstDueAt: number
   isStarted: boolean
+  /** Number of its tasks that have an object. */
+  touchedTasks: number
   /** Whether the job was submitted beyond the rate of its organisation; this doesn't change later. */
   isBeyondRate: boolean
   /** Tasks that are not done and under which a worker has crashed. */
--- a/packages/cell/src/runtime/placeTasks.ts
+++ b/packages/cell/src/runtime/placeTasks.ts
@@ -1,6 +1,7 @@
 import { reserveCapacity, taskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
 import type { StepState, Task } from './model.js'
+import type { WaitingTasks } from '../openJobs/TaskList.js'
 import { compareForSpeed } from '../speeds/speedClass.js'
 import type { Placement } from './planRound.js'
 
@@ -12,9 +13,10 @@
  * @param step - a step
  * @returns whether the step may run on the worker, as far as known
  */
-export function isEligible ({ worker }: Pick<Slot, 'worker'>, { definition, rejectedWorkers }: StepState): boolean {
-  if (definition.label !== undefined && !worker.report.labels.includes(definition.label)) return false
-  return rejectedWorkers.get(worker.report.id) !== worker.presence
+export function isEligible ({ worker }: Pick<Slot, 'worker'>, step: StepState): boolean {
+  const { label } = step.definition
+  if (label !== undefined && !worker.report.labels.includes(label)) return false
+  return !step.hasRejected(worker.report.id, worker.presence)
 }
 
 /**
@@ -33,7 +35,7 @@
  * @returns whether the step has a ticket that is valid then
  */
 export function hasTicket (step: StepState, { worker }: Slot, at: number): boolean {
-  const ticket = step.tickets.get(worker.report.id)
+  const ticket = step.ticketFor(worker.report.id)
   return ticket?.born === worker.report.born && ticket.validUntil > at + MIN_TICKET_VALIDITY_MS
 }
 
@@ -46,27 +48,32 @@
  * @param start - `now`: monotonic ms; `priority`: priority of the step's route; `neededSpeedClass`: see `RankedStep`
  * @returns the placements, whose capacity is reserved in the slots
  */
-export function placeTasks (waiting: Task[], slots: Slot[], step: StepState, start: { now: number, priority: number, neededSpeedClass?: number }): Placement[] {
+export function placeTasks (waiting: WaitingTasks, slots: Slot[], step: StepState, start: { now: number, priority: number, neededSpeedClass?: number }): Placement[] {
   const ordered = orderSlots(slots, step, start.neededSpeedClass ?? 0)
-  const chosen: Array<{ task: Task, slot: Slot }> = []
-  for (const task of waiting) {
-    const slot = findSlot(ordered, task, start)
-    if (slot === undefined) {
-      if (step.definition.gang) break
-      continue
-    }
+  const { gang } = step.definition
+  const chosen: Array<{ task: Task | undefined, slot: Slot }> = []
+  const place = (task?: Task): boolean => {
+    const slot = findSlot(ordered, step, task?.avoidedWorkers, start)
+    if (slot === undefined) return false
     reserveCapacity(slot, step.definition)
     slot.placed = { step, tasks: slot.placed?.step === step ? slot.placed.tasks + 1 : 1 }
     chosen.push({ task, slot })
+    return true
+  }
+  let isPlaced = true
+  for (const task of waiting.touched) {
+    isPlaced = place(task)
+    if (!isPlaced && gang) break
   }
-  if (step.definition.gang && chosen.length < waiting.length) {
+  if (isPlaced || !gang) for (let count = 0; count < waiting.untouched && place(); count++);
+  if (gang && chosen.length < waiting.touched.length + waiting.untouched) {
     for (const { slot } of chosen) {
       reserveCapacity(slot, step.definition, -1)
       slot.placed = undefined
     }
     return []
   }
-  return chosen.map(({ task, slot }) => ({ task, worker: slot.worker, ticket: step.tickets.get(slot.worker.report.id)?.text }))
+  return chosen.map(({ task = step.tasks.createNext(), slot }) => ({ task, worker: slot.worker, ticket: step.ticketFor(slot.worker.report.id)?.text }))
 }
 
 /**
@@ -96,11 +103,11 @@
   return /^r\d+-\d+$/.test(label)
 }
 
-function findSlot (slots: Slot[], task: Task, start: { now: number, priority: number }): Slot | undefined {
+function findSlot (slots: Slot[], step: StepState, avoidedWorkers: Task['avoidedWorkers'] | undefined, start: { now: number, priority: number }): Slot | undefined {
   let fallback: Slot | undefined
   for (const slot of slots) {
-    if (taskCapacity(slot, task.step, start) < 1) continue
-    if (!task.avoidedWorkers.has(slot.worker.report.id)) return slot
+    if (taskCapacity(slot, step, start) < 1) continue
+    if (avoidedWorkers?.has(slot.worker.report.id) !== true) return slot
     fallback ??= slot
   }
   return fallback
--- a/packages/cell/src/runtime/planGang.ts
+++ b/packages/cell/src/runtime/planGang.ts
@@ -64,12 +64,12 @@
   const start = { now, priority: route.priority, neededSpeedClass: rankedStep.neededSpeedClass }
   const allowed = allowedSlots(rankedStep, context)
   const releases = allowed.reduce((sum, { worker }) => sum + worker.releases, 0)
-  const holdsOrAsks = plan.holds.has(step) || step.askedWorkers.size > 0
+  const holdsOrAsks = plan.holds.has(step) || step.adviceCounts.asked > 0
   if (step.nextPlanAt > now && (!holdsOrAsks || step.plannedReleases === releases)) return
   step.plannedReleases = releases
   // While it waits for an answer, a gang can only be placed or held elsewhere after runs on its workers have ended.
-  step.nextPlanAt = step.askedWorkers.size === 0 ? now : now + replanInterval(step, REPLAN_RATIO)
-  const placements = placeTasks(step.tasks, route.advice === undefined ? allowed : allowed.filter(slot => hasTicket(step, slot, now)), step, start)
+  step.nextPlanAt = step.adviceCounts.asked === 0 ? now : now + replanInterval(step, REPLAN_RATIO)
+  const placements = placeTasks(step.tasks.waiting(), route.advice === undefined ? allowed : allowed.filter(slot => hasTicket(step, slot, now)), step, start)
   if (placements.length > 0) {
     releaseHold(step, capacity.slots)
     plan.holds.delete(step)
@@ -79,7 +79,7 @@
   const gang = preemptForGang(scheduleWithTickets(rankedStep, allowed, context), context)
   updateHold(gang, context)
   if (!plan.holds.has(step)) step.nextPlanAt = Math.max(step.nextPlanAt, now + replanInterval(step, UNHELD_REPLAN_RATIO))
-  if (route.advice !== undefined && step.askedWorkers.size === 0 && step.nextAdviceAt <= now) askForTickets(gang, route.advice, context)
+  if (route.advice !== undefined && step.adviceCounts.asked === 0 && step.nextAdviceAt <= now) askForTickets(gang, route.advice, context)
 }
 
 function replanInterval ({ definition }: StepState, ratio: number): number {
@@ -99,7 +99,7 @@
   const ticketed = allowed.filter(slot => hasTicket(step, slot, now))
   const schedule = scheduleGang(step, ticketed, { now })
   if (schedule?.shares.every(({ slot }) => hasTicket(step, slot, schedule.startAt)) === true) return { ...gang, schedule, hasTickets: true }
-  if (step.askedWorkers.size === 0) return { ...gang, schedule: scheduleGang(step, allowed, { now, earliest: now + ticketDelay(route.advice) }), hasTickets: false }
+  if (step.adviceCounts.asked === 0) return { ...gang, schedule: scheduleGang(step, allowed, { now, earliest: now + ticketDelay(route.advice) }), hasTickets: false }
   const asked = allowed.filter(slot => step.askedWorkers.has(slot.worker.report.id) || ticketed.includes(slot))
   return { ...gang, schedule: scheduleGang(step, asked, { now }) ?? scheduleGang(step, allowed, { now }), hasTickets: false }
 }
@@ -117,7 +117,7 @@
   const ticketed = allowed.filter(slot => hasTicket(step, slot, stoppedAt))
   const withTickets = ticketed.length === 0 ? undefined : find(ticketed, now)
   if (withTickets !== undefined) return { ...gang, schedule: withTickets, hasTickets: true }
-  if (step.askedWorkers.size === 0) return { ...gang, schedule: find(allowed, now + ticketDelay(route.advice)) ?? schedule, hasTickets: false }
+  if (step.adviceCounts.asked === 0) return { ...gang, schedule: find(allowed, now + ticketDelay(route.advice)) ?? schedule, hasTickets: false }
   const expectedAt = Math.max(now, step.ticketsExpectedAt)
   step.nextPlanAt = Math.min(step.nextPlanAt, Math.max(now, expectedAt - STOP_DURATION_MS))
   return { ...gang, schedule: find(allowed.filter(slot => step.askedWorkers.has(slot.worker.report.id) || ticketed.includes(slot)), expectedAt) ?? schedule }
@@ -180,7 +180,7 @@
   const unknown = eligible.filter(slot => isEligible(slot, step) && !isAllowed(slot, step) && emptyTaskCapacity(slot, step) > 0)
   const sum = (slots: Slot[], capacityOf: (slot: Slot) => number): number => slots.reduce((total, slot) => total + capacityOf(slot), 0)
   const capacityNow = (slot: Slot): number => taskCapacity(slot, step, start)
-  const isFirst = step.allowedWorkers.size + step.rejectedWorkers.size === 0
+  const isFirst = step.adviceCounts.allowed + step.adviceCounts.rejected === 0
   const unknownNow = sum(unknown, capacityNow)
   const mayFitTwice = unknownNow > 0 && unknownNow + sum(allowed, capacityNow) >= 2 * count
   const waitsLong = isCheap && (schedule === undefined || schedule.startAt > start.now + step.definition.estimate)
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -140,7 +140,7 @@
     if (route.advice !== undefined || now - step.occurrence.job.suspectedSince >= SHARED_PATIENCE_MS) planGang(rankedStep, context)
     return
   }
-  if (route.advice === undefined || step.askedWorkers.size > 0 || step.nextAdviceAt > now || !adviceRound.canAssign(route.advice)) return
+  if (route.advice === undefined || step.adviceCounts.asked > 0 || step.nextAdviceAt > now || !adviceRound.canAssign(route.advice)) return
   askAboutWorkers(rankedStep, route.advice, { missing: 1, eligible }, context)
 }
 
@@ -174,28 +174,28 @@
   const mayHold = step.definition.gang && mayHoldCapacity(rankedStep, capacity.isMostlyFree) && (route.advice !== undefined || plan.holds.has(step) || !servicesWithLongHold.has(route.service))
   if (!mayHold && !capacity.mayFit(step.definition) && preemption?.mayHelp(rankedStep) !== true) return false
   if (countUnderCap(step, context) < 1) return false
-  if (route.advice === undefined || step.allowedWorkers.size + step.rejectedWorkers.size > 0) return true
-  return step.askedWorkers.size === 0 && step.nextAdviceAt <= now && adviceRound.canAssign(route.advice)
+  if (route.advice === undefined || step.adviceCounts.allowed + step.adviceCounts.rejected > 0) return true
+  return step.adviceCounts.asked === 0 && step.nextAdviceAt <= now && adviceRound.canAssign(route.advice)
 }
 
 function planStep (rankedStep: RankedStep, context: RoundContext, excluded: Task[] = []): void {
   const { step, route } = rankedStep
   const { capacity, now, adviceRound } = context
-  const ready = step.tasks.filter(task => task.phase === 'waiting' && task.notBefore <= now && !excluded.includes(task))
-  const waiting = ready.slice(0, countUnderCap(step, context))
-  if (waiting.length === 0) return
+  const waiting = step.tasks.waiting({ now, excluded, most: countUnderCap(step, context) })
+  const count = waiting.touched.length + waiting.untouched
+  if (count === 0) return
   if (step.definition.gang) {
-    if (waiting.length === step.tasks.length) planGang(rankedStep, context)
+    if (count === step.tasks.length) planGang(rankedStep, context)
     return
   }
   const eligible = capacity.slots.filter(slot => isEligible(slot, step))
   const usable = eligible.filter(slot => route.advice === undefined || hasTicket(step, slot, now))
   const placements = placeTasks(waiting, usable, step, { now, priority: route.priority, neededSpeedClass: rankedStep.neededSpeedClass })
   addPlacements(step, placements, context)
-  const missing = waiting.length - placements.length
+  const missing = count - placements.length
   if (missing > 0) holdCapacity(rankedStep, missing, route.advice === undefined ? eligible : eligible.filter(slot => isAllowed(slot, step)), context)
   if (missing === 0 || route.advice === undefined) return
-  if (step.askedWorkers.size > 0 || step.nextAdviceAt > now || !adviceRound.canAssign(route.advice)) return reserveForPendingAdvice(missing, eligible, step, context.plan.holds)
+  if (step.adviceCounts.asked > 0 || step.nextAdviceAt > now || !adviceRound.canAssign(route.advice)) return reserveForPendingAdvice(missing, eligible, step, context.plan.holds)
   askAboutWorkers(rankedStep, route.advice, { missing, eligible }, context)
 }
 
--- a/packages/cell/src/runtime/planSuspect.ts
+++ b/packages/cell/src/runtime/planSuspect.ts
@@ -1,5 +1,6 @@
 import { emptyTaskCapacity } from './CapacitySnapshot.js'
 import type { Slot } from './CapacitySnapshot.js'
+import type { WaitingTasks } from '../openJobs/TaskList.js'
 import type { JobState, StepState, Task } from './model.js'
 import { hasTicket, isEligible, placeTasks } from './placeTasks.js'
 import { addPlacements, countUnderCap } from './planRound.js'
@@ -27,9 +28,9 @@
   if (plannedSuspects.has(job) || suspects.some(task => task.phase !== 'waiting')) return []
   const suspect = suspects.find(task => task.step === step && task.notBefore <= now)
   if (suspect === undefined) return []
-  if (step.definition.gang && step.tasks.some(task => task.phase !== 'waiting' || task.notBefore > now)) return []
-  const tasks = step.definition.gang ? step.tasks : [suspect]
-  if (countUnderCap(step, context) < tasks.length) return []
+  if (step.definition.gang && countTasks(step.tasks.waiting({ now })) < step.tasks.length) return []
+  const tasks = step.definition.gang ? step.tasks.waiting() : { touched: [suspect], untouched: 0 }
+  if (countUnderCap(step, context) < countTasks(tasks)) return []
   job.suspectedSince = job.suspectedSince === 0 ? now : job.suspectedSince
   const kept = reserved.get(job)
   const eligible = [...capacity.slots, ...(kept === undefined ? [] : [kept])].filter(slot => isEligible(slot, step))
@@ -45,6 +46,10 @@
   return []
 }
 
+function countTasks ({ touched, untouched }: WaitingTasks): number {
+  return touched.length + untouched
+}
+
 /** @returns whether a suspect that has waited for an empty worker may start beside what runs on a worker */
 function mayShare ({ worker }: Slot, step: StepState, { now, priority, priorityOf }: Pick<RoundContext, 'now' | 'priorityOf'> & { priority: number }): boolean {
   const waited = now - step.occurrence.job.suspectedSince
--- a/packages/cell/src/runtime/reviewRejections.ts
+++ b/packages/cell/src/runtime/reviewRejections.ts
@@ -13,7 +13,7 @@
  * again only by idle nodes
  */
 export function reviewRejections (step: StepState, { now, isUrgent, adviceRound }: { now: number, isUrgent: boolean, adviceRound: AdviceRound }): void {
-  if (step.rejectedWorkers.size === 0 || step.nextReviewAt > now || !(isUrgent || adviceRound.isMostlyIdle)) return
+  if (step.adviceCounts.rejected === 0 || step.nextReviewAt > now || !(isUrgent || adviceRound.isMostlyIdle)) return
   step.rejectedWorkers.clear()
   step.reviewDelay = Math.min(2 * step.reviewDelay, MAX_REVIEW_DELAY_MS)
   step.nextReviewAt = now + step.reviewDelay
--- a/packages/cell/test/runtime/adviceFaults.test.ts
+++ b/packages/cell/test/runtime/adviceFaults.test.ts
@@ -100,7 +100,7 @@
     const { id } = await rig.submit(rig.nodes[0]!, [{ size: SIZE, count: 4, gang: true }])
     const step = rig.decider!.cell.activeDecider!.registry.jobs.get(id)!.occurrences[0]!.steps[0]!
     await rig.until(() => step.tickets.size > 0)
-    rig.fleet.workers.get(step.tasks[0]!.worker!.report.id)!.restart()
+    rig.fleet.workers.get(step.tasks.at(0)!.worker!.report.id)!.restart()
     await rig.until(() => step.doneTasks === 4, 2 * START_LIMIT_MS)
     expect(rig.fleet.violations).toEqual([])
   })
--- a/packages/cell/test/runtime/crashLedger.test.ts
+++ b/packages/cell/test/runtime/crashLedger.test.ts
@@ -35,7 +35,7 @@
   const ledger = new CrashLedger({ log: new MemoryLog(), clock: new FakeClock(), registry, onChange: task => { changes.push(task) } })
   const worker = registry.ensureWorker({ id: 'w0', service: 's', address: 'w0:1', dataCentre: 'd', state: 'ready', capacity: { cpu: 9000, memory: 9000, accelerators: 0 }, labels: [], born: BORN })
   worker.hasAnswered = true
-  const tasks = jobs.map(id => registry.addJob({ id, route: 'r', spec: '', steps: [stepOf({})], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks[0]!)
+  const tasks = jobs.map(id => registry.addJob({ id, route: 'r', spec: '', steps: [stepOf({})], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks.at(0)!)
   for (const task of tasks) {
     Object.assign(task, { phase: 'running', run: 1, begunRun: 1, incarnation: incarnationTag(BORN) })
     registry.assign(task, worker)
@@ -146,13 +146,13 @@
     const worker = registry.ensureWorker({ id: `w${index}`, service: 's', address: `w${index}:1`, dataCentre: 'd', state: 'ready', capacity: { cpu: 9000, memory: 9000, accelerators: 0 }, labels: ['ssd', 'r1-3'], born: BORN })
     worker.hasAnswered = true
     for (const id of names.split(' ').filter(name => name !== '')) {
-      const task = registry.addJob({ id, route: 'r', spec: '', steps: [stepOf({ count: jobsByWorker.length })], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks[index]!
+      const task = registry.addJob({ id, route: 'r', spec: '', steps: [stepOf({ count: jobsByWorker.length })], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 }).occurrences[0]!.steps[0]!.tasks.at(index)!
       Object.assign(task, { phase: 'running', run: 1, begunRun: 1, incarnation: incarnationTag(BORN) })
       registry.assign(task, worker)
     }
     return worker
   })
-  return { ledger, clock, workers, tasksOf: job => registry.jobs.get(job)!.occurrences[0]!.steps[0]!.tasks }
+  return { ledger, clock, workers, tasksOf: job => [...registry.jobs.get(job)!.occurrences[0]!.steps[0]!.tasks] }
 }
 
 describe('the loss of several workers of a rack', () => {
--- a/packages/cell/test/runtime/encodings.test.ts
+++ b/packages/cell/test/runtime/encodings.test.ts
@@ -64,7 +64,7 @@
     const taskState = fc.record({ kind: fc.constantFrom('waiting', 'running', 'done'), run: fc.nat(3), begunRun: fc.nat(3), worker: fc.constantFrom('w0', 'w1'), failures: fc.nat(2), checkpoint: fc.constantFrom('', 'saved'), incarnation: fc.nat(100_000), crashes: fc.array(crash, { maxLength: 3 }) })
     fc.assert(fc.property(fc.array(taskState, { minLength: 4, maxLength: 4 }), states => {
       const { registry, state } = createJob()
-      const tasks = state.occurrences[0]!.steps.flatMap(step => step.tasks)
+      const tasks = state.occurrences[0]!.steps.flatMap(step => [...step.tasks])
       tasks.forEach((each, index) => {
         const { kind, run, begunRun, worker: id, failures, checkpoint, incarnation, crashes } = states[index]!
         if (kind === 'waiting' && run === 0) return
@@ -74,7 +74,7 @@
       const restored = createJob()
       const runs = applyRecord(restored.registry, restored.state, JSON.parse(encodeJobRecord(state, 0)) as JobRecord)
       for (const run of runs) restored.registry.assign(run.task, restored.registry.workers.get(run.worker)!)
-      expect(restored.state.occurrences[0]!.steps.flatMap(step => step.tasks).map(summarize)).toEqual(tasks.map(summarize))
+      expect(restored.state.occurrences[0]!.steps.flatMap(step => [...step.tasks]).map(summarize)).toEqual(tasks.map(summarize))
       expect(runs.map(each => [each.task.name, each.worker])).toEqual(tasks.flatMap((each, index) => states[index]!.kind === 'running' ? [[each.name, each.worker!.report.id]] : []))
     }), { seed: SEED, numRuns: 200 })
   })
@@ -90,7 +90,7 @@
   test('of a wide step takes few characters for tasks that wait or are done', () => {
     const registry = new Registry()
     const state = registry.addJob({ id: 'a', route: 'r', spec: '', steps: [stepOf({ count: 100 })], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 })
-    state.occurrences[0]!.steps[0]!.tasks.forEach((each, index) => { if (index % 2 === 0) Object.assign(each, { phase: 'done', run: 1 }) })
+    ;[...state.occurrences[0]!.steps[0]!.tasks].forEach((each, index) => { if (index % 2 === 0) Object.assign(each, { phase: 'done', run: 1 }) })
     expect(encodeJobRecord(state, 0).length).toBeLessThan(250)
   })
 })
--- a/packages/cell/test/runtime/explainJob.test.ts
+++ b/packages/cell/test/runtime/explainJob.test.ts
@@ -21,7 +21,7 @@
   const add = (id: string, steps: Array<Partial<Step>>, rest: Partial<Job> = {}): void => { registry.addJob({ id, route: 'r', spec: '', steps: steps.map(stepOf), acceptedAt: 0, ...rest }, { now: 0, age: 0, wall: 0 }) }
   add('busy', [{ size: { cpu: 4000, memory: 1, accelerators: 0 }, estimate: 700 }], { organisation: 'scarce' })
   const occurrence = registry.jobs.get('busy')!.occurrences[0]!
-  const task = occurrence.steps[0]!.tasks[0]!
+  const task = occurrence.steps[0]!.tasks.at(0)!
   Object.assign(task, { phase: 'running', run: 1, projectedEndAt: 700 })
   registry.assign(task, registry.workers.get('w0')!)
   registry.updateReadySteps(occurrence)
--- a/packages/cell/test/runtime/gangs.test.ts
+++ b/packages/cell/test/runtime/gangs.test.ts
@@ -50,7 +50,7 @@
 
   /** Has a task run on a worker since a time after 0. */
   run (step: StepState, worker: WorkerState, since: number): void {
-    const task = step.tasks.find(each => each.phase === 'waiting')!
+    const task = [...step.tasks].find(each => each.phase === 'waiting')!
     task.phase = 'running'
     task.confirmedAt = since
     this.registry.assign(task, worker)
@@ -97,7 +97,7 @@
     const long = rig.add('batch', { estimate: 2000 })
     const short = rig.add('batch', { estimate: 500 })
     expect(rig.plan(100).placements.map(({ task }) => task.step)).toEqual([short])
-    expect(long.tasks[0]!.phase).toEqual('waiting')
+    expect(long.tasks.at(0)!.phase).toEqual('waiting')
   })
 
   test('leaves its workers to urgent tasks', () => {
@@ -213,7 +213,7 @@
     const gang = rig.add('free', { count: 2, cpu: 4000, estimate: 600_000 })
     expect(rig.plan(10).placements).toEqual([])
     rig.addWorker(1)
-    expect(rig.plan(1010).placements.map(({ task }) => task.name)).toEqual(gang.tasks.map(({ name }) => name))
+    expect(rig.plan(1010).placements.map(({ task }) => task.name)).toEqual([...gang.tasks].map(({ name }) => name))
   })
 })
 
--- a/packages/cell/test/runtime/phaseWaiters.test.ts
+++ b/packages/cell/test/runtime/phaseWaiters.test.ts
@@ -15,7 +15,7 @@
     const registry = new Registry()
     const state = registry.addJob({ id: 'a', route: 'r', spec: '', steps: [stepOf({})], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 })
     state.visiblePhase = 'running'
-    Object.assign(state.occurrences[0]!.steps[0]!.tasks[0]!, { phase: 'running', run: 1 })
+    Object.assign(state.occurrences[0]!.steps[0]!.tasks.at(0)!, { phase: 'running', run: 1 })
     let answered = 0
     for (let read = 0; read < READS; read++) waiters.wait(state, false).then(() => { answered++ }, error => { throw error })
     expect(waiters.size).toEqual(READS)
--- a/packages/cell/test/runtime/progress.test.ts
+++ b/packages/cell/test/runtime/progress.test.ts
@@ -24,7 +24,7 @@
     registry.assign(task, worker)
   }
   const monitor = new ProgressMonitor()
-  return { worker, step, report: (percent, now) => { monitor.update(step.tasks[0]!, { task: step.tasks[0]!.name, run: 1, checkpoint, percent }, worker, now) } }
+  return { worker, step, report: (percent, now) => { monitor.update(step.tasks.at(0)!, { task: step.tasks.at(0)!.name, run: 1, checkpoint, percent }, worker, now) } }
 }
 
 function forecastEnds (worker: WorkerState, now: number): number[] {
@@ -55,7 +55,7 @@
   test('is the end of the slowest member for all members of a gang', () => {
     const { worker, step, report } = startRun({ gang: true })
     report(25, 1500)
-    step.tasks[1]!.projectedEndAt = 1800
+    step.tasks.at(1)!.projectedEndAt = 1800
     expect(forecastEnds(worker, 1500)).toEqual([3000, 3000])
   })
 
--- a/packages/cell/test/runtime/suspects.test.ts
+++ b/packages/cell/test/runtime/suspects.test.ts
@@ -48,9 +48,9 @@
   test('has its gang started again only when no member runs any more', () => {
     const registry = createRegistry(3)
     const [gang] = addSteps(registry, 1, [{ count: 2, gang: true }])
-    suspect(registry, gang!.tasks[0]!)
-    run(registry, gang!.tasks[1]!, 'w1', 1)
-    gang!.tasks[1]!.phase = 'stopping'
+    suspect(registry, gang!.tasks.at(0)!)
+    run(registry, gang!.tasks.at(1)!, 'w1', 1)
+    gang!.tasks.at(1)!.phase = 'stopping'
     expect(plan(registry, 5000)).toEqual([])
   })
 
@@ -58,9 +58,9 @@
   test('goes on with its other tasks if the suspect fits nowhere', () => {
     const registry = createRegistry(2)
     const [large, small] = addSteps(registry, 1, [{ size: { cpu: 5000, memory: 1, accelerators: 0 } }, {}])
-    suspect(registry, large!.tasks[0]!)
+    suspect(registry, large!.tasks.at(0)!)
     expect(plan(registry, 10)).toEqual([])
-    expect(plan(registry, 4000)).toEqual([small!.tasks[0]!.name])
+    expect(plan(registry, 4000)).toEqual([small!.tasks.at(0)!.name])
   })
 
   // Guards against tasks that last and are restarted one every few seconds after a crash of their worker.
@@ -68,7 +68,7 @@
     const registry = createRegistry(4)
     const [step] = addSteps(registry, 1, [{ count: 4, lasting: true }])
     for (const task of step!.tasks) suspect(registry, task)
-    run(registry, step!.tasks[0]!, 'w0', 1000)
+    run(registry, step!.tasks.at(0)!, 'w0', 1000)
     expect(plan(registry, 2000)).toEqual([])
     expect(plan(registry, 6000).length).toEqual(3)
   })
@@ -78,8 +78,8 @@
     const registry = createRegistry(8)
     for (let index = 0; index < 8; index++) {
       const [step] = addSteps(registry, index, [{}])
-      suspect(registry, step!.tasks[0]!)
-      run(registry, step!.tasks[0]!, `w${index}`, 1000)
+      suspect(registry, step!.tasks.at(0)!)
+      run(registry, step!.tasks.at(0)!, `w${index}`, 1000)
     }
     expect(isolatedWorkers(registry, 1500).size).toEqual(2)
   })
--- a/packages/cell/test/runtime/workerSpeeds.test.ts
+++ b/packages/cell/test/runtime/workerSpeeds.test.ts
@@ -34,7 +34,7 @@
 
   /** Has a worker's capacity be in use until a time, in ms after the start. */
   occupy (index: number, until: number, cpu = 4000): void {
-    const task = this.add({ size: { cpu, memory: 1, accelerators: 0 }, estimate: until }).occurrences[0]!.steps[0]!.tasks[0]!
+    const task = this.add({ size: { cpu, memory: 1, accelerators: 0 }, estimate: until }).occurrences[0]!.steps[0]!.tasks.at(0)!
     Object.assign(task, { phase: 'running', run: 1, confirmedAt: 0, projectedEndAt: until })
     this.registry.assign(task, this.worker(index))
     this.registry.updateReadySteps(task.step.occurrence)
@@ -105,7 +105,7 @@
     const rig = new SpeedRig([1])
     const learned = new WorkerSpeeds()
     const complete = (step: Partial<Step>, state: object = {}): void => {
-      const task = rig.add(step).occurrences[0]!.steps[0]!.tasks[0]!
+      const task = rig.add(step).occurrences[0]!.steps[0]!.tasks.at(0)!
       Object.assign(task, { run: 1, sentRun: 1, confirmedAt: 100, ...state })
       rig.registry.assign(task, rig.worker(0))
       noteCompletedRun(learned, task, 350)
