--- a/packages/cell/src/callers/limits.ts
+++ b/packages/cell/src/callers/limits.ts
@@ -36,6 +36,14 @@
   helloChars: number
   /** Time to the hello on a link, in ms. */
   helloTimeout: number
+  /** Bytes that the open jobs of the cell may take at its decider, as estimated from their submissions. */
+  openJobBytes: number
+  /** Objects of placed tasks at the decider. */
+  openTasks: number
+  /** Orders to start that the decider may have in flight; further ones wait. */
+  startOrders: number
+  /** Ids that the decider keeps of accepted jobs for which it has no room. */
+  deferredJobs: number
   /** Bytes of log lines that wait to be written. */
   logBytes: number
 }
@@ -51,15 +59,25 @@
 /** Part of the memory for bodies. On the smallest machine that is 13 MB, of which 50 of the largest bodies fit. */
 const BODY_MEMORY_SHARE = 1 / 16
 const BYTES_PER_MB = 1_048_576
+/** Part of the memory, or of the heap if that is smaller, for open jobs; a decider needs most of the rest for collections, workers and requests. */
+const OPEN_JOB_MEMORY_SHARE = 0.2
+/** Task objects for each MB of the same; each holds 600 bytes. */
+const OPEN_TASKS_PER_MB = 150
+/** Orders to start for each MB of the same; each holds up to 10 KB with the text of its job. */
+const START_ORDERS_PER_MB = 4
+/** Ids of deferred jobs for each MB of the same; each holds 300 bytes. */
+const DEFERRED_JOBS_PER_MB = 80
 /** Waiting writes and queries for each MB of memory; each holds a few KB besides its body. */
 const WAITING_PER_MB = 8
 
 /**
  * @param memory - memory of the machine in MB
  * @param descriptors - file descriptors of the process
+ * @param heap - maximum size of the heap in MB
  * @returns limits that no client within the platform's limits reaches
  */
-export function defaultLimits (memory: number, descriptors: number): ClientLimits {
+export function defaultLimits (memory: number, descriptors: number, heap = Infinity): ClientLimits {
+  const usable = Math.min(memory, heap)
   const waiting = Math.max(1, Math.round(memory * WAITING_PER_MB))
   return {
     connections: Math.max(1, Math.floor(Math.min(Math.max(0, descriptors - RESERVED_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE, memory * CONNECTIONS_PER_MB))),
@@ -80,6 +98,10 @@
     newLinks: 64,
     helloChars: 4096,
     helloTimeout: 5000,
+    openJobBytes: Math.max(1, Math.floor(usable * BYTES_PER_MB * OPEN_JOB_MEMORY_SHARE)),
+    openTasks: Math.max(1, Math.floor(usable * OPEN_TASKS_PER_MB)),
+    startOrders: Math.max(1, Math.floor(usable * START_ORDERS_PER_MB)),
+    deferredJobs: Math.max(1, Math.floor(usable * DEFERRED_JOBS_PER_MB)),
     logBytes: 4 * BYTES_PER_MB
   }
 }
--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -7,6 +7,7 @@
 import type { ClientLimits } from '../callers/limits.js'
 import type { CallerCodec, RequestOutcome } from '../types/callers.js'
 import type { Configuration, Organisation, Route } from '../types/configuration.js'
+import type { Job } from '../types/job.js'
 import { CELL_EVENTS } from '../types/events.js'
 import type { Gateway } from '../runtime/Gateway.js'
 import { AccessControl } from '../organisations/AccessControl.js'
@@ -41,6 +42,8 @@
   limits: ClientLimits
   monitor: LimitMonitor
   gateway: Gateway
+  /** Returns why a job is too large even for a cell without other jobs, or `undefined` if it isn't. */
+  findExcess?: (job: Job) => string | undefined
   codec: CallerCodec
   clock: Clock
   log: Log
@@ -144,12 +147,14 @@
   }
 
   private async submit (request: { id: string, route: Route, organisation: Organisation | undefined, job: string, body: string, deadline: number, receivedAt: number }): Promise<Reply> {
-    const { codec, gateway, storeTime } = this.options
+    const { codec, gateway, findExcess, storeTime } = this.options
     const submission = codec.decodeSubmission(request.body)
     if (submission.isErr()) return this.refuse(request.id, 400, submission.error)
     const problem = findSubmissionProblem(submission.value, request.organisation)
     if (problem !== undefined) return this.refuse(request.id, 400, problem)
     const job = createJob(request.job, request.route, submission.value, Math.round(storeTime()), request.organisation)
+    const excess = findExcess?.(job)
+    if (excess !== undefined) return this.refuse(request.id, 400, excess)
     return this.replyTo(request, await gateway.submit(job, request.deadline))
   }
 
--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -57,7 +57,7 @@
     this.linkTraffic = new TrafficMeter({ metrics, name: 'link' })
     this.limits = settings.limits ?? defaultLimits(SMALLEST_MACHINE.memory, SMALLEST_MACHINE.descriptors)
     this.limitMonitor = new LimitMonitor({ clock, log, metrics })
-    this.limitMonitor.register([...CALLER_LIMITS, 'statusConnections', 'links', 'newLinks', 'helloChars', 'helloTimeout', 'waitingWrites', 'waitingQueries', 'logBytes'])
+    this.limitMonitor.register([...CALLER_LIMITS, 'statusConnections', 'links', 'newLinks', 'helloChars', 'helloTimeout', 'waitingWrites', 'waitingQueries', 'logBytes', 'openJobBytes', 'openTasks', 'deferredJobs'])
     const store = new InstrumentedStore({ store: options.store, clock, log, metrics })
     this.cell = new Cell({
       ...options,
@@ -76,7 +76,7 @@
     })
     this.pauses = new PauseMonitor({ clock, log })
     this.callers = new CallerServer({
-      limits: this.limits, monitor: this.limitMonitor, gateway: this.cell.gateway, codec, clock, log, metrics, configuration: () => this.cell.configuration, isConfigurationConfirmed: () => this.cell.isConfigurationConfirmed, configurationOrigin: () => ({ source: this.cell.configurationSource, age: this.cell.configurationAge }), arrivalTime: () => this.pauses.earliestArrival(), storeTime: () => store.now(), storeSilence: () => store.silentFor()
+      limits: this.limits, monitor: this.limitMonitor, gateway: this.cell.gateway, findExcess: job => this.cell.openJobGate.findProblem(job), codec, clock, log, metrics, configuration: () => this.cell.configuration, isConfigurationConfirmed: () => this.cell.isConfigurationConfirmed, configurationOrigin: () => ({ source: this.cell.configurationSource, age: this.cell.configurationAge }), arrivalTime: () => this.pauses.earliestArrival(), storeTime: () => store.now(), storeSilence: () => store.silentFor()
     })
     metrics.gauge('deciding', () => this.cell.activeDecider === undefined ? 0 : 1)
     metrics.gauge('store_silence_ms', () => Math.min(store.silentFor(), Number.MAX_SAFE_INTEGER))
@@ -94,6 +94,10 @@
     metrics.gauge('worker_speed_spread', () => this.cell.activeDecider?.workerSpeeds.spread ?? 0)
     metrics.gauge('backlog_core_seconds', () => this.cell.activeDecider?.backlog?.waiting.reduce((sum, each) => sum + each, 0) ?? 0)
     metrics.gauge('start_rate_cores', () => this.cell.activeDecider?.backlog?.rate ?? 0)
+    metrics.gauge('open_job_bytes', () => this.cell.activeDecider?.openJobs.totals.held ?? 0)
+    metrics.gauge('open_job_bytes_peak', () => this.cell.activeDecider?.openJobs.totals.peak ?? 0)
+    metrics.gauge('open_task_objects', () => this.cell.activeDecider?.registry.tasks.open ?? 0)
+    metrics.gauge('deferred_jobs', () => this.cell.activeDecider?.openJobs.waiting ?? 0)
     metrics.gauge('commits', () => this.cell.activeDecider?.commits ?? 0)
   }
 
--- a/packages/cell/src/organisations/OrganisationTable.ts
+++ b/packages/cell/src/organisations/OrganisationTable.ts
@@ -24,6 +24,9 @@
   waiting: number
 }
 
+/** What meters a job by the rate of its organisation. */
+export type MeteredJob = Pick<Job, 'id' | 'organisation' | 'organisationTerms' | 'acceptedAt'>
+
 /** Terms of the organisations whose jobs a decider knows. */
 export class OrganisationTable {
   private readonly organisations = new Map<string, OrganisationTerms>()
@@ -51,7 +54,7 @@
    *   would leave the organisation without tokens until that time.
    * @returns whether the job was submitted beyond the rate of its organisation
    */
-  isBeyondRate ({ organisation, organisationTerms, acceptedAt }: Job, now: number): boolean {
+  isBeyondRate ({ organisation, organisationTerms, acceptedAt }: MeteredJob, now: number): boolean {
     if (organisation === undefined || organisationTerms === undefined) return false
     const { bucket, isWithin } = takeToken(this.buckets.get(organisation), { rate: organisationTerms.weight, at: now === 0 ? acceptedAt : Math.min(acceptedAt, now) })
     this.buckets.set(organisation, bucket)
@@ -66,9 +69,9 @@
    * @returns the ids of the jobs beyond the rates. Jobs that ended so long ago that they are archived are missing, so that up to as many
    *   later ones count as within the rate although they were beyond it.
    */
-  restoreRates (jobs: Job[], now: number): Set<string> {
+  restoreRates (jobs: Iterable<MeteredJob>, now: number): Set<string> {
     this.buckets.clear()
-    const byId = new Map(jobs.filter(({ organisation }) => organisation !== undefined).map(job => [job.id, job]))
+    const byId = new Map([...jobs].filter(({ organisation }) => organisation !== undefined).map(job => [job.id, job]))
     const ordered = [...byId.values()].sort((a, b) => a.acceptedAt - b.acceptedAt)
     return new Set(ordered.filter(job => this.isBeyondRate(job, now)).map(({ id }) => id))
   }
--- a/packages/cell/src/runtime/BoundedStore.ts
+++ b/packages/cell/src/runtime/BoundedStore.ts
@@ -3,7 +3,7 @@
 import { Err } from 'ts-results-es'
 import type { Result } from 'ts-results-es'
 import { RecordStore } from '../types/records.js'
-import type { RangeQuery, Row, RowChange, ReadFault, Transaction, TransactionOutcome } from '../types/records.js'
+import type { RangeQuery, Row, RowChange, RowPage, ReadFault, Transaction, TransactionOutcome } from '../types/records.js'
 import { settle } from './settle.js'
 import type { SettleOptions } from './settle.js'
 
@@ -24,6 +24,10 @@
     return await this.settle(async () => await this.options.store.range(query), { step: 'read of rows', outcomeOf: unavailable })
   }
 
+  override async page (query: RangeQuery): Promise<Result<RowPage, ReadFault>> {
+    return await this.settle(async () => await this.options.store.page(query), { step: 'read of a page', outcomeOf: unavailable })
+  }
+
   override async changes (query: { table: string, after: number, wait: number }): Promise<Result<{ rows: RowChange[], version: number }, ReadFault>> {
     return await this.settle(async () => await this.options.store.changes(query), { step: 'read of changes', timeout: query.wait + CALL_TIMEOUT_MS, outcomeOf: unavailable })
   }
--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -9,6 +9,8 @@
 import type { Answer, ExplanationAnswer, Question } from '../types/links.js'
 import type { Advice, Advisor, RowReader, WorkerClient } from '../types/ports.js'
 import type { RecordStore } from '../types/records.js'
+import { OpenJobGate } from '../openJobs/OpenJobGate.js'
+import type { ReceivedOpenJobs } from '../openJobs/OpenJobGate.js'
 import { AdmissionGate } from './AdmissionGate.js'
 import type { ReceivedBacklog } from './AdmissionGate.js'
 import { BoundedStore } from './BoundedStore.js'
@@ -46,6 +48,18 @@
 /** Time for which an answer of the decider to an operator is awaited. */
 const EXPLANATION_TIMEOUT_MS = 1000
 
+/** Bounds of what open jobs may take at the decider. */
+export interface OpenJobLimits {
+  /** Bytes of all open jobs, as estimated by `weighJob`. */
+  openJobBytes: number
+  /** Number of objects of tasks that have been placed. */
+  openTasks: number
+  /** Number of orders to start that may be in flight. */
+  startOrders: number
+  /** Number of ids of accepted jobs for which there is no room. */
+  deferredJobs: number
+}
+
 /** Options of a member of the cell. */
 export interface CellOptions {
   node: string
@@ -70,16 +84,17 @@
   readConfiguration: (value: string) => Result<Configuration, string>
   clock: Clock
   log: Log
-  /** Numbers of callers' requests that may wait. */
-  limits?: WaitingLimits
-  /** Called when a request is refused because too many wait. */
-  onLimit?: (limit: keyof WaitingLimits) => void
+  /** Numbers of callers' requests that may wait, and what open jobs may take; by default, there is no bound. */
+  limits?: WaitingLimits & Partial<OpenJobLimits>
+  /** Called when a request is refused because too many wait or there is no room for its job, and when a job must wait in the store. */
+  onLimit?: (limit: keyof WaitingLimits | keyof OpenJobLimits) => void
 }
 
 /** One member of the cell, without its sockets: gateway for callers, follower and, while it holds the term, decider. */
 export class Cell extends DeciderClient {
   readonly gateway: Gateway
   readonly admission: AdmissionGate
+  readonly openJobGate: OpenJobGate
   private readonly configurationFeed: ConfigurationFeed
   private readonly configurationSync: ConfigurationSync
   private readonly membership: Membership
@@ -98,7 +113,8 @@
     this.configurationFeed = new ConfigurationFeed({ store, clock, log, parse: options.readConfiguration })
     this.configurationSync = new ConfigurationSync({ feed: this.configurationFeed, store, clock, log })
     this.admission = new AdmissionGate({ clock, log, random: new SystemRandom(), lastReport: () => this.lastBacklog() })
-    this.gateway = new Gateway({ store, clock, decider: this, admission: this.admission, limits: options.limits, onLimit: options.onLimit })
+    this.openJobGate = new OpenJobGate({ clock, log, random: new SystemRandom(), limit: options.limits?.openJobBytes ?? Infinity, lastReport: () => this.lastOpenJobs(), onRefusal: () => { options.onLimit?.('openJobBytes') } })
+    this.gateway = new Gateway({ store, clock, decider: this, admission: this.admission, openJobGate: this.openJobGate, limits: options.limits, onLimit: options.onLimit })
     this.membership = new Membership({
       store,
       connector: options.connector,
@@ -107,6 +123,7 @@
       node: options.node,
       dataCentre: options.dataCentre,
       strength: options.strength,
+      openJobLimit: options.limits?.openJobBytes,
       start: String(clock.wall()),
       address: options.address,
       follower: {
@@ -230,7 +247,7 @@
   }
 
   private async decide (term: Term, version: number): Promise<void> {
-    const { store, workers, reader, clock, log, node, advisor, retention, leaseMax, preempts = false, refuses = false } = this.options
+    const { store, workers, reader, clock, log, node, advisor, retention, leaseMax, limits, preempts = false, refuses = false } = this.options
     let resolveTermLost!: () => void
     const termLost = new Promise<void>(resolve => { resolveTermLost = resolve })
     const followers: Followers = new Followers({
@@ -249,7 +266,8 @@
         onNewerTerm: () => { decider.confirmTerm() },
         write: async (request, timeout) => await this.gateway.write(request, clock.now() + timeout - FORWARD_RESERVE_MS),
         storeSilence: () => store.silentFor(),
-        backlog: () => decider.backlog
+        backlog: () => decider.backlog,
+        openJobs: () => decider.openJobReport
       }
     })
     const decider: Decider = new Decider({
@@ -274,7 +292,12 @@
       askAdvice: async (asker, question): Promise<Advice> => asker === node ? await advisor.advise(question) : await followers.ask(asker, question),
       isStoreLostForAll: () => followers.isStoreLostForAll(),
       onTermLost: resolveTermLost,
-      maxWaitingQueries: this.options.limits?.waitingQueries,
+      openJobLimit: () => Math.min(limits?.openJobBytes ?? Infinity, followers.smallestOpenJobLimit),
+      maxDeferred: limits?.deferredJobs,
+      maxOpenTasks: limits?.openTasks,
+      maxStartOrders: limits?.startOrders,
+      onOpenWorkLimit: limit => { this.options.onLimit?.(limit) },
+      maxWaitingQueries: limits?.waitingQueries,
       onTooManyQueries: () => { this.options.onLimit?.('waitingQueries') },
       retention,
       lease: Math.min(LEASE_MS, leaseMax),
@@ -329,6 +352,12 @@
     const report = this.decider.backlog
     return report === undefined ? undefined : { report, at: this.options.clock.now() }
   }
+
+  /** @returns what the open jobs take, by this node's decider or the last word of the decider that it follows */
+  private lastOpenJobs (): ReceivedOpenJobs | undefined {
+    if (this.decider === undefined) return this.membership.follower?.openJobs
+    return this.decider.isReady ? { report: this.decider.openJobReport, at: this.options.clock.now() } : undefined
+  }
 }
 
 /** @returns the answer of a decider that has not read the records yet */
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -1,8 +1,8 @@
 import type { Clock, Timer } from '@rattanstep/core'
-import type { BacklogReport } from '@rattanstep/policy'
+import type { BacklogReport, OpenJobReport } from '@rattanstep/policy'
 import type { Log } from '@rattanstep/telemetry'
 import type { Configuration, Route } from '../types/configuration.js'
-import type { JobPhase, RecordedJob } from '../types/job.js'
+import type { Job, JobPhase, RecordedJob } from '../types/job.js'
 import type { ExplainQuery } from '../types/explain.js'
 import type { Answer, Question } from '../types/links.js'
 import { CELL_EVENTS } from '../types/events.js'
@@ -10,12 +10,16 @@
 import type { Advice, RowReader, WorkerClient } from '../types/ports.js'
 import type { RecordStore } from '../types/records.js'
 import type { WorkerReport } from '../types/worker.js'
+import { OpenJobs } from '../openJobs/OpenJobs.js'
+import { TaskCounter } from '../openJobs/TaskCounter.js'
+import { weighJob } from '../openJobs/weighJob.js'
 import { AdviceScheduler } from './AdviceScheduler.js'
 import { BacklogMeter } from './BacklogMeter.js'
 import { PhaseWaiters } from './PhaseWaiters.js'
 import { Registry } from './Registry.js'
 import { SubmissionFeed } from './SubmissionFeed.js'
 import { InstanceFeed } from './InstanceFeed.js'
+import { ConcurrencyLimit } from './ConcurrencyLimit.js'
 import { CrashLedger } from './CrashLedger.js'
 import { incarnationTag } from './CrashBudget.js'
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
@@ -101,6 +105,16 @@
   preempts: boolean
   /** Whether the backlog is reported, so that nodes refuse what would end too late, even if the configuration names no organisations. */
   refuses: boolean
+  /** Returns the weight in bytes of the jobs that this decider may hold; without it, there is no bound. */
+  openJobLimit?: () => number
+  /** Number of accepted jobs beyond that whose ids are kept. */
+  maxDeferred?: number
+  /** Number of task objects above which no further ones are created for placements. */
+  maxOpenTasks?: number
+  /** Number of orders to start that may be in flight; further ones wait. */
+  maxStartOrders?: number
+  /** Called when a job must wait in the store, or a task for the end of others. */
+  onOpenWorkLimit?: (limit: 'openJobBytes' | 'openTasks' | 'deferredJobs') => void
   /** Number of queries that may wait for the next phase of a job; further ones are answered at once. */
   maxWaitingQueries?: number
   /** Called for each of these. */
@@ -109,7 +123,8 @@
 
 /** Decides which task runs on which worker, for as long as this node holds the term. */
 export class Decider {
-  readonly registry = new Registry()
+  readonly registry: Registry
+  readonly openJobs: OpenJobs
   private readonly recorder: Recorder
   private readonly leases: WorkerLeases
   private readonly poller: WorkerPoller
@@ -122,7 +137,7 @@
   readonly waits: WaitMonitor
   private readonly routes = new Map<string, Route>()
   private readonly speeds = new WorkerSpeeds()
-  private readonly organisations = new OrganisationTable(this.registry)
+  private readonly organisations: OrganisationTable
   private readonly organisationMonitor: OrganisationMonitor
   private lastConfiguration: Configuration | undefined
   /** Callbacks that run once the next record of a job is written, by id of the job. */
@@ -140,7 +155,8 @@
   private holds = new Map<StepState, GangHold>()
   /** Number of runs stopped for more urgent work in this term, by priority and organisation of their jobs, as in `2 name`. */
   readonly preemptions = new Map<string, number>()
-  private readonly backlogMeter = new BacklogMeter(this.registry)
+  private readonly backlogMeter: BacklogMeter
+  private readonly startOrders: ConcurrencyLimit
   private readonly timers: Timer[] = []
   private hasUnevenSpeeds = false
   private isRoundScheduled = false
@@ -159,6 +175,23 @@
 
   constructor (private readonly options: DeciderOptions) {
     const { store, clock, log, term, workers } = options
+    this.registry = new Registry(new TaskCounter(options.maxOpenTasks))
+    this.organisations = new OrganisationTable(this.registry)
+    this.backlogMeter = new BacklogMeter(this.registry)
+    this.startOrders = new ConcurrencyLimit(options.maxStartOrders ?? Infinity)
+    this.openJobs = new OpenJobs({
+      store,
+      clock,
+      log,
+      limit: options.openJobLimit ?? (() => Infinity),
+      maxDeferred: options.maxDeferred,
+      onLimit: options.onOpenWorkLimit,
+      onLoaded: ({ isBeyondRate }, { recorded, record, isCancelled }) => {
+        this.restoreJob(recorded, { record, isBeyondRate, startedAt: clock.now() })
+        if (isCancelled) this.cancel(recorded.job.id)
+      },
+      rescan: async () => { await this.findDroppedJobs() }
+    })
     this.phaseWaiters = new PhaseWaiters(clock, { maxWaiting: options.maxWaitingQueries, onFull: options.onTooManyQueries })
     this.waits = new WaitMonitor({ clock, log })
     this.organisationMonitor = new OrganisationMonitor({ clock, log })
@@ -169,7 +202,7 @@
     this.leases = new WorkerLeases(options)
     const recordSoon = ({ job }: JobState): void => { this.recorder.markDirtySoon(job.id) }
     this.poller = new WorkerPoller({
-      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, speeds: this.speeds, recordSoon, canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
+      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, speeds: this.speeds, recordSoon, loadDeferred: id => this.openJobs.loadNow(id), canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
     })
     this.lifecycle = new TaskLifecycle({
       registry: this.registry,
@@ -177,7 +210,7 @@
       log,
       record: (job, then) => { this.record(job, then) },
       recordSoon,
-      sendStart: (task, ticket) => { detach(this.sendStart(task, ticket), log, 'order') },
+      sendStart: (task, ticket) => { detach(this.startOrders.run(async () => { await this.sendStart(task, ticket) }), log, 'order') },
       findStartObstacle: (task, needsTicket) => this.isInstanceListOutdated() ? 'the instance list is outdated' : findStartObstacle(task, { now: clock.now(), needsTicket }),
       prepareStart: worker => { this.poller.prepareStart(worker) },
       describeLease: worker => this.leases.describe(worker),
@@ -208,7 +241,8 @@
     const { clock, log, term, store } = this.options
     const startedAt = clock.now()
     this.timers.push(clock.repeat(IDLE_COMMIT_INTERVAL_MS, () => { this.recorder.commitSoon() }), clock.repeat(ROUND_INTERVAL_MS, () => { this.requestRound() }), clock.repeat(WAIT_CHECK_INTERVAL_MS, () => { this.checkWaits() }), clock.repeat(SPEED_UPDATE_INTERVAL_MS, () => { this.updateSpeeds() }))
-    const recovery = new Recovery({ store, clock, log })
+    this.updateRoutes()
+    const recovery = new Recovery({ store, clock, log, room: this.openJobs.room, priorityOf: ({ job }) => this.priorityOf(job), onDeferred: job => { this.openJobs.defer(job) } })
     const [recovered] = await Promise.all([recovery.read(() => this.isStopped), this.instanceFeed.start(() => this.isStopped)])
     if (recovered === undefined || this.isStopped) return
     for (const [id, phase] of recovered.ended) {
@@ -217,15 +251,17 @@
     }
     let assumed = 0
     const announced = [...this.registry.jobs.values()]
-    const beyondRate = this.organisations.restoreRates([...announced, ...recovered.jobs].map(({ job }) => job).concat(recovered.endedJobs), store.now())
+    const beyondRate = this.organisations.restoreRates([...announced.map(({ job }) => job), ...recovered.metered.values()], store.now())
     for (const state of announced) state.isBeyondRate = beyondRate.has(state.job.id)
-    for (const recorded of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, { record: recovered.records.get(recorded.job.id), isBeyondRate: beyondRate.has(recorded.job.id), startedAt }) }, log, 'recovery of a job')
+    for (const { recorded, record } of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, { record, isBeyondRate: beyondRate.has(recorded.job.id), startedAt }) }, log, 'recovery of a job')
+    this.openJobs.markBeyondRate(beyondRate)
     for (const worker of this.registry.workers.values()) this.leases.assumeFormerOrders(worker, startedAt)
     for (const id of recovered.cancelled) this.cancel(id)
     this.submissionFeed.start(recovered.version, () => this.isStopped)
     this.archiver.start(() => this.isStopped)
     this.isReady = true
-    log.write(CELL_EVENTS.termRecovered, { fence: term.fence, jobs: recovered.jobs.length, assumed, duration: Math.round(clock.now() - startedAt) })
+    this.openJobs.start()
+    log.write(CELL_EVENTS.termRecovered, { fence: term.fence, jobs: recovered.jobs.length, deferred: this.openJobs.waiting, assumed, duration: Math.round(clock.now() - startedAt) })
     for (const worker of this.registry.workers.values()) this.poller.startPolling(worker)
     this.requestRound()
   }
@@ -241,9 +277,26 @@
     return runs
   }
 
+  /** Reads the store again for accepted jobs that are not known. */
+  private async findDroppedJobs (): Promise<void> {
+    const recovery = new Recovery({
+      ...this.options,
+      room: 0,
+      priorityOf: ({ job }) => this.priorityOf(job),
+      isKnown: id => this.registry.jobs.has(id) || this.registry.endedJobs.has(id) || this.openJobs.isDeferred(id),
+      onDeferred: job => { this.openJobs.defer(job) }
+    })
+    await recovery.read(() => this.isStopped)
+  }
+
+  private priorityOf (job: Job): number {
+    return findScheduledRoute(job, name => this.routes.get(name))?.priority ?? 0
+  }
+
   /** Stops deciding, without waiting for orders in flight. */
   stop (): void {
     this.isStopped = true
+    this.openJobs.stop()
     for (const timer of this.timers) timer.cancel()
     this.recorder.stop()
     this.poller.stop()
@@ -295,13 +348,14 @@
    *
    * @param recorded - the job
    * @param source - where the job comes from
-   * @returns the job's state, or `undefined` if the job has ended
+   * @returns the job's state, or `undefined` if the job has ended or waits in the store
    */
   addJob (recorded: RecordedJob, source: JobSource): JobState | undefined {
     const { job, version } = recorded
     if (this.registry.endedJobs.has(job.id)) return undefined
     const existing = this.registry.jobs.get(job.id)
     if (existing !== undefined) return existing
+    if (source !== 'record' && this.openJobs.isDeferred(job.id)) return undefined
     const { clock, store, log } = this.options
     if (source !== 'record' && this.hasEnded(recorded)) {
       log.write(CELL_EVENTS.announcementOutdated, { job: job.id, source, version, known: this.submissionFeed.version })
@@ -311,8 +365,14 @@
     if (source !== 'record') log.write(CELL_EVENTS.jobKnown, { job: job.id, source, version, known: this.submissionFeed.version })
     this.updateRoutes()
     if (findScheduledRoute(job, name => this.routes.get(name)) === undefined) log.write(CELL_EVENTS.routeUnknown, { job: job.id, route: job.route })
+    const isBeyondRate = source !== 'record' && this.organisations.isBeyondRate(job, store.now())
+    if (source !== 'record' && this.openJobs.mustDefer(job, this.priorityOf(job))) {
+      this.openJobs.defer({ ...weighJob(job), id: job.id, route: job.route, isStarted: false, priority: this.priorityOf(job), isBeyondRate })
+      return undefined
+    }
     const state = this.registry.addJob(job, { now: clock.now(), age, wall: clock.wall() })
-    if (source !== 'record') state.isBeyondRate = this.organisations.isBeyondRate(job, store.now())
+    this.openJobs.hold(job)
+    state.isBeyondRate = isBeyondRate
     if (state.isBeyondRate) this.organisationMonitor.noteBeyondRate(job.organisation!)
     this.requestRound()
     return state
@@ -330,11 +390,12 @@
   cancel (id: string): void {
     const state = this.registry.jobs.get(id)
     if (state !== undefined) this.lifecycle.endJob(state, 'cancelled')
+    else this.openJobs.cancel(id)
   }
 
   /** Answers a query from the decider's state; a query for a job that is about to end waits a moment for its end. */
   async answer (question: Question): Promise<Answer> {
-    if (question.about === 'queue') return { about: 'queue', waiting: this.registry.countWaiting(question.route) }
+    if (question.about === 'queue') return { about: 'queue', waiting: this.registry.countWaiting(question.route) + this.openJobs.countWaiting(question.route) }
     if (question.about === 'explanation') return this.explain(question.query)
     const { id } = question
     const job = this.registry.jobs.get(id)
@@ -390,6 +451,7 @@
     if (!this.isReady || this.isPaused || now - this.recorder.confirmedAt > MAX_COMMIT_AGE_MS || this.isInstanceListOutdated()) return
     this.updateRoutes()
     this.registry.openDueOccurrences(now)
+    if (this.registry.tasks.room === 0) this.options.onOpenWorkLimit?.('openTasks')
     if (this.registry.readySteps.size === 0) {
       this.backlogMeter.addRound([], [], now)
       return
@@ -423,6 +485,11 @@
     return this.backlogMeter.report({ now: this.options.clock.now(), leastUrgent: this.leastUrgent })
   }
 
+  /** @returns what the open jobs take, or `undefined` while that is little */
+  get openJobReport (): OpenJobReport | undefined {
+    return this.isReady ? this.openJobs.report() : undefined
+  }
+
   /** @returns the least urgent priority of the known routes */
   private get leastUrgent (): number {
     return Math.max(0, ...[...this.routes.values()].map(route => route.priority))
@@ -457,6 +524,7 @@
 
   private checkWaits (): void {
     if (!this.isReady) return
+    this.openJobs.startLoading()
     const now = this.options.clock.now()
     const usable = this.usableWorkers(now)
     const capBudgetOf = this.organisations.startRound()
@@ -613,6 +681,7 @@
     const state = this.registry.jobs.get(id)
     if (state === undefined || state.phase === 'open' || state.visiblePhase !== state.phase || hasRuns(state) || this.pendingCallbacks.has(id)) return
     this.registry.archive(id, { phase: state.phase, at: this.options.clock.now(), version: this.recorder.version })
+    this.openJobs.noteEnd(state.job)
     this.archiver.add(id, state.phase)
   }
 
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -11,6 +11,7 @@
 import type { Link, LinkConnector } from './Link.js'
 import { WorkerCallDecoder } from './WorkerCallCodec.js'
 import type { NumberedCall } from './WorkerCallCodec.js'
+import type { ReceivedOpenJobs } from '../openJobs/OpenJobGate.js'
 import type { ReceivedBacklog } from './AdmissionGate.js'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
@@ -64,6 +65,8 @@
   deciderStoreSilence = Infinity
   /** The last report of the decider's backlog. */
   backlog: ReceivedBacklog | undefined
+  /** The decider's last word on the open jobs. */
+  openJobs: ReceivedOpenJobs | undefined
   private readonly calls = new Map<number, (answer: unknown) => void>()
   private nextCall = 1
   private timer: Timer | undefined
@@ -84,6 +87,8 @@
     /** `HOST:PORT` at which other nodes reach this one. */
     address: string
     strength: number
+    /** Weight in bytes of the open jobs that this node could hold as decider. */
+    openJobLimit?: number
     /** ms since the store last answered this node */
     storeSilence: () => number
     /** ms for which the store has refused this node's calls */
@@ -109,8 +114,8 @@
    * `refused`: the link was closed; `silent`: no answer arrived in time
    */
   async join (timeout: number): Promise<'welcomed' | 'turned-away' | 'silent' | 'refused'> {
-    const { node, dataCentre, address, strength, age, clock } = this.options
-    this.link.send({ kind: 'hello', node, dataCentre, address, strength, age })
+    const { node, dataCentre, address, strength, age, openJobLimit, clock } = this.options
+    this.link.send({ kind: 'hello', node, dataCentre, address, strength, age, openJobLimit })
     const silent = clock.sleep(timeout).then(() => 'silent' as const)
     const closed = this.endPromise.then(() => 'refused' as const)
     const outcome = await Promise.race([this.welcomePromise, silent, closed])
@@ -190,6 +195,7 @@
         this.interval = message.interval
         this.deciderStoreSilence = message.storeSilence
         this.backlog = message.backlog === undefined ? undefined : { report: message.backlog, at: this.lastMessageAt }
+        this.openJobs = { report: message.openJobs, at: this.lastMessageAt }
         return this.options.callbacks.onConfigurationVersion({ version: message.configuration, confirmedAt: message.configurationConfirmedAt }, answer => { this.link.send(answer) })
       case 'configuration-wanted':
       case 'configuration-text': return this.options.callbacks.onConfigurationMessage(message, answer => { this.link.send(answer) })
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -1,5 +1,5 @@
 import type { Clock, Timer } from '@rattanstep/core'
-import type { BacklogReport } from '@rattanstep/policy'
+import type { BacklogReport, OpenJobReport } from '@rattanstep/policy'
 import type { Log } from '@rattanstep/telemetry'
 import type { RecordedJob } from '../types/job.js'
 import type { Answer, ConfigurationMessage, DeciderMessage, Question, SuccessionReason, FollowerMessage } from '../types/links.js'
@@ -65,6 +65,8 @@
   storeSilence: () => number
   /** Returns the decider's backlog, if nodes may refuse jobs by it. */
   backlog?: () => BacklogReport | undefined
+  /** Returns what the open jobs take, unless that is little. */
+  openJobs?: () => OpenJobReport | undefined
   /** Called when a follower knows of a newer term. */
   onNewerTerm: () => void
 }
@@ -89,6 +91,8 @@
   /** ms for which the store has refused the follower's calls. */
   storeFailing: number
   strength: number
+  /** Weight in bytes of the open jobs that the follower could hold as decider. */
+  openJobLimit: number
   /** Monotonic ms, on this node's clock, at which the process there started. */
   startedAt: number
 }
@@ -128,13 +132,13 @@
   }
 
   /** Adds a node that has asked to join. */
-  add (link: FollowerLink, { node, dataCentre, address, strength, age }: Omit<Extract<FollowerMessage, { kind: 'hello' }>, 'kind'>): void {
+  add (link: FollowerLink, { node, dataCentre, address, strength, age, openJobLimit = Infinity }: Omit<Extract<FollowerMessage, { kind: 'hello' }>, 'kind'>): void {
     const { clock, log, fence } = this.options
     this.followers.get(node)?.link.close()
     const now = clock.now()
     const encoder = new WorkerCallEncoder()
     const follower: FollowerState = {
-      node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, orders: new Batch({ clock, delay: ORDER_BATCH_MS, flush: calls => { link.send(encoder.encode(fence, calls)) } }), storeSilence: 0, storeFailing: 0, strength, startedAt: now - age
+      node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, orders: new Batch({ clock, delay: ORDER_BATCH_MS, flush: calls => { link.send(encoder.encode(fence, calls)) } }), storeSilence: 0, storeFailing: 0, strength, openJobLimit, startedAt: now - age
     }
     this.followers.set(node, follower)
     this.absent.delete(address)
@@ -214,6 +218,13 @@
     return Math.max(0, ...[...this.followers.values()].filter(follower => follower.storeSilence < MAX_SUCCESSOR_STORE_SILENCE_MS).map(follower => follower.strength))
   }
 
+  /** @returns smallest weight in bytes of open jobs that a follower could hold as decider, or `Infinity` without any */
+  get smallestOpenJobLimit (): number {
+    let smallest = Infinity
+    for (const { openJobLimit } of this.followers.values()) smallest = Math.min(smallest, openJobLimit)
+    return smallest
+  }
+
   /** Sorts the followers by strength, the strongest first, then in the order in which they joined. */
   private ranked (): FollowerState[] {
     return [...this.followers.values()].sort((a, b) => b.strength - a.strength)
@@ -280,6 +291,7 @@
     const configuration = callbacks.configurationVersion()
     const configurationConfirmedAt = callbacks.configurationConfirmedAt()
     const backlog = callbacks.backlog?.()
+    const openJobs = callbacks.openJobs?.()
     const storeSilence = Math.min(callbacks.storeSilence(), Number.MAX_SAFE_INTEGER)
     const isSilent = (follower: FollowerState, limit = 0): boolean => now - follower.lastMessageAt > Math.max(limit, LINK_TIMEOUT_RATIO * follower.interval)
     const isBehind = 2 * [...this.followers.values()].filter(follower => isSilent(follower)).length > this.followers.size
@@ -294,7 +306,7 @@
       this.updateInterval(follower, place < WATCHER_COUNT ? LINK_HEARTBEAT_MS : DISTANT_HEARTBEAT_MS, now)
       if (now - follower.heartbeatAt < follower.interval - LINK_HEARTBEAT_MS / 2) continue
       follower.heartbeatAt = now
-      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, configurationConfirmedAt, storeSilence, ...(backlog === undefined ? {} : { backlog }) })
+      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, configurationConfirmedAt, storeSilence, ...(backlog === undefined ? {} : { backlog }), ...(openJobs === undefined ? {} : { openJobs }) })
       if (place < WATCHER_COUNT) this.reportMembers(follower, now)
     }
   }
--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -2,15 +2,17 @@
 import type { PhaseOutcome, RequestOutcome } from '../types/callers.js'
 import type { Job, RecordedJob } from '../types/job.js'
 import type { Answer, Question } from '../types/links.js'
+import type { OpenJobGate } from '../openJobs/OpenJobGate.js'
 import type { AdmissionGate } from './AdmissionGate.js'
 import type { RecordStore } from '../types/records.js'
 import type { EndedPhase } from './Registry.js'
+import { ConcurrencyLimit } from './ConcurrencyLimit.js'
 import { encodeSubmission } from './submissionRow.js'
 import { SubmissionWriter } from './SubmissionWriter.js'
 import type { SubmissionRow, WriteOutcome } from './SubmissionWriter.js'
 import { recordedPhase } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
-import { CANCELLATION_SUFFIX, endRowName, submissionRowName, submissionPart, WITHDRAWN } from './rowNames.js'
+import { CANCELLATION_SUFFIX, endRowName, RECORDS, submissionRowName, submissionPart, WITHDRAWN } from './rowNames.js'
 
 /** Timeout of a query to the decider, after which the store is read instead. */
 const QUERY_TIMEOUT_MS = 300
@@ -29,6 +31,9 @@
  */
 const MIN_WRITE_TIME_MS = 40
 
+/** Number of refused submissions for which the store is asked at the same time whether they repeat an accepted one. */
+const MAX_CONCURRENT_LOOKUPS = 4
+
 /** Access to the decider, which may be this node or another one. */
 export abstract class DeciderClient {
   /**
@@ -73,9 +78,10 @@
   private readonly writer: SubmissionWriter
   /** Writes of callers, and queries, that wait for their outcome. */
   private readonly waiting = { waitingWrites: 0, waitingQueries: 0 }
+  private readonly lookups = new ConcurrencyLimit(MAX_CONCURRENT_LOOKUPS)
 
   /** @param options - `limits`: numbers of writes and queries that may wait; `onLimit`: called when one is refused for that */
-  constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderClient, admission?: AdmissionGate, limits?: WaitingLimits, onLimit?: (limit: keyof WaitingLimits) => void }) {
+  constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderClient, admission?: AdmissionGate, openJobGate?: OpenJobGate, limits?: WaitingLimits, onLimit?: (limit: keyof WaitingLimits) => void }) {
     this.writer = new SubmissionWriter({ ...options, maxWaiting: options.limits?.waitingWrites ?? Infinity, onFull: () => { options.onLimit?.('waitingWrites') } })
   }
 
@@ -92,12 +98,21 @@
    * @param deadline - time until which the caller waits, in monotonic ms
    */
   async submit (job: Job, deadline: number): Promise<RequestOutcome> {
-    const refusal = this.options.admission?.judge(job)
+    const { admission, openJobGate } = this.options
+    const refusal = admission?.judge(job)
     // A job that an earlier request has submitted is not refused: it may run.
     if (refusal !== undefined && (await this.readRecordedPhase(job.id)).kind === 'unknown-job') {
-      this.options.admission!.note(job, refusal)
+      admission!.note(job, refusal)
       return { kind: 'refused', reason: 'too much work waits for the job to end in time', retryAfter: refusal.retryAfter }
     }
+    const noRoom = openJobGate?.judge(job)
+    if (noRoom !== undefined) {
+      const earlier = await this.findEarlierSubmission(job.id, deadline)
+      if (earlier === 'found') return { kind: 'accepted', repeated: true }
+      if (earlier === 'unknown') return { kind: 'unsettled', reason: 'it is not known whether the job was submitted before' }
+      openJobGate!.note(job, noRoom)
+      return { kind: 'refused', reason: 'too many jobs are open', retryAfter: noRoom.retryAfter }
+    }
     const outcome = await this.persist({ kind: 'job', job }, deadline)
     return explainFailure(outcome) ?? { kind: 'accepted', repeated: outcome === 'repeated' }
   }
@@ -205,11 +220,19 @@
     return deciderOutcome === 'refused' && !canWriteHere ? await this.write(request, deadline) : deciderOutcome
   }
 
+  /** Looks for a submission of a job before it is refused. While many are refused, the lookups take turns, so that the store answers others. */
+  private async findEarlierSubmission (id: string, deadline: number): Promise<'found' | 'none' | 'unknown'> {
+    const { clock } = this.options
+    const phase = await this.runWithin('waitingQueries', async () => await this.lookups.run(async () => clock.now() < deadline ? await this.readRecordedPhase(id) : undefined))
+    if (phase === undefined || phase.kind === 'refused') return 'unknown'
+    return phase.kind === 'phase' ? 'found' : 'none'
+  }
+
   private async readRecordedPhase (id: string): Promise<PhaseOutcome> {
     const { store } = this.options
     const [submission, record] = await Promise.all([
       store.range({ table: 'jobs', part: submissionPart(id), from: id, until: id + CANCELLATION_SUFFIX + '\0' }),
-      store.range({ table: 'tasks', part: 'd', from: id, until: id + '\0' })
+      store.range({ ...RECORDS, from: id, until: id + '\0' })
     ])
     if (submission.isErr() || record.isErr()) return storeUnavailable()
     const keys = submission.value.rows.map(row => row.key)
--- a/packages/cell/src/runtime/InstrumentedStore.ts
+++ b/packages/cell/src/runtime/InstrumentedStore.ts
@@ -4,7 +4,7 @@
 import { CELL_EVENTS } from '../types/events.js'
 import { SLOW_COMMIT_MS } from '../types/limits.js'
 import { RecordStore } from '../types/records.js'
-import type { RangeQuery, Row, RowChange, ReadFault, Transaction, TransactionOutcome } from '../types/records.js'
+import type { RangeQuery, Row, RowChange, RowPage, ReadFault, Transaction, TransactionOutcome } from '../types/records.js'
 
 /** Adds metrics to a store, and logs its slow and unanswered transactions. */
 export class InstrumentedStore extends RecordStore {
@@ -35,11 +35,11 @@
   }
 
   override async range (query: RangeQuery): Promise<Result<{ rows: Row[], version: number }, ReadFault>> {
-    const { store, clock, metrics } = this.options
-    const sentAt = clock.now()
-    const answer = await store.range(query)
-    metrics.timer('store_read', { outcome: answer.isOk() ? 'done' : answer.error.code }).record(clock.now() - sentAt)
-    return answer
+    return await this.measureRead(async store => await store.range(query))
+  }
+
+  override async page (query: RangeQuery): Promise<Result<RowPage, ReadFault>> {
+    return await this.measureRead(async store => await store.page(query))
   }
 
   override async changes (query: { table: string, after: number, wait: number }): Promise<Result<{ rows: RowChange[], version: number }, ReadFault>> {
@@ -58,6 +58,14 @@
     return this.options.store.failingFor()
   }
 
+  private async measureRead<Value> (read: (store: RecordStore) => Promise<Result<Value, ReadFault>>): Promise<Result<Value, ReadFault>> {
+    const { store, clock, metrics } = this.options
+    const sentAt = clock.now()
+    const answer = await read(store)
+    metrics.timer('store_read', { outcome: answer.isOk() ? 'done' : answer.error.code }).record(clock.now() - sentAt)
+    return answer
+  }
+
   /** Decides whether a transaction is logged. Of consecutive unanswered transactions of a part, only the first is, unless they are slow. */
   private shouldLog (part: string, kind: TransactionOutcome['kind'], duration: number): boolean {
     const isFirst = !this.failingParts.has(part)
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -51,6 +51,8 @@
   dataCentre: string
   /** Suitability of this instance as decider; see `CellSettings.strength`. */
   strength: number
+  /** Weight in bytes of the open jobs that this node could hold as decider. */
+  openJobLimit?: number
   /** Distinguishes the processes that were started under this node's name. */
   start: string
   /** `HOST:PORT` for links. */
@@ -197,7 +199,7 @@
   }
 
   private async connect (): Promise<MembershipEvent> {
-    const { connector, clock, log, node, dataCentre, address, strength, follower, store } = this.options
+    const { connector, clock, log, node, dataCentre, address, strength, openJobLimit, follower, store } = this.options
     const term = this.term!
     const link = await connector.connect(term.address, CONNECT_TIMEOUT_MS)
     if (link.isErr()) {
@@ -213,6 +215,7 @@
       dataCentre,
       address,
       strength,
+      openJobLimit,
       storeSilence: () => store.silentFor(),
       storeFailing: () => store.failingFor(),
       checkStore: async () => await this.readTerm(),
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -4,6 +4,7 @@
 import { decodeTerm, TERM_ROW, encodeTerm } from './Term.js'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
+import { recordRowName } from './rowNames.js'
 import { repeatWhile } from './repeatWhile.js'
 
 /** The store accepts 100 entries in a transaction, of which the term row uses two. */
@@ -124,8 +125,8 @@
     const deletes: RowName[] = []
     for (const key of keys) {
       const change = encode(key)
-      if (change?.kind === 'put') puts.push({ table: 'tasks', part: 'd', key, value: change.value })
-      else if (change?.kind === 'delete') deletes.push({ table: 'tasks', part: 'd', key })
+      if (change?.kind === 'put') puts.push({ ...recordRowName(key), value: change.value })
+      else if (change?.kind === 'delete') deletes.push(recordRowName(key))
     }
     const termPut = { ...TERM_ROW, value: encodeTerm({ ...term, serial }) }
     while (!this.isStopped) {
--- a/packages/cell/src/runtime/Recovery.ts
+++ b/packages/cell/src/runtime/Recovery.ts
@@ -1,12 +1,17 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
-import type { Job, RecordedJob } from '../types/job.js'
+import type { DeferredJob } from '../openJobs/DeferredJobs.js'
+import { JobSelection } from '../openJobs/JobSelection.js'
+import type { SelectedJob } from '../openJobs/JobSelection.js'
+import type { MeteredJob } from '../organisations/OrganisationTable.js'
+import type { RecordedJob } from '../types/job.js'
 import type { RecordStore, Row } from '../types/records.js'
 import { CELL_EVENTS } from '../types/events.js'
 import type { EndedPhase } from './Registry.js'
+import { hasRecordedRuns } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
-import { submissionParts } from './rowNames.js'
-import { decodeSubmission } from './submissionRow.js'
+import { readPages } from './readPages.js'
+import { RECORDS, submissionParts } from './rowNames.js'
 import { partitionSubmissions } from './partitionSubmissions.js'
 
 /** Delay between attempts while the store does not answer. */
@@ -20,20 +25,45 @@
 
 /** State of the jobs as read from the store. */
 export interface RecoveredState {
-  jobs: RecordedJob[]
+  /** Open jobs to hold, in order of their submission. */
+  jobs: SelectedJob[]
   /** Final phases of the jobs that have ended and have no runs, by id. */
   ended: Map<string, EndedPhase>
-  cancelled: string[]
-  /** Jobs of organisations that have ended and whose submissions are not yet archived, in order of their submission. */
-  endedJobs: Job[]
-  records: Map<string, JobRecord>
+  /** Ids of cancelled jobs. */
+  cancelled: Set<string>
+  /** Jobs of organisations, open or ended, whose submissions are not yet archived, by id. */
+  metered: Map<string, MeteredJob>
   /** Version of the store after which to follow changes of submissions. */
   version: number
 }
 
-/** Reads the records left by a former decider. */
+/** Options of a recovery. */
+export interface RecoveryOptions {
+  store: RecordStore
+  clock: Clock
+  log: Log
+  /** Bytes of the jobs to hold; jobs with runs are held in any case. */
+  room: number
+  /** Returns the priority of a job's route; 0 is the most urgent. */
+  priorityOf: (recorded: RecordedJob) => number
+  /** Receives each job that is left in the store. */
+  onDeferred: (job: DeferredJob) => void
+  /** Returns whether a job is known already and is to be left out. */
+  isKnown?: (id: string) => boolean
+}
+
+/** Reads the records left by a former decider, page by page, and holds no more of them than there is room for. */
 export class Recovery {
-  constructor (private readonly options: { store: RecordStore, clock: Clock, log: Log }) {}
+  private readonly state: RecoveredState = { jobs: [], cancelled: new Set(), metered: new Map(), ended: new Map(), version: Infinity }
+  private readonly selection: JobSelection
+  /** Records of open jobs that have started, by id; `undefined` for one that is to be read again. */
+  private readonly records = new Map<string, JobRecord | undefined>()
+  /** Characters of the records that are kept and have no runs. */
+  private recordChars = 0
+
+  constructor (private readonly options: RecoveryOptions) {
+    this.selection = new JobSelection(options)
+  }
 
   /**
    * Reads the records, with retries until it succeeds.
@@ -43,45 +73,62 @@
    */
   async read (isAbandoned: () => boolean): Promise<RecoveredState | undefined> {
     // Records are read before submissions, so that for each job whose record is read the submission is read too.
-    const records = await this.readPart('tasks', 'd', isAbandoned)
-    const parts = await this.readSubmissions(isAbandoned)
-    if (records === undefined || parts.some(part => part === undefined)) return undefined
-    const state: RecoveredState = { jobs: [], cancelled: [], endedJobs: [], ended: new Map(), records: new Map(), version: Math.min(...parts.map(part => part!.version)) }
-    for (const row of records.rows) this.addRecord(row, state)
-    const rows = parts.flatMap(part => part!.rows)
-    Object.assign(state, partitionSubmissions(rows.filter(row => !state.ended.has(row.key)), this.options.log))
-    state.jobs.sort((a, b) => a.job.acceptedAt - b.job.acceptedAt)
-    state.endedJobs = rows.filter(row => state.ended.has(row.key)).flatMap(row => decodeSubmission(row.value).map(job => [job]).unwrapOr([]))
-      .filter(job => job.organisation !== undefined).sort((a, b) => a.acceptedAt - b.acceptedAt)
-    return state
+    await this.readPart(RECORDS.table, RECORDS.part, isAbandoned, rows => { for (const row of rows) this.addRecord(row) })
+    await this.readSubmissions(isAbandoned)
+    if (isAbandoned()) return undefined
+    this.state.jobs = this.selection.selected
+    return this.state
   }
 
-  private async readSubmissions (isAbandoned: () => boolean): Promise<Array<{ rows: Row[], version: number } | undefined>> {
-    const read: Array<{ rows: Row[], version: number } | undefined> = []
+  private async readSubmissions (isAbandoned: () => boolean): Promise<void> {
     const remaining = [...submissionParts]
     const readNext = async (): Promise<void> => {
-      for (let part = remaining.shift(); part !== undefined; part = remaining.shift()) read.push(await this.readPart('jobs', part, isAbandoned))
+      for (let part = remaining.shift(); part !== undefined; part = remaining.shift()) {
+        const version = await this.readPart('jobs', part, isAbandoned, rows => { this.addSubmissions(rows) })
+        this.state.version = Math.min(this.state.version, version ?? Infinity)
+      }
     }
     await Promise.all(Array.from({ length: MAX_CONCURRENT_READS }, readNext))
-    return read
   }
 
-  private async readPart (table: string, part: string, isAbandoned: () => boolean): Promise<{ rows: Row[], version: number } | undefined> {
-    while (!isAbandoned()) {
-      const answer = await this.options.store.range({ table, part })
-      if (answer.isOk()) return answer.value
-      await this.options.clock.sleep(RETRY_DELAY_MS)
+  private async readPart (table: string, part: string, isAbandoned: () => boolean, onPage: (rows: Row[]) => void): Promise<number | undefined> {
+    const { store, clock } = this.options
+    const retry = async (): Promise<boolean> => {
+      if (isAbandoned()) return false
+      await clock.sleep(RETRY_DELAY_MS)
+      return !isAbandoned()
     }
-    return undefined
+    return (await readPages(store, { table, part }, onPage, { retry })).unwrapOr(undefined)
   }
 
-  private addRecord (row: Row, state: RecoveredState): void {
+  private addSubmissions (rows: Row[]): void {
+    const { log, isKnown } = this.options
+    const { ended, cancelled, metered } = this.state
+    const { jobs, cancelled: ids } = partitionSubmissions(rows, log)
+    for (const id of ids) if (!ended.has(id)) cancelled.add(id)
+    for (const recorded of jobs) {
+      const { id, organisation, organisationTerms, acceptedAt } = recorded.job
+      if (organisation !== undefined) metered.set(id, { id, organisation, organisationTerms, acceptedAt })
+      if (ended.has(id) || isKnown?.(id) === true) continue
+      const record = this.records.get(id)
+      this.selection.add(recorded, { record, isStarted: this.records.has(id), hasRuns: record !== undefined && hasRecordedRuns(record) })
+      this.records.delete(id)
+    }
+  }
+
+  private addRecord (row: Row): void {
     try {
       const record = JSON.parse(row.value) as JobRecord
-      if (record.phase !== 'open' && record.tasks === undefined) state.ended.set(row.key, record.phase)
-      else state.records.set(row.key, record)
+      if (record.phase !== 'open' && record.tasks === undefined) this.state.ended.set(row.key, record.phase)
+      else this.records.set(row.key, this.mayKeep(record, row) ? record : undefined)
     } catch (error) {
       this.options.log.write(CELL_EVENTS.badRow, { key: row.key, problem: String(error) })
     }
   }
+
+  private mayKeep (record: JobRecord, { value }: Row): boolean {
+    if (hasRecordedRuns(record)) return true
+    this.recordChars += value.length
+    return this.recordChars <= this.options.room
+  }
 }
--- a/packages/cell/src/runtime/SubmissionFeed.ts
+++ b/packages/cell/src/runtime/SubmissionFeed.ts
@@ -5,6 +5,7 @@
 import { submissionParts } from './rowNames.js'
 import { partitionSubmissions } from './partitionSubmissions.js'
 import { detach } from './detach.js'
+import { readPages } from './readPages.js'
 import { repeatWhile } from './repeatWhile.js'
 import { runLogged } from './runLogged.js'
 
@@ -54,11 +55,14 @@
   }
 
   private async readAll (): Promise<void> {
-    const parts = await Promise.all(submissionParts.map(async part => await this.options.store.range({ table: 'jobs', part })))
-    const read = parts.flatMap(part => part.isOk() ? [part.value] : [])
-    if (read.length < parts.length) return
-    this.handleRows(read.flatMap(part => part.rows))
-    this.readVersion = Math.min(...read.map(part => part.version))
+    const { store } = this.options
+    let version = Infinity
+    for (const part of submissionParts) {
+      const read = await readPages(store, { table: 'jobs', part }, rows => { this.handleRows(rows) })
+      if (read.isErr()) return
+      version = Math.min(version, read.value)
+    }
+    this.readVersion = version
   }
 
   private handleRows (rows: Row[]): void {
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -14,6 +14,7 @@
 import type { WorkerSpeeds } from '../speeds/WorkerSpeeds.js'
 import type { TaskLifecycle } from './TaskLifecycle.js'
 import { detach } from './detach.js'
+import { jobIdOf } from './taskName.js'
 import { repeatWhile } from './repeatWhile.js'
 import type { WorkerLeases } from './WorkerLeases.js'
 
@@ -49,6 +50,8 @@
   recordSoon: (job: JobState) => void
   /** Returns whether leases may be renewed: the term was confirmed recently, or no other node can have claimed it. */
   canRenewLeases: () => boolean
+  /** Has an accepted job loaded that waits in the store; returns whether it is one. */
+  loadDeferred: (id: string) => boolean
   /** Called after changes that may allow other tasks to start. */
   onChange: () => void
   /** Called when a worker has seen a higher fencing token than this decider's. */
@@ -284,8 +287,10 @@
   private handleEnds (worker: WorkerState, list: WorkerList): void {
     for (const end of list.ended) {
       if (end.number <= worker.lastEndNumber) continue
-      worker.lastEndNumber = end.number
       const task = this.options.registry.findTask(end.task)
+      // The end is not acknowledged, and is listed again, until the decider holds the job.
+      if (task === undefined && this.options.loadDeferred(jobIdOf(end.task))) return
+      worker.lastEndNumber = end.number
       if (task === undefined) continue
       const isCurrent = task.worker === worker && task.run === end.run
       if (!isCurrent && !completesTask(task, end)) continue
@@ -315,6 +320,8 @@
       const task = this.options.registry.findTask(listed.task)
       if (task === undefined || task.worker !== worker || task.run !== listed.run) {
         unknownRuns++
+        // What to do with the run is decided once the decider holds the job.
+        if (task === undefined && this.options.loadDeferred(jobIdOf(listed.task))) continue
         this.stopUnknownRun(worker, listed)
         continue
       }
--- a/packages/cell/src/runtime/jobRecord.ts
+++ b/packages/cell/src/runtime/jobRecord.ts
@@ -170,3 +170,8 @@
 export function hasRuns (state: JobState): boolean {
   return state.occurrences.some(occurrence => occurrence.steps.some(step => step.tasks.hasRuns))
 }
+
+/** @returns whether a record has a run that is not known to have ended */
+export function hasRecordedRuns ({ tasks = [] }: JobRecord): boolean {
+  return tasks.some(steps => steps.some(step => step.some(task => typeof task !== 'number' && (task[1] ?? '') !== '')))
+}
--- a/packages/cell/src/runtime/resolveSettings.ts
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -1,3 +1,4 @@
+import { getHeapStatistics } from 'node:v8'
 import { Err, Ok } from 'ts-results-es'
 import type { Result } from 'ts-results-es'
 import { LineCounter, parseDocument } from 'yaml'
@@ -61,10 +62,15 @@
   return cores * Math.min(1, linkRate / DECIDER_LINK_RATE_MBPS)
 }
 
+/** @returns maximum size of the heap of this process in MB */
+function heapSize (): number {
+  return getHeapStatistics().heap_size_limit / BYTES_PER_UNIT.MB
+}
+
 /** Reads the section `limits`. Each setting is optional; most defaults follow from the memory and the descriptors of the machine. */
 function readLimits (read: SettingsReader): ClientLimits {
   const memory = read.sizeOr(SMALLEST_MACHINE.memory * BYTES_PER_UNIT.MB, 'limits', 'memory') / BYTES_PER_UNIT.MB
-  const defaults = defaultLimits(memory, read.countOr(SMALLEST_MACHINE.descriptors, 'limits', 'descriptors'))
+  const defaults = defaultLimits(memory, read.countOr(SMALLEST_MACHINE.descriptors, 'limits', 'descriptors'), heapSize())
   const count = (name: keyof ClientLimits): number => read.countOr(defaults[name], 'limits', name)
   const size = (name: keyof ClientLimits): number => read.sizeOr(defaults[name], 'limits', name)
   const duration = (name: keyof ClientLimits): number => read.durationOr(defaults[name], 'limits', name)
@@ -85,6 +91,10 @@
     newLinks: count('newLinks'),
     helloChars: count('helloChars'),
     helloTimeout: duration('helloTimeout'),
+    openJobBytes: size('openJobBytes'),
+    openTasks: count('openTasks'),
+    startOrders: count('startOrders'),
+    deferredJobs: count('deferredJobs'),
     logBytes: size('logBytes')
   }
 }
--- a/packages/cell/src/runtime/rowNames.ts
+++ b/packages/cell/src/runtime/rowNames.ts
@@ -31,6 +31,17 @@
   return { table: 'ended', part: submissionPart(id), key: id }
 }
 
+/** Table and part of the records of jobs, whose keys are the ids. */
+export const RECORDS = { table: 'tasks', part: 'd' } as const
+
+/**
+ * @param id - a job's id
+ * @returns name of the row that stores the job's record
+ */
+export function recordRowName (id: string): RowName {
+  return { ...RECORDS, key: id }
+}
+
 /** Value of the row of a job's end if the job was cancelled before it was submitted, so that a submission on its way is not accepted. */
 export const WITHDRAWN = 'withdrawn'
 
--- a/packages/cell/src/runtime/taskName.ts
+++ b/packages/cell/src/runtime/taskName.ts
@@ -9,6 +9,11 @@
   return `${stepName(job, occurrence, step)}.${index}`
 }
 
+/** @returns id of the job of a task with this name */
+export function jobIdOf (task: string): string {
+  return task.split('.', 1)[0]!
+}
+
 /**
  * @param job - id of the job
  * @param occurrence - index of the job's occurrence, from 0
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -1,4 +1,4 @@
-import type { BacklogReport } from '@rattanstep/policy'
+import type { BacklogReport, OpenJobReport } from '@rattanstep/policy'
 import type { ExplainQuery, Explanation } from './explain.js'
 import type { ExecuteMessage, WorkerCallResult } from './execution.js'
 import type { Job, JobPhase } from './job.js'
@@ -8,7 +8,7 @@
 
 /** Message from a follower to the decider. */
 export type FollowerMessage =
-  | { kind: 'hello', node: string, dataCentre: string, /** `HOST:PORT` at which other nodes reach the sender */ address: string, /** see `CellSettings.strength` */ strength: number, /** ms since the process started */ age: number }
+  | { kind: 'hello', node: string, dataCentre: string, /** `HOST:PORT` at which other nodes reach the sender */ address: string, /** see `CellSettings.strength` */ strength: number, /** ms since the process started */ age: number, /** weight in bytes of the open jobs that the sender could hold as decider; absent from nodes of an earlier version of the program */ openJobLimit?: number }
   | { kind: 'beat', /** ms since the store last answered this node */ storeSilence: number, /** ms for which the store has refused this node's calls */ storeFailing?: number, term: number, configuration: number }
   | { kind: 'job', job: Job, /** version of the row that stores the job; absent from nodes of an earlier version of the program */ version?: number }
   | { kind: 'cancel', id: string }
@@ -39,7 +39,7 @@
   | { kind: 'welcome', term: number }
   /** Answer to `hello` from a node that is not the decider. */
   | { kind: 'elsewhere' }
-  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms on the store's clock at which the store confirmed that no newer version exists; absent if it has not, and from nodes of an earlier version of the program */ configurationConfirmedAt?: number, /** ms since the store last answered the decider */ storeSilence: number, /** waiting work, if nodes may refuse more of it */ backlog?: BacklogReport }
+  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms on the store's clock at which the store confirmed that no newer version exists; absent if it has not, and from nodes of an earlier version of the program */ configurationConfirmedAt?: number, /** ms since the store last answered the decider */ storeSilence: number, /** waiting work, if nodes may refuse more of it */ backlog?: BacklogReport, /** what the open jobs take, unless that is little */ openJobs?: OpenJobReport }
   | { kind: 'answer', call: number, answer: Answer }
   | { kind: 'recorded', call: number, outcome: WriteOutcome }
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
--- a/packages/cell/src/types/records.ts
+++ b/packages/cell/src/types/records.ts
@@ -53,6 +53,14 @@
   until?: string
 }
 
+/** Rows in order of their keys, and the version of the store when they were read. */
+export interface RowPage {
+  rows: Row[]
+  version: number
+  /** Key from which the remaining rows are read; absent if there are none. */
+  next?: string
+}
+
 /** Client of the transactional store, which keeps its rows when processes end. */
 export abstract class RecordStore {
   abstract commit (transaction: Transaction): Promise<TransactionOutcome>
@@ -60,6 +68,11 @@
   /** @returns the rows in order of their keys, read page by page, and the store's version at the first page, after which to follow changes */
   abstract range (query: RangeQuery): Promise<Result<{ rows: Row[], version: number }, ReadFault>>
 
+  /** @returns the first rows of a range; by default all of them are one page */
+  async page (query: RangeQuery): Promise<Result<RowPage, ReadFault>> {
+    return await this.range(query)
+  }
+
   /**
    * @param query - `after`: version already known; `wait`: maximum time in ms for which the store may hold back its answer until a change
    * @returns the changes in order, and the version to pass as `after` in the next call
--- a/packages/cell/test/support/CellRig.ts
+++ b/packages/cell/test/support/CellRig.ts
@@ -4,7 +4,7 @@
 import { MemoryLog, Metrics } from '@rattanstep/telemetry'
 import { AccessControl, Cell, RowReader } from '../../src/index.js'
 import { createJob } from '../../src/runtime/createJob.js'
-import type { Configuration, Organisation, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
+import type { Configuration, OpenJobLimits, Organisation, Route, Step, RequestOutcome, WorkerReport } from '../../src/index.js'
 import { FakeAdvisor } from './FakeAdvisor.js'
 import type { AdviceCondition } from './FakeAdvisor.js'
 import { FakeLinkConnector } from './FakeLinks.js'
@@ -41,6 +41,8 @@
   preempts?: boolean
   /** Whether nodes refuse jobs that would end too late. */
   refuses?: boolean
+  /** What open jobs may take; by default, there is no bound. */
+  limits?: Partial<OpenJobLimits> | ((node: string) => Partial<OpenJobLimits>)
   nodes?: number
   workers?: number
   /** Capacity of each worker in thousandths of a core. */
@@ -111,6 +113,7 @@
   /** Starts a node, or a new process of a node that was killed. */
   addNode (name: string, strength = this.strengths.get(name) ?? 1): RigNode {
     this.strengths.set(name, strength)
+    const { limits } = this.options
     const clock = new NodeClock(this.clock)
     const store = new FakeStore(this.tables, clock, this.clock)
     const workers = new FakeWorkerClient(this.fleet, clock)
@@ -132,6 +135,7 @@
       advisor,
       reader: new JsonReader(),
       connector: new FakeLinkConnector(endpoint, this.endpoints),
+      limits: { waitingWrites: Infinity, waitingQueries: Infinity, ...(typeof limits === 'function' ? limits(name) : limits) },
       readConfiguration: value => value.startsWith('{') ? Ok(JSON.parse(value) as Configuration) : Err('the row is not a JSON object'),
       clock,
       log
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -8,6 +8,8 @@
 export type { PreemptionDemand } from './runtime/findPreemptionDemand.js'
 export { judgeBacklog, MAX_BACKLOG_AGE_MS } from './runtime/judgeBacklog.js'
 export type { BacklogRefusal, BacklogReport, OfferedJob } from './runtime/judgeBacklog.js'
+export { exceedsOpenJobLimit, judgeOpenJobs } from './runtime/judgeOpenJobs.js'
+export type { OpenJobRefusal, OpenJobReport, WeighedJob } from './runtime/judgeOpenJobs.js'
 export { packTasks } from './runtime/packTasks.js'
 export type { AvailableWorker, PackOptions, Placement } from './runtime/packTasks.js'
 export { MAX_TRANSIT_MS } from './runtime/PermitTracker.js'
--- a/packages/policy/src/runtime/judgeBacklog.ts
+++ b/packages/policy/src/runtime/judgeBacklog.ts
@@ -1,15 +1,10 @@
 import type { Random } from '@rattanstep/core'
+import { spreadRetryAfter } from '../utils/spreadRetryAfter.js'
 
 /** Age of a report in ms above which nothing is refused by it: covers three heartbeats of a distant node. */
 export const MAX_BACKLOG_AGE_MS = 1500
 /** Factor by which the projected end must exceed the time of use: projections are off by the errors of declared durations and by bursts. */
 const CERTAINTY_RATIO = 1.5
-/** Least and greatest time in s after which a refused caller should come back. */
-const MIN_RETRY_AFTER_S = 1
-const MAX_RETRY_AFTER_S = 30
-/** Share of the time to come back by which it is spread, so that callers don't return together. */
-const RETRY_SPREAD = 0.5
-
 /** Waiting work as reported by the node that places it. */
 export interface BacklogReport {
   /** Core-seconds of work that is ready and waits, by priority. */
@@ -61,6 +56,5 @@
   if (projected <= CERTAINTY_RATIO * job.usefulFor) return undefined
   // By then the wait will be short enough for the result to be of use, if no more is accepted meanwhile.
   const clearedIn = (projected - job.usefulFor) / 1000
-  const retryAfter = Math.min(MAX_RETRY_AFTER_S, Math.max(MIN_RETRY_AFTER_S, clearedIn)) * (1 + RETRY_SPREAD * random.next())
-  return { retryAfter: Math.ceil(retryAfter), projected, backlog }
+  return { retryAfter: spreadRetryAfter(clearedIn, random), projected, backlog }
 }
