A worker gets at most 1,000 tasks at a time

Cause: tasks that need no resources fit on a worker in any number, so that all of them were placed and ordered at once. Change: each worker has a number of openings beside its capacity.

--- a/packages/cell/src/runtime/CapacitySnapshot.ts
+++ b/packages/cell/src/runtime/CapacitySnapshot.ts
@@ -14,6 +14,9 @@
 /** Time for which a step respects what is held for gangs while most of the capacity is free. The platform allows a wait of 3 s. */
 const MAX_HELD_UP_MS = 2000
 
+/** Maximum number of tasks on a worker. Of tasks that need no resources, any number would fit. */
+export const MAX_TASKS_PER_WORKER = 1000
+
 /** Capacity of a worker that is kept for a gang. */
 export interface SlotHold {
   /** The gang. */
@@ -32,10 +35,13 @@
   /** Number of tasks of a step that this round places on the worker. */
   placed?: { step: StepState, tasks: number }
   hold?: SlotHold
+  /** Number of further tasks that the worker may be given. */
+  openings: number
   private forecast: Release[] | undefined
 
   constructor (readonly worker: WorkerState) {
     this.free = freeCapacity(worker)
+    this.openings = MAX_TASKS_PER_WORKER - worker.tasks.size
   }
 
   /**
@@ -151,9 +157,10 @@
   return priority < hold.priority || isHeldUp(step, now) || (!definition.lasting && now + definition.estimate <= hold.startAt)
 }
 
-/** @returns the number of tasks that fit on a worker, limited by the number of the step's tasks that may run there */
-export function limitPerWorker (fitting: number, slot: Slot, step: StepState): number {
+/** @returns the number of tasks that fit on a worker, limited by the number of all tasks and of the step's tasks that may run there */
+export function limitPerWorker (fittingSize: number, slot: Slot, step: StepState): number {
   const { perWorker } = step.definition
+  const fitting = Math.max(0, Math.min(fittingSize, slot.openings))
   if (perWorker === undefined || fitting === 0) return fitting
   let present = 0
   for (const task of slot.worker.tasks.values()) if (task.step === step) present++
@@ -167,7 +174,7 @@
  * @returns number of tasks of the step that fit on the worker while nothing else runs there
  */
 export function emptyTaskCapacity ({ worker }: Slot, { definition }: StepState): number {
-  return Math.min(countFitting(worker.report.capacity, definition), definition.perWorker ?? Infinity)
+  return Math.min(countFitting(worker.report.capacity, definition), definition.perWorker ?? Infinity, MAX_TASKS_PER_WORKER)
 }
 
 /** Reserves the capacity for a number of tasks in a slot; a negative number releases it. */
@@ -176,4 +183,5 @@
   slot.free.cpu -= tasks * size.cpu
   slot.free.memory -= tasks * size.memory
   slot.free.accelerators -= tasks * size.accelerators
+  slot.openings -= tasks
 }
