--- a/packages/cell/src/runtime/AdmissionGate.ts
+++ b/packages/cell/src/runtime/AdmissionGate.ts
@@ -5,7 +5,8 @@
 import { CELL_EVENTS } from '../types/events.js'
 import type { RouteTerms } from '../types/configuration.js'
 import type { Job } from '../types/job.js'
-import { chainLength, MAX_USEFUL_OBJECTIVE_RATIO, objectiveSpan } from './rankSteps.js'
+import { chainLength } from './chainLength.js'
+import { MAX_USEFUL_OBJECTIVE_RATIO, objectiveSpan } from './rankSteps.js'
 
 /** The last report of the decider's backlog, and the monotonic ms at which it arrived. */
 export interface ReceivedBacklog {
--- a/packages/cell/src/runtime/PreemptionRound.ts
+++ b/packages/cell/src/runtime/PreemptionRound.ts
@@ -7,7 +7,8 @@
 import { expectedEnd } from './forecastReleases.js'
 import { hashText } from './hashText.js'
 import type { StepState, Task, WorkerState } from './model.js'
-import { chainLength, objectiveSpan } from './rankSteps.js'
+import { chainLength } from './chainLength.js'
+import { objectiveSpan } from './rankSteps.js'
 import type { RankedStep } from './rankSteps.js'
 import { reservedSize } from './Registry.js'
 import type { GangSchedule } from './scheduleGang.js'
@@ -84,7 +85,7 @@
   /** @returns monotonic ms until which a step can wait for its start without harm */
   latestStart ({ step, objectiveAt }: Pick<RankedStep, 'step' | 'objectiveAt'>): number {
     const { now } = this.options
-    const chain = chainLength(step.occurrence.steps.map(each => each.definition), step.index)
+    const chain = chainLength(step.occurrence.job.job.steps, step.index)
     return now + Math.max(0, WAIT_RATIO * (objectiveAt - now - (1 + DURATION_MARGIN) * chain))
   }
 
@@ -180,9 +181,9 @@
     if (known !== undefined) return known
     const { occurrence } = step
     const route = this.options.routeOf(occurrence.job.job)
-    const definitions = occurrence.steps.map(each => each.definition)
-    const objectiveAt = Math.max(occurrence.dueAt, occurrence.job.submittedAt) + (route === undefined ? 0 : objectiveSpan(definitions, route))
-    const slack = objectiveAt - this.options.now - chainLength(definitions, step.index)
+    const { steps } = occurrence.job.job
+    const objectiveAt = Math.max(occurrence.dueAt, occurrence.job.submittedAt) + (route === undefined ? 0 : objectiveSpan(steps, route))
+    const slack = objectiveAt - this.options.now - chainLength(steps, step.index)
     this.slackByStep.set(step, slack)
     return slack
   }
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -1,5 +1,7 @@
 import type { RouteTerms, ScheduledRoute } from '../types/configuration.js'
+import type { Step } from '../types/job.js'
 import { speedClassOf } from '../speeds/speedClass.js'
+import { chainLength } from './chainLength.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
 import type { StepState } from './model.js'
 
@@ -64,8 +66,8 @@
 function rankStep (step: StepState, route: ScheduledRoute, now: number): RankedStep {
   const { occurrence } = step
   const start = Math.max(occurrence.dueAt, occurrence.job.submittedAt)
-  const span = objectiveSpan(occurrence.steps.map(each => each.definition), route)
-  const finish = now + chainLength(occurrence.steps.map(each => each.definition), step.index)
+  const span = objectiveSpan(occurrence.job.job.steps, route)
+  const finish = now + chainLength(occurrence.job.job.steps, step.index)
   const lateness = finish <= start + span ? 0 : finish <= start + MAX_USEFUL_OBJECTIVE_RATIO * span ? 1 : 2
   return { step, route, lateness, objectiveAt: start + span, isBeyondRate: occurrence.job.isBeyondRate, neededSpeedClass: neededSpeedClass(finish - now, start + span - now) }
 }
@@ -97,28 +99,10 @@
  * @param route - terms of the job's route
  * @returns the job's objective: ms within which an occurrence should end after it is due, or after the submission if that is later
  */
-export function objectiveSpan (steps: StepState['definition'][], route: RouteTerms): number {
+export function objectiveSpan (steps: Step[], route: RouteTerms): number {
   const advice = route.advice === undefined ? 0 : route.advice.base + OBJECTIVE_ADVICE_WORKERS * route.advice.perWorker
   return route.stretch * chainLength(steps, 0, advice) + route.latencyObjective
 }
 
 /** Number of workers named in the call to the advice service that an objective includes for each step, as specified by the platform. */
 const OBJECTIVE_ADVICE_WORKERS = 30
-
-/**
- * @param steps - steps of a job
- * @param from - index of the first step to include
- * @param perStep - ms to add for each step
- * @returns estimated duration in ms of the longest chain of steps that depend on each other
- */
-export function chainLength (steps: StepState['definition'][], from: number, perStep = 0): number {
-  const lengths: number[] = []
-  let longest = 0
-  for (let index = from; index < steps.length; index++) {
-    const step = steps[index]!
-    const longestDependency = Math.max(0, ...step.after.filter(earlier => earlier >= from).map(earlier => lengths[earlier] ?? 0))
-    lengths[index] = longestDependency + step.estimate + perStep
-    longest = Math.max(longest, lengths[index]!)
-  }
-  return longest
-}
