A job that no row of the store can hold is answered 400

What callers saw: 503 for each attempt, or, on a store without the limit, a decider that ended (thousandsOfSteps). Cause: the size of a submission's row was not looked at before it was written; the store's refusal counted as an outage, and the write was repeated through the decider.

--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -42,7 +42,7 @@
   limits: ClientLimits
   monitor: LimitMonitor
   gateway: Gateway
-  /** Returns why a job is too large even for a cell without other jobs, or `undefined` if it isn't. */
+  /** Returns why a job is too large to be stored, or for a cell without other jobs, or `undefined` if it isn't. */
   findExcess?: (job: Job) => string | undefined
   codec: CallerCodec
   clock: Clock
--- a/packages/cell/src/runtime/resolveSettings.ts
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -29,6 +29,7 @@
   const read = new SettingsReader(document, lines, file, findings)
   const ip = read.text('ip')
   const linkPort = read.count('listen', 'linkPort')
+  const rowBytes = read.sizeOr(0, 'bounds', 'rowBytes')
   const settings: CellSettings = {
     node: read.text('node'),
     dataCentre: read.text('dataCentre'),
@@ -46,7 +47,8 @@
     bounds: {
       grace: read.duration('bounds', 'grace'),
       leaseMax: read.duration('bounds', 'leaseMax'),
-      finishedJobRetention: read.duration('bounds', 'finishedJobRetention')
+      finishedJobRetention: read.duration('bounds', 'finishedJobRetention'),
+      ...(rowBytes === 0 ? {} : { rowBytes })
     },
     overload: { preemption: read.flagOr(false, 'overload', 'preemption'), admission: read.flagOr(false, 'overload', 'admission') },
     limits: readLimits(read),
--- a/packages/cell/src/types/settings.ts
+++ b/packages/cell/src/types/settings.ts
@@ -19,12 +19,14 @@
   }
   store: { address: string }
   advice: { address: string }
-  /** Periods and limits set by the platform, in ms. */
+  /** Periods, in ms, and limits set by the platform. */
   bounds: {
     grace: number
     /** Longest lease that workers accept. */
     leaseMax: number
     finishedJobRetention: number
+    /** Bytes that a row of the store can hold; `DEFAULT_ROW_BYTES` if absent. */
+    rowBytes?: number
   }
   overload?: {
     /** Whether runs are stopped for more urgent work even if the configuration names no organisations. */
