Ended jobs count against the budget, and are archived as fast as they end

Cause: the phases of ended jobs are kept for 120 s however many there are, and at most 33 jobs of each part were archived every 1.5 s; a crowd that cancels its jobs made both grow. The archiver repeats its transactions while a part has a full batch.

--- a/packages/cell/src/openJobs/OpenJobs.ts
+++ b/packages/cell/src/openJobs/OpenJobs.ts
@@ -87,12 +87,15 @@
 
   /** Counts the end of a job that the decider has held. */
   noteEnd (job: Job): void {
-    const weighed = weighJob(job)
-    this.totals.remove(weighed, 'held')
-    this.totals.noteEnd(weighed, this.options.clock.now())
+    this.totals.noteEnd(weighJob(job), this.options.clock.now())
     this.startLoading()
   }
 
+  /** Counts that the phase of an ended job is no longer kept. */
+  forgetEnded (holder: string): void {
+    this.totals.forgetEnded(holder)
+  }
+
   /** Leaves an accepted job in the store. */
   defer (job: DeferredJob): void {
     if (this.isDeferred(job.id)) return
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -680,17 +680,18 @@
   private archiveEnded (id: string): void {
     const state = this.registry.jobs.get(id)
     if (state === undefined || state.phase === 'open' || state.visiblePhase !== state.phase || hasRuns(state) || this.pendingCallbacks.has(id)) return
-    this.registry.archive(id, { phase: state.phase, at: this.options.clock.now(), version: this.recorder.version })
+    this.registry.archive(id, { phase: state.phase, at: this.options.clock.now(), version: this.recorder.version, holder: weighJob(state.job).holder })
     this.openJobs.noteEnd(state.job)
     this.archiver.add(id, state.phase)
   }
 
   private pruneEnded (): void {
     const limit = this.options.clock.now() - this.options.retention
-    for (const [id, { at, version }] of this.registry.endedJobs) {
+    for (const [id, { at, version, holder }] of this.registry.endedJobs) {
       // The feed may still pass on a job that it has not read yet.
       if (at > limit || version > this.submissionFeed.version) return
       this.registry.endedJobs.delete(id)
+      if (holder !== undefined) this.openJobs.forgetEnded(holder)
     }
   }
 
--- a/packages/cell/src/runtime/JobArchiver.ts
+++ b/packages/cell/src/runtime/JobArchiver.ts
@@ -45,7 +45,11 @@
   private async flushAll (): Promise<void> {
     this.isFlushing = true
     try {
-      for (const part of this.pending.keys()) if (this.options.clock.now() >= this.pausedUntil) await this.flush(part)
+      for (const [part, jobs] of this.pending) {
+        // Jobs may end faster than one transaction in an interval can archive them.
+        do await this.flush(part)
+        while (jobs.size >= MAX_JOBS_PER_TRANSACTION && this.options.clock.now() >= this.pausedUntil)
+      }
     } finally {
       this.isFlushing = false
     }
@@ -53,9 +57,9 @@
 
   private async flush (part: string): Promise<void> {
     const jobs = this.pending.get(part)!
-    const batch = [...jobs].slice(0, MAX_JOBS_PER_TRANSACTION)
-    if (batch.length === 0) return
     const { clock, store } = this.options
+    const batch = [...jobs].slice(0, MAX_JOBS_PER_TRANSACTION)
+    if (batch.length === 0 || clock.now() < this.pausedUntil) return
     const sentAt = clock.now()
     const outcome = await store.commit({
       expect: [],
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -16,6 +16,8 @@
   at: number
   /** Version of the store by which the job was recorded. */
   version: number
+  /** Who the job is charged to, unless it had ended before this decider took over. */
+  holder?: string
 }
 
 const NO_USAGE: Readonly<Size> = { cpu: 0, memory: 0, accelerators: 0 }
--- a/packages/cell/test/openJobs/openJobs.test.ts
+++ b/packages/cell/test/openJobs/openJobs.test.ts
@@ -98,6 +98,35 @@
   })
 })
 
+describe('a crowd that cancels each of its jobs', () => {
+  // Guards against phases of ended jobs that take memory without a bound.
+  test('is refused while the phases of too many ended jobs are kept, and accepted afterwards', async () => {
+    const rig = await createSteadyRig(endless)
+    const node = rig.nodes[0]!
+    let accepted = 0
+    for (let count = 0; count < 60; count++) {
+      const { id, outcome } = await rig.submit(node, [{}])
+      if (outcome.kind === 'accepted') accepted++
+      let isCancelled = false
+      node.cell.gateway.cancel(id, rig.clock.now() + 2000).then(() => { isCancelled = true }, error => { throw error })
+      await rig.until(() => isCancelled)
+      await rig.run(1300)
+    }
+    expect(accepted < 40).toEqual(true)
+    await rig.run(125_000)
+    expect((await rig.submit(node, [{}])).outcome.kind).toEqual('accepted')
+  })
+
+  test('has its submissions archived faster than one transaction for each interval', async () => {
+    const rig = await createSteadyRig({ workers: 1 })
+    const ids = putJobs(rig, 1500)
+    for (const id of ids) rig.tables.put({ ...submissionRowName(id), key: id + CANCELLATION_SUFFIX }, '{}')
+    // One transaction of 33 jobs in each of eight parts every 1.5 s would take 9 s.
+    await rig.run(6500)
+    expect([...rig.tables.rows.values()].filter(({ table }) => table === 'jobs').length).toEqual(0)
+  })
+})
+
 // Guards against a decider, and against each of its successors, that holds all accepted jobs however many there are.
 describe('accepted jobs beyond the room of the decider', () => {
   test('wait in the store, are shown and counted as queued, and all complete', async () => {
