--- a/packages/cell/src/callers/limits.ts
+++ b/packages/cell/src/callers/limits.ts
@@ -22,6 +22,8 @@
 export interface ClientLimits extends ConnectionLimits {
   /** Bytes that unfinished bodies, bodies of requests that are being handled, and bytes read ahead may hold together. */
   bodyBytes: number
+  /** Time within which a request is answered, whatever its caller would wait, in ms. */
+  requestTimeout: number
   /** Jobs and cancellations of callers of this node, and of nodes that write through it, that wait to be written. */
   waitingWrites: number
   /** Queries of callers that wait for the decider or the store; also, queries that wait for a job's next phase. */
@@ -91,6 +93,7 @@
     responseTimeout: 15_000,
     pipelinedRequests: 100,
     bodyBytes: Math.max(1, Math.floor(memory * BYTES_PER_MB * BODY_MEMORY_SHARE)),
+    requestTimeout: 60_000,
     waitingWrites: waiting,
     waitingQueries: waiting,
     statusConnections: 32,
--- a/packages/cell/src/node/CallerServer.ts
+++ b/packages/cell/src/node/CallerServer.ts
@@ -119,7 +119,7 @@
   }
 
   private async handle ({ message: request, readBody }: PortRequest, receivedAt: number): Promise<Reply> {
-    const { codec } = this.options
+    const { codec, limits } = this.options
     const id = codec.requestId(request.headers)
     const path = (request.url ?? '/').split('?')[0]!
     const access: AccessRequest = { host: hostOf(request), path, credential: codec.credential(request.headersDistinct) }
@@ -127,7 +127,8 @@
     if (admission.kind === 'refused') return this.refuse(id, admission.status, admission.reason, admission.retryAfter)
     const { route, configuration } = admission
     const job = path.slice(route.prefix.length)
-    const deadline = receivedAt + (codec.timeout(request.headers) ?? DEFAULT_TIMEOUT_MS) - RESPONSE_RESERVE_MS
+    const timeout = Math.min(codec.timeout(request.headers) ?? DEFAULT_TIMEOUT_MS, limits.requestTimeout)
+    const deadline = receivedAt + timeout - RESPONSE_RESERVE_MS
     if (request.method === 'POST' && !JOB_ID.test(job)) return this.refuse(id, 400, 'the id is not 16 hexadecimal digits')
     if (request.method === 'DELETE' && !JOB_ID.test(job)) return this.refuse(id, 410, 'no such job')
     if (request.method === 'POST' || request.method === 'DELETE') {
--- a/packages/cell/src/runtime/resolveSettings.ts
+++ b/packages/cell/src/runtime/resolveSettings.ts
@@ -86,6 +86,7 @@
     responseTimeout: duration('responseTimeout'),
     pipelinedRequests: count('pipelinedRequests'),
     bodyBytes: size('bodyBytes'),
+    requestTimeout: duration('requestTimeout'),
     waitingWrites: count('waitingWrites'),
     waitingQueries: count('waitingQueries'),
     statusConnections: count('statusConnections'),
--- a/packages/cell/test/runtime/callerServer.test.ts
+++ b/packages/cell/test/runtime/callerServer.test.ts
@@ -35,7 +35,9 @@
     return ''
   }
 
-  override timeout (): undefined {}
+  override timeout (headers: NodeJS.Dict<string | string[]>): number | undefined {
+    return headers.deadline === undefined ? undefined : Number(headers.deadline)
+  }
 
   override credential (headers: NodeJS.Dict<string[]>): Credential {
     return { kind: 'key', key: headers.authorization?.join() ?? '' }
@@ -51,13 +53,13 @@
 }
 
 /** Sends the head of a submission with a body of 10 bytes, waits, calls `next`, then sends the body; returns the answer and the state of the connection before and after the body. */
-async function submit ({ head, next = () => {} }: { head: string, next?: (configure: (configuration: Configuration) => void) => void }): Promise<{ early: string, late: string, refusals: LogFields[] }> {
+async function submit ({ head, next = () => {}, gateway = {}, method = 'POST' }: { head: string, method?: string, next?: (configure: (configuration: Configuration) => void) => void, gateway?: Partial<Gateway> }): Promise<{ early: string, late: string, refusals: LogFields[] }> {
   let configuration = configurationOf('good')
   const log = new MemoryLog()
   const metrics = new Metrics()
   const clock = new SystemClock()
   const server = new CallerServer({
-    limits: defaultLimits(SMALLEST_MACHINE.memory, SMALLEST_MACHINE.descriptors), monitor: new LimitMonitor({ clock, log, metrics }), gateway: {} as unknown as Gateway, codec: new PlainCodec(), clock, log, metrics, configuration: () => configuration, isConfigurationConfirmed: () => true, configurationOrigin: () => ({ source: 'link', age: 5 }), arrivalTime: () => performance.now(), storeTime: () => 0, storeSilence: () => 0
+    limits: defaultLimits(SMALLEST_MACHINE.memory, SMALLEST_MACHINE.descriptors), monitor: new LimitMonitor({ clock, log, metrics }), gateway: gateway as unknown as Gateway, codec: new PlainCodec(), clock, log, metrics, configuration: () => configuration, isConfigurationConfirmed: () => true, configurationOrigin: () => ({ source: 'link', age: 5 }), arrivalTime: () => performance.now(), storeTime: () => 0, storeSilence: () => 0
   })
   const listening = server.listen('127.0.0.1', 0)
   await new Promise(resolve => { listening.once('listening', resolve) })
@@ -65,7 +67,7 @@
   let all = ''
   let end = 'open'
   socket.setEncoding('utf8').on('data', (text: string) => { all += text }).on('end', () => { end = 'ended' }).on('error', error => { end = error.message })
-  socket.write(`POST /00000000000000aa HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n${head}\r\n\r\n`)
+  socket.write(`${method} /00000000000000aa HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n${head}\r\n\r\n`)
   await waitUntil(() => all !== '', head.includes('bad') ? LIMIT_MS : SILENCE_MS)
   const early = `${all.split('\r\n')[0]!}, ${end}`
   next(value => { configuration = value })
@@ -101,3 +103,15 @@
     expect(await answersOf({ head: 'authorization: good', next: configure => { configure(configurationOf('other')) } })).toEqual({ early: ', open', late: 'HTTP/1.1 401 Unauthorized, open' })
   })
 })
+
+// Guards against a caller that names a deadline of days: its connection and its place among the writes that wait were taken until then while the store was away.
+test('a request waits no longer than the limit, whatever deadline its caller names', async () => {
+  const waits: number[] = []
+  const cancel = async (_id: string, deadline: number): Promise<{ kind: 'unknown-job' }> => {
+    waits.push(deadline - performance.now())
+    return { kind: 'unknown-job' }
+  }
+  await submit({ method: 'DELETE', head: 'authorization: good\r\ndeadline: 1000000000', gateway: { cancel } })
+  expect(waits.length).toEqual(1)
+  expect(waits[0]!).toBeLessThanOrEqual(defaultLimits(SMALLEST_MACHINE.memory, SMALLEST_MACHINE.descriptors).requestTimeout)
+})
