--- a/packages/cell/src/runtime/findSubmissionProblem.ts
+++ b/packages/cell/src/runtime/findSubmissionProblem.ts
@@ -3,7 +3,7 @@
 import type { OrganisationTerms } from '../types/configuration.js'
 import { countTasks } from './countTasks.js'
 
-/** Maximum number of tasks in an occurrence of a job. A decider holds them all in memory, about 2 KB each. */
+/** Maximum number of tasks in an occurrence of a job. A decider holds a mark for each that is done, and its record lists them. */
 export const MAX_TASKS = 10_000
 
 /**
