Review: stand-ins whose answers don't depend on the number of rows

The scripts had no handlers: one that was ended by a signal left its nodes running, and an error outside the case gave exit 1.

Change: the store finds rows by their keys; a worker can end runs as failed; a script that is ended by a signal or an error gives 2 and leaves no process.

--- a/review/lib3/run.js
+++ b/review/lib3/run.js
@@ -39,6 +39,13 @@
     store.stop()
     writeFileSync(join(folder, 'record.txt'), lines.join('\n') + '\n')
   }
+  const abandon = text => {
+    note(`the case couldn't run: ${text}`)
+    end()
+    process.exit(2)
+  }
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, () => abandon(`ended by ${signal}`))
+  for (const event of ['uncaughtException', 'unhandledRejection']) process.on(event, error => abandon(error?.stack))
   try {
     await store.start()
     store.put('op', '', 'config', { version: 3, routes: Object.entries(routes).map(([name, route]) => ({ name, hostname: 'desk.example', prefix: `/${name}/`, service: 'desk', max_attempts: 3, stretch: 2, target_latency_ms: 1000, priority: 1, ...route })), services: [{ name: 'desk', enforces_capacity: false }], limits: { max_body_bytes: 262_144 } })
--- a/review/lib3/store.js
+++ b/review/lib3/store.js
@@ -15,6 +15,8 @@
   /** Called with each transaction that the store refuses because it is larger than the limits. */
   onTooLarge = () => {}
   lost = 0
+  /** Keys of the rows of each table and part, in order. */
+  #keys = new Map()
   #partFreeAt = new Map()
   #calls = { writes: [], reads: [] }
   #server
@@ -122,8 +124,10 @@
   #range (query) {
     const from = query.get('from') ?? ''
     const target = query.get('target')
-    const rows = [...this.rows.values()].filter(row => row.table === query.get('table') && row.part === query.get('part') && row.key >= from && (target === null || row.key < target))
-    rows.sort((a, b) => a.key < b.key ? -1 : 1)
+    const keys = this.#keysOf({ table: query.get('table'), part: query.get('part') })
+    const last = target === null ? keys.length : placeOf(keys, target)
+    const rows = []
+    for (let index = placeOf(keys, from); index < last && rows.length <= this.options.readRows; index++) rows.push(this.rows.get(name({ table: query.get('table'), part: query.get('part'), key: keys[index] })))
     const limit = Math.min(this.options.readRows, Number(query.get('limit') ?? this.options.readRows))
     const page = []
     let bytes = 0
@@ -141,7 +145,9 @@
     const until = performance.now() + Math.min(30_000, Number(query.get('wait_ms') ?? 0))
     for (;;) {
       if (after < this.historyStart) return { status: 410 }
-      const rows = this.history.filter(row => row.table === table && row.schema_version > after)
+      let start = this.history.length
+      while (start > 0 && this.history[start - 1].schema_version > after) start--
+      const rows = this.history.slice(start).filter(row => row.table === table)
       const left = until - performance.now()
       if (rows.length > 0 || left <= 0) return { status: 200, body: { rows, ...this.#position() } }
       await new Promise(resolve => {
@@ -164,15 +170,28 @@
 
   #write (row, version) {
     const stored = { table: row.table, part: row.part, key: row.key, value: row.value, schema_version: version }
+    if (!this.rows.has(name(row))) {
+      const keys = this.#keysOf(row)
+      keys.splice(placeOf(keys, row.key), 0, row.key)
+    }
     this.rows.set(name(row), stored)
     this.history.push(stored)
   }
 
   #delete ({ table, part, key }, version) {
-    this.rows.delete(name({ table, part, key }))
+    if (this.rows.delete(name({ table, part, key }))) {
+      const keys = this.#keysOf({ table, part })
+      keys.splice(placeOf(keys, key), 1)
+    }
     this.history.push({ table, part, key, schema_version: version, deleted: true })
   }
 
+  #keysOf ({ table, part }) {
+    let keys = this.#keys.get(`${table}\n${part}`)
+    if (keys === undefined) this.#keys.set(`${table}\n${part}`, keys = [])
+    return keys
+  }
+
   #position () {
     return { schema_version: this.version, now_ms: Math.round(performance.now()) + 1 }
   }
@@ -181,3 +200,15 @@
 function name ({ table, part, key }) {
   return `${table}\n${part}\n${key}`
 }
+
+/** @returns the place of a key, or of the first one behind it, among keys in order */
+function placeOf (keys, key) {
+  let from = 0
+  let to = keys.length
+  while (from < to) {
+    const middle = (from + to) >> 1
+    if (keys[middle] < key) from = middle + 1
+    else to = middle
+  }
+  return from
+}
--- a/review/lib3/workers.js
+++ b/review/lib3/workers.js
@@ -185,7 +185,7 @@
       this.fleet.note('start', { task, run, worker: this.id, life: this.lives, fence: this.fence, unasked: plan === undefined || plan.spec !== spec, ...(checkpoint === undefined ? {} : { checkpoint }) })
       const duration = plan?.duration ?? 1000
       const workedBefore = checkpoint === undefined ? 0 : Math.min(duration, Number.parseInt(checkpoint.slice(0, 8), 16))
-      this.running.set(task, { task, run, workedBefore, startedAt: performance.now(), endsAt: performance.now() + duration - workedBefore, duration, how: 'done', saves: plan?.saves === true, isLasting: plan?.isLasting === true })
+      this.running.set(task, { task, run, workedBefore, startedAt: performance.now(), endsAt: performance.now() + duration - workedBefore, duration, how: plan?.how ?? 'done', saves: plan?.saves === true, isLasting: plan?.isLasting === true })
     }
     return { status: 200, body: { clock_ms: this.clock(), born: this.born } }
   }
