--- a/review/12/run.js
+++ b/review/12/run.js
@@ -3,11 +3,13 @@
 import { callUntilDone, newId } from '../lib3/caller.js'
 import { runCase } from '../lib3/run.js'
 
-const KILLS = Number(process.env.KILLS ?? 6)
-const KILL_INTERVAL_MS = 9000
+const KILLS = Number(process.env.KILLS ?? 8)
+const KILL_INTERVAL_MS = 8000
 const LARGE_JOBS = Number(process.env.LARGE_JOBS ?? 90)
 const LARGE_TASKS = 10_000
 const WORKERS = 8
+/** Small jobs in a second. */
+const SMALL_RATE = Number(process.env.SMALL_RATE ?? 100)
 
 const jobs = new Map()
 
@@ -43,7 +45,7 @@
       submitSmall()
       if (index % 20 === 19) await sleep(200)
     }
-    const stream = setInterval(submitSmall, 20)
+    const stream = setInterval(submitSmall, 1000 / SMALL_RATE)
     await sleep(4000)
     const describe = () => `${accepted} small jobs accepted; ${fleet.workers.reduce((sum, { running }) => sum + running.size, 0)} tasks run; ${fleet.events.filter(({ kind, how }) => kind === 'end' && how === 'done').length} are done; ${fleet.findTwice().length} started again`
     note(describe())
