Stand-ins of the store keep the limits of the platform's

Cause: FakeTables and the soak's StoreServer took rows, transactions and calls of any size, so that no test saw a transaction that the store never accepts. The client reported such a refusal like one of a store that is down.

--- a/packages/cell/src/runtime/BoundedStore.ts
+++ b/packages/cell/src/runtime/BoundedStore.ts
@@ -3,7 +3,7 @@
 import { Err } from 'ts-results-es'
 import type { Result } from 'ts-results-es'
 import { RecordStore } from '../types/records.js'
-import type { RangeQuery, Row, RowChange, RowPage, ReadFault, Transaction, TransactionOutcome } from '../types/records.js'
+import type { RangeQuery, Row, RowChange, RowPage, ReadFault, StoreLimits, Transaction, TransactionOutcome } from '../types/records.js'
 import { settle } from './settle.js'
 import type { SettleOptions } from './settle.js'
 
@@ -16,6 +16,10 @@
     super()
   }
 
+  override get limits (): Readonly<StoreLimits> {
+    return this.options.store.limits
+  }
+
   override async commit (transaction: Transaction): Promise<TransactionOutcome> {
     return await this.settle(async () => await this.options.store.commit(transaction), { step: 'transaction', outcomeOf: reason => ({ kind: 'unknown', reason }) })
   }
--- a/packages/cell/src/runtime/InstrumentedStore.ts
+++ b/packages/cell/src/runtime/InstrumentedStore.ts
@@ -4,7 +4,7 @@
 import { CELL_EVENTS } from '../types/events.js'
 import { SLOW_COMMIT_MS } from '../types/limits.js'
 import { RecordStore } from '../types/records.js'
-import type { RangeQuery, Row, RowChange, RowPage, ReadFault, Transaction, TransactionOutcome } from '../types/records.js'
+import type { RangeQuery, Row, RowChange, RowPage, ReadFault, StoreLimits, Transaction, TransactionOutcome } from '../types/records.js'
 
 /** Adds metrics to a store, and logs its slow and unanswered transactions. */
 export class InstrumentedStore extends RecordStore {
@@ -15,6 +15,10 @@
     super()
   }
 
+  override get limits (): Readonly<StoreLimits> {
+    return this.options.store.limits
+  }
+
   override async commit (transaction: Transaction): Promise<TransactionOutcome> {
     const { store, clock, log, metrics } = this.options
     const sentAt = clock.now()
--- a/packages/cell/src/runtime/SubmissionWriter.ts
+++ b/packages/cell/src/runtime/SubmissionWriter.ts
@@ -120,6 +120,7 @@
       case 'busy':
         this.busyAt = this.options.clock.now()
         return this.resolveWrites(part, batch.filter(item => !item.maybeWritten && !item.retryWhenBusy), { outcome: 'busy' })
+      case 'rejected':
       case 'refused': return this.resolveWrites(part, batch.filter(item => !item.maybeWritten), { outcome: 'refused' })
     }
   }
--- a/packages/cell/src/types/records.ts
+++ b/packages/cell/src/types/records.ts
@@ -26,6 +26,19 @@
   deletes?: RowName[]
 }
 
+/** What the store accepts at most. */
+export interface StoreLimits {
+  /** Bytes of a row's value in UTF-8. */
+  rowBytes: number
+  /** Bytes of all values of a transaction in UTF-8. */
+  transactionBytes: number
+  /** Number of expectations, puts and deletes of a transaction together. */
+  transactionEntries: number
+}
+
+/** Limits of a store that doesn't tell its own: 64 KB of base64 for a row, and 1 MB for a transaction with its names. */
+export const DEFAULT_STORE_LIMITS: Readonly<StoreLimits> = { rowBytes: 49_152, transactionBytes: 700_000, transactionEntries: 100 }
+
 /** Outcome of a transaction, as far as the client knows it. */
 export type TransactionOutcome =
   | { kind: 'done', version: number }
@@ -33,6 +46,8 @@
   | { kind: 'conflict', rows: Row[] }
   /** Nothing was written. */
   | { kind: 'refused', reason: string }
+  /** Nothing was written, and the same transaction will never be accepted: it exceeds a limit of the store. */
+  | { kind: 'rejected', reason: string }
   /** Nothing was written, because the store's queue is full. */
   | { kind: 'busy', reason: string }
   /** The transaction may have been carried out, or may still be carried out later. */
@@ -63,6 +78,11 @@
 
 /** Client of the transactional store, which keeps its rows when processes end. */
 export abstract class RecordStore {
+  /** What the store accepts at most. */
+  get limits (): Readonly<StoreLimits> {
+    return DEFAULT_STORE_LIMITS
+  }
+
   abstract commit (transaction: Transaction): Promise<TransactionOutcome>
 
   /** @returns the rows in order of their keys, read page by page, and the store's version at the first page, after which to follow changes */
--- a/packages/cell/test/support/FakeStore.ts
+++ b/packages/cell/test/support/FakeStore.ts
@@ -10,6 +10,11 @@
 /** Timeout of a call that gets no answer. */
 const TIMEOUT_MS = 1200
 
+/** Limits of the platform's store: base64 characters of a value, entries of a transaction, and bytes of a call. */
+const MAX_VALUE_CHARS = 65_536
+const MAX_ENTRIES = 100
+const MAX_CALL_BYTES = 1_000_000
+
 /** Contents of the store, shared by all nodes. */
 export class FakeTables {
   version = 1
@@ -20,8 +25,18 @@
   readonly partIdleAt = new Map<string, number>()
   /** Version before which the history was dropped. */
   historyStart = 0
-
-  write ({ expect, puts, deletes = [] }: Transaction): TransactionOutcome {
+  /** Number of transactions that were rejected. */
+  rejections = 0
+  /** Key of rows that are never accepted. */
+  rejectedKey = ''
+
+  write (transaction: Transaction): TransactionOutcome {
+    const excess = transaction.puts.some(({ key }) => key === this.rejectedKey) ? 'the row is not accepted' : findExcess(transaction)
+    if (excess !== undefined) {
+      this.rejections++
+      return { kind: 'rejected', reason: excess }
+    }
+    const { expect, puts, deletes = [] } = transaction
     const wrong = expect.some(row => (this.rows.get(id(row))?.version ?? 0) !== row.version)
     if (wrong) return { kind: 'conflict', rows: expect.flatMap(row => this.rows.get(id(row)) ?? []) }
     const version = ++this.version
@@ -38,7 +53,8 @@
   }
 
   put (name: RowName, value: string): void {
-    this.write({ expect: [], puts: [{ ...name, value }] })
+    const outcome = this.write({ expect: [], puts: [{ ...name, value }] })
+    if (outcome.kind === 'rejected') throw new Error(`row ${id(name)}: ${outcome.reason}`)
   }
 
   drop (name: RowName): void {
@@ -174,6 +190,18 @@
   }
 }
 
+/** @returns which limit a transaction exceeds, if any */
+function findExcess (transaction: Transaction): string | undefined {
+  const { expect, puts, deletes = [] } = transaction
+  const values = puts.map(({ value }) => Buffer.from(value).toString('base64'))
+  const entries = expect.length + puts.length + deletes.length
+  const longest = Math.max(0, ...values.map(value => value.length))
+  const bytes = Buffer.byteLength(JSON.stringify({ expect, puts: puts.map((put, index) => ({ ...put, value: values[index] })), deletes }))
+  if (longest > MAX_VALUE_CHARS) return `a value has ${longest} characters of base64`
+  if (entries > MAX_ENTRIES) return `the transaction has ${entries} entries`
+  return bytes > MAX_CALL_BYTES ? `the transaction has ${bytes} bytes` : undefined
+}
+
 function id ({ table, part, key }: RowName): string {
   return `${table}/${part}/${key}`
 }
