A record that exceeds a row goes on in pages

After a crash of five of forty workers under one large job nothing of the whole cell was started any more, for good, while submissions went on being accepted.

Cause: the record of a job is one row. It was bounded by a number of tasks (MAX_TOUCHED_TASKS), the store by bytes. An entry of a task takes 50 bytes in its first run and more with each checkpoint, crash and further run, so that 800 of them exceed a row after a crash. The store rejects the transaction each time it is sent, and the records of all other jobs wait behind it.

Change: `splitRecord` puts a record that exceeds a row into pages, rows of the same part, in the same transaction; the record's own row then has the phase and the number of pages, so that queries of phases read one row as before. `RecordPages` deletes the pages that a shorter record leaves, also after a takeover. Recovery and JobLoader read the pages and accept them only if they are of the same version as the row. Records that fit are encoded as before. A job whose record takes half of a transaction starts no further tasks (MAX_GROWING_RECORD_LENGTH) and goes on with those it has.

Why it works: the bound is now what the store counts, and a transaction holds over five times what 800 tasks with two crashes each need. All rows are written under the term's version, so a successor, which has claimed the term before it reads, never sees rows of different transactions.

--- a/packages/cell/src/openJobs/JobLoader.ts
+++ b/packages/cell/src/openJobs/JobLoader.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from '../runtime/detach.js'
-import type { JobRecord } from '../runtime/jobRecord.js'
+import { readRecord } from '../runtime/recordRows.js'
+import type { StoredRecord } from '../runtime/recordRows.js'
 import { repeatWhile } from '../runtime/repeatWhile.js'
 import { CANCELLATION_SUFFIX, recordRowName, submissionRowName } from '../runtime/rowNames.js'
 import { decodeSubmission } from '../runtime/submissionRow.js'
@@ -19,7 +20,7 @@
 export interface LoadedJob {
   recorded: RecordedJob
   /** Record of a job that has started. */
-  record: JobRecord | undefined
+  stored: StoredRecord | undefined
   isCancelled: boolean
 }
 
@@ -71,22 +72,25 @@
 
   /** @returns whether the store has answered */
   private async load (job: DeferredJob): Promise<boolean> {
-    const { store, onLoaded, onFailed } = this.options
+    const { store, log, onLoaded, onFailed } = this.options
     const { id } = job
     const [record, submission] = await Promise.all([
       job.isStarted ? store.range({ ...recordRowName(id), from: id, until: id + '\0' }) : undefined,
       store.range({ ...submissionRowName(id), from: id, until: id + CANCELLATION_SUFFIX + '\0' })
     ])
+    const [row] = record?.isOk() === true ? record.value.rows : []
+    const stored = row === undefined ? undefined : await readRecord(store, row)
     if (this.isStopped) return true
-    if (submission.isErr() || record?.isErr() === true) {
+    if (submission.isErr() || record?.isErr() === true || (stored?.isErr() === true && stored.error.code !== 'unreadable')) {
       onFailed(job)
       return false
     }
-    onLoaded(job, this.decode(id, submission.value.rows, record?.isOk() === true ? record.value.rows[0] : undefined))
+    if (stored?.isErr() === true) log.write(CELL_EVENTS.badRow, { key: id, problem: stored.error.reason })
+    onLoaded(job, this.decode(id, submission.value.rows, stored?.isOk() === true ? stored.value : undefined))
     return true
   }
 
-  private decode (id: string, rows: Row[], record: Row | undefined): LoadedJob | undefined {
+  private decode (id: string, rows: Row[], stored: StoredRecord | undefined): LoadedJob | undefined {
     const row = rows.find(({ key }) => key === id)
     if (row === undefined) return undefined
     const job = decodeSubmission(row.value)
@@ -94,15 +98,6 @@
       this.options.log.write(CELL_EVENTS.badRow, { key: id, problem: job.error })
       return undefined
     }
-    return { recorded: { job: job.value, version: row.version }, record: record === undefined ? undefined : this.decodeRecord(record), isCancelled: rows.some(({ key }) => key === id + CANCELLATION_SUFFIX) }
-  }
-
-  private decodeRecord ({ key, value }: Row): JobRecord | undefined {
-    try {
-      return JSON.parse(value) as JobRecord
-    } catch (error) {
-      this.options.log.write(CELL_EVENTS.badRow, { key, problem: String(error) })
-      return undefined
-    }
+    return { recorded: { job: job.value, version: row.version }, stored, isCancelled: rows.some(({ key }) => key === id + CANCELLATION_SUFFIX) }
   }
 }
--- a/packages/cell/src/openJobs/JobSelection.ts
+++ b/packages/cell/src/openJobs/JobSelection.ts
@@ -1,4 +1,4 @@
-import type { JobRecord } from '../runtime/jobRecord.js'
+import type { StoredRecord } from '../runtime/recordRows.js'
 import type { RecordedJob } from '../types/job.js'
 import type { DeferredJob } from './DeferredJobs.js'
 import { weighJob } from './weighJob.js'
@@ -10,7 +10,7 @@
 export interface SelectedJob {
   recorded: RecordedJob
   /** Record of a job that has started. */
-  record: JobRecord | undefined
+  stored: StoredRecord | undefined
 }
 
 interface Candidate extends SelectedJob {
@@ -30,15 +30,15 @@
    */
   constructor (private readonly options: { room: number, priorityOf: (recorded: RecordedJob) => number, onDeferred: (job: DeferredJob) => void }) {}
 
-  /** Adds a job. `isStarted`: whether it has a record; `record`: the record, unless it is to be read again; `hasRuns`: whether workers may run its tasks. */
-  add (recorded: RecordedJob, { isStarted, record, hasRuns }: { isStarted: boolean, record: JobRecord | undefined, hasRuns: boolean }): void {
+  /** Adds a job. `isStarted`: whether it has a record; `stored`: the record, unless it is to be read again; `hasRuns`: whether workers may run its tasks. */
+  add (recorded: RecordedJob, { isStarted, stored, hasRuns }: { isStarted: boolean, stored: StoredRecord | undefined, hasRuns: boolean }): void {
     const { job } = recorded
     const deferred: DeferredJob = { ...weighJob(job), id: job.id, route: job.route, isStarted, priority: this.options.priorityOf(recorded), isBeyondRate: false }
-    if (isStarted && record === undefined) {
+    if (isStarted && stored === undefined) {
       this.options.onDeferred(deferred)
       return
     }
-    this.candidates.set(job.id, { recorded, record, hasRuns, deferred })
+    this.candidates.set(job.id, { recorded, stored, hasRuns, deferred })
     this.weight += deferred.weight
     if (this.weight > this.options.room) this.dropLeastUrgent()
   }
--- a/packages/cell/src/openJobs/TaskList.ts
+++ b/packages/cell/src/openJobs/TaskList.ts
@@ -1,10 +1,13 @@
+import { DEFAULT_STORE_LIMITS } from '../types/records.js'
 import { taskName } from '../runtime/taskName.js'
 import type { Task } from '../runtime/model.js'
 import type { StepState } from './StepState.js'
 import type { TaskCounter } from './TaskCounter.js'
 
-/** Number of task objects of a job, apart from gangs, at which no further ones are created: the record of as many tasks that run fits into one row. */
+/** Number of task objects of a job, apart from gangs, at which no further ones are created. It bounds what each commit of the job writes. */
 export const MAX_TOUCHED_TASKS = 800
+/** Characters of a job's record at which no further task objects of it are created. The other half of a transaction is left for what the present ones add. */
+export const MAX_GROWING_RECORD_LENGTH = DEFAULT_STORE_LIMITS.transactionBytes / 2
 
 /** Waiting tasks of a step. */
 export interface WaitingTasks {
@@ -124,8 +127,9 @@
   /** @returns number of objects that may be created for untouched tasks */
   private get room (): number {
     if (this.untouched === 0) return 0
-    const { definition, occurrence } = this.step
-    return Math.min(this.counter.room, definition.gang ? Infinity : MAX_TOUCHED_TASKS - occurrence.job.touchedTasks)
+    const { definition, occurrence: { job } } = this.step
+    if (job.recordLength > MAX_GROWING_RECORD_LENGTH) return 0
+    return Math.min(this.counter.room, definition.gang ? Infinity : MAX_TOUCHED_TASKS - job.touchedTasks)
   }
 
   private adjustCount (change: 1 | -1): void {
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -23,7 +23,7 @@
 import { CrashLedger } from './CrashLedger.js'
 import { incarnationTag } from './CrashBudget.js'
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
-import type { JobRecord, RecordedRun } from './jobRecord.js'
+import type { RecordedRun } from './jobRecord.js'
 import type { GangHold, JobState, StepState, Task, WorkerState } from './model.js'
 import { explainJob } from '../explain/explainJob.js'
 import { findScheduledRoute } from './findScheduledRoute.js'
@@ -39,6 +39,7 @@
 import { JobArchiver } from './JobArchiver.js'
 import { Recorder } from './Recorder.js'
 import type { RecordChange } from './Recorder.js'
+import type { StoredRecord } from './recordRows.js'
 import { Recovery } from './Recovery.js'
 import { isolatedWorkers } from './Suspicion.js'
 import { TaskLifecycle } from './TaskLifecycle.js'
@@ -186,8 +187,8 @@
       limit: options.openJobLimit ?? (() => Infinity),
       maxDeferred: options.maxDeferred,
       onLimit: options.onOpenWorkLimit,
-      onLoaded: ({ isBeyondRate }, { recorded, record, isCancelled }) => {
-        this.restoreJob(recorded, { record, isBeyondRate, startedAt: clock.now() })
+      onLoaded: ({ isBeyondRate }, { recorded, stored, isCancelled }) => {
+        this.restoreJob(recorded, { stored, isBeyondRate, startedAt: clock.now() })
         if (isCancelled) this.cancel(recorded.job.id)
       },
       rescan: async () => { await this.findDroppedJobs() }
@@ -253,7 +254,7 @@
     const announced = [...this.registry.jobs.values()]
     const beyondRate = this.organisations.restoreRates([...announced.map(({ job }) => job), ...recovered.metered.values()], store.now())
     for (const state of announced) state.isBeyondRate = beyondRate.has(state.job.id)
-    for (const { recorded, record } of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, { record, isBeyondRate: beyondRate.has(recorded.job.id), startedAt }) }, log, 'recovery of a job')
+    for (const { recorded, stored } of recovered.jobs) runLogged(() => { assumed += this.restoreJob(recorded, { stored, isBeyondRate: beyondRate.has(recorded.job.id), startedAt }) }, log, 'recovery of a job')
     this.openJobs.markBeyondRate(beyondRate)
     for (const worker of this.registry.workers.values()) this.leases.assumeFormerOrders(worker, startedAt)
     for (const id of recovered.cancelled) this.cancel(id)
@@ -267,12 +268,14 @@
   }
 
   /** @returns number of the job's recorded runs that are not known to have ended */
-  private restoreJob (recorded: RecordedJob, { record, isBeyondRate, startedAt }: { record: JobRecord | undefined, isBeyondRate: boolean, startedAt: number }): number {
+  private restoreJob (recorded: RecordedJob, { stored, isBeyondRate, startedAt }: { stored: StoredRecord | undefined, isBeyondRate: boolean, startedAt: number }): number {
     const state = this.addJob(recorded, 'record')
     if (state === undefined) return 0
     state.isBeyondRate = isBeyondRate
-    if (record === undefined) return 0
-    const runs = this.assignRecordedRuns(applyRecord(this.registry, state, record), startedAt)
+    if (stored === undefined) return 0
+    state.recordLength = stored.length
+    this.recorder.notePages(state.job.id, stored.pages)
+    const runs = this.assignRecordedRuns(applyRecord(this.registry, state, stored.record), startedAt)
     this.restoreCrashes(state)
     return runs
   }
@@ -338,6 +341,13 @@
     return speeds.length === 0 ? { lowest: 1, highest: 1, spread: 0 } : { lowest: Math.min(...speeds), highest: Math.max(...speeds), spread: this.speeds.spread }
   }
 
+  /** @returns characters of the longest record of an open job, as it was last written */
+  get longestRecord (): number {
+    let longest = 0
+    for (const { recordLength } of this.registry.jobs.values()) longest = Math.max(longest, recordLength)
+    return longest
+  }
+
   /** @returns number of transactions committed in this term */
   get commits (): number {
     return this.recorder.commits
@@ -658,9 +668,11 @@
     const state = this.registry.jobs.get(key)
     if (state !== undefined) {
       this.committingPhases.set(key, recordedPhase(state))
-      return { kind: 'put', value: encodeJobRecord(state, this.options.clock.now()) }
+      const value = encodeJobRecord(state, this.options.clock.now())
+      state.recordLength = value.length
+      return { kind: 'put', value }
     }
-    return this.deletableRecords.delete(key) ? { kind: 'delete' } : null
+    return this.deletableRecords.has(key) ? { kind: 'delete' } : null
   }
 
   private handleRecorded (keys: string[]): void {
@@ -668,6 +680,7 @@
       const actions = this.committingCallbacks.get(key) ?? []
       this.committingCallbacks.delete(key)
       this.committingPhases.delete(key)
+      this.deletableRecords.delete(key)
       const state = this.registry.jobs.get(key)
       const phaseBefore = state?.visiblePhase
       for (const action of actions) runLogged(action, this.options.log, 'recorded change')
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -4,11 +4,12 @@
 import { decodeTerm, TERM_ROW, encodeTerm } from './Term.js'
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
-import { recordRowName } from './rowNames.js'
+import { RecordPages } from './RecordPages.js'
+import type { RecordRowChange } from './RecordPages.js'
 import { repeatWhile } from './repeatWhile.js'
 
-/** The store accepts 100 entries in a transaction, of which the term row uses two. */
-const MAX_ROWS_PER_TRANSACTION = 98
+/** Entries of a transaction that the term row uses: its expectation and its put. */
+const TERM_ENTRIES = 2
 /** Delay before a transaction that got no answer or was refused is sent again. */
 const RETRY_DELAY_MS = 100
 
@@ -29,6 +30,17 @@
   onTermLost: (loss: TermLoss) => void
 }
 
+const NO_CHANGE: RecordRowChange = { puts: [], deletes: [], bytes: 0 }
+
+/** Changes of one transaction, apart from the term row. */
+interface Batch {
+  keys: string[]
+  puts: Transaction['puts']
+  deletes: RowName[]
+}
+
+type Verdict = 'done' | 'again' | 'deposed'
+
 /**
  * Writes a decider's records in a chain of transactions, each of which expects the version of the term row that the previous one wrote.
  * A transaction that got no answer is sent again with the same expectation, so that it takes effect only once and never after a later
@@ -36,6 +48,7 @@
  */
 export class Recorder {
   private readonly dirtyKeys = new Set<string>()
+  private readonly pages = new RecordPages()
   private isRunning = false
   /** Whether a commit for changes that wait is scheduled. */
   private isDelayed = false
@@ -68,6 +81,11 @@
     return this.rowVersion
   }
 
+  /** Notes the number of pages of a record that was read. */
+  notePages (key: string, pages: number): void {
+    this.pages.note(key, pages)
+  }
+
   /** Marks a key whose record is to be written. */
   markDirty (key: string): void {
     this.dirtyKeys.add(key)
@@ -100,52 +118,70 @@
     const { clock, log } = this.options
     let isConfirmed = false
     await repeatWhile(() => (!isConfirmed || this.dirtyKeys.size > 0) && !this.isStopped, async () => {
-      await this.writeNext()
-      isConfirmed = true
+      isConfirmed = await this.writeNext() || isConfirmed
     }, { clock, log, step: 'commit' })
     this.isRunning = false
   }
 
-  private async writeNext (): Promise<void> {
-    const keys = [...this.dirtyKeys].slice(0, MAX_ROWS_PER_TRANSACTION)
-    for (const key of keys) this.dirtyKeys.delete(key)
-    let isWritten = false
+  /** @returns whether the store has accepted a transaction */
+  private async writeNext (): Promise<boolean> {
+    const taken: string[] = []
+    let verdict: Verdict | undefined
     try {
-      await this.write(keys)
-      isWritten = true
+      const batch = this.takeBatch(taken)
+      verdict = await this.write(batch)
     } finally {
-      if (!isWritten) for (const key of keys) this.dirtyKeys.add(key)
+      if (verdict === undefined) for (const key of taken) this.dirtyKeys.add(key)
     }
+    return verdict === 'done'
   }
 
-  private async write (keys: string[]): Promise<void> {
-    const { store, clock, term, encode, callbacks } = this.options
-    const serial = ++this.serial
-    const puts: Transaction['puts'] = []
-    const deletes: RowName[] = []
-    for (const key of keys) {
+  /**
+   * Takes the keys whose records are written next: as many as one transaction can hold.
+   *
+   * @param taken - receives the keys as they are taken
+   */
+  private takeBatch (taken: string[]): Batch {
+    const { store: { limits }, encode } = this.options
+    const batch: Batch = { keys: taken, puts: [], deletes: [] }
+    for (const key of [...this.dirtyKeys]) {
+      const entries = TERM_ENTRIES + batch.puts.length + batch.deletes.length
+      if (entries >= limits.transactionEntries) return batch
       const change = encode(key)
-      if (change?.kind === 'put') puts.push({ ...recordRowName(key), value: change.value })
-      else if (change?.kind === 'delete') deletes.push(recordRowName(key))
+      const { puts, deletes } = change === null ? NO_CHANGE : this.pages.rowsOf(key, change, limits)
+      const isTooLarge = entries + puts.length + deletes.length > limits.transactionEntries
+      if (isTooLarge && taken.length > 0) return batch
+      this.dirtyKeys.delete(key)
+      taken.push(key)
+      batch.puts.push(...puts)
+      batch.deletes.push(...deletes)
     }
+    return batch
+  }
+
+  private async write ({ keys, puts, deletes }: Batch): Promise<Verdict> {
+    const { store, clock, term, callbacks } = this.options
+    const serial = ++this.serial
     const termPut = { ...TERM_ROW, value: encodeTerm({ ...term, serial }) }
     while (!this.isStopped) {
       const sentAt = clock.now()
       const outcome = await store.commit({ expect: [{ ...TERM_ROW, version: this.rowVersion }], puts: [termPut, ...puts], deletes })
       const result = this.evaluateOutcome(outcome, serial)
-      if (this.isStopped) return
-      if (result === 'deposed') return
+      if (this.isStopped) return 'deposed'
+      if (result === 'deposed') return result
       if (result === 'done') {
         this.confirmedAt = sentAt
         this.commits++
+        for (const key of keys) this.pages.confirm(key)
         callbacks.onRecorded(keys)
-        return
+        return 'done'
       }
       await clock.sleep(RETRY_DELAY_MS)
     }
+    return 'deposed'
   }
 
-  private evaluateOutcome (outcome: TransactionOutcome, serial: number): 'done' | 'again' | 'deposed' {
+  private evaluateOutcome (outcome: TransactionOutcome, serial: number): Verdict {
     if (outcome.kind === 'done') {
       this.rowVersion = outcome.version
       return 'done'
@@ -154,7 +190,7 @@
     return this.evaluateConflict(outcome.rows, serial)
   }
 
-  private evaluateConflict (rows: Row[], serial: number): 'done' | 'again' | 'deposed' {
+  private evaluateConflict (rows: Row[], serial: number): Verdict {
     const row = rows.find(each => each.table === TERM_ROW.table && each.key === TERM_ROW.key)
     const current = row === undefined ? undefined : decodeTerm(row.value)
     const { term, callbacks } = this.options
--- a/packages/cell/src/runtime/Recovery.ts
+++ b/packages/cell/src/runtime/Recovery.ts
@@ -9,7 +9,8 @@
 import { CELL_EVENTS } from '../types/events.js'
 import type { EndedPhase } from './Registry.js'
 import { hasRecordedRuns } from './jobRecord.js'
-import type { JobRecord } from './jobRecord.js'
+import { decodeRecordRow, readRecord } from './recordRows.js'
+import type { StoredRecord } from './recordRows.js'
 import { readPages } from './readPages.js'
 import { RECORDS, submissionParts } from './rowNames.js'
 import { partitionSubmissions } from './partitionSubmissions.js'
@@ -57,7 +58,9 @@
   private readonly state: RecoveredState = { jobs: [], cancelled: new Set(), metered: new Map(), ended: new Map(), version: Infinity }
   private readonly selection: JobSelection
   /** Records of open jobs that have started, by id; `undefined` for one that is to be read again. */
-  private readonly records = new Map<string, JobRecord | undefined>()
+  private readonly records = new Map<string, StoredRecord | undefined>()
+  /** Rows of records that have pages. */
+  private readonly pagedRows: Row[] = []
   /** Characters of the records that are kept and have no runs. */
   private recordChars = 0
 
@@ -73,7 +76,8 @@
    */
   async read (isAbandoned: () => boolean): Promise<RecoveredState | undefined> {
     // Records are read before submissions, so that for each job whose record is read the submission is read too.
-    await this.readPart(RECORDS.table, RECORDS.part, isAbandoned, rows => { for (const row of rows) this.addRecord(row) })
+    await this.readPart(RECORDS.table, RECORDS.part, isAbandoned, rows => { for (const row of rows) this.addRow(row) })
+    await this.readPagedRecords(isAbandoned)
     await this.readSubmissions(isAbandoned)
     if (isAbandoned()) return undefined
     this.state.jobs = this.selection.selected
@@ -110,25 +114,47 @@
       const { id, organisation, organisationTerms, acceptedAt } = recorded.job
       if (organisation !== undefined) metered.set(id, { id, organisation, organisationTerms, acceptedAt })
       if (ended.has(id) || isKnown?.(id) === true) continue
-      const record = this.records.get(id)
-      this.selection.add(recorded, { record, isStarted: this.records.has(id), hasRuns: record !== undefined && hasRecordedRuns(record) })
+      const stored = this.records.get(id)
+      this.selection.add(recorded, { stored, isStarted: this.records.has(id), hasRuns: stored !== undefined && hasRecordedRuns(stored.record) })
       this.records.delete(id)
     }
   }
 
-  private addRecord (row: Row): void {
+  private addRow (row: Row): void {
     try {
-      const record = JSON.parse(row.value) as JobRecord
-      if (record.phase !== 'open' && record.tasks === undefined) this.state.ended.set(row.key, record.phase)
-      else this.records.set(row.key, this.mayKeep(record, row) ? record : undefined)
+      const stored = decodeRecordRow(row)
+      if (stored === undefined) this.pagedRows.push(row)
+      else this.addRecord(row.key, stored)
     } catch (error) {
       this.options.log.write(CELL_EVENTS.badRow, { key: row.key, problem: String(error) })
     }
   }
 
-  private mayKeep (record: JobRecord, { value }: Row): boolean {
+  private async readPagedRecords (isAbandoned: () => boolean): Promise<void> {
+    const { store, clock, log, isKnown } = this.options
+    for (const row of this.pagedRows) {
+      // The record of a job that is held changes between the reads.
+      if (isKnown?.(row.key) === true) continue
+      let stored = await readRecord(store, row)
+      while (stored.isErr() && stored.error.code !== 'unreadable' && !isAbandoned()) {
+        await clock.sleep(RETRY_DELAY_MS)
+        stored = await readRecord(store, row)
+      }
+      if (isAbandoned()) return
+      if (stored.isOk()) this.addRecord(row.key, stored.value)
+      else log.write(CELL_EVENTS.badRow, { key: row.key, problem: stored.error.reason })
+    }
+  }
+
+  private addRecord (id: string, stored: StoredRecord): void {
+    const { phase, tasks } = stored.record
+    if (phase !== 'open' && tasks === undefined) this.state.ended.set(id, phase)
+    else this.records.set(id, this.mayKeep(stored) ? stored : undefined)
+  }
+
+  private mayKeep ({ record, length }: StoredRecord): boolean {
     if (hasRecordedRuns(record)) return true
-    this.recordChars += value.length
+    this.recordChars += length
     return this.recordChars <= this.options.room
   }
 }
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -118,6 +118,8 @@
   isStarted: boolean
   /** Number of its tasks that have an object. */
   touchedTasks: number
+  /** Characters of its record as it was last encoded, or 0 before the first time. */
+  recordLength: number
   /** Whether the job was submitted beyond the rate of its organisation; this doesn't change later. */
   isBeyondRate: boolean
   /** Tasks that are not done and under which a worker has crashed. */
--- a/packages/cell/test/openJobs/deferredJobs.test.ts
+++ b/packages/cell/test/openJobs/deferredJobs.test.ts
@@ -79,7 +79,7 @@
 // Guards against a successor that reads all records into memory before it decides which it can hold.
 describe('the selection of jobs at a takeover', () => {
   const add = (selection: JobSelection, id: string, { acceptedAt = 0, hasRuns = false, isStarted = false }: { acceptedAt?: number, hasRuns?: boolean, isStarted?: boolean } = {}): void => {
-    selection.add({ job: { id, route: id.startsWith('u') ? 'urgent' : 'r', spec: '', steps: [stepOf({})], acceptedAt }, version: 1 }, { isStarted: isStarted || hasRuns, hasRuns, record: isStarted || hasRuns ? { phase: 'open' } : undefined })
+    selection.add({ job: { id, route: id.startsWith('u') ? 'urgent' : 'r', spec: '', steps: [stepOf({})], acceptedAt }, version: 1 }, { isStarted: isStarted || hasRuns, hasRuns, stored: isStarted || hasRuns ? { record: { phase: 'open' }, length: 16, pages: 0 } : undefined })
   }
   const weight = weighJob({ spec: '', steps: [stepOf({})], route: 'r' }).weight
   const createSelection = (jobs: number): { selection: JobSelection, deferred: string[] } => {
