Records written together stay within one transaction

Records that fit one by one don't fit together; the store rejects their transaction each time it is sent, and nothing of the cell is recorded or started any more.

Cause: Recorder took up to 98 records for a transaction, whatever they weigh. The store takes 1 MB: 16 records of 45 KB, in base64, exceed it.

Change: a transaction takes records up to `transactionBytes` and `transactionEntries` of the store; the others follow in the next one.

Why it works: a record that is larger than the rest of the transaction starts the next one, so that each transaction is within both limits.

--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -37,6 +37,8 @@
   keys: string[]
   puts: Transaction['puts']
   deletes: RowName[]
+  /** Bytes of the values. */
+  bytes: number
 }
 
 type Verdict = 'done' | 'again' | 'deposed'
@@ -143,18 +145,19 @@
    */
   private takeBatch (taken: string[]): Batch {
     const { store: { limits }, encode } = this.options
-    const batch: Batch = { keys: taken, puts: [], deletes: [] }
+    const batch: Batch = { keys: taken, puts: [], deletes: [], bytes: 0 }
     for (const key of [...this.dirtyKeys]) {
       const entries = TERM_ENTRIES + batch.puts.length + batch.deletes.length
       if (entries >= limits.transactionEntries) return batch
       const change = encode(key)
-      const { puts, deletes } = change === null ? NO_CHANGE : this.pages.rowsOf(key, change, limits)
-      const isTooLarge = entries + puts.length + deletes.length > limits.transactionEntries
+      const { puts, deletes, bytes } = change === null ? NO_CHANGE : this.pages.rowsOf(key, change, limits)
+      const isTooLarge = entries + puts.length + deletes.length > limits.transactionEntries || batch.bytes + bytes > limits.transactionBytes
       if (isTooLarge && taken.length > 0) return batch
       this.dirtyKeys.delete(key)
       taken.push(key)
       batch.puts.push(...puts)
       batch.deletes.push(...deletes)
+      batch.bytes += bytes
     }
     return batch
   }
--- a/packages/cell/test/runtime/recorder.test.ts
+++ b/packages/cell/test/runtime/recorder.test.ts
@@ -10,8 +10,15 @@
 
 const TERM = { fence: 1, node: 'n0', start: '1', address: 'n0:1', serial: 0, isSuspicion: false }
 
-/** @returns keys that a recorder reports as recorded, in order, after a fault in one of its callbacks */
-async function record (callbacks: { encode?: () => void, onRecorded?: () => void }): Promise<{ recorded: string[], log: MemoryLog }> {
+interface RecorderRig {
+  clock: FakeClock
+  tables: FakeTables
+  recorder: Recorder
+  log: MemoryLog
+  recorded: string[]
+}
+
+function createRecorder ({ encode = key => key, onRecorded = () => {} }: { encode?: (key: string) => string, onRecorded?: () => void } = {}): RecorderRig {
   const clock = new FakeClock({ start: 1000 })
   const tables = new FakeTables()
   tables.put(TERM_ROW, encodeTerm(TERM))
@@ -24,18 +31,27 @@
     log,
     term: TERM,
     version: tables.version,
-    encode: (key): RecordChange => {
-      callbacks.encode?.()
-      return { kind: 'put', value: key }
-    },
+    encode: (key): RecordChange => ({ kind: 'put', value: encode(key) }),
     callbacks: {
       onRecorded: keys => {
-        callbacks.onRecorded?.()
+        onRecorded()
         recorded.push(...keys)
       },
       onTermLost: () => { throw new Error('the term is not lost') }
     }
   })
+  return { clock, tables, recorder, log, recorded }
+}
+
+/** @returns keys that a recorder reports as recorded, in order, after a fault in one of its callbacks */
+async function record (callbacks: { encode?: () => void, onRecorded?: () => void }): Promise<{ recorded: string[], log: MemoryLog }> {
+  const { clock, recorder, recorded, log } = createRecorder({
+    ...callbacks,
+    encode: key => {
+      callbacks.encode?.()
+      return key
+    }
+  })
   recorder.markDirty('a')
   await clock.advance(1000)
   recorder.markDirty('b')
@@ -43,6 +59,11 @@
   return { recorded, log }
 }
 
+/** @returns the encoded record of a job with a text of the given length */
+function recordOf (length: number): string {
+  return JSON.stringify({ phase: 'open', text: 'x'.repeat(length) })
+}
+
 /** @returns a function that throws at its first call */
 function throwOnce (): () => void {
   let hasThrown = false
@@ -61,4 +82,13 @@
       expect([recorded, log.lines.map(({ event }) => event.name)]).toEqual([['a', 'b'], ['cell-fault']])
     })
   }
+
+  // Guards against records that fit one by one and not together: the store rejected their transaction again and again.
+  test('writes no more records together than one transaction can hold', async () => {
+    const { clock, tables, recorder, recorded } = createRecorder({ encode: () => recordOf(45_000) })
+    const keys = Array.from({ length: 60 }, (_, index) => `job-${index}`)
+    for (const key of keys) recorder.markDirty(key)
+    await clock.advance(1000)
+    expect([recorded, tables.rejections]).toEqual([keys, 0])
+  })
 })
