A record that the store rejects holds up no other job

The store rejected the record of one job, and no job of the cell was recorded, started or shown as ended any more.

Cause: Recorder sent a transaction again until the store accepted it, also one that the store will never accept, and neither log nor metrics named the record.

Change: after a rejected transaction each of its records is written alone. One that is rejected alone waits for a second and is then written as it is by that time; the others go on. The job's placements are taken back, since nothing starts that isn't on record, and nothing of it is placed until its record is accepted. Its runs go on and their ends are acknowledged later.

Why it works: a rejection says that nothing was written, so that the chain of transactions goes on with the same version of the term row.

Measured: two new tests of recorder.test.ts and one of largeRecords.test.ts failed before (nothing recorded beside the rejected record) and pass.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -197,7 +197,7 @@
     this.waits = new WaitMonitor({ clock, log })
     this.organisationMonitor = new OrganisationMonitor({ clock, log })
     this.recorder = new Recorder({
-      store, clock, log, term, version: options.termRowVersion, encode: key => this.encode(key), callbacks: { onRecorded: keys => { this.handleRecorded(keys) }, onTermLost: ({ term: next }) => { this.loseTerm(next?.node) } }
+      store, clock, log, term, version: options.termRowVersion, encode: key => this.encode(key), callbacks: { onRecorded: keys => { this.handleRecorded(keys) }, onRejected: key => { this.handleRejected(key) }, onTermLost: ({ term: next }) => { this.loseTerm(next?.node) } }
     })
     this.crashes = new CrashLedger({ log, clock, registry: this.registry, onChange: task => { this.lifecycle.handleCrashes(task) } })
     this.leases = new WorkerLeases(options)
@@ -341,6 +341,11 @@
     return speeds.length === 0 ? { lowest: 1, highest: 1, spread: 0 } : { lowest: Math.min(...speeds), highest: Math.max(...speeds), spread: this.speeds.spread }
   }
 
+  /** @returns number of jobs whose records the store doesn't accept */
+  get rejectedRecords (): number {
+    return this.recorder.rejectedRecords
+  }
+
   /** @returns characters of the longest record of an open job, as it was last written */
   get longestRecord (): number {
     let longest = 0
@@ -682,6 +687,7 @@
       this.committingPhases.delete(key)
       this.deletableRecords.delete(key)
       const state = this.registry.jobs.get(key)
+      if (state !== undefined) state.isRecordRejected = false
       const phaseBefore = state?.visiblePhase
       for (const action of actions) runLogged(action, this.options.log, 'recorded change')
       if (state?.visiblePhase !== phaseBefore) this.phaseWaiters.release(key)
@@ -690,6 +696,18 @@
     this.pruneEnded()
   }
 
+  /** Handles that the store doesn't accept a job's record. Until it does, nothing of the job is placed: a run must be on record before it starts. */
+  private handleRejected (key: string): void {
+    const state = this.registry.jobs.get(key)
+    if (state === undefined) return
+    state.isRecordRejected = true
+    for (const { steps } of state.occurrences) {
+      for (const { tasks } of steps) {
+        for (const task of tasks.touched()) if (task.phase === 'placed') this.lifecycle.cancelStart(task, 'the store rejects the record of the job')
+      }
+    }
+  }
+
   private archiveEnded (id: string): void {
     const state = this.registry.jobs.get(id)
     if (state === undefined || state.phase === 'open' || state.visiblePhase !== state.phase || hasRuns(state) || this.pendingCallbacks.has(id)) return
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@rattanstep/core'
+import { CELL_EVENTS } from '../types/events.js'
 import type { RecordStore, Row, RowName, Transaction, TransactionOutcome } from '../types/records.js'
 import type { Term } from './Term.js'
 import { decodeTerm, TERM_ROW, encodeTerm } from './Term.js'
@@ -12,6 +13,8 @@
 const TERM_ENTRIES = 2
 /** Delay before a transaction that got no answer or was refused is sent again. */
 const RETRY_DELAY_MS = 100
+/** Delay before a record that the store has rejected is written again, as it is by then. */
+const REJECTED_RETRY_DELAY_MS = 1000
 
 /** Longest time for which a change that needs no transaction of its own waits for another one. */
 const MAX_DELAY_MS = 50
@@ -26,6 +29,8 @@
 export interface RecorderCallbacks {
   /** Receives the keys given to `markDirty` whose records are now written. */
   onRecorded: (keys: string[]) => void
+  /** Called when the store has rejected the record of a key, which is written again later. Records of other keys are not affected. */
+  onRejected: (key: string) => void
   /** Called when another node has claimed the term. */
   onTermLost: (loss: TermLoss) => void
 }
@@ -41,15 +46,19 @@
   bytes: number
 }
 
-type Verdict = 'done' | 'again' | 'deposed'
+type Verdict = 'done' | 'again' | 'rejected' | 'deposed'
 
 /**
  * Writes a decider's records in a chain of transactions, each of which expects the version of the term row that the previous one wrote.
  * A transaction that got no answer is sent again with the same expectation, so that it takes effect only once and never after a later
- * transaction.
+ * transaction. After a transaction that the store rejects, each of its records is written alone, so that one that the store doesn't accept holds up no other.
  */
 export class Recorder {
   private readonly dirtyKeys = new Set<string>()
+  /** Keys whose records were in a transaction that was rejected; each is written alone until it is accepted. */
+  private readonly suspectKeys = new Set<string>()
+  /** Keys whose records the store has rejected alone, until the next attempt. */
+  private readonly restingKeys = new Set<string>()
   private readonly pages = new RecordPages()
   private isRunning = false
   /** Whether a commit for changes that wait is scheduled. */
@@ -83,6 +92,11 @@
     return this.rowVersion
   }
 
+  /** @returns number of records that the store doesn't accept */
+  get rejectedRecords (): number {
+    return this.restingKeys.size
+  }
+
   /** Notes the number of pages of a record that was read. */
   notePages (key: string, pages: number): void {
     this.pages.note(key, pages)
@@ -90,12 +104,14 @@
 
   /** Marks a key whose record is to be written. */
   markDirty (key: string): void {
+    if (this.restingKeys.has(key)) return
     this.dirtyKeys.add(key)
     this.commitSoon()
   }
 
   /** Marks a key whose record is to be written with the next commit, or after a moment if there is none. */
   markDirtySoon (key: string): void {
+    if (this.restingKeys.has(key)) return
     this.dirtyKeys.add(key)
     if (this.isDelayed) return
     this.isDelayed = true
@@ -132,6 +148,7 @@
     try {
       const batch = this.takeBatch(taken)
       verdict = await this.write(batch)
+      if (verdict === 'rejected') this.isolate(batch)
     } finally {
       if (verdict === undefined) for (const key of taken) this.dirtyKeys.add(key)
     }
@@ -139,7 +156,7 @@
   }
 
   /**
-   * Takes the keys whose records are written next: as many as one transaction can hold.
+   * Takes the keys whose records are written next: as many as one transaction can hold, or a suspect alone.
    *
    * @param taken - receives the keys as they are taken
    */
@@ -149,6 +166,8 @@
     for (const key of [...this.dirtyKeys]) {
       const entries = TERM_ENTRIES + batch.puts.length + batch.deletes.length
       if (entries >= limits.transactionEntries) return batch
+      const isSuspect = this.suspectKeys.has(key)
+      if (isSuspect && taken.length > 0) continue
       const change = encode(key)
       const { puts, deletes, bytes } = change === null ? NO_CHANGE : this.pages.rowsOf(key, change, limits)
       const isTooLarge = entries + puts.length + deletes.length > limits.transactionEntries || batch.bytes + bytes > limits.transactionBytes
@@ -158,10 +177,30 @@
       batch.puts.push(...puts)
       batch.deletes.push(...deletes)
       batch.bytes += bytes
+      if (isSuspect) return batch
     }
     return batch
   }
 
+  /** Has the records of a rejected transaction written one by one; one that was alone is written again after a while. */
+  private isolate ({ keys, puts, bytes }: Batch): void {
+    const { clock, log, callbacks } = this.options
+    for (const key of keys) this.suspectKeys.add(key)
+    const [key] = keys
+    if (keys.length !== 1 || key === undefined) {
+      for (const each of keys) this.dirtyKeys.add(each)
+      return
+    }
+    log.write(CELL_EVENTS.recordRejected, { job: key, bytes, rows: puts.length })
+    this.restingKeys.add(key)
+    this.dirtyKeys.delete(key)
+    clock.schedule(REJECTED_RETRY_DELAY_MS, () => {
+      this.restingKeys.delete(key)
+      this.markDirty(key)
+    })
+    callbacks.onRejected(key)
+  }
+
   private async write ({ keys, puts, deletes }: Batch): Promise<Verdict> {
     const { store, clock, term, callbacks } = this.options
     const serial = ++this.serial
@@ -172,10 +211,14 @@
       const result = this.evaluateOutcome(outcome, serial)
       if (this.isStopped) return 'deposed'
       if (result === 'deposed') return result
+      if (result === 'rejected' && keys.length > 0) return result
       if (result === 'done') {
         this.confirmedAt = sentAt
         this.commits++
-        for (const key of keys) this.pages.confirm(key)
+        for (const key of keys) {
+          this.suspectKeys.delete(key)
+          this.pages.confirm(key)
+        }
         callbacks.onRecorded(keys)
         return 'done'
       }
@@ -189,6 +232,7 @@
       this.rowVersion = outcome.version
       return 'done'
     }
+    if (outcome.kind === 'rejected') return 'rejected'
     if (outcome.kind !== 'conflict') return 'again'
     return this.evaluateConflict(outcome.rows, serial)
   }
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -56,7 +56,7 @@
   addJob (job: Job, times: { now: number, age: number, wall: number }): JobState {
     const existing = this.jobs.get(job.id)
     if (existing !== undefined) return existing
-    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], nextOccurrence: 0, firstDueAt: times.now + (job.repeat === undefined ? 0 : job.repeat.first - times.wall), isStarted: false, touchedTasks: 0, recordLength: 0, isBeyondRate: false, suspects: new Set(), isCleared: false, suspectedSince: 0, reservedWorker: '', endedAt: 0 }
+    const state: JobState = { job, submittedAt: times.now - times.age, phase: 'open', visiblePhase: 'queued', occurrences: [], nextOccurrence: 0, firstDueAt: times.now + (job.repeat === undefined ? 0 : job.repeat.first - times.wall), isStarted: false, touchedTasks: 0, recordLength: 0, isRecordRejected: false, isBeyondRate: false, suspects: new Set(), isCleared: false, suspectedSince: 0, reservedWorker: '', endedAt: 0 }
     this.jobs.set(job.id, state)
     this.adjustWaiting(job, 1)
     if (job.repeat !== undefined) this.schedule.add(state)
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -120,6 +120,8 @@
   touchedTasks: number
   /** Characters of its record as it was last encoded, or 0 before the first time. */
   recordLength: number
+  /** Whether the store doesn't accept its record. */
+  isRecordRejected: boolean
   /** Whether the job was submitted beyond the rate of its organisation; this doesn't change later. */
   isBeyondRate: boolean
   /** Tasks that are not done and under which a worker has crashed. */
--- a/packages/cell/test/runtime/largeRecords.test.ts
+++ b/packages/cell/test/runtime/largeRecords.test.ts
@@ -69,4 +69,18 @@
     await rig.run(10_000)
     expect(rowsOf()).toEqual(0)
   })
+
+  // Guards against workers that stay reserved for tasks whose placements can't be recorded.
+  test('that no transaction can hold leaves the workers to other jobs, and goes on once it is accepted', async () => {
+    const { rig, id } = await startLargeJob()
+    rig.tables.rejectedKey = id
+    await crashWorkers(rig, 10)
+    expect([rig.nodes.some(({ log }) => log.lines.some(({ event, fields }) => event.name === 'record-rejected' && fields.job === id)), rig.decider!.cell.activeDecider!.rejectedRecords]).toEqual([true, 1])
+    const small = await rig.submit(rig.nodes[0]!, [{ count: 900, size: SIZE }])
+    await rig.run(4000)
+    expect(await rig.phase(rig.nodes[0]!, small.id)).toEqual('completed')
+    rig.tables.rejectedKey = ''
+    await rig.until(() => runningOf(rig, id) === 800)
+    expect([rig.decider!.cell.activeDecider!.rejectedRecords, rig.fleet.violations]).toEqual([0, []])
+  })
 })
--- a/packages/cell/test/runtime/recorder.test.ts
+++ b/packages/cell/test/runtime/recorder.test.ts
@@ -16,6 +16,7 @@
   recorder: Recorder
   log: MemoryLog
   recorded: string[]
+  rejected: string[]
 }
 
 function createRecorder ({ encode = key => key, onRecorded = () => {} }: { encode?: (key: string) => string, onRecorded?: () => void } = {}): RecorderRig {
@@ -25,6 +26,7 @@
   const nodeClock = new NodeClock(clock)
   const log = new MemoryLog()
   const recorded: string[] = []
+  const rejected: string[] = []
   const recorder = new Recorder({
     store: new FakeStore(tables, nodeClock, clock),
     clock: nodeClock,
@@ -37,10 +39,11 @@
         onRecorded()
         recorded.push(...keys)
       },
+      onRejected: key => { rejected.push(key) },
       onTermLost: () => { throw new Error('the term is not lost') }
     }
   })
-  return { clock, tables, recorder, log, recorded }
+  return { clock, tables, recorder, log, recorded, rejected }
 }
 
 /** @returns keys that a recorder reports as recorded, in order, after a fault in one of its callbacks */
@@ -83,6 +86,29 @@
     })
   }
 
+  // Guards against a record that the store never accepts and that stops all others: its transaction was sent again for ever.
+  test('writes all other records while the store rejects one, which is named in the log and written once it is accepted', async () => {
+    const { clock, tables, recorder, recorded, rejected, log } = createRecorder()
+    tables.rejectedKey = 'b'
+    for (const key of ['a', 'b', 'c']) recorder.markDirty(key)
+    await clock.advance(900)
+    recorder.markDirty('d')
+    await clock.advance(90)
+    expect([recorded, rejected, recorder.rejectedRecords]).toEqual([['a', 'c', 'd'], ['b'], 1])
+    expect(log.lines.map(({ event, fields }) => [event.name, fields.job])).toEqual([['record-rejected', 'b']])
+    tables.rejectedKey = ''
+    await clock.advance(1000)
+    expect([recorded, recorder.rejectedRecords, tables.rejections]).toEqual([['a', 'c', 'd', 'b'], 0, 2])
+  })
+
+  // Guards against a record that is larger than a transaction: it is rejected with any others, and must not be tried together with them again.
+  test('writes other records while one exceeds a transaction', async () => {
+    const { clock, recorder, recorded, rejected } = createRecorder({ encode: key => recordOf(key === 'b' ? 2_000_000 : 1) })
+    for (const key of ['a', 'b', 'c']) recorder.markDirty(key)
+    await clock.advance(5000)
+    expect([recorded, new Set(rejected)]).toEqual([['a', 'c'], new Set(['b'])])
+  })
+
   // Guards against records that fit one by one and not together: the store rejected their transaction again and again.
   test('writes no more records together than one transaction can hold', async () => {
     const { clock, tables, recorder, recorded } = createRecorder({ encode: () => recordOf(45_000) })
