Submissions that wait together stay within one transaction

What callers would see: an error for a submission that the store would take alone. While the store is slow, submissions wait for each other and share a transaction; 25 of 50 KB exceed the 1 MB that the store takes, and all callers were refused. One row that the store rejects failed those beside it too.

Cause: SubmissionWriter took up to 33 rows, whatever they weigh, and handled a rejected transaction like one of a store that is down.

Change: a transaction takes rows up to `transactionBytes` of the store. After a rejection each of its rows is written alone; one that is rejected alone is refused without a Retry-After, since it is of no use to repeat it. Between nodes that outcome is still `refused`, which earlier versions know.

Why it works: a row that fits alone is never refused for others, and a row that doesn't fit gets its final answer at the first attempt.

--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -9,7 +9,7 @@
 import { ConcurrencyLimit } from './ConcurrencyLimit.js'
 import { encodeSubmission } from './submissionRow.js'
 import { SubmissionWriter } from './SubmissionWriter.js'
-import type { SubmissionRow, WriteOutcome } from './SubmissionWriter.js'
+import type { SubmissionRow, WriteOutcome, WriteResult } from './SubmissionWriter.js'
 import { recordedPhase } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
 import { CANCELLATION_SUFFIX, endRowName, RECORDS, submissionRowName, submissionPart, WITHDRAWN } from './rowNames.js'
@@ -62,8 +62,8 @@
 /** Job, cancellation, or cancellation of a job that is not on record, which a caller wants on record. */
 export type WriteRequest = { kind: 'job', job: Job } | { kind: 'cancel' | 'withdraw', id: string }
 
-/** `late`: too little of the caller's time was left; `full`: too many writes wait. Nothing was written in either case. */
-type PersistOutcome = WriteOutcome | 'late' | 'full'
+/** `late`: too little of the caller's time was left; `full`: too many writes wait; `rejected`: the store will never accept it. Nothing was written in these cases. */
+type PersistOutcome = WriteOutcome | 'late' | 'full' | 'rejected'
 
 /** Numbers of requests that may wait for their outcome. */
 export interface WaitingLimits {
@@ -177,6 +177,12 @@
    * @param options - `retryWhenBusy`: whether to retry while the store is busy
    */
   async write (request: WriteRequest, deadline: number, { retryWhenBusy = true } = {}): Promise<WriteOutcome> {
+    const outcome = await this.writeHere(request, deadline, retryWhenBusy)
+    // Nodes of earlier versions don't know that outcome.
+    return outcome === 'rejected' ? 'refused' : outcome
+  }
+
+  private async writeHere (request: WriteRequest, deadline: number, retryWhenBusy: boolean): Promise<WriteResult['outcome']> {
     const { decider } = this.options
     if (!this.isStoreReachable) return 'refused'
     const result = await this.writer.write(submissionRowOf(request), deadline, { retryWhenBusy })
@@ -213,11 +219,11 @@
   private async persistWaiting (request: WriteRequest, deadline: number): Promise<PersistOutcome> {
     if (deadline - this.options.clock.now() < MIN_WRITE_TIME_MS) return 'late'
     const canWriteHere = this.isStoreReachable && !this.writer.isSlow
-    const ownOutcome = canWriteHere ? await this.write(request, deadline, { retryWhenBusy: false }) : 'busy'
+    const ownOutcome = canWriteHere ? await this.writeHere(request, deadline, false) : 'busy'
     if (ownOutcome !== 'busy' && ownOutcome !== 'refused') return ownOutcome
     const deciderOutcome = await this.options.decider.forwardWrite(request, deadline)
-    if (deciderOutcome === undefined) return ownOutcome === 'refused' ? ownOutcome : await this.write(request, deadline)
-    return deciderOutcome === 'refused' && !canWriteHere ? await this.write(request, deadline) : deciderOutcome
+    if (deciderOutcome === undefined) return ownOutcome === 'refused' ? ownOutcome : await this.writeHere(request, deadline, true)
+    return deciderOutcome === 'refused' && !canWriteHere ? await this.writeHere(request, deadline, true) : deciderOutcome
   }
 
   /** Looks for a submission of a job before it is refused. While many are refused, the lookups take turns, so that the store answers others. */
@@ -269,6 +275,7 @@
     case 'busy': return storeUnavailable()
     case 'withdrawn': return { kind: 'refused', reason: 'the job was cancelled before it was submitted' }
     case 'full': return { kind: 'refused', reason: 'too many jobs wait to be written', retryAfter: OVERLOAD_RETRY_AFTER_S }
+    case 'rejected': return { kind: 'refused', reason: 'the store does not accept the job' }
     case 'late': return { kind: 'refused', reason: 'too little time is left', retryAfter: STORE_RETRY_AFTER_S }
     case 'unknown': return { kind: 'unsettled', reason: 'the write was not answered in time' }
   }
--- a/packages/cell/src/runtime/SubmissionWriter.ts
+++ b/packages/cell/src/runtime/SubmissionWriter.ts
@@ -19,8 +19,8 @@
  */
 export type WriteOutcome = 'done' | 'repeated' | 'withdrawn' | 'refused' | 'busy' | 'unknown'
 
-/** Result of a write; `version`: version of the row that is on record. */
-export type WriteResult = { outcome: 'done', version: number } | { outcome: Exclude<WriteOutcome, 'done'> }
+/** Result of a write; `version`: version of the row that is on record; `rejected`: the store will never accept the row. */
+export type WriteResult = { outcome: 'done', version: number } | { outcome: Exclude<WriteOutcome, 'done'> | 'rejected' }
 
 /** A row to write for a submission, a cancellation or a withdrawal. */
 export interface SubmissionRow {
@@ -35,6 +35,8 @@
   /** Whether an attempt got no answer, so that the row may have been written. */
   maybeWritten: boolean
   isSending: boolean
+  /** Whether the row was in a transaction that was rejected, and is therefore written alone. */
+  isAlone: boolean
   /** Whether to retry while the store is busy. The node that writes for all others has no other node to forward the write to. */
   retryWhenBusy: boolean
   resolve: (result: WriteResult) => void
@@ -84,7 +86,7 @@
     if (part === undefined) this.parts.set(row.name.part, part = { queue: [], sentAt: undefined, retryDelay: RETRY_DELAY_MS })
     const { queue } = part
     return await new Promise<WriteResult>(resolve => {
-      const item: PendingWrite = { row, maybeWritten: false, isSending: false, retryWhenBusy, resolve, timer: clock.schedule(Math.max(0, deadline - clock.now()), () => { this.expire(part, item) }) }
+      const item: PendingWrite = { row, maybeWritten: false, isSending: false, isAlone: false, retryWhenBusy, resolve, timer: clock.schedule(Math.max(0, deadline - clock.now()), () => { this.expire(part, item) }) }
       queue.push(item)
       this.waiting++
       if (part.sentAt === undefined) this.flush(part)
@@ -92,7 +94,7 @@
   }
 
   private flush (part: PartQueue): void {
-    const batch = part.queue.slice(0, MAX_ROWS_PER_TRANSACTION)
+    const batch = this.takeBatch(part)
     if (batch.length === 0) return
     const { store, clock } = this.options
     const sentAt = clock.now()
@@ -109,6 +111,22 @@
     }, () => { this.scheduleNext(part, RETRY_DELAY_MS) })
   }
 
+  /** @returns the writes of the next transaction: as many of those that wait longest as it can hold, or one that is written alone */
+  private takeBatch ({ queue }: PartQueue): PendingWrite[] {
+    const { transactionBytes } = this.options.store.limits
+    const batch: PendingWrite[] = []
+    let bytes = 0
+    for (const item of queue) {
+      if (batch.length >= MAX_ROWS_PER_TRANSACTION) return batch
+      if (batch.length > 0 && item.isAlone) continue
+      bytes += Buffer.byteLength(item.row.value)
+      if (batch.length > 0 && bytes > transactionBytes) return batch
+      batch.push(item)
+      if (item.isAlone) return batch
+    }
+    return batch
+  }
+
   private handleOutcome (part: PartQueue, batch: PendingWrite[], outcome: TransactionOutcome): void {
     switch (outcome.kind) {
       case 'done': return this.resolveWrites(part, batch, { outcome: 'done', version: outcome.version })
@@ -120,11 +138,18 @@
       case 'busy':
         this.busyAt = this.options.clock.now()
         return this.resolveWrites(part, batch.filter(item => !item.maybeWritten && !item.retryWhenBusy), { outcome: 'busy' })
-      case 'rejected':
+      case 'rejected': return this.handleRejection(part, batch)
       case 'refused': return this.resolveWrites(part, batch.filter(item => !item.maybeWritten), { outcome: 'refused' })
     }
   }
 
+  /** Has the rows of a rejected transaction written one by one, so that one that the store doesn't accept fails no other. */
+  private handleRejection (part: PartQueue, batch: PendingWrite[]): void {
+    const [item] = batch
+    if (batch.length > 1) for (const each of batch) each.isAlone = true
+    else if (item !== undefined) this.resolveWrite(part, item, { outcome: item.maybeWritten ? 'unknown' : 'rejected' })
+  }
+
   private resolveWrites (part: PartQueue, items: PendingWrite[], result: WriteResult): void {
     for (const item of items) this.resolveWrite(part, item, result)
   }
@@ -166,8 +191,8 @@
 
 function delayAfter (part: PartQueue, { kind }: TransactionOutcome): number {
   const { retryDelay } = part
-  const wasExecuted = kind === 'done' || kind === 'conflict'
-  part.retryDelay = wasExecuted ? RETRY_DELAY_MS : Math.min(MAX_RETRY_DELAY_MS, 2 * retryDelay)
-  if (wasExecuted) return 0
+  const isFinal = kind === 'done' || kind === 'conflict' || kind === 'rejected'
+  part.retryDelay = isFinal ? RETRY_DELAY_MS : Math.min(MAX_RETRY_DELAY_MS, 2 * retryDelay)
+  if (isFinal) return 0
   return kind === 'busy' ? BUSY_RETRY_DELAY_MS : retryDelay
 }
