A gang whose record can exceed a transaction is refused at its submission

Its job is accepted and never starts.

Cause: all tasks of a gang run together, so that MAX_TOUCHED_TASKS doesn't apply to them, and a gang may have 10,000 tasks. With two crashes each their record takes 1.6 MB, more than one transaction can hold, in whichever rows.

Change: `findSubmissionProblem` refuses more than 4,000 tasks in the gangs of a job, before anything is written. Smaller ones go on in pages; a test starts one whose record exceeds a row, which stopped the cell before.

Why it works: the record of 4,000 members with a checkpoint and two crashes each, with ids as long as the platform's, fits into a transaction; the test encodes it.

--- a/packages/cell/src/runtime/findSubmissionProblem.ts
+++ b/packages/cell/src/runtime/findSubmissionProblem.ts
@@ -5,6 +5,8 @@
 
 /** Maximum number of tasks in an occurrence of a job. A decider holds a mark for each that is done, and its record lists them. */
 export const MAX_TASKS = 10_000
+/** Maximum number of tasks in the gangs of a job. All of a gang run together, and their record must fit into one transaction, also after two crashes each. */
+export const MAX_GANG_TASKS = 4000
 
 /**
  * @param submission - what a caller submits
@@ -14,6 +16,8 @@
 export function findSubmissionProblem ({ steps, repeat }: JobSubmission, organisation?: OrganisationTerms): string | undefined {
   const tasks = countTasks(steps)
   if (tasks > MAX_TASKS) return `the steps have ${tasks} tasks, more than ${MAX_TASKS}`
+  const gangTasks = countTasks(steps.filter(({ gang }) => gang))
+  if (gangTasks > MAX_GANG_TASKS) return `the gangs have ${gangTasks} tasks, more than ${MAX_GANG_TASKS}`
   if (organisation !== undefined) {
     const { cap } = organisation
     const tooLarge = steps.findIndex(({ size, count, gang }) => !fitsUnderCap(size, gang ? count : Math.min(count, 1), cap))
--- a/packages/cell/test/runtime/findSubmissionProblem.test.ts
+++ b/packages/cell/test/runtime/findSubmissionProblem.test.ts
@@ -1,7 +1,10 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
-import { findSubmissionProblem, MAX_TASKS } from '../../src/runtime/findSubmissionProblem.js'
+import { findSubmissionProblem, MAX_GANG_TASKS, MAX_TASKS } from '../../src/runtime/findSubmissionProblem.js'
+import { DEFAULT_STORE_LIMITS } from '../../src/index.js'
 import type { Step } from '../../src/index.js'
+import { encodeJobRecord } from '../../src/runtime/jobRecord.js'
+import { Registry } from '../../src/runtime/Registry.js'
 import { stepOf } from '../support/CellRig.js'
 
 const REPEAT = { count: 10_080, first: 0, interval: 60_000 }
@@ -20,6 +23,21 @@
     })
   }
 
+  // Guards against a gang that is accepted and whose record the store then rejects, so that it never starts.
+  test('of a gang is refused if its record could exceed a transaction', () => {
+    const problemOf = (count: number): string | undefined => findSubmissionProblem({ spec: '', steps: [stepOf({ count, gang: true }), stepOf({ count: 5000 })] })
+    expect([problemOf(MAX_GANG_TASKS), problemOf(MAX_GANG_TASKS + 1)]).toEqual([undefined, `the gangs have ${MAX_GANG_TASKS + 1} tasks, more than ${MAX_GANG_TASKS}`])
+    const registry = new Registry()
+    const job = registry.addJob({ id: '0123456789abcdef', route: 'r', spec: '', steps: [stepOf({ count: MAX_GANG_TASKS, gang: true })], acceptedAt: 0 }, { now: 0, age: 0, wall: 0 })
+    const worker = registry.ensureWorker({ id: 'worker-0000000001', service: 's', address: '', dataCentre: 'd', state: 'ready', capacity: { cpu: 0, memory: 0, accelerators: 0 }, labels: [], born: 1 })
+    const crash = { worker: 'worker-0000000001', incarnation: 999_999_999, run: 2, certainty: 'confirmed', isAlone: true } as const
+    for (const task of job.occurrences[0]!.steps[0]!.tasks) {
+      Object.assign(task, { phase: 'running', run: 3, begunRun: 3, failures: 1, incarnation: 999_999_999, checkpoint: '00000bb87a21d94b', crashes: [crash, crash] })
+      registry.assign(task, worker)
+    }
+    expect(Buffer.byteLength(encodeJobRecord(job, 0)) < DEFAULT_STORE_LIMITS.transactionBytes).toEqual(true)
+  })
+
   // Guards against a job that is accepted and never runs, and against the refusal of a wide step, which runs in waves.
   test('of an organisation is refused if a gang or a single task can never fit under the cap', () => {
     const cap = { cpu: 5000, memory: 0, accelerators: 0 }
--- a/packages/cell/test/runtime/largeRecords.test.ts
+++ b/packages/cell/test/runtime/largeRecords.test.ts
@@ -55,6 +55,18 @@
     expect([rig.fleet.starts, rig.fleet.violations, runningOf(rig, id)]).toEqual([starts, [], 800])
   })
 
+  // Guards against gangs, which have no bound on tasks that run together: the record of one stopped the whole cell.
+  test('is started if it is a gang', async () => {
+    const rig = await createSteadyRig({ workers: 0, behaviour: () => ({ duration: 300, ending: 'done', size: SIZE, gang: 1000 }) })
+    for (let index = 0; index < 13; index++) rig.addWorker(`worker-${index.toString().padStart(50, '0')}`, 8000)
+    await rig.run(500)
+    const { id } = await rig.submit(rig.nodes[0]!, [{ count: 1000, gang: true, size: SIZE }])
+    await rig.until(() => runningOf(rig, id) === 1000)
+    expect([recordBytes(rig, id) > 49_152, rig.tables.rejections]).toEqual([true, 0])
+    await rig.run(3000)
+    expect(await rig.phase(rig.nodes[0]!, id)).toEqual('completed')
+  })
+
   // Guards against pages that stay in the store for good.
   test('leaves one row once its record fits again, and none once it is archived', async () => {
     const { rig, id } = await startLargeJob({ count: 800 })
