A submission is weighed as the store weighs its row

What callers would see: 503 again and again for a job of 49 to 65 KB, written at their node and through the decider each time.

Cause: the platform gives the size of a row in bytes of base64, of which the product compared the bytes before the encoding.

Change: the store's client tells the limits (`RecordStore.limits`), so that base64 stays in platform/; `findRowProblem` and the records use them.

Why it works: what passes the check fits, in either reading of the page, and what doesn't is refused at once, before anything is written.

--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -77,7 +77,7 @@
     })
     this.pauses = new PauseMonitor({ clock, log })
     this.callers = new CallerServer({
-      limits: this.limits, monitor: this.limitMonitor, gateway: this.cell.gateway, findExcess: job => findRowProblem(job, settings.bounds.rowBytes) ?? this.cell.openJobGate.findProblem(job), codec, clock, log, metrics, configuration: () => this.cell.configuration, isConfigurationConfirmed: () => this.cell.isConfigurationConfirmed, configurationOrigin: () => ({ source: this.cell.configurationSource, age: this.cell.configurationAge }), arrivalTime: () => this.pauses.earliestArrival(), storeTime: () => store.now(), storeSilence: () => store.silentFor()
+      limits: this.limits, monitor: this.limitMonitor, gateway: this.cell.gateway, findExcess: job => findRowProblem(job, store.limits.rowBytes) ?? this.cell.openJobGate.findProblem(job), codec, clock, log, metrics, configuration: () => this.cell.configuration, isConfigurationConfirmed: () => this.cell.isConfigurationConfirmed, configurationOrigin: () => ({ source: this.cell.configurationSource, age: this.cell.configurationAge }), arrivalTime: () => this.pauses.earliestArrival(), storeTime: () => store.now(), storeSilence: () => store.silentFor()
     })
     metrics.gauge('deciding', () => this.cell.activeDecider === undefined ? 0 : 1)
     metrics.gauge('store_silence_ms', () => Math.min(store.silentFor(), Number.MAX_SAFE_INTEGER))
--- a/packages/cell/src/runtime/findRowProblem.ts
+++ b/packages/cell/src/runtime/findRowProblem.ts
@@ -1,9 +1,7 @@
 import type { Job } from '../types/job.js'
+import { DEFAULT_STORE_LIMITS } from '../types/records.js'
 import { encodeSubmission } from './submissionRow.js'
 
-/** Bytes of a row on the platform, for settings that don't name them. */
-export const DEFAULT_ROW_BYTES = 65_536
-
 /** Upper bounds of the characters of an encoded job and step, without the texts and dependencies. */
 const MAX_JOB_CHARS = 2000
 const MAX_STEP_CHARS = 400
@@ -13,10 +11,10 @@
 
 /**
  * @param job - a job
- * @param rowBytes - bytes that a row of the store can hold
+ * @param rowBytes - bytes of a value that a row of the store can hold
  * @returns why the job can't be stored, or `undefined` if it can
  */
-export function findRowProblem (job: Job, rowBytes = DEFAULT_ROW_BYTES): string | undefined {
+export function findRowProblem (job: Job, rowBytes = DEFAULT_STORE_LIMITS.rowBytes): string | undefined {
   // Encoding the job only to measure it would double the cost of an ordinary submission.
   if (estimateBytes(job) <= rowBytes) return undefined
   const bytes = Buffer.byteLength(encodeSubmission(job))
--- a/packages/cell/src/types/settings.ts
+++ b/packages/cell/src/types/settings.ts
@@ -25,7 +25,7 @@
     /** Longest lease that workers accept. */
     leaseMax: number
     finishedJobRetention: number
-    /** Bytes that a row of the store can hold; `DEFAULT_ROW_BYTES` if absent. */
+    /** Size of a row as the store counts it, in bytes; by default that of the store's client. */
     rowBytes?: number
   }
   overload?: {
