Ends behind that of an unloaded job are no longer taken for lost runs

After a kill of the decider tasks that had ended as done were started again, and their first ends were acknowledged afterwards.

Cause: WorkerPoller left all ends behind the first one whose job waits in the store for the next list, and then concluded from this list which runs are lost: those that it had just left unhandled were placed again.

Evidence: in the simulated cell `run-lost` with `not on its worker`, then `run-placed` with run 2, for a task whose end as done stands in the same list.

Change: WorkerEnds, taken out of WorkerPoller, handles all ends of a list. One of a job that waits in the store is kept, and handled as soon as the job is loaded, before anything of the job is placed. Ends are acknowledged up to the first one that is kept or not on record.

Why it works: after it every run on record is in the list as running, handled as ended, or really absent, so that lost runs are still noticed at once.

--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -189,6 +189,7 @@
       onLimit: options.onOpenWorkLimit,
       onLoaded: ({ isBeyondRate }, { recorded, stored, isCancelled }) => {
         this.restoreJob(recorded, { stored, isBeyondRate, startedAt: clock.now() })
+        this.poller.handleLoaded(recorded.job.id)
         if (isCancelled) this.cancel(recorded.job.id)
       },
       rescan: async () => { await this.findDroppedJobs() }
@@ -203,7 +204,7 @@
     this.leases = new WorkerLeases(options)
     const recordSoon = ({ job }: JobState): void => { this.recorder.markDirtySoon(job.id) }
     this.poller = new WorkerPoller({
-      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, speeds: this.speeds, recordSoon, loadDeferred: id => this.openJobs.loadNow(id), canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
+      crashes: this.crashes, registry: this.registry, workers, clock, log, fence: term.fence, leases: this.leases, speeds: this.speeds, recordSoon, recordTask: (task, then) => { this.record(task.step.occurrence.job, then) }, loadDeferred: id => this.openJobs.loadNow(id), canRenewLeases: () => this.canRenewLeases(), onChange: () => { this.requestRound() }, onNewerTerm: () => { this.loseTerm(undefined) }
     })
     this.lifecycle = new TaskLifecycle({
       registry: this.registry,
@@ -221,7 +222,6 @@
     })
     this.poller.setLifecycle(this.lifecycle)
     this.advisor = new StepAdvisor({ scheduler: this.adviceScheduler, clock, log, ask: options.askAdvice, onChange: () => { this.requestRound() } })
-    this.poller.recordTask = (task, then) => { this.record(task.step.occurrence.job, then) }
     this.archiver = new JobArchiver({
       store,
       clock,
--- a/packages/cell/src/runtime/Registry.ts
+++ b/packages/cell/src/runtime/Registry.ts
@@ -180,6 +180,7 @@
       leasesExpireAt: 0,
       leaseGrant: { source: 'none', at: 0, clockAge: 0 },
       unrecordedEnds: new Set(),
+      deferredEnds: new Map(),
       lastEndNumber: 0,
       lastAcknowledgedEnd: 0,
       tasks: new Map(),
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import type { Result } from 'ts-results-es'
-import type { ListedEnd, ListedRun, WorkerList } from '../types/worker.js'
+import type { ListedRun, WorkerList } from '../types/worker.js'
 import type { PollFault, WorkerClient } from '../types/ports.js'
 import { CELL_EVENTS } from '../types/events.js'
 import { FENCE_STEP } from '../types/limits.js'
@@ -10,12 +10,12 @@
 import type { Registry } from './Registry.js'
 import type { JobState, Task, WorkerState } from './model.js'
 import { ProgressMonitor } from './ProgressMonitor.js'
-import { noteCompletedRun } from '../speeds/noteCompletedRun.js'
 import type { WorkerSpeeds } from '../speeds/WorkerSpeeds.js'
 import type { TaskLifecycle } from './TaskLifecycle.js'
 import { detach } from './detach.js'
 import { jobIdOf } from './taskName.js'
 import { repeatWhile } from './repeatWhile.js'
+import { acknowledgedEnd, WorkerEnds } from './WorkerEnds.js'
 import type { WorkerLeases } from './WorkerLeases.js'
 
 /** Time for which a worker with tasks may hold back its answer to a poll until a run ends. A stalled run is detected after three polls. */
@@ -50,6 +50,8 @@
   recordSoon: (job: JobState) => void
   /** Returns whether leases may be renewed: the term was confirmed recently, or no other node can have claimed it. */
   canRenewLeases: () => boolean
+  /** Records the task's state, then calls `then`. */
+  recordTask: (task: Task, then: () => void) => void
   /** Has an accepted job loaded that waits in the store; returns whether it is one. */
   loadDeferred: (id: string) => boolean
   /** Called after changes that may allow other tasks to start. */
@@ -77,8 +79,11 @@
   private readonly progress = new ProgressMonitor()
   private isStopped = false
   private lifecycle!: TaskLifecycle
+  private readonly ends: WorkerEnds
 
-  constructor (private readonly options: WorkerPollerOptions) {}
+  constructor (private readonly options: WorkerPollerOptions) {
+    this.ends = new WorkerEnds({ ...options, lifecycle: () => this.lifecycle, onRecorded: worker => { this.pollNow(worker) } })
+  }
 
   /** @param lifecycle - handles the ends and losses of runs that the poller detects */
   setLifecycle (lifecycle: TaskLifecycle): void {
@@ -97,6 +102,11 @@
     this.wakeCallbacks.get(worker)?.()
   }
 
+  /** Handles what workers have listed of a job that was loaded, before anything of it is placed. */
+  handleLoaded (id: string): void {
+    this.ends.handleLoaded(id)
+  }
+
   stop (): void {
     this.isStopped = true
     for (const wake of this.wakeCallbacks.values()) wake()
@@ -144,7 +154,7 @@
    * its list counts once; `born`: its start in ms since 1970, if it is known.
    */
   private noteNewIncarnation (worker: WorkerState, born = Infinity): void {
-    this.forgetEnds(worker)
+    this.ends.forget(worker)
     this.options.leases.forgetClock(worker)
     if (born <= worker.noticedIncarnation) return
     if (born < Infinity) worker.noticedIncarnation = born
@@ -198,7 +208,7 @@
     // unreachable one, which may handle the poll late and extend leases whose expiry the decider waits for.
     const isProven = worker.isReachable && leases.isClockProven(worker)
     const leaseEnd = isProven && canRenewLeases() ? leases.extend(worker, 'poll') : undefined
-    const wait = isProven && worker.tasks.size > 0 && worker.unrecordedEnds.size === 0 ? POLL_WAIT_MS : 0
+    const wait = isProven && worker.tasks.size > 0 && !hasUnacknowledgedEnds(worker) ? POLL_WAIT_MS : 0
     worker.pollSentAt = sentAt
     // A worker that may have restarted would forget ends of its new incarnation that nobody has read.
     const acknowledged = isProven ? acknowledgedEnd(worker) : 0
@@ -227,7 +237,7 @@
     if (worker.tasks.size === 0 && worker.lastAcknowledgedEnd === acknowledgedEnd(worker)) return IDLE_POLL_INTERVAL_MS
     // The answer proves the clock only for a moment.
     if (!poll.isProven) return 0
-    return worker.unrecordedEnds.size > 0 ? UNRECORDED_POLL_INTERVAL_MS : MIN_POLL_GAP_MS
+    return hasUnacknowledgedEnds(worker) ? UNRECORDED_POLL_INTERVAL_MS : MIN_POLL_GAP_MS
   }
 
   private async waitForNextPoll (worker: WorkerState, duration: number): Promise<void> {
@@ -277,43 +287,13 @@
       worker.clock = { value: list.clock, at: clock.now() }
       leases.limitBound(worker)
     }
-    this.handleEnds(worker, list)
+    this.ends.handle(worker, list)
     this.handleRuns(worker, list)
     crashes.chargeFormer(worker, list.born)
     // Until the incarnation has seen its fencing token, a late order may still start a run that it doesn't list yet.
     if (generation === worker.generation) this.handleAbsentRuns(worker, list, sentAt)
   }
 
-  private handleEnds (worker: WorkerState, list: WorkerList): void {
-    for (const end of list.ended) {
-      if (end.number <= worker.lastEndNumber) continue
-      const task = this.options.registry.findTask(end.task)
-      // The end is not acknowledged, and is listed again, until the decider holds the job.
-      if (task === undefined && this.options.loadDeferred(jobIdOf(end.task))) return
-      worker.lastEndNumber = end.number
-      if (task === undefined) continue
-      const isCurrent = task.worker === worker && task.run === end.run
-      if (!isCurrent && !completesTask(task, end)) continue
-      worker.unrecordedEnds.add(end.number)
-      if (isCurrent && end.ending === 'done' && task.phase === 'running') noteCompletedRun(this.options.speeds, task, this.options.clock.now())
-      if (isCurrent) this.lifecycle.handleEnd(task, end, worker)
-      else this.lifecycle.handleFormerCompletion(task, end, worker)
-      this.recordEnd(worker, task, end.number)
-    }
-  }
-
-  private recordEnd (worker: WorkerState, task: Task, number: number): void {
-    // A later incarnation has ends with the same numbers.
-    const { unrecordedEnds } = worker
-    this.recordTask(task, () => {
-      unrecordedEnds.delete(number)
-      if (unrecordedEnds.size === 0) this.pollNow(worker)
-    })
-  }
-
-  /** Records the task's state, then calls `then`. Set by the decider. */
-  recordTask: (task: Task, then: () => void) => void = () => {}
-
   private handleRuns (worker: WorkerState, { running, born }: WorkerList): void {
     let unknownRuns = 0
     for (const listed of running) {
@@ -389,26 +369,12 @@
     this.options.log.write(CELL_EVENTS.workerRestarted, { worker: worker.report.id, born })
     this.noteNewIncarnation(worker, born)
   }
-
-  /** Numbers of ends start anew in each incarnation: the next poll must not acknowledge ends of a new one that it has not listed yet. */
-  private forgetEnds (worker: WorkerState): void {
-    worker.lastEndNumber = 0
-    worker.lastAcknowledgedEnd = 0
-    worker.unrecordedEnds = new Set()
-  }
 }
 
 /** Maximum number of ends in one list, as specified by the platform. A list of this size may be incomplete. */
 const MAX_LISTED_ENDS = 500
 
-/** @returns whether the end of an earlier run shows that a task of an open job is done */
-function completesTask ({ phase, step }: Task, { ending }: ListedEnd): boolean {
-  return ending === 'done' && phase !== 'done' && !step.definition.lasting && step.occurrence.job.phase === 'open'
-}
-
-/** @returns highest number up to which all ends of a worker are on record */
-function acknowledgedEnd (worker: WorkerState): number {
-  let lowest = worker.lastEndNumber
-  for (const number of worker.unrecordedEnds) lowest = Math.min(lowest, number - 1)
-  return lowest
+/** @returns whether ends that the worker has listed can't be acknowledged yet */
+function hasUnacknowledgedEnds ({ unrecordedEnds, deferredEnds }: WorkerState): boolean {
+  return unrecordedEnds.size > 0 || deferredEnds.size > 0
 }
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -1,6 +1,6 @@
 import type { StepState } from '../openJobs/StepState.js'
 import type { Job, JobPhase, Size } from '../types/job.js'
-import type { WorkerReport } from '../types/worker.js'
+import type { ListedEnd, WorkerReport } from '../types/worker.js'
 
 export type { StepState } from '../openJobs/StepState.js'
 
@@ -192,7 +192,9 @@
   leaseGrant: LeaseGrant
   /** Numbers of the reported ends that are not yet on record. */
   unrecordedEnds: Set<number>
-  /** Number of the last end that was handled. */
+  /** Ends by number whose jobs are being loaded from the store, and which are handled then. */
+  deferredEnds: Map<number, ListedEnd>
+  /** Number of the last end that was handled or kept for later. */
   lastEndNumber: number
   /** Number of the last end that the worker was told to forget. */
   lastAcknowledgedEnd: number
