Two writes of one job are no longer in one transaction

The cancelling of a job was answered with 410, its submission with 200, and the job ran to its end.

Cause: SubmissionWriter puts writes that wait for each other into one transaction. A submission and a withdrawal of one job each expect the other's row to be absent, which holds against the store before the transaction and says nothing about its own rows. Both were written. Two submissions of one id were both answered as new, and the second text overwrote the first.

Evidence: in the simulated cell, behind a transaction without an answer, both writes are answered `done` and both rows are on record.

Change: of the writes that name the same row, written or expected, a transaction takes the first one; the others follow in the next one, in order.

Why it works: each write of a job is checked against the outcome of the one before it, so that after a 410 the submission is refused, and after a 200 the withdrawal is told to cancel. Other jobs still share transactions.

--- a/packages/cell/src/runtime/SubmissionWriter.ts
+++ b/packages/cell/src/runtime/SubmissionWriter.ts
@@ -111,14 +111,21 @@
     }, () => { this.scheduleNext(part, RETRY_DELAY_MS) })
   }
 
-  /** @returns the writes of the next transaction: as many of those that wait longest as it can hold, or one that is written alone */
+  /**
+   * Takes the writes of the next transaction: as many of those that wait longest as it can hold, or one that is written alone. Of writes that name the same
+   * row, only the first is taken: expectations hold against the store, and not among the rows of one transaction.
+   */
   private takeBatch ({ queue }: PartQueue): PendingWrite[] {
     const { transactionBytes } = this.options.store.limits
     const batch: PendingWrite[] = []
+    const named = new Set<string>()
     let bytes = 0
     for (const item of queue) {
       if (batch.length >= MAX_ROWS_PER_TRANSACTION) return batch
-      if (batch.length > 0 && item.isAlone) continue
+      const names = [item.row.name, ...item.row.absent].map(({ table, key }) => `${table}/${key}`)
+      const isFirst = !names.some(name => named.has(name))
+      for (const name of names) named.add(name)
+      if (!isFirst || (batch.length > 0 && item.isAlone)) continue
       bytes += Buffer.byteLength(item.row.value)
       if (batch.length > 0 && bytes > transactionBytes) return batch
       batch.push(item)
--- a/packages/cell/test/runtime/cancellations.test.ts
+++ b/packages/cell/test/runtime/cancellations.test.ts
@@ -1,10 +1,13 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
 import type { Job } from '../../src/index.js'
+import { submissionPart } from '../../src/runtime/rowNames.js'
 import { createSteadyRig, stepOf } from '../support/CellRig.js'
 import type { CellRig, RigNode } from '../support/CellRig.js'
 
 const ID = '00000000000000aa'
+/** Id of a job whose submission is in the same part. */
+const OTHER_ID = Array.from({ length: 100 }, (_, index) => index.toString(16).padStart(16, '0')).find(id => submissionPart(id) === submissionPart(ID))!
 const JOB: Job = { id: ID, route: 'r', spec: 'x', steps: [stepOf({})], acceptedAt: 1 }
 /** Time in which a short job would have been run. */
 const COMPLETION_MS = 5000
@@ -24,6 +27,17 @@
   return read()
 }
 
+/** Has a transaction of the decider's node in the part of the job get no answer, so that writes that follow wait for each other. */
+async function occupyWriter (rig: CellRig): Promise<() => string> {
+  let kind = ''
+  const { store, cell } = rig.decider!
+  store.condition = 'losing-answers'
+  cell.gateway.submit({ ...JOB, id: OTHER_ID }, rig.clock.now() + 3000).then(outcome => { kind = outcome.kind }, error => { throw error })
+  await rig.run(20)
+  store.condition = 'normal'
+  return () => kind
+}
+
 function countStarts (rig: CellRig): number {
   return rig.fleet.starts.get(`${ID}.0.0.0`) ?? 0
 }
@@ -53,6 +67,27 @@
     expect([submitted(), countStarts(rig), await rig.phase(other, ID)]).toEqual(['unsettled', 0, 'unknown-job'])
   })
 
+  // Guards against a job that runs although its cancelling was answered with "no such job", because both were written in one transaction.
+  test('is without effect if it waits with the submission for the same transaction, which the job then is cancelled after', async () => {
+    const rig = await createSteadyRig()
+    const other = await occupyWriter(rig)
+    const submitted = send(rig, rig.decider!, 'submit')
+    const cancelled = send(rig, rig.decider!, 'cancel')
+    expect([await settle(rig, cancelled), await settle(rig, submitted), await settle(rig, other)]).toEqual(['cancelled', 'accepted', 'accepted'])
+    await rig.run(COMPLETION_MS)
+    expect([countStarts(rig), await rig.phase(rig.decider!, ID)]).toEqual([0, 'cancelled'])
+  })
+
+  // The same through a node that writes for others.
+  test('is told of the submission if two nodes forward them to the decider', async () => {
+    const rig = await createSteadyRig()
+    await occupyWriter(rig)
+    const { gateway } = rig.decider!.cell
+    const outcomes = Promise.all([gateway.write({ kind: 'job', job: JOB }, rig.clock.now() + 3000), gateway.write({ kind: 'withdraw', id: ID }, rig.clock.now() + 3000)])
+    await rig.run(3000)
+    expect(await outcomes).toEqual(['done', 'repeated'])
+  })
+
   test('is repeated without effect', async () => {
     const rig = await createSteadyRig()
     for (const node of rig.nodes) expect(await settle(rig, send(rig, node, 'cancel'))).toEqual('unknown-job')
--- a/packages/cell/test/runtime/submissionWriter.test.ts
+++ b/packages/cell/test/runtime/submissionWriter.test.ts
@@ -3,7 +3,7 @@
 import { FakeClock } from '@rattanstep/core'
 import { SubmissionWriter } from '../../src/runtime/SubmissionWriter.js'
 import type { SubmissionRow, WriteResult } from '../../src/runtime/SubmissionWriter.js'
-import { submissionRowName } from '../../src/runtime/rowNames.js'
+import { CANCELLATION_SUFFIX, submissionRowName, WITHDRAWN } from '../../src/runtime/rowNames.js'
 import { FakeStore, FakeTables } from '../support/FakeStore.js'
 import { NodeClock } from '../support/NodeClock.js'
 
@@ -32,6 +32,24 @@
   return { clock, tables, store, write, outcomes }
 }
 
+/** @returns the row of a withdrawal of the job */
+function withdrawalOf (id: string): SubmissionRow {
+  const { absent } = submissionOf(id, '')
+  return { name: absent[1]!, value: WITHDRAWN, absent }
+}
+
+/** Has a transaction of another job get no answer, so that the writes that follow wait for each other. */
+function occupy ({ store, write, clock }: WriterRig): void {
+  store.condition = 'silent'
+  write('other', submissionOf('other', 'x'))
+  clock.schedule(100, () => { store.condition = 'normal' })
+}
+
+/** @returns values of the rows of a job on record */
+function rowsOf (tables: FakeTables, id: string): string[] {
+  return [...tables.rows.values()].filter(({ key }) => key.startsWith(id)).map(({ value }) => value)
+}
+
 /** @returns the row of a submission in the part that all rows of these tests share */
 function submissionOf (id: string, value: string): SubmissionRow {
   const name = { ...submissionRowName(id), part: 'j0' }
@@ -57,3 +75,48 @@
     expect(outcomes.get('job 3')).toEqual('rejected')
   })
 })
+
+describe('two writes of one job that wait for the same transaction', () => {
+  // Guards against a job that runs although its cancelling was answered with 410: both rows were written, each expecting the other one absent.
+  test('are a submission or a withdrawal on record, and never both', async () => {
+    for (const [first, second, outcome, row] of [['submission', 'withdrawal', 'repeated', 'text'], ['withdrawal', 'submission', 'withdrawn', WITHDRAWN]] as const) {
+      const rig = createWriter()
+      occupy(rig)
+      for (const name of [first, second]) rig.write(name, name === 'submission' ? submissionOf('a', 'text') : withdrawalOf('a'))
+      await rig.clock.advance(PATIENCE_MS)
+      expect([rig.outcomes.get(first), rig.outcomes.get(second), rowsOf(rig.tables, 'a')]).toEqual(['done', outcome, [row]])
+    }
+  })
+
+  // Guards against a submission whose text overwrites that of an earlier one, while both callers are told that theirs is new.
+  test('are one submission and its repetition', async () => {
+    const rig = createWriter()
+    occupy(rig)
+    rig.write('first', submissionOf('a', 'first text'))
+    rig.write('second', submissionOf('a', 'second text'))
+    await rig.clock.advance(PATIENCE_MS)
+    expect([rig.outcomes.get('first'), rig.outcomes.get('second'), rowsOf(rig.tables, 'a')]).toEqual(['done', 'repeated', ['first text']])
+  })
+
+  test('are carried out in the order in which they came, also after a lost answer', async () => {
+    const rig = createWriter()
+    rig.store.condition = 'losing-answers'
+    rig.write('submission', submissionOf('a', 'text'))
+    await rig.clock.advance(100)
+    rig.store.condition = 'normal'
+    rig.write('withdrawal', withdrawalOf('a'))
+    rig.write('cancellation', { name: { ...submissionOf('a', '').name, key: 'a' + CANCELLATION_SUFFIX }, value: '{}', absent: [withdrawalOf('a').name] })
+    await rig.clock.advance(PATIENCE_MS)
+    expect([...rig.outcomes]).toEqual([['submission', 'done'], ['withdrawal', 'repeated'], ['cancellation', 'done']])
+  })
+
+  test('leave the writes of other jobs in one transaction', async () => {
+    const rig = createWriter()
+    occupy(rig)
+    for (const id of ['a', 'b', 'c']) for (const row of [submissionOf(id, 'text'), withdrawalOf(id)]) rig.write(row.value === WITHDRAWN ? `withdrawal ${id}` : `submission ${id}`, row)
+    await rig.clock.advance(PATIENCE_MS)
+    expect(rig.tables.rows.size).toEqual(4)
+    // One that got no answer, then the first writes of all jobs, then the second ones.
+    expect(rig.store.calls).toEqual(3)
+  })
+})
