A submission doesn't take another node's row for its own

What callers would see: a task that runs with another text than its job's.

Cause: a submission that got no answer and is sent again finds a row of its id and takes it for its own, though it may be of another node's submission of that id. It is then announced to the decider with a text that isn't on record. As with two writes in one transaction, what is on record was not looked at.

Change: the row is a submission's own only if its value is. The values of two submissions differ, also of one text, by the time of their arrival.

Why it works: otherwise the outcome is `repeated`, which announces nothing; the decider learns of the job from the submission that is on record.

Measured: the new test of submissionWriter.test.ts failed before (done, with the text of another node on record) and passes.

--- a/packages/cell/src/runtime/SubmissionWriter.ts
+++ b/packages/cell/src/runtime/SubmissionWriter.ts
@@ -172,7 +172,7 @@
     for (const item of batch) {
       const present = rows.find(row => row.version > 0 && item.row.absent.some(name => isSameRow(name, row)))
       if (present === undefined) continue
-      const isOwnRow = item.maybeWritten && isSameRow(item.row.name, present)
+      const isOwnRow = item.maybeWritten && isSameRow(item.row.name, present) && item.row.value === present.value
       this.resolveWrite(part, item, isOwnRow ? { outcome: 'done', version: present.version } : { outcome: present.value === WITHDRAWN ? 'withdrawn' : 'repeated' })
     }
   }
--- a/packages/cell/test/runtime/submissionWriter.test.ts
+++ b/packages/cell/test/runtime/submissionWriter.test.ts
@@ -98,6 +98,18 @@
     expect([rig.outcomes.get('first'), rig.outcomes.get('second'), rowsOf(rig.tables, 'a')]).toEqual(['done', 'repeated', ['first text']])
   })
 
+  // Guards against a job that is announced with a text that is not on record, because another node's submission of its id came first.
+  test('at two nodes are one submission and its repetition, also if the later one got no answer at first', async () => {
+    const rig = createWriter()
+    rig.store.condition = 'silent'
+    rig.write('first', submissionOf('a', 'first text'))
+    await rig.clock.advance(100)
+    rig.tables.put(submissionOf('a', '').name, 'text of another node')
+    rig.store.condition = 'normal'
+    await rig.clock.advance(PATIENCE_MS)
+    expect([rig.outcomes.get('first'), rowsOf(rig.tables, 'a')]).toEqual(['repeated', ['text of another node']])
+  })
+
   test('are carried out in the order in which they came, also after a lost answer', async () => {
     const rig = createWriter()
     rig.store.condition = 'losing-answers'
