A job whose record is rejected holds no capacity, and pages are read again

Cause: read-through of the change. A gang whose record the store rejects had no waiting tasks, but was still planned, so that workers could be held for it. A page that the store's client couldn't read counted as a record that is broken, upon which a successor would have taken the job for one that hasn't begun.

Change: `rankSteps` leaves out steps of such a job, in place of TaskList. Only missing pages, or pages of another version, make a record unreadable; every other failure is tried again.

--- a/packages/cell/src/openJobs/TaskList.ts
+++ b/packages/cell/src/openJobs/TaskList.ts
@@ -113,11 +113,10 @@
 
   /**
    * @param options - `now`: monotonic ms, to leave out tasks that are not to be placed yet; `excluded`: tasks to leave out; `most`: maximum number of tasks
-   * @returns the waiting tasks of which objects exist or may be created; none while the store doesn't accept the job's record
+   * @returns the waiting tasks of which objects exist or may be created
    */
   waiting ({ now = Infinity, excluded = [], most = Infinity }: { now?: number, excluded?: Task[], most?: number } = {}): WaitingTasks {
     const touched: Task[] = []
-    if (this.step.occurrence.job.isRecordRejected) return { touched, untouched: 0 }
     for (const task of this.objects) {
       if (touched.length >= most) break
       if (task?.phase === 'waiting' && task.notBefore <= now && !excluded.includes(task)) touched.push(task)
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -158,7 +158,8 @@
   /**
    * Takes the keys whose records are written next: as many as one transaction can hold, or a suspect alone.
    *
-   * @param taken - receives the keys as they are taken
+   * @param taken - receives the keys as they are taken, so that they are known after a fault
+   * @returns the changes of their records
    */
   private takeBatch (taken: string[]): Batch {
     const { store: { limits }, encode } = this.options
--- a/packages/cell/src/runtime/Recovery.ts
+++ b/packages/cell/src/runtime/Recovery.ts
@@ -133,7 +133,7 @@
   private async readPagedRecords (isAbandoned: () => boolean): Promise<void> {
     const { store, clock, log, isKnown } = this.options
     for (const row of this.pagedRows) {
-      // The record of a job that is held changes between the reads.
+      // The record of a job that is held may change between the reads.
       if (isKnown?.(row.key) === true) continue
       let stored = await readRecord(store, row)
       while (stored.isErr() && stored.error.code !== 'unreadable' && !isAbandoned()) {
--- a/packages/cell/src/runtime/rankSteps.ts
+++ b/packages/cell/src/runtime/rankSteps.ts
@@ -35,13 +35,14 @@
  *
  * @param steps - steps with waiting tasks
  * @param options - `routeOf`: returns the configured route with a name; `now`: monotonic ms; `arrange`: orders steps that differ only in the time left, which are passed in that order
- * @returns the steps in rank order, without steps whose route is not known or whose occurrence is not yet due
+ * @returns the steps in rank order, without those whose route is not known, whose occurrence is not yet due, or whose job's record the store doesn't accept
  */
 export function rankSteps (steps: Iterable<StepState>, options: { routeOf: (name: string) => ScheduledRoute | undefined, now: number, arrange?: (run: RankedStep[]) => RankedStep[] }): RankedStep[] {
   const ranked: RankedStep[] = []
   for (const step of steps) {
     const route = findScheduledRoute(step.occurrence.job.job, options.routeOf)
-    if (route === undefined || step.occurrence.dueAt > options.now) continue
+    // A run must be on record before it starts.
+    if (route === undefined || step.occurrence.dueAt > options.now || step.occurrence.job.isRecordRejected) continue
     ranked.push(rankStep(step, route, options.now))
   }
   ranked.sort((a, b) => groupOf(a) - groupOf(b) || a.lateness - b.lateness || a.route.priority - b.route.priority || a.objectiveAt - b.objectiveAt)
--- a/packages/cell/src/runtime/recordRows.ts
+++ b/packages/cell/src/runtime/recordRows.ts
@@ -70,7 +70,7 @@
  *
  * @param store - the store
  * @param row - row of the record
- * @returns the record, or why it can't be read: `unreadable` if rows are missing or not of one transaction
+ * @returns the record, or why it can't be read: `unavailable` if the store doesn't answer, `unreadable` if rows are missing or not of one transaction
  */
 export async function readRecord (store: RecordStore, row: Row): Promise<Result<StoredRecord, ReadFault>> {
   try {
@@ -78,7 +78,7 @@
     if (stored !== undefined) return Ok(stored)
     const { pages } = JSON.parse(row.value) as RecordHead
     const read = await store.range(pagesOf(row.key))
-    if (read.isErr()) return read
+    if (read.isErr()) return Err({ ...read.error, code: 'unavailable' })
     const { rows } = read.value
     if (rows.length !== pages || rows.some(({ version }) => version !== row.version)) return Err({ code: 'unreadable', reason: `the record has ${rows.length} of ${pages} pages, or pages of another version` })
     const text = rows.map(({ value }) => value).join('')
