--- a/packages/cell/src/runtime/Schedule.ts
+++ b/packages/cell/src/runtime/Schedule.ts
@@ -3,7 +3,7 @@
 import { createOccurrence } from './createOccurrence.js'
 import type { JobOccurrence, JobState } from './model.js'
 
-/** Maximum number of tasks in the open occurrences of a job, unless it has one open occurrence only. The record of as many tasks that run fits into one row. */
+/** Maximum number of tasks in the open occurrences of a job, unless it has one open occurrence only. It bounds what each commit of the job writes. */
 const MAX_OPEN_TASKS_PER_JOB = 800
 /** Maximum number of tasks in the open occurrences of all scheduled jobs together, unless each has one open occurrence only. */
 const MAX_OPEN_TASKS = 16_000
