Time-outs expire after what has arrived was read

What callers saw: on a starved machine orders that were carried out counted as unanswered and were stopped, and workers that had answered as unreachable.

Cause: a turn of the event loop runs its timers before it reads its sockets. A process that was busy or paused for longer than a time-out therefore gave up calls whose answers were waiting to be read.

Why it works: what has arrived by then is delivered in the same turn, and takes the time-out back. A call without an answer times out one turn later.

--- a/packages/cell/src/runtime/settle.ts
+++ b/packages/cell/src/runtime/settle.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@rattanstep/core'
 import type { Log } from '@rattanstep/telemetry'
 import { logFault } from './logFault.js'
+import { scheduleTimeout } from './scheduleTimeout.js'
 
 /** Options of a call that is to have an outcome. */
 export interface SettleOptions<Outcome> {
@@ -26,7 +27,7 @@
       logFault(log, step, error)
       resolve(outcomeOf(String(error)))
     }
-    const timer = clock.schedule(timeout, () => { fail(`no outcome within ${timeout} ms`) })
+    const timer = scheduleTimeout(clock, timeout, () => { fail(`no outcome within ${timeout} ms`) })
     call().then(resolve, fail).finally(() => { timer.cancel() })
   })
 }
