A start that got no answer is stopped only if the worker doesn't list the run

Cause: an order that timed out was taken for one that failed. Its run was stopped at once, although a worker that is only slow has often begun it; each unanswered start cost an order to stop, a record, and another start.

Change: the task stays `ordered` until a list of the worker, from a poll that was sent after the order, shows the run, its end, or that it is absent. Only then it is stopped, since the order may still be carried out. Orders to stop that get no answer are repeated after 300 to 1,200 ms instead of every 300 ms.

Why it works: the worker is polled anyway, one call for all of its runs. A lost order is found as early as before: the list that used to prove the stop proves the absence, and the next one the stop. On a lost worker leases expire as before.

--- a/packages/cell/src/openJobs/TaskList.ts
+++ b/packages/cell/src/openJobs/TaskList.ts
@@ -141,7 +141,7 @@
     const { step } = this
     const { occurrence } = step
     return {
-      name: taskName(occurrence.job.job.id, occurrence.index, step.index, index), step, index, phase: 'waiting', run: 0, sentRun: 0, begunRun: 0, incarnation: 0, failures: 0, crashes: [], checkpoint: '', confirmedAt: 0, stopConfirmedAt: 0, stopOrderedAt: 0, preemptions: 0, projectedEndAt: 0, notBefore: 0, avoidedWorkers: new Set()
+      name: taskName(occurrence.job.job.id, occurrence.index, step.index, index), step, index, phase: 'waiting', run: 0, sentRun: 0, begunRun: 0, incarnation: 0, failures: 0, crashes: [], checkpoint: '', confirmedAt: 0, orderSentAt: 0, isUnanswered: false, stopConfirmedAt: 0, stopOrderedAt: 0, preemptions: 0, projectedEndAt: 0, notBefore: 0, avoidedWorkers: new Set()
     }
   }
 }
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -577,6 +577,7 @@
     const sentAt = this.options.clock.now()
     const leaseEnd = this.leases.extend(worker, 'start')
     task.sentRun = run
+    task.orderSentAt = sentAt
     const outcome = await this.options.workers.start(worker.report, {
       task: task.name, run, spec: task.step.occurrence.job.job.spec, leaseEnd, fence: this.poller.fenceOf(worker), checkpoint: task.checkpoint, ticket: ticket === undefined ? undefined : task.step.tickets.get(worker.report.id)?.text ?? ticket
     })
--- a/packages/cell/src/runtime/TaskLifecycle.ts
+++ b/packages/cell/src/runtime/TaskLifecycle.ts
@@ -67,6 +67,8 @@
     task.run = run
     task.phase = 'placed'
     task.confirmedAt = 0
+    task.orderSentAt = 0
+    task.isUnanswered = false
     task.stopConfirmedAt = 0
     task.projectedEndAt = 0
     task.incarnation = incarnationTag(worker.report.born)
@@ -122,7 +124,8 @@
     }
     log.write(CELL_EVENTS.startNotTaken, { task: task.name, run, worker: worker.report.id, outcome: describeOutcome(outcome) })
     if (outcome.kind === 'unknown') {
-      if (task.phase === 'ordered') this.stopRun(task, 'start-unanswered')
+      // A slow worker may have begun the run, which its next list shows.
+      task.isUnanswered = true
       return
     }
     if (outcome.kind === 'unwell') this.suspendWorker(worker, UNWELL_SUSPENSION_MS, 'unwell')
--- a/packages/cell/src/runtime/WorkerPoller.ts
+++ b/packages/cell/src/runtime/WorkerPoller.ts
@@ -32,8 +32,9 @@
 const STALL_SUSPENSION_MS = 3000
 /** Maximum time by which the answer to an order is older than the last list: answers overtake each other, and orders have a timeout of less than this. */
 const MAX_ANSWER_DELAY_MS = 1000
-/** Delay between attempts to stop a run. */
+/** Delay before the first repeat of an order to stop a run; it doubles with every further repeat up to the maximum. */
 const STOP_RETRY_DELAY_MS = 300
+const MAX_STOP_RETRY_DELAY_MS = 1200
 
 /** Options and callbacks of a worker poller. */
 export interface WorkerPollerOptions {
@@ -168,7 +169,7 @@
     const { worker, run } = task
     const { workers, clock } = this.options
     if (worker === undefined) return
-    for (;;) {
+    for (let delay = STOP_RETRY_DELAY_MS; ; delay = Math.min(MAX_STOP_RETRY_DELAY_MS, 2 * delay)) {
       if (this.isStopped || task.worker !== worker || task.run !== run || (task.phase !== 'stopping' && task.phase !== 'done')) return
       const { generation } = worker
       const outcome = await workers.stop(worker.report, { task: task.name, run, fence: this.fenceOf(worker) })
@@ -178,7 +179,7 @@
         return
       }
       if (outcome.kind === 'refused' && outcome.reason === 'fence' && generation === worker.generation) this.options.onNewerTerm()
-      await clock.sleep(STOP_RETRY_DELAY_MS)
+      await clock.sleep(delay)
     }
   }
 
@@ -349,6 +350,7 @@
       if (present.has(task.name)) continue
       if (task.phase === 'assumed') this.lifecycle.handleLostRun(task, 'not on its worker')
       else if ((task.phase === 'running' || task.phase === 'done') && task.confirmedAt < sentAt) this.lifecycle.handleLostRun(task, 'vanished from its worker')
+      else if (task.phase === 'ordered' && task.isUnanswered && task.orderSentAt < sentAt) this.lifecycle.stopRun(task, 'start-unanswered')
       else if (task.phase === 'stopping' && task.stopConfirmedAt > 0 && task.stopConfirmedAt < sentAt) this.lifecycle.handleLostRun(task, 'stopped')
     }
   }
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -60,6 +60,10 @@
   checkpoint: string
   /** Monotonic ms at which the order to start was answered or the run was first listed. Polls sent before that time may not list the run. */
   confirmedAt: number
+  /** Monotonic ms at which the order to start the last run was sent, or 0. */
+  orderSentAt: number
+  /** Whether that order got no answer in time, so that only a list of the worker tells whether the run has begun. */
+  isUnanswered: boolean
   /** Monotonic ms at which the order to stop was answered, or 0. */
   stopConfirmedAt: number
   /** Monotonic ms at which the last run was ordered to stop, or 0. */
