Starts follow the answers of the workers

Cause: up to 512 orders to start were sent at once, whatever their answers took, and any number waited behind them, all on record. Workers that can't answer so many within the time of a call leave them unanswered, each of which cost a stop, a record and a new run. A successor found hundreds of runs on record that had never begun, and ordered them again at once.

Change: `StartFlow` holds a window for each worker and one for all (`AnswerWindow`): it doubles within an answer time until the first congestion, then grows by one, and shrinks when answers become slow or don't come, once for all orders sent before. A round places no more tasks than twice the window, so that rank decides when there is room and not when a queue was filled; gangs are placed whole. The limit by memory remains the largest window.

Why it works: what isn't answered isn't piled up, on the way or on record. On a machine with room, the windows aren't reached: an answer takes some ms.

--- a/packages/cell/src/runtime/CapacitySnapshot.ts
+++ b/packages/cell/src/runtime/CapacitySnapshot.ts
@@ -39,7 +39,8 @@
   openings: number
   private forecast: Release[] | undefined
 
-  constructor (readonly worker: WorkerState) {
+  /** @param starts - number of further starts that the worker may be ordered now; gangs don't count on it, since their tasks start together */
+  constructor (readonly worker: WorkerState, public starts = Infinity) {
     this.free = freeCapacity(worker)
     this.openings = MAX_TASKS_PER_WORKER - worker.tasks.size
   }
@@ -66,9 +67,10 @@
 
   /**
    * @param workers - workers on which tasks may be placed
+   * @param startsOf - returns the number of further starts that a worker may be ordered now
    */
-  constructor (workers: WorkerState[]) {
-    this.slots = workers.map(worker => new Slot(worker))
+  constructor (workers: WorkerState[], startsOf?: (worker: WorkerState) => number) {
+    this.slots = workers.map(worker => new Slot(worker, startsOf?.(worker)))
     this.slotsById = new Map(this.slots.map(slot => [slot.worker.report.id, slot]))
     this.maxFree = this.computeMaxFree()
     const sum = (valueOf: (worker: WorkerState) => number): number => workers.reduce((total, worker) => total + valueOf(worker), 0)
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -20,6 +20,7 @@
 import { SubmissionFeed } from './SubmissionFeed.js'
 import { InstanceFeed } from './InstanceFeed.js'
 import { ConcurrencyLimit } from './ConcurrencyLimit.js'
+import { StartFlow } from '../starts/StartFlow.js'
 import { CrashLedger } from './CrashLedger.js'
 import { incarnationTag } from './CrashBudget.js'
 import { applyRecord, hasRuns, encodeJobRecord, recordedPhase } from './jobRecord.js'
@@ -32,6 +33,7 @@
 import { OrganisationTable } from '../organisations/OrganisationTable.js'
 import type { OrganisationStatus } from '../organisations/OrganisationTable.js'
 import { planRound } from './planRound.js'
+import type { RoundPlan } from './planRound.js'
 import { PreemptionRound } from './PreemptionRound.js'
 import type { Preemption } from './PreemptionRound.js'
 import { rankSteps } from './rankSteps.js'
@@ -159,6 +161,9 @@
   readonly preemptions = new Map<string, number>()
   private readonly backlogMeter: BacklogMeter
   private readonly startOrders: ConcurrencyLimit
+  private readonly startFlow: StartFlow
+  /** Whether the last round has left out tasks that have room, because too many starts were not answered. */
+  private areStartsLimited = false
   private readonly timers: Timer[] = []
   private readonly rankingTime: LatencyHistogram
   private readonly planningTime: LatencyHistogram
@@ -186,7 +191,8 @@
     this.registry = new Registry(new TaskCounter(options.maxOpenTasks))
     this.organisations = new OrganisationTable(this.registry)
     this.backlogMeter = new BacklogMeter(this.registry)
-    this.startOrders = new ConcurrencyLimit(options.maxStartOrders ?? Infinity)
+    this.startFlow = new StartFlow({ clock, most: options.maxStartOrders ?? Infinity })
+    this.startOrders = new ConcurrencyLimit(() => this.startFlow.size)
     this.openJobs = new OpenJobs({
       store,
       clock,
@@ -478,6 +484,8 @@
       this.backlogMeter.addRound([], [], now)
       return
     }
+    const starts = this.startFlow.startRound(this.registry.workers.values())
+    if (starts.left < 1) return this.noteStartLimit({ isReached: true, workers: new Set() })
     const usable = this.usableWorkers(now)
     const workersOf = (service: string): WorkerState[] => usable.get(service) ?? []
     const rankedFrom = clock.now()
@@ -490,7 +498,8 @@
     this.rankingTime.record(plannedFrom - rankedFrom)
     const adviceRound = this.adviceScheduler.startRound(this.options.advisorNodes(), now, (1 + ROUND_PAUSE_RATIO) * this.roundDuration)
     const preemption = this.startPreemption(now)
-    const plan = planRound(ranked, { preemption, workersOf, now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound() })
+    const plan = planRound(ranked, { preemption, workersOf, now, adviceRound, allowedShare: route => this.adviceScheduler.allowedShare(route), holds: this.holds, priorityOf: route => this.routes.get(route)?.priority ?? 0, capBudgetOf: this.organisations.startRound(), starts })
+    this.noteStartLimit(plan.startLimit)
     this.holds = plan.holds
     const placedFrom = clock.now()
     this.planningTime.record(placedFrom - plannedFrom)
@@ -501,6 +510,12 @@
     for (const request of plan.adviceRequests) detach(this.advisor.advise(request), this.options.log, 'advice')
   }
 
+  private noteStartLimit ({ isReached, workers }: RoundPlan['startLimit']): void {
+    if (isReached) this.startFlow.noteLimit()
+    for (const worker of workers) this.startFlow.noteLimit(worker)
+    this.areStartsLimited = isReached || workers.size > 0
+  }
+
   /** @returns what finds runs to stop for more urgent work in one round, if that is enabled */
   private startPreemption (now: number): PreemptionRound | undefined {
     if (!this.options.preempts && !this.hasOrganisations) return undefined
@@ -582,6 +597,8 @@
       task: task.name, run, spec: task.step.occurrence.job.job.spec, leaseEnd, fence: this.poller.fenceOf(worker), checkpoint: task.checkpoint, ticket: ticket === undefined ? undefined : task.step.tickets.get(worker.report.id)?.text ?? ticket
     })
     if (outcome.kind !== 'unknown') this.leases.settle(worker, sentAt)
+    this.startFlow.noteOutcome(worker, sentAt, outcome.kind !== 'unknown')
+    if (this.areStartsLimited) this.requestRound()
     if (this.isStopped) return
     if (outcome.kind === 'refused' && outcome.reason === 'fence' && generation === worker.generation) return this.loseTerm(undefined)
     if (outcome.kind === 'taken') {
--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -78,7 +78,7 @@
   private readonly writer: SubmissionWriter
   /** Writes of callers, and queries, that wait for their outcome. */
   private readonly waiting = { waitingWrites: 0, waitingQueries: 0 }
-  private readonly lookups = new ConcurrencyLimit(MAX_CONCURRENT_LOOKUPS)
+  private readonly lookups = new ConcurrencyLimit(() => MAX_CONCURRENT_LOOKUPS)
 
   /** @param options - `limits`: numbers of writes and queries that may wait; `onLimit`: called when one is refused for that */
   constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderClient, admission?: AdmissionGate, openJobGate?: OpenJobGate, limits?: WaitingLimits, onLimit?: (limit: keyof WaitingLimits) => void }) {
--- a/packages/cell/src/runtime/placeTasks.ts
+++ b/packages/cell/src/runtime/placeTasks.ts
@@ -56,6 +56,7 @@
     const slot = findSlot(ordered, step, task?.avoidedWorkers, start)
     if (slot === undefined) return false
     reserveCapacity(slot, step.definition)
+    slot.starts--
     slot.placed = { step, tasks: slot.placed?.step === step ? slot.placed.tasks + 1 : 1 }
     chosen.push({ task, slot })
     return true
@@ -69,6 +70,7 @@
   if (gang && chosen.length < waiting.touched.length + waiting.untouched) {
     for (const { slot } of chosen) {
       reserveCapacity(slot, step.definition, -1)
+      slot.starts++
       slot.placed = undefined
     }
     return []
@@ -106,7 +108,7 @@
 function findSlot (slots: Slot[], step: StepState, avoidedWorkers: Task['avoidedWorkers'] | undefined, start: { now: number, priority: number }): Slot | undefined {
   let fallback: Slot | undefined
   for (const slot of slots) {
-    if (taskCapacity(slot, step, start) < 1) continue
+    if ((slot.starts < 1 && !step.definition.gang) || taskCapacity(slot, step, start) < 1) continue
     if (avoidedWorkers?.has(slot.worker.report.id) !== true) return slot
     fallback ??= slot
   }
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -14,6 +14,7 @@
 import { mayHoldCapacity } from './rankSteps.js'
 import type { RankedStep } from './rankSteps.js'
 import { holdSchedule, releaseHold } from './scheduleGang.js'
+import type { StartBudget } from '../starts/StartFlow.js'
 import { suspectsOf, updateClearance } from './Suspicion.js'
 
 /** Assumed share of workers that the advice service allows, before the first answer for a route. */
@@ -52,6 +53,8 @@
   holds: Map<StepState, GangHold>
   /** Runs to stop for more urgent steps. */
   preemptions: Preemption[]
+  /** Whether tasks that have room were not placed because too many starts are not answered yet, and the workers that were passed over for that. */
+  startLimit: { isReached: boolean, workers: Set<WorkerState> }
 }
 
 /** Input of a round of planning. */
@@ -72,6 +75,8 @@
   capBudgetOf?: (job: Job) => CapBudget | undefined
   /** Stops runs for more urgent steps; absent to let all runs end. */
   preemption?: PreemptionRound
+  /** Starts that the round may place; by default, there is no limit. */
+  starts?: StartBudget
 }
 
 /** What the steps of one service share in a round of planning. */
@@ -94,6 +99,8 @@
   /** Jobs of which the round starts a suspect. */
   plannedSuspects: Set<JobState>
   preemption?: PreemptionRound
+  /** Number of further starts that the round may place. Gangs are placed whole if there is any. */
+  starts: { left: number }
 }
 
 /**
@@ -104,13 +111,13 @@
  * @param options - workers, time and nodes for the round
  * @returns placements, calls to the advice service, and capacity that is held for gangs
  */
-export function planRound (ranked: RankedStep[], { workersOf, now, adviceRound, allowedShare, holds = new Map(), priorityOf = () => 0, capBudgetOf = () => undefined, preemption }: PlanOptions): RoundPlan {
-  const plan: RoundPlan = { placements: [], adviceRequests: [], holds: new Map(), preemptions: [] }
-  const shared = { plan, now, allowedShare: (route: string) => allowedShare?.(route) ?? DEFAULT_ALLOWED_SHARE, adviceRound, servicesWithLongHold: new Set<string>(), priorityOf, capBudgetOf, plannedSuspects: new Set<JobState>(), preemption }
+export function planRound (ranked: RankedStep[], { workersOf, now, adviceRound, allowedShare, holds = new Map(), priorityOf = () => 0, capBudgetOf = () => undefined, preemption, starts }: PlanOptions): RoundPlan {
+  const plan: RoundPlan = { placements: [], adviceRequests: [], holds: new Map(), preemptions: [], startLimit: { isReached: false, workers: new Set() } }
+  const shared = { plan, now, allowedShare: (route: string) => allowedShare?.(route) ?? DEFAULT_ALLOWED_SHARE, adviceRound, servicesWithLongHold: new Set<string>(), priorityOf, capBudgetOf, plannedSuspects: new Set<JobState>(), preemption, starts: { left: starts?.left ?? Infinity } }
   const contexts = new Map<string, RoundContext>()
   const contextOf = (service: string): RoundContext => {
     let context = contexts.get(service)
-    if (context === undefined) contexts.set(service, context = { ...shared, capacity: new CapacitySnapshot(workersOf(service)), reserved: new Map() })
+    if (context === undefined) contexts.set(service, context = { ...shared, capacity: new CapacitySnapshot(workersOf(service), starts?.leftOf), reserved: new Map() })
     return context
   }
   for (const { step, route } of ranked) restoreReservation(step.occurrence.job, contextOf(route.service))
@@ -162,8 +169,9 @@
 }
 
 /** Adds placements to the plan and deducts them from the cap of the job's organisation. */
-export function addPlacements (step: StepState, placements: Placement[], { plan, capBudgetOf }: Pick<RoundContext, 'plan' | 'capBudgetOf'>): void {
+export function addPlacements (step: StepState, placements: Placement[], { plan, capBudgetOf, starts }: Pick<RoundContext, 'plan' | 'capBudgetOf' | 'starts'>): void {
   plan.placements.push(...placements)
+  starts.left -= placements.length
   capBudgetOf(step.occurrence.job.job)?.take(step.definition.size, placements.length)
 }
 
@@ -180,11 +188,16 @@
 
 function planStep (rankedStep: RankedStep, context: RoundContext, excluded: Task[] = []): void {
   const { step, route } = rankedStep
-  const { capacity, now, adviceRound } = context
-  const waiting = step.tasks.waiting({ now, excluded, most: countUnderCap(step, context) })
+  const { capacity, now, adviceRound, starts } = context
+  if (starts.left < 1) {
+    context.plan.startLimit.isReached = true
+    return
+  }
+  const { gang } = step.definition
+  const waiting = step.tasks.waiting({ now, excluded, most: Math.min(countUnderCap(step, context), gang ? Infinity : starts.left) })
   const count = waiting.touched.length + waiting.untouched
   if (count === 0) return
-  if (step.definition.gang) {
+  if (gang) {
     if (count === step.tasks.length) planGang(rankedStep, context)
     return
   }
@@ -193,12 +206,24 @@
   const placements = placeTasks(waiting, usable, step, { now, priority: route.priority, neededSpeedClass: rankedStep.neededSpeedClass })
   addPlacements(step, placements, context)
   const missing = count - placements.length
+  if (missing > 0 && noteStartLimit(usable, rankedStep, context)) return
   if (missing > 0) holdCapacity(rankedStep, missing, route.advice === undefined ? eligible : eligible.filter(slot => isAllowed(slot, step)), context)
   if (missing === 0 || route.advice === undefined) return
   if (step.adviceCounts.asked > 0 || step.nextAdviceAt > now || !adviceRound.canAssign(route.advice)) return reserveForPendingAdvice(missing, eligible, step, context.plan.holds)
   askAboutWorkers(rankedStep, route.advice, { missing, eligible }, context)
 }
 
+/** @returns whether tasks of a step that have room were not placed because their workers have not answered enough earlier starts */
+function noteStartLimit (slots: Slot[], { step, route: { priority } }: RankedStep, { plan, now }: RoundContext): boolean {
+  let isLimited = false
+  for (const slot of slots) {
+    if (slot.starts >= 1 || taskCapacity(slot, step, { now, priority }) < 1) continue
+    plan.startLimit.workers.add(slot.worker)
+    isLimited = true
+  }
+  return isLimited
+}
+
 /** Holds capacity for the tasks of a step that don't fit now and should start soon, and stops runs for them if necessary. */
 function holdCapacity (rankedStep: RankedStep, missing: number, slots: Slot[], { capacity, plan, now, preemption }: RoundContext): void {
   const { step, route } = rankedStep
--- a/packages/cell/test/runtime/starvation.test.ts
+++ b/packages/cell/test/runtime/starvation.test.ts
@@ -1,16 +1,64 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
+import { RECORDS } from '../../src/runtime/rowNames.js'
 import { createSteadyRig } from '../support/CellRig.js'
-import type { RigNode } from '../support/CellRig.js'
+import type { CellRig, RigNode, RigOptions } from '../support/CellRig.js'
 
 const SIZE = { cpu: 1000, memory: 1, accelerators: 0 }
+/** Tasks of a job that has more than the workers hold at once. */
+const WIDE_COUNT = 5000
+const RECORDED_RUNS = 800
+/** Processor time that a call takes at the workers: 65 calls a second in all. */
+const SLOW_CALL_MS = 15
+/** Interval in which something must be completed. */
+const PROGRESS_INTERVAL_MS = 5000
 
 /** @returns number of lines that the nodes have logged of an event */
 function countLines (nodes: RigNode[], name: string): number {
   return nodes.reduce((sum, { log }) => sum + log.lines.filter(({ event }) => event.name === name).length, 0)
 }
 
+/** @returns a rig whose workers hold 800 tasks */
+async function createWideRig (options: RigOptions = {}): Promise<CellRig> {
+  return await createSteadyRig({ workers: 2, cpu: 400_000, behaviour: () => ({ duration: 500, ending: 'done', size: SIZE }), ...options })
+}
+
+/** Runs the rig, and checks that tasks are completed in each interval and that the decider stays the same. */
+async function expectProgress (rig: CellRig, intervals: number): Promise<void> {
+  const { decider } = rig
+  for (let interval = 0; interval < intervals; interval++) {
+    const before = rig.fleet.done.size
+    await rig.run(PROGRESS_INTERVAL_MS)
+    expect(rig.fleet.done.size).toBeGreaterThan(before)
+    expect(rig.decider?.name).toEqual(decider?.name)
+  }
+  expect(rig.fleet.violations).toEqual([])
+}
+
 describe('a starved cell', () => {
+  // Guards against hundreds of starts that time out together, are stopped and are ordered again.
+  test('starts no more than slow workers answer', async () => {
+    const rig = await createWideRig()
+    rig.fleet.callTime = SLOW_CALL_MS
+    await rig.submit(rig.nodes[0]!, [{ count: WIDE_COUNT, size: SIZE }])
+    await expectProgress(rig, 6)
+    expect(countLines(rig.nodes, 'run-lost')).toEqual(0)
+    expect(countLines(rig.nodes, 'stop-ordered')).toBeLessThan(WIDE_COUNT / 100)
+    expect(Math.max(...rig.fleet.starts.values())).toEqual(1)
+  })
+
+  // Guards against a successor that orders all recorded runs that never began at once, so that nothing is completed until it is replaced in turn.
+  test('works off hundreds of recorded runs that never began', async () => {
+    const rig = await createWideRig()
+    const { id } = await rig.submit(rig.nodes[0]!, [{ count: WIDE_COUNT, size: SIZE }])
+    rig.kill(rig.decider!)
+    rig.tables.put({ ...RECORDS, key: id }, JSON.stringify({ phase: 'open', tasks: [[[...Array.from({ length: RECORDED_RUNS }, (_, index) => [1, `w${index % 2}`, 0, 0, '', 1]), 0]]] }))
+    rig.fleet.callTime = SLOW_CALL_MS
+    await rig.until(() => rig.decider !== undefined)
+    await expectProgress(rig, 6)
+    expect(countLines(rig.nodes, 'run-lost')).toBeLessThan(RECORDED_RUNS + 1)
+  })
+
   // Guards against the stop of a run that has begun, because its worker was slow to answer the order.
   test('takes a run for begun that a worker lists after it has left the order unanswered', async () => {
     const rig = await createSteadyRig({ workers: 1, behaviour: () => ({ duration: 3000, ending: 'done', size: SIZE }) })
--- a/packages/cell/test/support/FakeWorkers.ts
+++ b/packages/cell/test/support/FakeWorkers.ts
@@ -291,6 +291,9 @@
   list: { put: (report: WorkerReport) => void, remove: (id: string) => void } = { put: () => {}, remove: () => {} }
   /** Time in ms of the last start of any task. */
   lastStart = 0
+  /** ms of processor time that each call takes; the workers share one processor, and calls wait for each other. */
+  callTime = 0
+  private busyUntil = 0
   /** Returns whether workers refuse an order to start a task that carries no ticket. */
   needsTicket: (task: string) => boolean = () => false
 
@@ -320,6 +323,14 @@
     }
   }
 
+  /** @returns ms after which the processor of the workers has carried out a call that arrives now */
+  queueCall (): number {
+    if (this.callTime === 0) return 0
+    const now = this.clock.now()
+    this.busyUntil = Math.max(now, this.busyUntil) + this.callTime
+    return this.busyUntil - now
+  }
+
   recordStart (task: string, worker: FakeWorker): void {
     const at = this.clock.now()
     this.starts.set(task, (this.starts.get(task) ?? 0) + 1)
@@ -403,8 +414,13 @@
       this.holdCall(target, () => { target.poll(order) })
       return await this.clock.deliver(TIMEOUT_MS, () => Err({ code: 'silent', reason: 'no answer' }))
     }
+    const delay = this.fleet.queueCall()
+    if (delay > TIMEOUT_MS) {
+      this.fleet.clock.schedule(delay, () => { if (!target.isDown) target.poll(order) })
+      return await this.clock.deliver(TIMEOUT_MS, () => Err({ code: 'silent', reason: 'no answer' }))
+    }
     return await new Promise(resolve => {
-      this.fleet.clock.schedule(ANSWER_MS / 2, () => {
+      this.fleet.clock.schedule(delay + ANSWER_MS / 2, () => {
         if (target.isDown) return this.answer(resolve, () => Err({ code: 'silent', reason: 'the connection was closed' }))
         const first = target.poll(order)
         if (first.isErr() || order.wait === 0) return this.answer(resolve, () => first)
@@ -444,8 +460,13 @@
       if (target !== undefined) this.fleet.clock.schedule(target.orderDelay, () => { if (!target.isDown) carryOut(target) })
       return await this.clock.deliver(TIMEOUT_MS, () => ({ kind: 'unknown', reason: 'no answer' }))
     }
+    const delay = this.fleet.queueCall()
+    if (delay > TIMEOUT_MS) {
+      this.fleet.clock.schedule(delay, () => { if (!target.isDown) carryOut(target) })
+      return await this.clock.deliver(TIMEOUT_MS, () => ({ kind: 'unknown', reason: 'no answer' }))
+    }
     return await new Promise(resolve => {
-      this.fleet.clock.schedule(ANSWER_MS / 2, () => {
+      this.fleet.clock.schedule(delay + ANSWER_MS / 2, () => {
         const outcome: OrderOutcome = target.isDown ? { kind: 'unknown', reason: 'the connection was closed' } : carryOut(target)
         if (target.isCutOff) return this.clock.schedule(TIMEOUT_MS, () => { resolve({ kind: 'unknown', reason: 'no answer' }) })
         this.clock.schedule(ANSWER_MS / 2, () => { resolve(outcome) })
