A silent decider is dead only if it doesn't confirm its term as often as lately

Cause: a follower called the decider silent after 400 ms without a message, closed the link, and claimed the term if its row didn't change within 300 ms. Both periods fit an idle machine. The follower counted its own pauses against the decider, and closing the link lost the results of all calls that it made.

Change: - `SilenceDetector` counts only time in which this process ran, and gives an end that was late lately twice as long. Both ends of a link use it, after what has arrived was read. - The link stays open while the store is asked. A message or a closed link ends the suspicion; two confirmations without a message show that the link is at fault. A decider that doesn't answer a hello in time may still do so. - The decider tells how long it has taken lately between two confirmations of its term; a silent one has one and a half times that, and four times the longest read of the row, at most 5 s. This is remembered over terms. - `decider-silent` (8028) has the silence and what counted as normal; `heartbeat_interval_ms` the intervals between messages.

Ruled out: longer time-outs, which each real silence would cost as well.

Why it works: on a healthy machine heartbeats and confirmations are regular and both periods are as before, 400 and 300 ms; a killed process closes its links. takeover.test.ts has the bounds (300 ms after a kill, 1 s after a power cut).

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -25,7 +25,7 @@
 import { DeciderClient, Gateway } from './Gateway.js'
 import type { WaitingLimits, WriteRequest } from './Gateway.js'
 import type { WriteOutcome } from './SubmissionWriter.js'
-import type { DeciderConnector } from './Follower.js'
+import type { DeciderConnector, Follower } from './Follower.js'
 import { Followers } from './Followers.js'
 import type { FollowerLink } from './Followers.js'
 import { InstrumentedWorkerClient } from './InstrumentedWorkerClient.js'
@@ -124,6 +124,7 @@
       connector: options.connector,
       clock,
       log,
+      metrics: options.metrics,
       node: options.node,
       dataCentre: options.dataCentre,
       strength: options.strength,
@@ -137,7 +138,7 @@
         onConfigurationMessage: (message, send) => { this.configurationSync.handleMessage(message, 'decider', send) },
         configurationVersion: () => this.configurationFeed.currentVersion
       },
-      decide: async (term, version) => { await this.decide(term, version) }
+      decide: async (term, version) => await this.decide(term, version)
     })
   }
 
@@ -166,7 +167,7 @@
     if (this.configuration === undefined) return false
     if (this.decider !== undefined) return this.gateway.isStoreReachable
     const { follower } = this.membership
-    return follower !== undefined && (this.gateway.isStoreReachable || follower.deciderStoreSilence < MAX_DECIDER_STORE_SILENCE_MS)
+    return follower !== undefined && (this.gateway.isStoreReachable || (!follower.isSilent && follower.deciderStoreSilence < MAX_DECIDER_STORE_SILENCE_MS))
   }
 
   /** @returns the decider, while this node holds the term */
@@ -221,7 +222,7 @@
 
   override async query (question: Question, timeout: number): Promise<Answer | undefined> {
     if (this.decider !== undefined) return this.decider.isReady ? await this.decider.answer(question) : undefined
-    return await this.membership.follower?.ask(question, timeout)
+    return await this.responsiveFollower?.ask(question, timeout)
   }
 
   /**
@@ -247,10 +248,17 @@
 
   override async forwardWrite (request: WriteRequest, deadline: number): Promise<WriteOutcome | undefined> {
     if (this.decider !== undefined) return undefined
-    return await this.membership.follower?.forwardWrite(request, deadline - this.options.clock.now())
+    return await this.responsiveFollower?.forwardWrite(request, deadline - this.options.clock.now())
   }
 
-  private async decide (term: Term, version: number): Promise<void> {
+  /** The link to the decider, unless that has been silent for too long: the store answers sooner then. */
+  private get responsiveFollower (): Follower | undefined {
+    const { follower } = this.membership
+    return follower?.isSilent === true ? undefined : follower
+  }
+
+  /** @returns longest time in ms between two recent confirmations of the term, when it is lost */
+  private async decide (term: Term, version: number): Promise<number> {
     const { store, workers, reader, clock, log, metrics = new Metrics(), node, advisor, retention, leaseMax, limits, preempts = false, refuses = false } = this.options
     let resolveTermLost!: () => void
     const termLost = new Promise<void>(resolve => { resolveTermLost = resolve })
@@ -270,6 +278,7 @@
         onNewerTerm: () => { decider.confirmTerm() },
         write: async (request, timeout) => await this.gateway.write(request, clock.now() + timeout - FORWARD_RESERVE_MS),
         storeSilence: () => store.silentFor(),
+        confirmationInterval: () => decider.confirmationInterval,
         backlog: () => decider.backlog,
         openJobs: () => decider.openJobReport
       }
@@ -327,6 +336,7 @@
     this.decider = undefined
     this.followers = undefined
     followers.close()
+    return decider.confirmationInterval
   }
 
   /**
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -338,6 +338,11 @@
     return this.recorder.confirmedAt
   }
 
+  /** @returns longest time in ms between two recent confirmations of the term, or since the last one */
+  get confirmationInterval (): number {
+    return this.recorder.confirmationInterval
+  }
+
   /** @returns number of tasks given up in this term because they crash their workers */
   get tasksGivenUp (): number {
     return this.lifecycle.tasksGivenUp
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -2,7 +2,7 @@
 import type { RecordedJob } from '../types/job.js'
 import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
 import type { Answer, ConfigurationMessage, DeciderMessage, Question, FollowerMessage } from '../types/links.js'
-import { LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO } from '../types/limits.js'
+import { LINK_HEARTBEAT_MS } from '../types/limits.js'
 import { Batch } from './Batch.js'
 import type { AnnouncedVersion } from './ConfigurationSync.js'
 import type { Advice } from '../types/ports.js'
@@ -16,6 +16,8 @@
 import type { Log } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
 import { runLogged } from './runLogged.js'
+import { scheduleTimeout } from './scheduleTimeout.js'
+import { SilenceDetector } from './SilenceDetector.js'
 
 /** Time for which the result of a call to a worker waits for others, so that the decider receives fewer messages. */
 const RESULT_BATCH_MS = 3
@@ -43,11 +45,11 @@
  * Reason for which a node stops following a decider.
  *
  * - `closed`: the link was closed
- * - `silent`: no message arrived on the link for several intervals between heartbeats
  * - `called`: the decider has asked this node to claim the term
  * - `superseded`: another node has claimed the term
+ * - `turned-away`: the other end is not the decider
  */
-export type FollowEndReason = 'closed' | 'silent' | 'called' | 'superseded'
+export type FollowEndReason = 'closed' | 'called' | 'superseded' | 'turned-away'
 
 /** A follower's end of the link to the decider. */
 export class Follower {
@@ -63,6 +65,12 @@
   private lastMessageAt: number
   /** ms since the store last answered the decider, as of its last message. */
   deciderStoreSilence = Infinity
+  /** Longest time in ms between two recent confirmations of the term by the store, as the decider has last reported it. */
+  confirmationInterval = 0
+  /** Whether the decider has been silent for too long since its last message. */
+  isSilent = false
+  /** Why following has ended. */
+  endReason: FollowEndReason | undefined
   /** The last report of the decider's backlog. */
   backlog: ReceivedBacklog | undefined
   /** The decider's last word on the open jobs. */
@@ -72,9 +80,11 @@
   private timer: Timer | undefined
   private readonly callDecoder = new WorkerCallDecoder()
   private readonly results: Batch<{ call: number, result: WorkerCallResult }>
-  private hasEnded = false
+  private readonly silence: SilenceDetector
   private resolveEnd!: (end: FollowEndReason) => void
   private readonly endPromise = new Promise<FollowEndReason>(resolve => { this.resolveEnd = resolve })
+  /** Callbacks that wait for a change of `isSilent`, or the end. */
+  private changeCallbacks: Array<() => void> = []
   private resolveWelcome!: (outcome: 'welcomed' | 'turned-away') => void
   private readonly welcomePromise = new Promise<'welcomed' | 'turned-away'>(resolve => { this.resolveWelcome = resolve })
 
@@ -99,9 +109,13 @@
     newestFence: () => number
     /** ms since this process started. */
     age: number
+    /** What is known of the decider's heartbeats from earlier links to it. */
+    silence?: SilenceDetector
   }) {
     this.lastMessageAt = options.clock.now()
-    this.results = new Batch({ clock: options.clock, delay: RESULT_BATCH_MS, flush: results => { if (!this.hasEnded) link.send({ kind: 'executed', results }) } })
+    this.silence = options.silence ?? new SilenceDetector(options)
+    this.silence.restart()
+    this.results = new Batch({ clock: options.clock, delay: RESULT_BATCH_MS, flush: results => { if (this.endReason === undefined) link.send({ kind: 'executed', results }) } })
     link.onMessage = message => { runLogged(() => { this.handleMessage(message) }, options.log, 'message of the decider') }
     link.onClose = () => { this.end('closed') }
   }
@@ -119,13 +133,24 @@
     const silent = clock.sleep(timeout).then(() => 'silent' as const)
     const closed = this.endPromise.then(() => 'refused' as const)
     const outcome = await Promise.race([this.welcomePromise, silent, closed])
-    if (outcome === 'welcomed') this.timer = clock.repeat(LINK_HEARTBEAT_MS, () => { this.sendHeartbeat() })
+    if (outcome === 'silent') this.setSilent(true)
     return outcome
   }
 
-  /** Waits until following has ended. */
-  async whenEnded (): Promise<FollowEndReason> {
-    return await this.endPromise
+  /** Waits until the decider is silent for too long, or following has ended. */
+  async whenDisturbed (): Promise<void> {
+    while (!this.isSilent && this.endReason === undefined) await this.whenChanged()
+  }
+
+  /** Waits until the decider becomes silent or is heard again, or following has ended. */
+  async whenChanged (): Promise<void> {
+    if (this.endReason !== undefined) return
+    await new Promise<void>(resolve => { this.changeCallbacks.push(resolve) })
+  }
+
+  /** ms for which the decider has been silent, and ms up to which that counts as normal. */
+  get silenceReport (): { silence: number, tolerance: number } {
+    return { silence: Math.round(this.silence.silence), tolerance: Math.round(this.silence.tolerance(this.interval)) }
   }
 
   /** Sends a job to the decider. The job must be on record. */
@@ -157,15 +182,15 @@
    * @returns the outcome of the write, `unknown` if no answer arrived in time, or `undefined` if the request was not sent
    */
   async forwardWrite (request: WriteRequest, timeout: number): Promise<WriteOutcome | undefined> {
-    if (this.hasEnded) return undefined
+    if (this.endReason !== undefined) return undefined
     return await this.call<WriteOutcome>(call => ({ kind: 'record', call, wish: request, patience: timeout }), timeout) ?? 'unknown'
   }
 
   private async call<Value> (write: (call: number) => FollowerMessage, timeout: number): Promise<Value | undefined> {
-    if (this.hasEnded) return undefined
+    if (this.endReason !== undefined) return undefined
     const call = this.nextCall++
     return await new Promise<Value | undefined>(resolve => {
-      const timer = this.options.clock.schedule(timeout, () => { this.resolveCall(call, undefined) })
+      const timer = scheduleTimeout(this.options.clock, timeout, () => { this.resolveCall(call, undefined) })
       this.calls.set(call, value => {
         timer.cancel()
         resolve(value as Value | undefined)
@@ -187,13 +212,20 @@
 
   private handleMessage (message: DeciderMessage): void {
     this.lastMessageAt = this.options.clock.now()
+    this.silence.noteMessage()
+    this.setSilent(false)
     switch (message.kind) {
-      case 'welcome': return this.resolveWelcome('welcomed')
-      case 'elsewhere': return this.resolveWelcome('turned-away')
+      case 'welcome':
+        this.startHeartbeats()
+        return this.resolveWelcome('welcomed')
+      case 'elsewhere':
+        this.resolveWelcome('turned-away')
+        return this.end('turned-away')
       case 'beat':
         this.rank = message.rank
         this.interval = message.interval
         this.deciderStoreSilence = message.storeSilence
+        this.confirmationInterval = message.confirmationInterval ?? 0
         this.backlog = message.backlog === undefined ? undefined : { report: message.backlog, at: this.lastMessageAt }
         this.openJobs = { report: message.openJobs, at: this.lastMessageAt }
         return this.options.callbacks.onConfigurationVersion({ version: message.configuration, confirmedAt: message.configurationConfirmedAt }, answer => { this.link.send(answer) })
@@ -216,31 +248,50 @@
   /** Stops following to claim the term, unless the store doesn't answer: without the store, the claim would fail and the decider would lose a follower. */
   private async succeed (): Promise<void> {
     if (await this.options.checkStore()) return this.end('called')
-    if (!this.hasEnded) this.link.send({ kind: 'declined' })
+    if (this.endReason === undefined) this.link.send({ kind: 'declined' })
   }
 
   private async advise (message: Extract<DeciderMessage, { kind: 'advise' }>): Promise<void> {
     const advice = await this.options.callbacks.advise(message)
-    if (!this.hasEnded) this.link.send({ kind: 'advised', call: message.call, advice })
+    if (this.endReason === undefined) this.link.send({ kind: 'advised', call: message.call, advice })
   }
 
   private async execute ({ call, order }: NumberedCall): Promise<void> {
     this.results.add({ call, result: await this.options.callbacks.execute(order) })
   }
 
+  private startHeartbeats (): void {
+    const { clock } = this.options
+    this.timer ??= clock.repeat(LINK_HEARTBEAT_MS, () => {
+      this.sendHeartbeat()
+      clock.scheduleImmediate(() => { this.checkSilence() })
+    })
+  }
+
   private sendHeartbeat (): void {
     const { clock, storeSilence, storeFailing, callbacks, newestFence } = this.options
     const now = clock.now()
-    if (now - this.lastMessageAt > LINK_TIMEOUT_RATIO * this.interval) {
-      this.end('silent')
-      this.link.close()
-      return
-    }
     if (now - this.lastHeartbeatAt < this.interval - LINK_HEARTBEAT_MS / 2) return
     this.lastHeartbeatAt = now
     this.link.send({ kind: 'beat', storeSilence: Math.min(storeSilence(), Number.MAX_SAFE_INTEGER), storeFailing: storeFailing(), term: newestFence(), configuration: callbacks.configurationVersion() })
   }
 
+  private checkSilence (): void {
+    if (this.endReason === undefined && this.silence.check(this.interval)) this.setSilent(true)
+  }
+
+  private setSilent (isSilent: boolean): void {
+    if (this.isSilent === isSilent) return
+    this.isSilent = isSilent
+    this.notifyChange()
+  }
+
+  private notifyChange (): void {
+    const callbacks = this.changeCallbacks
+    this.changeCallbacks = []
+    for (const callback of callbacks) callback()
+  }
+
   /** Completes a pending call with its answer, or with `undefined` if there is none. */
   private resolveCall (call: number, answer: unknown): void {
     const resolve = this.calls.get(call)
@@ -249,10 +300,11 @@
   }
 
   private end (end: FollowEndReason): void {
-    if (this.hasEnded) return
-    this.hasEnded = true
+    if (this.endReason !== undefined) return
+    this.endReason = end
     this.timer?.cancel()
     for (const call of [...this.calls.keys()]) this.resolveCall(call, undefined)
     this.resolveEnd(end)
+    this.notifyChange()
   }
 }
--- a/packages/cell/src/runtime/Followers.ts
+++ b/packages/cell/src/runtime/Followers.ts
@@ -6,7 +6,7 @@
 import { CELL_EVENTS } from '../types/events.js'
 import { Batch } from './Batch.js'
 import type { AnnouncedVersion } from './ConfigurationSync.js'
-import { CONFIRMATION_WINDOW_MS, DISTANT_HEARTBEAT_MS, LINK_HEARTBEAT_MS, LINK_TIMEOUT_RATIO, STORE_REFUSAL_TIMEOUT_MS, STORE_TIMEOUT_MS, WATCHER_COUNT } from '../types/limits.js'
+import { CONFIRMATION_WINDOW_MS, DISTANT_HEARTBEAT_MS, IDLE_COMMIT_INTERVAL_MS, LINK_HEARTBEAT_MS, STORE_REFUSAL_TIMEOUT_MS, STORE_TIMEOUT_MS, WATCHER_COUNT } from '../types/limits.js'
 import type { WorkerCall, WorkerCallResult } from '../types/execution.js'
 import type { Advice } from '../types/ports.js'
 import type { Executor } from './ExecutorSelection.js'
@@ -15,6 +15,8 @@
 import type { WriteOutcome } from './SubmissionWriter.js'
 import type { Link } from './Link.js'
 import { runLogged } from './runLogged.js'
+import { scheduleTimeout } from './scheduleTimeout.js'
+import { SilenceDetector } from './SilenceDetector.js'
 import { findJobProblem } from './submissionRow.js'
 import { WorkerCallEncoder } from './WorkerCallCodec.js'
 import type { NumberedCall } from './WorkerCallCodec.js'
@@ -46,6 +48,9 @@
  */
 const OWN_DELAY_LIMIT_MS = 2000
 
+/** Interval between two confirmations of the term up to which followers are not told of it: usual while the decider and the store are idle. */
+const USUAL_CONFIRMATION_INTERVAL_MS = 1.5 * IDLE_COMMIT_INTERVAL_MS
+
 /** Callbacks for messages from followers. */
 export interface FollowersCallbacks {
   onJob: (recorded: RecordedJob) => void
@@ -63,6 +68,8 @@
   write: (request: WriteRequest, timeout: number) => Promise<WriteOutcome>
   /** Returns the ms since the store last answered this node. */
   storeSilence: () => number
+  /** Returns the longest time in ms between two recent confirmations of the term. */
+  confirmationInterval: () => number
   /** Returns the decider's backlog, if nodes may refuse jobs by it. */
   backlog?: () => BacklogReport | undefined
   /** Returns what the open jobs take, unless that is little. */
@@ -84,6 +91,7 @@
   members: { executors: readonly Executor[], at: number }
   /** Monotonic ms. */
   lastMessageAt: number
+  silence: SilenceDetector
   /** Calls to workers that wait to be sent to the follower. */
   orders: Batch<NumberedCall>
   /** ms since the store last answered the follower. */
@@ -113,7 +121,10 @@
   /** @param options - `expected`: addresses of the other nodes that were in the cell at the end of the former term, as far as they are known */
   constructor (private readonly options: { clock: Clock, log: Log, fence: number, expected: string[], callbacks: FollowersCallbacks }) {
     this.absent = new Set(options.expected)
-    this.timer = options.clock.repeat(LINK_HEARTBEAT_MS, () => { this.sendHeartbeats() })
+    this.timer = options.clock.repeat(LINK_HEARTBEAT_MS, () => {
+      this.sendHeartbeats()
+      options.clock.scheduleImmediate(() => { this.removeSilent() })
+    })
   }
 
   /** @returns names of the followers, in the order in which they joined */
@@ -138,7 +149,7 @@
     const now = clock.now()
     const encoder = new WorkerCallEncoder()
     const follower: FollowerState = {
-      node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, orders: new Batch({ clock, delay: ORDER_BATCH_MS, flush: calls => { link.send(encoder.encode(fence, calls)) } }), storeSilence: 0, storeFailing: 0, strength, openJobLimit, startedAt: now - age
+      node, dataCentre, address, link, interval: LINK_HEARTBEAT_MS, heartbeatAt: 0, members: { executors: [], at: -Infinity }, lastMessageAt: now, silence: new SilenceDetector({ clock }), orders: new Batch({ clock, delay: ORDER_BATCH_MS, flush: calls => { link.send(encoder.encode(fence, calls)) } }), storeSilence: 0, storeFailing: 0, strength, openJobLimit, startedAt: now - age
     }
     this.followers.set(node, follower)
     this.absent.delete(address)
@@ -177,7 +188,7 @@
     if (follower === undefined) return undefined
     const call = this.nextCall++
     return await new Promise<Value | undefined>(resolve => {
-      const timer = this.options.clock.schedule(timeout, () => { this.resolveCall(call, undefined) })
+      const timer = scheduleTimeout(this.options.clock, timeout, () => { this.resolveCall(call, undefined) })
       this.calls.set(call, {
         node,
         resolve: answer => {
@@ -245,6 +256,7 @@
   private handleMessage (follower: FollowerState, message: FollowerMessage): void {
     const { clock, callbacks, fence } = this.options
     follower.lastMessageAt = clock.now()
+    follower.silence.noteMessage()
     switch (message.kind) {
       case 'beat':
         follower.storeSilence = message.storeSilence
@@ -293,30 +305,36 @@
     const backlog = callbacks.backlog?.()
     const openJobs = callbacks.openJobs?.()
     const storeSilence = Math.min(callbacks.storeSilence(), Number.MAX_SAFE_INTEGER)
-    const isSilent = (follower: FollowerState, limit = 0): boolean => now - follower.lastMessageAt > Math.max(limit, LINK_TIMEOUT_RATIO * follower.interval)
-    const isBehind = 2 * [...this.followers.values()].filter(follower => isSilent(follower)).length > this.followers.size
+    const confirmationInterval = Math.round(callbacks.confirmationInterval())
     for (const follower of this.ranked()) {
-      if (isSilent(follower, isBehind ? OWN_DELAY_LIMIT_MS : 0)) {
-        follower.link.close()
-        this.remove(follower, 'silent')
-        continue
-      }
       const isEligible = follower.storeSilence < MAX_SUCCESSOR_STORE_SILENCE_MS
       const place = isEligible ? rank++ : this.followers.size
       this.updateInterval(follower, place < WATCHER_COUNT ? LINK_HEARTBEAT_MS : DISTANT_HEARTBEAT_MS, now)
       if (now - follower.heartbeatAt < follower.interval - LINK_HEARTBEAT_MS / 2) continue
       follower.heartbeatAt = now
-      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, configurationConfirmedAt, storeSilence, ...(backlog === undefined ? {} : { backlog }), ...(openJobs === undefined ? {} : { openJobs }) })
+      follower.link.send({ kind: 'beat', rank: place, interval: follower.interval, configuration, configurationConfirmedAt, storeSilence, ...(confirmationInterval < USUAL_CONFIRMATION_INTERVAL_MS ? {} : { confirmationInterval }), ...(backlog === undefined ? {} : { backlog }), ...(openJobs === undefined ? {} : { openJobs }) })
       if (place < WATCHER_COUNT) this.reportMembers(follower, now)
     }
   }
 
+  /** Gives up followers that have been silent for too long. */
+  private removeSilent (): void {
+    const silent = [...this.followers.values()].filter(follower => follower.silence.check(follower.interval))
+    const limit = 2 * silent.length > this.followers.size ? OWN_DELAY_LIMIT_MS : 0
+    for (const follower of silent) {
+      if (follower.silence.silence <= limit) continue
+      follower.link.close()
+      this.remove(follower, 'silent')
+    }
+  }
+
   private updateInterval (follower: FollowerState, interval: number, now: number): void {
     if (follower.interval === interval) return
     follower.interval = interval
     // The follower is told at once; until then it sends heartbeats at the former interval, which must not count as silence.
     follower.heartbeatAt = 0
     follower.lastMessageAt = now
+    follower.silence.restart()
   }
 
   private reportMembers (follower: FollowerState, now: number): void {
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -1,15 +1,17 @@
 import { Chart } from '@rattanstep/core'
 import type { ChartFile, Clock } from '@rattanstep/core'
-import type { Log } from '@rattanstep/telemetry'
+import type { Log, Metrics } from '@rattanstep/telemetry'
 import membershipChart from '../charts/membership.json' with { type: 'json' }
 import { CELL_EVENTS } from '../types/events.js'
 import { FENCE_STEP, LINK_TIMEOUT_MS, SUCCESSION_STEP_MS, TERM_RECHECK_DELAY_MS } from '../types/limits.js'
 import type { FollowerMessage } from '../types/links.js'
 import type { RecordStore, Row, Transaction } from '../types/records.js'
 import { Follower } from './Follower.js'
-import type { FollowerCallbacks, DeciderConnector } from './Follower.js'
+import type { FollowerCallbacks, FollowEndReason, DeciderConnector } from './Follower.js'
 import { hashFraction } from './hashText.js'
+import { RecentMaximum } from './RecentMaximum.js'
 import { repeatWhile } from './repeatWhile.js'
+import { SilenceDetector } from './SilenceDetector.js'
 import { decodeTerm, TERM_ROW, encodeTerm } from './Term.js'
 import type { Term } from './Term.js'
 
@@ -35,9 +37,16 @@
 const TAKEOVER_MEMORY_MS = 10_000
 /** Maximum factor by which recent takeovers extend the time that a silent decider has; on the slowest links, a new decider reads the records for 2.5 s. */
 const MAX_RECHECK_FACTOR = 16
+/** Ratio of that time to the longest recent interval between two confirmations of the term, and to the longest read of its row meanwhile. */
+const CONFIRMATION_RATIO = 1.5
+const READ_RATIO = 4
+/** Maximum of that time. */
+const MAX_RECHECK_DELAY_MS = 5000
+/** Number of confirmations of the term during a silence after which the link is at fault: the decider would also have sent heartbeats. */
+const MAX_SILENT_CONFIRMATIONS = 2
 
 type MembershipRole = 'seeking' | 'connecting' | 'following' | 'suspecting' | 'claiming' | 'deciding' | 'stopped'
-type MembershipEvent = 'found' | 'vacant' | 'welcomed' | 'turned-away' | 'refused' | 'silent' | 'closed' | 'called' | 'alive' | 'dead' | 'changed' | 'won' | 'lost' | 'deposed' | 'stop'
+type MembershipEvent = 'found' | 'vacant' | 'welcomed' | 'turned-away' | 'refused' | 'silent' | 'heard' | 'closed' | 'called' | 'alive' | 'dead' | 'changed' | 'won' | 'lost' | 'deposed' | 'stop'
 
 const chart = new Chart<MembershipRole, MembershipEvent>(membershipChart as ChartFile)
 
@@ -47,6 +56,7 @@
   connector: DeciderConnector
   clock: Clock
   log: Log
+  metrics?: Metrics
   node: string
   dataCentre: string
   /** Suitability of this instance as decider; see `CellSettings.strength`. */
@@ -58,8 +68,8 @@
   /** `HOST:PORT` for links. */
   address: string
   follower: FollowerCallbacks
-  /** Decides while this node holds the term; resolves when the term is lost. */
-  decide: (term: Term, version: number) => Promise<void>
+  /** Decides while this node holds the term; resolves when the term is lost, with the longest time in ms between two recent confirmations of it. */
+  decide: (term: Term, version: number) => Promise<number>
 }
 
 /** Finds and follows the decider, or claims the term and becomes the decider. */
@@ -78,6 +88,8 @@
   /** Monotonic ms at which this node learned of each of the last terms that were claimed from a silent decider, by fencing token. */
   private readonly suspicionsSeenAt = new Map<number, number>()
   private newestFence = 0
+  /** The heartbeats of the decider with a fencing token, over all links to it. */
+  private heartbeats: { fence: number, silence: SilenceDetector } | undefined
   /** Place in the order of succession, if the decider assigned one. */
   private rank: number | undefined
   private claimReason = 'no decider'
@@ -85,9 +97,12 @@
   private isClaimingStopped = false
 
   private readonly startedAt: number
+  /** Times between confirmations of the last terms, whose holders are as busy as the next one. */
+  private readonly confirmationIntervals: RecentMaximum
 
   constructor (private readonly options: MembershipOptions) {
     this.startedAt = options.clock.now()
+    this.confirmationIntervals = new RecentMaximum({ clock: options.clock, period: TAKEOVER_MEMORY_MS })
   }
 
   /** Runs until `stop` is called. */
@@ -220,9 +235,12 @@
       storeFailing: () => store.failingFor(),
       checkStore: async () => await this.readTerm(),
       newestFence: () => this.term?.fence ?? 0,
-      age: clock.now() - this.startedAt
+      age: clock.now() - this.startedAt,
+      silence: this.heartbeatsOf(term)
     })
     const joinOutcome = await this.follower.join(LINK_TIMEOUT_MS)
+    // A busy decider may still answer on this link.
+    if (joinOutcome === 'silent') return joinOutcome
     if (joinOutcome !== 'welcomed') {
       this.follower.close()
       this.follower = undefined
@@ -233,46 +251,92 @@
     return 'welcomed'
   }
 
+  private heartbeatsOf ({ fence }: Term): SilenceDetector {
+    const { clock, metrics } = this.options
+    if (this.heartbeats?.fence !== fence) this.heartbeats = { fence, silence: new SilenceDetector({ clock, intervals: metrics?.timer('heartbeat_interval') }) }
+    return this.heartbeats.silence
+  }
+
   private async follow (): Promise<MembershipEvent> {
     const follower = this.follower!
-    const end = await follower.whenEnded()
-    this.rank = follower.rank
-    this.members = follower.members
+    await follower.whenDisturbed()
+    if (follower.endReason !== undefined) return this.leave(follower.endReason)
+    this.options.log.write(CELL_EVENTS.deciderSilent, { decider: this.term?.node, fence: this.term?.fence, ...follower.silenceReport })
+    return 'silent'
+  }
+
+  /** Handles the end of following. */
+  private leave (reason: FollowEndReason | 'silent'): MembershipEvent {
+    const { follower, term } = this
+    this.confirmationIntervals.add(follower?.confirmationInterval ?? 0)
+    this.rank = follower?.rank ?? this.rank
+    this.members = follower?.members ?? this.members
     this.follower = undefined
-    this.claimReason = end
-    if (end === 'superseded') return 'changed'
-    if (end === 'called') return 'called'
-    const { log } = this.options
-    log.write(CELL_EVENTS.deciderLost, { decider: this.term?.node, reason: end, fence: this.term?.fence })
-    return end
+    if (reason === 'silent') follower?.close()
+    this.claimReason = reason
+    if (reason === 'superseded' || reason === 'turned-away') return 'changed'
+    if (reason === 'called') return 'called'
+    this.options.log.write(CELL_EVENTS.deciderLost, { decider: term?.node, reason, fence: term?.fence })
+    return reason
   }
 
-  /** Distinguishes a decider that has failed from one that only this node can't reach. */
+  /**
+   * Distinguishes a decider that has failed from one that is busy, and from one that only this node can't reach. The link stays open meanwhile. Only time in
+   * which this process ran counts against the decider.
+   */
   private async checkDecider (): Promise<MembershipEvent> {
     const { clock } = this.options
-    const versionBefore = this.termRowVersion
+    const { follower, termRowVersion: versionBefore } = this
     const fence = this.term?.fence
-    if (!await this.readTerm()) return 'alive'
-    if (this.term?.fence !== fence) return 'changed'
-    const versionSeen = this.termRowVersion
-    for (const deadline = clock.now() + this.recheckDelay(); clock.now() < deadline;) {
-      await clock.sleep(Math.min(TERM_RECHECK_DELAY_MS, deadline - clock.now()))
-      if (!await this.readTerm()) return 'alive'
-      if (this.term?.fence !== fence) return 'changed'
-      if (this.termRowVersion !== versionSeen || versionBefore === 0) return 'alive'
+    let versionSeen = -1
+    let confirmations = 0
+    let longestRead = 0
+    for (let waited = 0; ;) {
+      const readAt = clock.now()
+      const isRead = await this.readTerm()
+      if (follower?.endReason !== undefined) return this.leave(follower.endReason)
+      if (follower?.isSilent === false) return 'heard'
+      if (this.isStopped()) return 'stop'
+      if (!isRead) {
+        if (follower === undefined) return 'alive'
+        await Promise.race([clock.sleep(STORE_RETRY_DELAY_MS), follower.whenChanged()])
+        continue
+      }
+      longestRead = Math.max(longestRead, clock.now() - readAt)
+      if (this.term?.fence !== fence) return this.abandonLink('changed')
+      if (versionSeen >= 0 && (this.termRowVersion !== versionSeen || versionBefore === 0)) {
+        waited = 0
+        if (follower === undefined || ++confirmations >= MAX_SILENT_CONFIRMATIONS) return this.abandonLink('alive')
+      }
+      versionSeen = this.termRowVersion
+      const left = this.recheckDelay(longestRead) - waited
+      if (left <= 0) break
+      const pause = Math.min(TERM_RECHECK_DELAY_MS, left)
+      await Promise.race([clock.sleep(pause), ...(follower === undefined ? [] : [follower.whenChanged()])])
+      waited += pause
     }
-    this.claimReason = 'silent'
+    this.leave('silent')
     return 'dead'
   }
 
+  private abandonLink (event: 'alive' | 'changed'): MembershipEvent {
+    if (this.follower !== undefined) this.leave('silent')
+    return event
+  }
+
   /**
-   * A takeover makes the next decider busier than the last one was, so that it may be silent in turn. Each recent takeover from a silent decider
-   * therefore doubles the time that a decider has to show that it is alive. Hand-overs and takeovers from dead processes don't count.
+   * Returns the time in ms that a silent decider has to confirm its term. A takeover makes the next decider busier than the last one was, so that it may be
+   * silent in turn. Each recent takeover from a silent decider therefore doubles this time. Hand-overs and takeovers from dead processes don't count. A
+   * decider that has confirmed its term at longer intervals lately, or one with a store that answers slowly, has as much more.
+   *
+   * @param longestRead - longest read of the term row during this silence, in ms
    */
-  private recheckDelay (): number {
+  private recheckDelay (longestRead: number): number {
     const since = this.options.clock.now() - TAKEOVER_MEMORY_MS
     for (const [fence, at] of this.suspicionsSeenAt) if (at < since) this.suspicionsSeenAt.delete(fence)
-    return TERM_RECHECK_DELAY_MS * Math.min(MAX_RECHECK_FACTOR, 2 ** this.suspicionsSeenAt.size)
+    this.confirmationIntervals.add(this.follower?.confirmationInterval ?? 0)
+    const usual = TERM_RECHECK_DELAY_MS * Math.min(MAX_RECHECK_FACTOR, 2 ** this.suspicionsSeenAt.size)
+    return Math.max(usual, Math.min(MAX_RECHECK_DELAY_MS, Math.max(CONFIRMATION_RATIO * this.confirmationIntervals.value, READ_RATIO * longestRead)))
   }
 
   private noteTerm (): void {
@@ -346,7 +410,7 @@
   }
 
   private async decide (): Promise<MembershipEvent> {
-    await this.options.decide(this.term!, this.termRowVersion)
+    this.confirmationIntervals.add(await this.options.decide(this.term!, this.termRowVersion))
     return 'deposed'
   }
 
--- a/packages/cell/src/runtime/Recorder.ts
+++ b/packages/cell/src/runtime/Recorder.ts
@@ -5,6 +5,7 @@
 import { decodeTerm, TERM_ROW, encodeTerm } from './Term.js'
 import type { LatencyHistogram, Log, Metrics } from '@rattanstep/telemetry'
 import { detach } from './detach.js'
+import { RecentMaximum } from './RecentMaximum.js'
 import { RecordPages } from './RecordPages.js'
 import type { RecordRowChange } from './RecordPages.js'
 import { repeatWhile } from './repeatWhile.js'
@@ -16,6 +17,9 @@
 /** Delay before a record that the store has rejected is written again, as it is by then. */
 const REJECTED_RETRY_DELAY_MS = 1000
 
+/** Time for which an interval between two confirmations of the term is remembered at least. */
+const INTERVAL_MEMORY_MS = 10_000
+
 /** Longest time for which a change that needs no transaction of its own waits for another one. */
 const MAX_DELAY_MS = 50
 
@@ -70,6 +74,7 @@
   confirmedAt: number
   commits = 0
   private readonly confirmationIntervals: LatencyHistogram
+  private readonly recentIntervals: RecentMaximum
 
   /**
    * @param options - `term`, `version`: the term held by this node, and the version of its row; `encode`: returns the change of a key's
@@ -87,6 +92,7 @@
   }) {
     this.rowVersion = options.version
     this.confirmedAt = options.clock.now()
+    this.recentIntervals = new RecentMaximum({ clock: options.clock, period: INTERVAL_MEMORY_MS })
     this.confirmationIntervals = options.metrics.timer('confirmation_interval')
   }
 
@@ -95,6 +101,16 @@
     return this.rowVersion
   }
 
+  /** @returns longest time in ms between two recent confirmations of the term, or since the last one */
+  get confirmationInterval (): number {
+    return Math.max(this.recentIntervals.value, this.options.clock.now() - this.confirmedAt)
+  }
+
+  private noteInterval (interval: number): void {
+    this.confirmationIntervals.record(interval)
+    this.recentIntervals.add(interval)
+  }
+
   /** @returns number of records that the store doesn't accept */
   get rejectedRecords (): number {
     return this.restingKeys.size
@@ -217,7 +233,7 @@
       if (result === 'deposed') return result
       if (result === 'rejected' && keys.length > 0) return result
       if (result === 'done') {
-        this.confirmationIntervals.record(sentAt - this.confirmedAt)
+        this.noteInterval(sentAt - this.confirmedAt)
         this.confirmedAt = sentAt
         this.commits++
         for (const key of keys) {
--- a/packages/cell/src/types/links.ts
+++ b/packages/cell/src/types/links.ts
@@ -39,7 +39,7 @@
   | { kind: 'welcome', term: number }
   /** Answer to `hello` from a node that is not the decider. */
   | { kind: 'elsewhere' }
-  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms on the store's clock at which the store confirmed that no newer version exists; absent if it has not, and from nodes of an earlier version of the program */ configurationConfirmedAt?: number, /** ms since the store last answered the decider */ storeSilence: number, /** waiting work, if nodes may refuse more of it */ backlog?: BacklogReport, /** what the open jobs take, unless that is little */ openJobs?: OpenJobReport }
+  | { kind: 'beat', /** place in the order of succession, from 0 */ rank: number, /** ms until the next heartbeat, in both directions */ interval: number, configuration: number, /** ms on the store's clock at which the store confirmed that no newer version exists; absent if it has not, and from nodes of an earlier version of the program */ configurationConfirmedAt?: number, /** ms since the store last answered the decider */ storeSilence: number, /** longest time in ms between two recent confirmations of the term, if it is longer than while the decider and the store are idle */ confirmationInterval?: number, /** waiting work, if nodes may refuse more of it */ backlog?: BacklogReport, /** what the open jobs take, unless that is little */ openJobs?: OpenJobReport }
   | { kind: 'answer', call: number, answer: Answer }
   | { kind: 'recorded', call: number, outcome: WriteOutcome }
   | { kind: 'advise', call: number, step: string, workers: string[], timeout: number }
--- a/packages/cell/test/runtime/starvation.test.ts
+++ b/packages/cell/test/runtime/starvation.test.ts
@@ -68,4 +68,57 @@
     expect(rig.fleet.done.size).toEqual(1)
     expect(countLines(rig.nodes, 'stop-ordered')).toEqual(0)
   })
+
+  // Guards against terms that change hands because everything takes longer, while no process is dead.
+  test('keeps its decider while each node has a small part of a processor', async () => {
+    const rig = await createWideRig()
+    for (const { clock } of rig.nodes) clock.callbackTime = 8
+    await rig.submit(rig.nodes[0]!, [{ count: WIDE_COUNT, size: SIZE }])
+    await expectProgress(rig, 6)
+    expect(countLines(rig.nodes, 'term-claimed')).toEqual(1)
+  })
+
+  // Guards against a node that takes its own pause for the silence of another one.
+  test('doesn\'t suspect the decider after a pause of the follower', async () => {
+    const rig = await createSteadyRig()
+    const follower = rig.nodes.find(node => node !== rig.decider)!
+    follower.clock.freeze()
+    await rig.run(1000)
+    follower.clock.thaw()
+    await rig.run(1000)
+    expect(countLines([follower], 'decider-silent')).toEqual(0)
+    // The decider, which can't know of the pause, has closed the link.
+    expect(follower.log.lines.filter(({ event }) => event.name === 'decider-lost').map(({ fields }) => fields.reason)).toEqual(['closed'])
+  })
+
+  // Guards against the loss of the calls that a follower makes for a decider that it suspects.
+  test('keeps the link to a decider that is heard again while the store is asked', async () => {
+    const rig = await createSteadyRig()
+    const decider = rig.decider!
+    decider.clock.freeze()
+    await rig.run(600)
+    decider.clock.thaw()
+    await rig.run(2000)
+    expect(countLines(rig.nodes, 'decider-silent')).toEqual(rig.nodes.length - 1)
+    expect(countEach(rig.nodes, ['decider-lost', 'follower-lost'])).toEqual([0, 0])
+    expect(rig.decider?.name).toEqual(decider?.name)
+  })
+
+  // Guards against a takeover from a decider that confirms its term as often as it has lately, only not within the usual time.
+  test('gives a decider that has been late lately as much time again', async () => {
+    const rig = await createSteadyRig()
+    const decider = rig.decider!
+    for (let pause = 500; pause <= 1500; pause += 200) {
+      decider.clock.freeze()
+      await rig.run(pause)
+      decider.clock.thaw()
+      await rig.run(1000)
+    }
+    expect(rig.decider?.name).toEqual(decider?.name)
+    expect(countLines(rig.nodes, 'term-claimed')).toEqual(1)
+  })
 })
+
+function countEach (nodes: RigNode[], names: string[]): number[] {
+  return names.map(name => countLines(nodes, name))
+}
