A decider doesn't take its own delay for the store's silence

A decider whose event loop is late by more than 1.2 s takes the answers of the store, which wait to be read, for its silence, and offers its term to a follower that has less to do.

Change: the time by which the checks of the store's silence were late since the last answer doesn't count as silence.

Why it works: what is late in the check is late in reading answers as well. A store that is really silent isn't hidden: the checks are on time then.

The new test of starvation.test.ts fails with the subtraction taken out (2 terms) and passes.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -107,6 +107,10 @@
   private checkTimer: Timer | undefined
   private offerCount = 0
   private lastOfferAt = 0
+  /** Monotonic ms of the last check of the store's silence. */
+  private storeCheckedAt = 0
+  /** ms by which these checks were late since the store last answered: answers may wait to be read. */
+  private ownDelay = 0
   private readonly options: CellOptions
 
   constructor (options: CellOptions) {
@@ -325,6 +329,7 @@
     })
     this.decider = decider
     this.followers = followers
+    this.storeCheckedAt = clock.now()
     this.checkTimer = clock.repeat(STORE_CHECK_INTERVAL_MS, () => {
       this.offerTerm(decider)
       this.yieldToStronger(decider)
@@ -346,7 +351,7 @@
   private offerTerm (decider: Decider): void {
     const { clock, store } = this.options
     const now = clock.now()
-    const storeSilence = Math.min(store.silentFor(), now - decider.confirmedAt)
+    const storeSilence = this.subtractOwnDelay(Math.min(store.silentFor(), now - decider.confirmedAt), now)
     const isRefused = store.failingFor() >= STORE_REFUSAL_TIMEOUT_MS
     if ((storeSilence < STORE_TIMEOUT_MS && !isRefused) || now - this.lastOfferAt < LINK_TIMEOUT_MS) return
     this.lastOfferAt = now
@@ -354,6 +359,15 @@
     if (successor !== undefined) decider.noteOffer()
   }
 
+  /** @returns the part of the store's silence in ms during which this process could have read an answer */
+  private subtractOwnDelay (storeSilence: number, now: number): number {
+    const elapsed = now - this.storeCheckedAt
+    this.storeCheckedAt = now
+    if (storeSilence < elapsed) this.ownDelay = 0
+    this.ownDelay += Math.max(0, elapsed - STORE_CHECK_INTERVAL_MS)
+    return Math.max(0, storeSilence - this.ownDelay)
+  }
+
   /** Hands the term over to a much stronger follower, if there is one. */
   private yieldToStronger (decider: Decider): void {
     const { clock, strength } = this.options
--- a/packages/cell/test/runtime/starvation.test.ts
+++ b/packages/cell/test/runtime/starvation.test.ts
@@ -78,6 +78,15 @@
     expect(countLines(rig.nodes, 'term-claimed')).toEqual(1)
   })
 
+  // Guards against a decider that offers its term because it hasn't yet read what the store has answered.
+  test('keeps its decider while that is late to read the answers of the store', async () => {
+    const rig = await createWideRig()
+    for (const { clock } of rig.nodes) clock.callbackTime = 12
+    await rig.submit(rig.nodes[0]!, [{ count: WIDE_COUNT, size: SIZE }])
+    await rig.run(10_000)
+    expect(countLines(rig.nodes, 'term-claimed')).toEqual(1)
+  })
+
   // Guards against a node that takes its own pause for the silence of another one.
   test('doesn\'t suspect the decider after a pause of the follower', async () => {
     const rig = await createSteadyRig()
