A successor reads small records in larger pages

What callers saw: on a starved machine nothing runs for seconds after each kill of the decider.

Cause: a recovery reads 50 rows a call, and the records in one call after the other. Each call takes several turns of the scheduler of a starved machine.

Change: a page has as many rows, up to 500, as make up 40 KB by the sizes of those before, three times as much for the records, which are read alone. What stands before heartbeats and commits on a slow link is as much as before.

--- a/packages/cell/src/runtime/Recovery.ts
+++ b/packages/cell/src/runtime/Recovery.ts
@@ -23,6 +23,8 @@
  * new decider.
  */
 const MAX_CONCURRENT_READS = 3
+/** Bytes of a page: a fifth of a second on the slowest links. Small rows come in larger pages, since each page takes a call. */
+const PAGE_BYTES = 40_000
 
 /** State of the jobs as read from the store. */
 export interface RecoveredState {
@@ -76,7 +78,7 @@
    */
   async read (isAbandoned: () => boolean): Promise<RecoveredState | undefined> {
     // Records are read before submissions, so that for each job whose record is read the submission is read too.
-    await this.readPart(RECORDS.table, RECORDS.part, isAbandoned, rows => { for (const row of rows) this.addRow(row) })
+    await this.readPart(RECORDS.table, RECORDS.part, isAbandoned, rows => { for (const row of rows) this.addRow(row) }, MAX_CONCURRENT_READS * PAGE_BYTES)
     await this.readPagedRecords(isAbandoned)
     await this.readSubmissions(isAbandoned)
     if (isAbandoned()) return undefined
@@ -95,14 +97,14 @@
     await Promise.all(Array.from({ length: MAX_CONCURRENT_READS }, readNext))
   }
 
-  private async readPart (table: string, part: string, isAbandoned: () => boolean, onPage: (rows: Row[]) => void): Promise<number | undefined> {
+  private async readPart (table: string, part: string, isAbandoned: () => boolean, onPage: (rows: Row[]) => void, pageBytes = PAGE_BYTES): Promise<number | undefined> {
     const { store, clock } = this.options
     const retry = async (): Promise<boolean> => {
       if (isAbandoned()) return false
       await clock.sleep(RETRY_DELAY_MS)
       return !isAbandoned()
     }
-    return (await readPages(store, { table, part }, onPage, { retry })).unwrapOr(undefined)
+    return (await readPages(store, { table, part }, onPage, { retry, pageBytes })).unwrapOr(undefined)
   }
 
   private addSubmissions (rows: Row[]): void {
--- a/packages/cell/src/types/records.ts
+++ b/packages/cell/src/types/records.ts
@@ -66,6 +66,8 @@
   from?: string
   /** Exclusive upper bound of the keys. */
   until?: string
+  /** Number of rows wanted in a page, of which the store's client may return fewer; by default, so many that a page of usual rows delays nothing else. */
+  rows?: number
 }
 
 /** Rows in order of their keys, and the version of the store when they were read. */
