Lookups before a refusal follow the answers of the store

What callers saw: on a starved machine submissions for which there is no room are answered with 504 after 3 s, instead of being refused at once.

Before a submission is refused for lack of room, the store is asked whether an earlier request has submitted the job; four lookups of two rounds and three reads each were under way at a time, and the others waited until their deadlines.

Change: the number of lookups follows the answers (`AnswerWindow`), 4 to 64. A lookup reads the submission and, if there is none, the end of the job, but not its record, which tells nothing here.

Why it works: a store that is only far away takes more of them; one that slows down gets fewer.

--- a/packages/cell/src/runtime/Gateway.ts
+++ b/packages/cell/src/runtime/Gateway.ts
@@ -6,6 +6,7 @@
 import type { AdmissionGate } from './AdmissionGate.js'
 import type { RecordStore } from '../types/records.js'
 import type { EndedPhase } from './Registry.js'
+import { AnswerWindow } from '../starts/AnswerWindow.js'
 import { ConcurrencyLimit } from './ConcurrencyLimit.js'
 import { encodeSubmission } from './submissionRow.js'
 import { SubmissionWriter } from './SubmissionWriter.js'
@@ -31,8 +32,9 @@
  */
 const MIN_WRITE_TIME_MS = 40
 
-/** Number of refused submissions for which the store is asked at the same time whether they repeat an accepted one. */
-const MAX_CONCURRENT_LOOKUPS = 4
+/** Numbers of refused submissions for which the store is asked at the same time whether they repeat an accepted one: at least, and at most. */
+const MIN_CONCURRENT_LOOKUPS = 4
+const MAX_CONCURRENT_LOOKUPS = 64
 
 /** Access to the decider, which may be this node or another one. */
 export abstract class DeciderClient {
@@ -78,10 +80,13 @@
   private readonly writer: SubmissionWriter
   /** Writes of callers, and queries, that wait for their outcome. */
   private readonly waiting = { waitingWrites: 0, waitingQueries: 0 }
-  private readonly lookups = new ConcurrencyLimit(() => MAX_CONCURRENT_LOOKUPS)
+  private readonly lookupWindow: AnswerWindow
+  private readonly lookups: ConcurrencyLimit
 
   /** @param options - `limits`: numbers of writes and queries that may wait; `onLimit`: called when one is refused for that */
   constructor (private readonly options: { store: RecordStore, clock: Clock, decider: DeciderClient, admission?: AdmissionGate, openJobGate?: OpenJobGate, limits?: WaitingLimits, onLimit?: (limit: keyof WaitingLimits) => void }) {
+    this.lookupWindow = new AnswerWindow({ clock: options.clock, initial: MIN_CONCURRENT_LOOKUPS, least: MIN_CONCURRENT_LOOKUPS, most: MAX_CONCURRENT_LOOKUPS })
+    this.lookups = new ConcurrencyLimit(() => this.lookupWindow.size)
     this.writer = new SubmissionWriter({ ...options, maxWaiting: options.limits?.waitingWrites ?? Infinity, onFull: () => { options.onLimit?.('waitingWrites') } })
   }
 
@@ -229,9 +234,22 @@
   /** Looks for a submission of a job before it is refused. While many are refused, the lookups take turns, so that the store answers others. */
   private async findEarlierSubmission (id: string, deadline: number): Promise<'found' | 'none' | 'unknown'> {
     const { clock } = this.options
-    const phase = await this.runWithin('waitingQueries', async () => await this.lookups.run(async () => clock.now() < deadline ? await this.readRecordedPhase(id) : undefined))
-    if (phase === undefined || phase.kind === 'refused') return 'unknown'
-    return phase.kind === 'phase' ? 'found' : 'none'
+    if (this.lookups.isFull) this.lookupWindow.noteLimit()
+    return await this.runWithin('waitingQueries', async () => await this.lookups.run(async () => clock.now() < deadline ? await this.lookUpSubmission(id) : undefined)) ?? 'unknown'
+  }
+
+  private async lookUpSubmission (id: string): Promise<'found' | 'none' | 'unknown'> {
+    const { store, clock } = this.options
+    const sentAt = clock.now()
+    const submission = await store.range({ table: 'jobs', part: submissionPart(id), from: id, until: id + '\0' })
+    if (submission.isErr()) return 'unknown'
+    this.lookupWindow.noteAnswer(sentAt)
+    if (submission.value.rows.length > 0) return 'found'
+    // A job may be archived between two reads, so the row of its end is read last.
+    const end = await store.range({ ...endRowName(id), from: id, until: id + '\0' })
+    if (end.isErr()) return 'unknown'
+    const [ended] = end.value.rows
+    return ended === undefined || ended.value === WITHDRAWN ? 'none' : 'found'
   }
 
   private async readRecordedPhase (id: string): Promise<PhaseOutcome> {
