--- a/packages/cell/src/node/CellNode.ts
+++ b/packages/cell/src/node/CellNode.ts
@@ -98,6 +98,7 @@
     metrics.gauge('open_job_bytes', () => this.cell.activeDecider?.openJobs.totals.held ?? 0)
     metrics.gauge('open_job_bytes_peak', () => this.cell.activeDecider?.openJobs.totals.peak ?? 0)
     metrics.gauge('open_task_objects', () => this.cell.activeDecider?.registry.tasks.open ?? 0)
+    metrics.gauge('starts_allowed', () => this.cell.activeDecider?.startsAllowed ?? 0)
     metrics.gauge('deferred_jobs', () => this.cell.activeDecider?.openJobs.waiting ?? 0)
     metrics.gauge('rejected_records', () => this.cell.activeDecider?.rejectedRecords ?? 0)
     metrics.gauge('longest_record_chars', () => this.cell.activeDecider?.longestRecord ?? 0)
--- a/packages/cell/src/runtime/Decider.ts
+++ b/packages/cell/src/runtime/Decider.ts
@@ -338,6 +338,11 @@
     return this.recorder.confirmedAt
   }
 
+  /** @returns number of orders to start that may be in flight */
+  get startsAllowed (): number {
+    return this.startFlow.size
+  }
+
   /** @returns longest time in ms between two recent confirmations of the term, or since the last one */
   get confirmationInterval (): number {
     return this.recorder.confirmationInterval
