A node keeps what it knows of the others if a decider doesn't answer its hello

A link to a decider that has not answered was left with its empty list of members, in place of that of the last decider, so that a claim would have been announced to nobody. And a round whose placements reached the window of starts exactly didn't note that it limits.

Change: rank and members are taken only from a decider that has accepted the node; a round notes the limit as soon as it is reached.

--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -148,6 +148,11 @@
     await new Promise<void>(resolve => { this.changeCallbacks.push(resolve) })
   }
 
+  /** @returns whether the decider has accepted this node */
+  get hasJoined (): boolean {
+    return this.timer !== undefined
+  }
+
   /** ms for which the decider has been silent, and ms up to which that counts as normal. */
   get silenceReport (): { silence: number, tolerance: number } {
     return { silence: Math.round(this.silence.silence), tolerance: Math.round(this.silence.tolerance(this.interval)) }
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -268,9 +268,12 @@
   /** Handles the end of following. */
   private leave (reason: FollowEndReason | 'silent'): MembershipEvent {
     const { follower, term } = this
-    this.confirmationIntervals.add(follower?.confirmationInterval ?? 0)
-    this.rank = follower?.rank ?? this.rank
-    this.members = follower?.members ?? this.members
+    // A decider that has not answered has told nothing of the other nodes.
+    if (follower?.hasJoined === true) {
+      this.confirmationIntervals.add(follower.confirmationInterval)
+      this.rank = follower.rank
+      this.members = follower.members
+    }
     this.follower = undefined
     if (reason === 'silent') follower?.close()
     this.claimReason = reason
--- a/packages/cell/src/runtime/planRound.ts
+++ b/packages/cell/src/runtime/planRound.ts
@@ -172,6 +172,7 @@
 export function addPlacements (step: StepState, placements: Placement[], { plan, capBudgetOf, starts }: Pick<RoundContext, 'plan' | 'capBudgetOf' | 'starts'>): void {
   plan.placements.push(...placements)
   starts.left -= placements.length
+  if (starts.left < 1) plan.startLimit.isReached = true
   capBudgetOf(step.occurrence.job.job)?.take(step.definition.size, placements.length)
 }
 
