A node that joins is heard from its hello on, and tests of each part of the detector

A test of a decider whose answer to a hello is late failed: the decider removes a node that sends no heartbeat for 480 ms after its hello, and the node sent the first one after the answer.

Change: heartbeats start with the hello. What a node knows of its own term as a decider no longer counts for the next one: nothing needs it.

--- a/packages/cell/src/runtime/Cell.ts
+++ b/packages/cell/src/runtime/Cell.ts
@@ -142,7 +142,7 @@
         onConfigurationMessage: (message, send) => { this.configurationSync.handleMessage(message, 'decider', send) },
         configurationVersion: () => this.configurationFeed.currentVersion
       },
-      decide: async (term, version) => await this.decide(term, version)
+      decide: async (term, version) => { await this.decide(term, version) }
     })
   }
 
@@ -261,8 +261,7 @@
     return follower?.isSilent === true ? undefined : follower
   }
 
-  /** @returns longest time in ms between two recent confirmations of the term, when it is lost */
-  private async decide (term: Term, version: number): Promise<number> {
+  private async decide (term: Term, version: number): Promise<void> {
     const { store, workers, reader, clock, log, metrics = new Metrics(), node, advisor, retention, leaseMax, limits, preempts = false, refuses = false } = this.options
     let resolveTermLost!: () => void
     const termLost = new Promise<void>(resolve => { resolveTermLost = resolve })
@@ -341,7 +340,6 @@
     this.decider = undefined
     this.followers = undefined
     followers.close()
-    return decider.confirmationInterval
   }
 
   /**
--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -69,6 +69,8 @@
   confirmationInterval = 0
   /** Whether the decider has been silent for too long since its last message. */
   isSilent = false
+  /** Whether the decider has accepted this node. */
+  hasJoined = false
   /** Why following has ended. */
   endReason: FollowEndReason | undefined
   /** The last report of the decider's backlog. */
@@ -130,6 +132,8 @@
   async join (timeout: number): Promise<'welcomed' | 'turned-away' | 'silent' | 'refused'> {
     const { node, dataCentre, address, strength, age, openJobLimit, clock } = this.options
     this.link.send({ kind: 'hello', node, dataCentre, address, strength, age, openJobLimit })
+    // The decider counts silence from the hello on, and its answer may be late.
+    this.startHeartbeats()
     const silent = clock.sleep(timeout).then(() => 'silent' as const)
     const closed = this.endPromise.then(() => 'refused' as const)
     const outcome = await Promise.race([this.welcomePromise, silent, closed])
@@ -148,11 +152,6 @@
     await new Promise<void>(resolve => { this.changeCallbacks.push(resolve) })
   }
 
-  /** @returns whether the decider has accepted this node */
-  get hasJoined (): boolean {
-    return this.timer !== undefined
-  }
-
   /** ms for which the decider has been silent, and ms up to which that counts as normal. */
   get silenceReport (): { silence: number, tolerance: number } {
     return { silence: Math.round(this.silence.silence), tolerance: Math.round(this.silence.tolerance(this.interval)) }
@@ -221,7 +220,7 @@
     this.setSilent(false)
     switch (message.kind) {
       case 'welcome':
-        this.startHeartbeats()
+        this.hasJoined = true
         return this.resolveWelcome('welcomed')
       case 'elsewhere':
         this.resolveWelcome('turned-away')
@@ -267,7 +266,7 @@
 
   private startHeartbeats (): void {
     const { clock } = this.options
-    this.timer ??= clock.repeat(LINK_HEARTBEAT_MS, () => {
+    this.timer = clock.repeat(LINK_HEARTBEAT_MS, () => {
       this.sendHeartbeat()
       clock.scheduleImmediate(() => { this.checkSilence() })
     })
--- a/packages/cell/src/runtime/Membership.ts
+++ b/packages/cell/src/runtime/Membership.ts
@@ -68,8 +68,8 @@
   /** `HOST:PORT` for links. */
   address: string
   follower: FollowerCallbacks
-  /** Decides while this node holds the term; resolves when the term is lost, with the longest time in ms between two recent confirmations of it. */
-  decide: (term: Term, version: number) => Promise<number>
+  /** Decides while this node holds the term; resolves when the term is lost. */
+  decide: (term: Term, version: number) => Promise<void>
 }
 
 /** Finds and follows the decider, or claims the term and becomes the decider. */
@@ -413,7 +413,7 @@
   }
 
   private async decide (): Promise<MembershipEvent> {
-    this.confirmationIntervals.add(await this.options.decide(this.term!, this.termRowVersion))
+    await this.options.decide(this.term!, this.termRowVersion)
     return 'deposed'
   }
 
--- a/packages/cell/test/runtime/starvation.test.ts
+++ b/packages/cell/test/runtime/starvation.test.ts
@@ -100,6 +100,30 @@
     expect(follower.log.lines.filter(({ event }) => event.name === 'decider-lost').map(({ fields }) => fields.reason)).toEqual(['closed'])
   })
 
+  // Guards against nodes that suspect the decider when a pause of the whole machine ends, before it can have sent anything.
+  test('suspects nobody after a pause of all nodes', async () => {
+    const rig = await createSteadyRig()
+    for (const { clock } of rig.nodes) clock.freeze()
+    await rig.run(1500)
+    for (const { clock } of rig.nodes) clock.thaw()
+    await rig.run(1000)
+    expect(countEach(rig.nodes, ['decider-silent', 'decider-lost', 'follower-lost'])).toEqual([0, 0, 0])
+  })
+
+  // Guards against a new process that claims the term of a busy decider, of whose delays it can't know.
+  test('keeps its decider when a node starts again', async () => {
+    const rig = await createWideRig()
+    for (const { clock } of rig.nodes) clock.callbackTime = 12
+    await rig.submit(rig.nodes[0]!, [{ count: WIDE_COUNT, size: SIZE }])
+    const { decider } = rig
+    const follower = rig.nodes.find(node => node !== decider)!
+    rig.kill(follower)
+    await rig.run(500)
+    rig.addNode(follower.name).clock.callbackTime = 12
+    await rig.run(10_000)
+    expect(countLines(rig.nodes, 'term-claimed')).toEqual(1)
+  })
+
   // Guards against the loss of the calls that a follower makes for a decider that it suspects.
   test('keeps the link to a decider that is heard again while the store is asked', async () => {
     const rig = await createSteadyRig()
@@ -125,6 +149,48 @@
     }
     expect(rig.decider?.name).toEqual(decider?.name)
     expect(countLines(rig.nodes, 'term-claimed')).toEqual(1)
+    // Each follower asks the store once, after the first of these pauses.
+    expect(countLines(rig.nodes, 'decider-silent')).toEqual(rig.nodes.length - 1)
+  })
+
+  // Guards against a node that opens one link after the other to a decider that answers each of them too late.
+  test('joins a decider that answers late', async () => {
+    const rig = await createSteadyRig()
+    const decider = rig.decider!
+    const follower = rig.nodes.find(node => node !== decider)!
+    rig.kill(follower)
+    await rig.run(500)
+    rig.addNode(follower.name).endpoint.inboundDelay = 600
+    await rig.run(2000)
+    expect(rig.nodes.find(({ name }) => name === follower.name)!.cell.isReady).toEqual(true)
+    expect(decider.log.lines.filter(({ event, fields }) => event.name === 'follower-gained' && fields.follower === follower.name).length).toEqual(2)
+  })
+
+  // Guards against a new process that takes the store's slowness for the decider's death.
+  test('keeps its decider when a node that can\'t hear it starts while the store is slow', async () => {
+    for (let offset = 0; offset < 1000; offset += 100) {
+      const rig = await createSteadyRig()
+      const follower = rig.nodes.find(node => node !== rig.decider)!
+      for (const { store } of rig.nodes) store.condition = 'slow'
+      rig.kill(follower)
+      await rig.run(3000 + offset)
+      const started = rig.addNode(follower.name)
+      started.store.condition = 'slow'
+      started.endpoint.inboundDelay = 3000
+      await rig.run(6000)
+      expect(countLines(rig.nodes, 'term-claimed')).toEqual(1)
+    }
+  })
+
+  // Guards against links that are replaced, with the loss of all calls on them, because heartbeats take longer than commits.
+  test('keeps the link to a decider that commits and is heard late', async () => {
+    const rig = await createSteadyRig()
+    const follower = rig.nodes.find(node => node !== rig.decider)!
+    follower.endpoint.inboundDelay = 900
+    await rig.run(800)
+    follower.endpoint.inboundDelay = 0
+    await rig.run(2000)
+    expect(countEach(rig.nodes, ['decider-silent', 'decider-lost', 'follower-lost'])).toEqual([1, 0, 0])
   })
 })
 
