Lost workers don't narrow the starts on the others

By reading, each order without an answer halved the window of all starts, orders to lost workers took places in it until they timed out, and after that it grew by one in an answer time, which is a commit of half a second while the store is slow.

Change: orders without an answer shrink the window of all only if they are most of the last ones; workers that are out of sight don't count; a window grows by an eighth in an answer time after a congestion.

Measured: two tests of startFlow.test.ts; the first fails on (20 places taken by a lost worker).

--- a/packages/cell/src/starts/AnswerWindow.ts
+++ b/packages/cell/src/starts/AnswerWindow.ts
@@ -11,6 +11,8 @@
 /** Factors by which the window shrinks after a slow answer and after an order without one. */
 const SLOW_FACTOR = 0.7
 const SILENCE_FACTOR = 0.5
+/** Growth with each answer after the first congestion; before it, the window grows by one. */
+const CAREFUL_GROWTH = 0.125
 
 /** Options of a window. */
 export interface AnswerWindowOptions {
@@ -22,8 +24,8 @@
 }
 
 /**
- * Number of orders that may be in flight, which follows their answers: it doubles within an answer time until the first sign of congestion, grows by one
- * in an answer time afterwards, and shrinks if answers become slow or don't come. What counts as slow depends on the shortest recent answer time, so that a
+ * Number of orders that may be in flight, which follows their answers: it doubles within an answer time until the first sign of congestion, grows by an
+ * eighth in an answer time afterwards, and shrinks if answers become slow or don't come. What counts as slow depends on the shortest recent answer time, so that a
  * way that is long, or a receiver that gets a small part of a processor, isn't taken for congestion.
  */
 export class AnswerWindow {
@@ -61,7 +63,7 @@
     this.noteDuration(duration)
     if (this.average > this.slowAnswer) return this.shrink(SLOW_FACTOR, sentAt)
     if (!this.isLimiting) return
-    this.current = Math.min(this.options.most, this.current + (this.hasShrunk ? 1 / this.current : 1))
+    this.current = Math.min(this.options.most, this.current + (this.hasShrunk ? CAREFUL_GROWTH : 1))
   }
 
   /** Handles that an order got no answer in time; `sentAt`: monotonic ms. */
--- a/packages/cell/src/starts/StartFlow.ts
+++ b/packages/cell/src/starts/StartFlow.ts
@@ -12,6 +12,10 @@
 /** Number of tasks that may be placed, as a multiple of the orders that may be in flight: while these are answered, the next placements are written. */
 const PLACED_RATIO = 2
 
+/** Share of unanswered orders above which the way to all workers counts as congested, and weight of an order in it. Single workers fail without that. */
+const MAX_UNANSWERED_SHARE = 0.5
+const OUTCOME_WEIGHT = 0.1
+
 /** Starts that a round of planning may still place. */
 export interface StartBudget {
   /** Number of further starts in all. */
@@ -26,6 +30,8 @@
  */
 export class StartFlow {
   private readonly all: AnswerWindow
+  /** Moving average of the share of orders that got no answer. */
+  private unansweredShare = 0
   private readonly byWorker = new WeakMap<WorkerState, AnswerWindow>()
 
   /** @param options - `most`: number of starts that may be in flight whatever their answers take */
@@ -44,6 +50,8 @@
     const pending = new Map<WorkerState, number>()
     let total = 0
     for (const worker of workers) {
+      // Nothing more is sent to a worker that doesn't answer, so that its orders delay no others.
+      if (!worker.isReachable) continue
       let count = 0
       for (const task of worker.tasks.values()) if (isPending(task)) count++
       if (count === 0) continue
@@ -67,9 +75,14 @@
    * @param isAnswered - whether the worker has answered in time
    */
   noteOutcome (worker: WorkerState, sentAt: number, isAnswered: boolean): void {
-    for (const window of [this.all, this.windowOf(worker)]) {
-      if (isAnswered) window.noteAnswer(sentAt)
-      else window.noteSilence(sentAt)
+    const ofWorker = this.windowOf(worker)
+    this.unansweredShare += OUTCOME_WEIGHT * ((isAnswered ? 0 : 1) - this.unansweredShare)
+    if (isAnswered) {
+      ofWorker.noteAnswer(sentAt)
+      this.all.noteAnswer(sentAt)
+    } else {
+      ofWorker.noteSilence(sentAt)
+      if (this.unansweredShare > MAX_UNANSWERED_SHARE) this.all.noteSilence(sentAt)
     }
   }
 
--- a/packages/cell/test/starts/startFlow.test.ts
+++ b/packages/cell/test/starts/startFlow.test.ts
@@ -1,5 +1,8 @@
 import { describe, test } from 'node:test'
 import { expect } from 'earl'
+import { FakeClock } from '@rattanstep/core'
+import type { Task, WorkerState } from '../../src/runtime/model.js'
+import { StartFlow } from '../../src/starts/StartFlow.js'
 import { createSteadyRig } from '../support/CellRig.js'
 import type { CellRig } from '../support/CellRig.js'
 
@@ -22,6 +25,12 @@
   return pending
 }
 
+/** @returns what flow control reads of a worker, with a number of tasks whose orders are not answered */
+function createWorker (ordered: number): WorkerState {
+  const tasks = new Map(Array.from({ length: ordered }, (_, index) => [String(index), { phase: 'ordered', isUnanswered: false } as Task]))
+  return { tasks, isReachable: true } as WorkerState
+}
+
 describe('flow control of starts', () => {
   // Guards against a record with hundreds of runs that have not begun.
   test('bounds the tasks that are placed and not started', async () => {
@@ -46,6 +55,37 @@
     expect(rig.fleet.violations).toEqual([])
   })
 
+  // Guards against a lost rack whose orders, without an answer, leave fewer places for those to other workers.
+  test('goes on for the other workers when some are lost', () => {
+    const clock = new FakeClock({ start: 1000 })
+    const flow = new StartFlow({ clock, most: 512 })
+    const lost = createWorker(20)
+    const other = createWorker(0)
+    const { left } = flow.startRound([other])
+    expect(flow.startRound([lost, other]).left).toEqual(left - 20)
+    lost.isReachable = false
+    expect(flow.startRound([lost, other]).left).toEqual(left)
+    for (let order = 0; order < 20; order++) {
+      flow.noteOutcome(lost, clock.now(), false)
+      for (let answer = 0; answer < 3; answer++) flow.noteOutcome(other, clock.now(), true)
+      clock.tick(10)
+    }
+    expect(flow.startRound([other]).left).toEqual(left)
+    expect(flow.startRound([other]).leftOf(lost)).toBeLessThan(flow.startRound([other]).leftOf(other))
+  })
+
+  // Guards against a window that stays as large as it is while no order is answered any more.
+  test('shrinks for all workers when most orders get no answer', () => {
+    const clock = new FakeClock({ start: 1000 })
+    const flow = new StartFlow({ clock, most: 512 })
+    const before = flow.size
+    for (let order = 0; order < 20; order++) {
+      flow.noteOutcome(createWorker(0), clock.now(), false)
+      clock.tick(10)
+    }
+    expect(flow.size).toBeLessThan(before / 2)
+  })
+
   // Guards against urgent work that waits behind a queue of orders for other work.
   test('lets urgent work go before other work that has room', async () => {
     const rig = await createSteadyRig({ workers: 4, cpu: 400_000, limits: { startOrders: MAX_ORDERS }, others: [{ name: 'later', priority: 2 }], behaviour: () => ({ duration: 60_000, ending: 'done', size: SIZE }) })
