Read-through: a fallback that nothing used, and comments that were outdated

Cause: `Follower` made a detector of its own if it got none, which `Membership` always passes. The phases of tasks, the time-out of links and a field of the window of starts were described as before the change.

Change: the option is required, the comments say what holds now. Behaviour, bounds and tests are as they were.

--- a/packages/cell/src/runtime/Follower.ts
+++ b/packages/cell/src/runtime/Follower.ts
@@ -17,7 +17,7 @@
 import { detach } from './detach.js'
 import { runLogged } from './runLogged.js'
 import { scheduleTimeout } from './scheduleTimeout.js'
-import { SilenceDetector } from './SilenceDetector.js'
+import type { SilenceDetector } from './SilenceDetector.js'
 
 /** Time for which the result of a call to a worker waits for others, so that the decider receives fewer messages. */
 const RESULT_BATCH_MS = 3
@@ -112,10 +112,10 @@
     /** ms since this process started. */
     age: number
     /** What is known of the decider's heartbeats from earlier links to it. */
-    silence?: SilenceDetector
+    silence: SilenceDetector
   }) {
     this.lastMessageAt = options.clock.now()
-    this.silence = options.silence ?? new SilenceDetector(options)
+    this.silence = options.silence
     this.silence.restart()
     this.results = new Batch({ clock: options.clock, delay: RESULT_BATCH_MS, flush: results => { if (this.endReason === undefined) link.send({ kind: 'executed', results }) } })
     link.onMessage = message => { runLogged(() => { this.handleMessage(message) }, options.log, 'message of the decider') }
--- a/packages/cell/src/runtime/model.ts
+++ b/packages/cell/src/runtime/model.ts
@@ -7,9 +7,9 @@
 /**
  * - `waiting`: no run exists
  * - `placed`: the task is assigned to a worker, and the order to start is not yet sent
- * - `ordered`: the order to start is sent and not yet answered
+ * - `ordered`: the order to start is sent and not yet answered, or got no answer in time and no list of the worker has shown since whether the run has begun
  * - `running`: the worker has taken the order
- * - `stopping`: the run is being stopped, for example because the order to start got no answer
+ * - `stopping`: the run is being stopped, for example because the order to start got no answer and the worker doesn't list the run
  * - `assumed`: the run is on record from a former decider, and its worker has not yet listed it
  * - `done`: the task has completed successfully
  */
--- a/packages/cell/src/starts/AnswerWindow.ts
+++ b/packages/cell/src/starts/AnswerWindow.ts
@@ -33,7 +33,7 @@
   private hasShrunk = false
   /** Monotonic ms of the last decrease; orders that were sent before it say nothing about the present size. */
   private shrunkAt = -Infinity
-  /** Whether orders had to wait because of this window since the last change of its size. */
+  /** Whether orders had to wait because of this window since the last decrease of its size. */
   private isLimiting = false
   /** Moving average of the answer times in ms. */
   private average = 0
--- a/packages/cell/src/types/limits.ts
+++ b/packages/cell/src/types/limits.ts
@@ -17,13 +17,13 @@
 export const IDLE_COMMIT_INTERVAL_MS = 200
 /** Interval between heartbeats on the link of a follower that watches the decider. In normal operation, a heartbeat is delayed by at most 16 ms. */
 export const LINK_HEARTBEAT_MS = 120
-/** Time without any message after which such a link counts as dead. In normal operation, no link is silent for 300 ms. */
+/** Time without any message after which the other end of such a link is suspected, unless it was late lately. In normal operation, no link is silent for 300 ms. */
 export const LINK_TIMEOUT_MS = 400
 /** Number of followers, first in the order of succession, that watch the decider. More would only add heartbeats. */
 export const WATCHER_COUNT = 8
 /** Interval between heartbeats of all other followers, so that the decider's load hardly grows with their number. */
 export const DISTANT_HEARTBEAT_MS = 480
-/** Ratio of the time after which a link counts as dead to the interval between heartbeats. */
+/** Ratio of the time after which the other end of a link is suspected to the interval between heartbeats. */
 export const LINK_TIMEOUT_RATIO = LINK_TIMEOUT_MS / LINK_HEARTBEAT_MS
 /** Delay between two reads of the term row of an unresponsive decider; longer than the interval between idle commits. */
 export const TERM_RECHECK_DELAY_MS = 300
